--- /dev/null
+++ b/cassiapitch/asgi.py
@@ -0,0 +1,151 @@
+"""HTTP serving by `uvicorn`, and small helpers for ASGI applications."""
+
+import contextlib
+import dataclasses
+import socket
+from collections.abc import Awaitable, Callable, Iterator, MutableMapping
+from typing import Any
+
+import anyio
+import msgspec
+import uvicorn
+
+from cassiapitch.settings import Address
+
+Scope = MutableMapping[str, Any]
+AsgiMessage = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[AsgiMessage]]
+Send = Callable[[AsgiMessage], Awaitable[None]]
+App = Callable[[Scope, Receive, Send], Awaitable[None]]
+Headers = list[tuple[bytes, bytes]]
+
+KEEP_ALIVE_S = 75
+LISTEN_BACKLOG = 1_024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Body:
+    """A request body that arrived whole and in time."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyTooLarge:
+    """The body was larger than the limit."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyLate:
+    """The body didn't arrive whole in time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed the connection before the end of the body."""
+
+
+BodyOutcome = Body | BodyTooLarge | BodyLate | CallerGone
+
+
+def header(scope: Scope, name: bytes) -> str | None:
+    """Returns a request header's value; `name` is in lower case."""
+    for key, value in scope["headers"]:
+        if key == name:
+            return str(value, "latin-1")
+    return None
+
+
+async def read_body(receive: Receive, limit_bytes: int, timeout_ms: int) -> BodyOutcome:
+    """Reads a request body within a size and a time."""
+    parts: list[bytes] = []
+    size_bytes = 0
+    with anyio.move_on_after(timeout_ms / 1000):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return CallerGone()
+            part = message.get("body", b"")
+            size_bytes += len(part)
+            if size_bytes > limit_bytes:
+                return BodyTooLarge()
+            parts.append(part)
+            if not message.get("more_body", False):
+                return Body(b"".join(parts))
+    return BodyLate()
+
+
+async def send_response(
+    send: Send,
+    status: int,
+    body: bytes,
+    content_type: str = "application/json",
+    headers: Headers | None = None,
+) -> None:
+    """Sends a whole response."""
+    fields = [
+        (b"content-type", content_type.encode("latin-1")),
+        (b"content-length", str(len(body)).encode()),
+        *(headers or []),
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": fields})
+    await send({"type": "http.response.body", "body": body})
+
+
+async def send_json(
+    send: Send, status: int, document: Any, headers: Headers | None = None
+) -> None:
+    """Sends a whole JSON response."""
+    await send_response(send, status, msgspec.json.encode(document), headers=headers)
+
+
+class _Server(uvicorn.Server):
+    """`uvicorn` without its signal handlers, which belong to `process`."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class HttpServer:
+    """One listening HTTP server; `run` serves until `close` or cancellation."""
+
+    def __init__(
+        self,
+        app: App,
+        address: Address,
+        *,
+        connections_limit_count: int | None = None,
+        header_limit_bytes: int = 32 * 1024,
+    ) -> None:
+        """Binds the address; port 0 takes a free one, see `port`."""
+        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((address.ip, address.port))
+        self._socket.listen(LISTEN_BACKLOG)
+        self._socket.setblocking(False)
+        self.port: int = self._socket.getsockname()[1]
+        self._server = _Server(
+            uvicorn.Config(
+                app,
+                loop="asyncio",
+                http="h11",
+                ws="none",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                timeout_keep_alive=KEEP_ALIVE_S,
+                limit_concurrency=connections_limit_count,
+                h11_max_incomplete_event_size=header_limit_bytes,
+            )
+        )
+
+    async def run(self) -> None:
+        """Serves; after `close`, ends once the last response is complete."""
+        await self._server.serve(sockets=[self._socket])
+
+    def close(self) -> None:
+        """Stops listening; responses in progress are completed."""
+        self._server.should_exit = True
--- /dev/null
+++ b/cassiapitch/config.py
@@ -0,0 +1,126 @@
+"""Reads JSON with comments into frozen data classes and lists every fault."""
+
+import dataclasses
+import enum
+import pathlib
+import types
+import typing
+from typing import Any
+
+import jsonc
+import msgspec
+
+from cassiapitch.exceptions import SettingsError
+
+_SIMPLE = {str: "a string", int: "a whole number", float: "a number", bool: "a boolean"}
+
+
+def load(path: pathlib.Path, cls: type) -> Any:
+    """Reads a settings file.
+
+    Raises:
+        SettingsError: The file can't be read or has faults.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"{path}: {error}"]) from None
+    return parse(text, cls)
+
+
+def parse(text: str, cls: type) -> Any:
+    """Decodes settings text into `cls`.
+
+    Raises:
+        SettingsError: Lists each fault with its path and what was expected.
+    """
+    try:
+        document = jsonc.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise SettingsError([f"$: not JSON with comments: {error}"]) from None
+    faults: list[str] = []
+    _check(document, cls, "$", faults)
+    if faults:
+        raise SettingsError(faults)
+    try:
+        return msgspec.convert(document, cls, strict=True)
+    except msgspec.ValidationError as error:
+        raise SettingsError([str(error)]) from None
+
+
+def _check(value: Any, expected: Any, path: str, faults: list[str]) -> None:
+    origin = typing.get_origin(expected)
+    arguments = typing.get_args(expected)
+    if origin is typing.Annotated:
+        _check_annotated(value, expected, path, faults)
+    elif origin in (typing.Union, types.UnionType):
+        if value is not None or type(None) not in arguments:
+            _check(value, _not_none(arguments), path, faults)
+    elif origin in (tuple, list):
+        _check_items(value, arguments[0], path, faults)
+    elif origin is dict:
+        _check_mapping(value, arguments[1], path, faults)
+    elif dataclasses.is_dataclass(expected):
+        _check_fields(value, expected, path, faults)
+    elif isinstance(expected, type) and issubclass(expected, enum.Enum):
+        allowed = [member.value for member in expected]
+        if value not in allowed:
+            faults.append(f"{path}: expected one of {', '.join(allowed)}")
+    else:
+        _check_simple(value, getattr(expected, "__supertype__", expected), path, faults)
+
+
+def _not_none(arguments: tuple[Any, ...]) -> Any:
+    return next(item for item in arguments if item is not type(None))
+
+
+def _check_annotated(value: Any, expected: Any, path: str, faults: list[str]) -> None:
+    before = len(faults)
+    _check(value, typing.get_args(expected)[0], path, faults)
+    if len(faults) > before:
+        return
+    try:
+        msgspec.convert(value, expected, strict=True)
+    except msgspec.ValidationError as error:
+        faults.append(f"{path}: {str(error).split(' - at ')[0]}")
+
+
+def _check_items(value: Any, item: Any, path: str, faults: list[str]) -> None:
+    if not isinstance(value, list):
+        faults.append(f"{path}: expected a list")
+        return
+    for number, element in enumerate(value):
+        _check(element, item, f"{path}[{number}]", faults)
+
+
+def _check_mapping(value: Any, item: Any, path: str, faults: list[str]) -> None:
+    if not isinstance(value, dict):
+        faults.append(f"{path}: expected an object")
+        return
+    for name, element in value.items():
+        _check(element, item, f"{path}.{name}", faults)
+
+
+def _check_fields(value: Any, cls: Any, path: str, faults: list[str]) -> None:
+    if not isinstance(value, dict):
+        faults.append(f"{path}: expected an object")
+        return
+    hints = typing.get_type_hints(cls, include_extras=True)
+    for name in value.keys() - hints.keys():
+        faults.append(f"{path}.{name}: unknown field")
+    for field in dataclasses.fields(cls):
+        if field.name in value:
+            child = f"{path}.{field.name}"
+            _check(value[field.name], hints[field.name], child, faults)
+        elif (
+            field.default is dataclasses.MISSING
+            and field.default_factory is dataclasses.MISSING
+        ):
+            faults.append(f"{path}.{field.name}: missing")
+
+
+def _check_simple(value: Any, expected: Any, path: str, faults: list[str]) -> None:
+    accepted = (int, float) if expected is float else expected
+    is_wrong_bool = isinstance(value, bool) and expected is not bool
+    if is_wrong_bool or not isinstance(value, accepted):
+        faults.append(f"{path}: expected {_SIMPLE.get(expected, str(expected))}")
--- /dev/null
+++ b/cassiapitch/events.py
@@ -0,0 +1,41 @@
+"""Numbered log events, written as JSON lines by `eliot`."""
+
+import enum
+import sys
+from typing import Any
+
+import eliot
+
+
+class Event(enum.Enum):
+    """Every event that a process logs; docs/events.md explains each one.
+
+    Numbers 1xx are of processes, 2xx of the replicated log, 3xx of replicated
+    state and its distribution, 4xx of entries, 5xx of placement and backend
+    servers, 6xx of tools. A number is never used again for another meaning.
+    """
+
+    PROCESS_STARTED = 101
+    PROCESS_STOPPING = 102
+    PROCESS_STOPPED = 103
+    PROCESS_FAILED = 104
+    SETTINGS_REFUSED = 105
+    DUMP_SERVED = 106
+
+
+def log(event: Event, **fields: Any) -> None:
+    """Writes one event.
+
+    Args:
+        event: The numbered event.
+        **fields: What it concerns. Never a caller's key or a request's content.
+    """
+    eliot.log_message(
+        message_type=event.name.lower(), event_number=event.value, **fields
+    )
+
+
+def write_to(path: str | None) -> None:
+    """Sends the log to a file, or to standard error where `path` is None."""
+    stream = sys.stderr if path is None else open(path, "a", encoding="utf-8")  # noqa: SIM115
+    eliot.to_file(stream)
--- /dev/null
+++ b/cassiapitch/messages.py
@@ -0,0 +1,557 @@
+"""Messages between the system's own processes: frozen data classes.
+
+Directions are given from the point of view of an entry: `Link` messages travel on
+`Hub/Link` between an entry and a control member.
+"""
+
+import dataclasses
+
+from cassiapitch import codec
+from cassiapitch.types import (
+    AccountName,
+    BackendName,
+    ClaimState,
+    LifeId,
+    ModelName,
+    OrderOutcome,
+    Priority,
+    RequestDigest,
+    RoleKind,
+)
+
+# The view: what entries know of the replicated state.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewSnapshot:
+    """The whole view as of `index`; `last` is false on all parts but the final one.
+
+    Attributes:
+        index: Log index that the view reflects.
+        items: Maps item names to MessagePack bytes.
+        first: Whether this part begins a new snapshot.
+        last: Whether this part ends the snapshot; only then it is applied.
+    """
+
+    index: int
+    items: dict[str, bytes]
+    first: bool
+    last: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewDelta:
+    """What one or more log entries changed; applied as a whole.
+
+    Attributes:
+        previous_index: Index of the view that the delta applies to.
+        index: Index of the view afterwards.
+        upserts: Items that are new or changed.
+        deletes: Names of items that are gone.
+    """
+
+    previous_index: int
+    index: int
+    upserts: dict[str, bytes]
+    deletes: tuple[str, ...]
+
+
+# Values of view items, by prefix of the item's name.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BundleItem:
+    """`bundle`: the bundle in force."""
+
+    version: int
+    digest: str
+    author: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelItem:
+    """`model/<name>`."""
+
+    name: ModelName
+    role: str
+    memory_mib: int
+    minimum_copies: int
+    context_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterItem:
+    """`adapter/<name>`: fine-tuned weights on top of `model`."""
+
+    name: str
+    model: ModelName
+    memory_mib: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountItem:
+    """`account/<name>`: a client account with its rate over the whole fleet."""
+
+    name: AccountName
+    rate_tokens_per_s: int
+    burst_tokens: int
+    weight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoleItem:
+    """`role/<name>`: a group of backend servers."""
+
+    name: str
+    kind: RoleKind
+    fencing: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteItem:
+    """`route/<method> <path>`: a plain service's call.
+
+    Attributes:
+        path: Path at the entry and at the backend server.
+        method: HTTP method.
+        role: Role of the plain service.
+        idempotent: Whether the call may be repeated.
+        open: Whether callers need no key.
+        timeout_ms: Longest time for an answer.
+        cost_tokens: What a call takes of the client account's rate.
+    """
+
+    path: str
+    method: str
+    role: str
+    idempotent: bool
+    open: bool
+    timeout_ms: int
+    cost_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyItem:
+    """`key/<sha256 hex>`: a key that works. A withdrawn key has no item."""
+
+    account: AccountName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendItem:
+    """`backend/<name>`: a backend server.
+
+    Attributes:
+        name: Its name, which a later life may take again.
+        life_id: Identity of this run of the backend server.
+        role: Its role.
+        zone: Its availability zone.
+        ip: IP number of its HTTP port.
+        port: Its HTTP port.
+        state: State of the chart `backend_server`; only `serving` gets new work.
+        models: Models that it reports as loaded and that are not being unloaded.
+        adapters: Adapters that it reports as loaded.
+        max_running_count: Requests that it runs at once.
+    """
+
+    name: BackendName
+    life_id: LifeId
+    role: str
+    zone: str
+    ip: str
+    port: int
+    state: str
+    models: tuple[ModelName, ...]
+    adapters: tuple[str, ...]
+    max_running_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectItem:
+    """`suspect/<digest>`: a request that was running when backend servers crashed.
+
+    Attributes:
+        crash_count: Distinct lives of backend servers that crashed under it.
+        quarantined: Whether it is refused for now.
+    """
+
+    crash_count: int
+    quarantined: bool
+
+
+# Link, entry to control member.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkHello:
+    """First message of a link.
+
+    Attributes:
+        entry: The entry's name.
+        life_id: Random identity of this run of the entry.
+        cluster: Name of the deployment.
+        zone: Availability zone of the entry.
+        applied_index: Index of the entry's view, 0 for none.
+        primary: Whether this link carries rate asks, claims and reports.
+    """
+
+    entry: str
+    life_id: str
+    cluster: str
+    zone: str
+    applied_index: int
+    primary: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfirmAsk:
+    """Asks for a confirmation that the entry's view is current."""
+
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantAsk:
+    """What one account needs at one entry.
+
+    Attributes:
+        account: The client account.
+        needed_tokens: For calls that wait now.
+        expected_tokens: For calls expected until the next ask.
+        largest_tokens: Cost of the largest call that waits, 0 for none.
+    """
+
+    account: AccountName
+    needed_tokens: int
+    expected_tokens: int
+    largest_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refund:
+    """Tokens of a grant that were not used.
+
+    Attributes:
+        account: The client account.
+        tokens: How many tokens come back.
+        term: Term of the granter that issued the grant.
+        granted_ms: When it was issued, on that granter's clock.
+    """
+
+    account: AccountName
+    tokens: int
+    term: int
+    granted_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateAsk:
+    """Asks the granter for tokens and returns unused ones.
+
+    Attributes:
+        entry: The asking entry's name.
+        life_id: Its run, so that refunds of a sequence are credited once.
+        sequence: Number of this ask; its answer carries the same one. Grows by
+            one with each ask of this run.
+        asks: What each account needs.
+        refunds: Unused tokens, delivered at most once.
+    """
+
+    entry: str
+    life_id: str
+    sequence: int
+    asks: tuple[GrantAsk, ...]
+    refunds: tuple[Refund, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimAsk:
+    """Claims an idempotency key before a non-idempotent call is sent.
+
+    Attributes:
+        sequence: Number of this ask on the link.
+        account: The client account, empty on an open route.
+        key_digest: Digest of account, route and `Idempotency-Key`.
+        request_digest: Digest of the request's content.
+        holder: Identity of the claiming call, unique over all entries.
+        lifetime_ms: Time after which a claim without an outcome is `unknown`.
+    """
+
+    sequence: int
+    account: AccountName
+    key_digest: str
+    request_digest: str
+    holder: str
+    lifetime_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimFinish:
+    """Stores the outcome of a claimed call."""
+
+    sequence: int
+    account: AccountName
+    key_digest: str
+    holder: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRelease:
+    """Gives a claim back: the call provably did not run."""
+
+    sequence: int
+    account: AccountName
+    key_digest: str
+    holder: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A backend server crashed while these requests ran on it."""
+
+    sequence: int
+    backend: BackendName
+    life_id: LifeId
+    digests: tuple[RequestDigest, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectCleared:
+    """A suspect ran to its end without a crash."""
+
+    sequence: int
+    digest: RequestDigest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """Demand for one model at one entry since its last report.
+
+    Attributes:
+        model: The model.
+        priority: Urgent or batch.
+        arrived_count: Requests that asked for it.
+        waiting_count: Requests that wait for a copy now.
+        oldest_wait_ms: Longest wait among them.
+        tokens: Prompt and generated tokens.
+    """
+
+    model: ModelName
+    priority: Priority
+    arrived_count: int
+    waiting_count: int
+    oldest_wait_ms: int
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemandReport:
+    """An entry's demand and the backend servers that refused its connections."""
+
+    entry: str
+    demands: tuple[ModelDemand, ...]
+    refused_backends: tuple[LifeId, ...]
+
+
+# Link, control member to entry.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Confirmed:
+    """A quorum confirmed after the ask that `index` is current."""
+
+    sequence: int
+    index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """Tokens that an entry may admit for an account.
+
+    Attributes:
+        account: The client account.
+        tokens: How many.
+        life_ms: Validity, from the moment the entry asked.
+        term: Term of the granter.
+        granted_ms: When it was issued, on the granter's clock; for refunds.
+        wait_ms: Where `tokens` covers less than was needed: time until the rest
+            can be there if nobody else takes it; None if everything was given.
+    """
+
+    account: AccountName
+    tokens: int
+    life_ms: int
+    term: int
+    granted_ms: int
+    wait_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateGrants:
+    """Answers the `RateAsk` with the same sequence."""
+
+    sequence: int
+    grants: tuple[Grant, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimAnswer:
+    """Answers `ClaimAsk`, `ClaimFinish` and `ClaimRelease`.
+
+    Attributes:
+        sequence: Sequence of the ask.
+        state: None if the control group could not decide in time.
+        status: HTTP status of a finished claim.
+        content_type: Content type of its body.
+        body: Its body; None if it was too large to keep.
+    """
+
+    sequence: int
+    state: ClaimState | None
+    status: int = 0
+    content_type: str = ""
+    body: bytes | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashAnswer:
+    """Answers `CrashReport` and `SuspectCleared`.
+
+    Attributes:
+        sequence: Sequence of the report.
+        recorded: Whether the report is in the log.
+        crash_counts: Crashes now known for each reported digest, in order.
+    """
+
+    sequence: int
+    recorded: bool
+    crash_counts: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A backend server's own, lagging report."""
+
+    name: BackendName
+    life_id: LifeId
+    running_count: int
+    waiting_count: int
+    cached_prefixes: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReports:
+    """Reports that are new since the last message, and loads under way.
+
+    Attributes:
+        reports: One for each backend server that announced itself anew.
+        expected_ms: Maps a model without a serving copy to the time until one is
+            expected.
+    """
+
+    reports: tuple[LoadReport, ...]
+    expected_ms: dict[ModelName, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkRefused:
+    """The member can't serve this link; `reason` says why."""
+
+    reason: str
+
+
+# Announcements of backend servers, passed from a member to the leader.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadedModel:
+    """A model that an engine holds."""
+
+    model: ModelName
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettledOrder:
+    """How an order ended at an engine."""
+
+    order_id: str
+    outcome: OrderOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What a backend server says of itself, every 500 ms.
+
+    Attributes:
+        name: Its name.
+        life_id: Random identity of this run.
+        role: Its role in the bundle.
+        zone: Its availability zone.
+        ip: IP number of its HTTP port.
+        port: Its HTTP port.
+        memory_mib: Accelerator memory for models and adapters.
+        max_running_count: Requests that it runs at once.
+        loaded: Models that it holds.
+        adapters: Adapters that it holds.
+        settled: Orders that ended in this life.
+        fence_term: Term of the highest fence it has seen.
+        fence_number: Order number of the highest fence it has seen.
+        running_count: Requests that run.
+        waiting_count: Requests that wait.
+        leaving: Whether it is about to stop.
+        cached_prefixes: Digests of prompt prefixes in its cache, late and gapped.
+    """
+
+    name: BackendName
+    life_id: LifeId
+    role: str
+    zone: str
+    ip: str
+    port: int
+    memory_mib: int
+    max_running_count: int
+    loaded: tuple[LoadedModel, ...] = ()
+    adapters: tuple[str, ...] = ()
+    settled: tuple[SettledOrder, ...] = ()
+    fence_term: int = 0
+    fence_number: int = 0
+    running_count: int = 0
+    waiting_count: int = 0
+    leaving: bool = False
+    cached_prefixes: tuple[str, ...] = ()
+
+
+ALL = (
+    ViewSnapshot,
+    ViewDelta,
+    BundleItem,
+    ModelItem,
+    AdapterItem,
+    AccountItem,
+    RoleItem,
+    RouteItem,
+    KeyItem,
+    BackendItem,
+    SuspectItem,
+    LinkHello,
+    ConfirmAsk,
+    RateAsk,
+    ClaimAsk,
+    ClaimFinish,
+    ClaimRelease,
+    CrashReport,
+    SuspectCleared,
+    DemandReport,
+    Confirmed,
+    RateGrants,
+    ClaimAnswer,
+    CrashAnswer,
+    LoadReports,
+    LinkRefused,
+    Announcement,
+)
+codec.register(ALL)
--- /dev/null
+++ b/cassiapitch/operators.py
@@ -0,0 +1,32 @@
+"""Recognises operators by their bearer tokens."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+
+from cassiapitch.settings import Operator
+
+_SCHEME = "bearer "
+
+
+def bearer_token(authorization: str | None) -> str | None:
+    """Returns the token of an `Authorization` header, or None if it has none."""
+    if authorization is None or not authorization.lower().startswith(_SCHEME):
+        return None
+    return authorization[len(_SCHEME) :].strip() or None
+
+
+def authenticate(
+    operators: Iterable[Operator], authorization: str | None
+) -> Operator | None:
+    """Returns the operator whose token an `Authorization` header carries."""
+    token = bearer_token(authorization)
+    if token is None:
+        return None
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    found = None
+    for operator in operators:
+        # Every digest is compared, so that the time taken tells nothing.
+        if hmac.compare_digest(operator.token_sha256, digest):
+            found = operator
+    return found
--- /dev/null
+++ b/cassiapitch/process.py
@@ -0,0 +1,86 @@
+"""Start and end that all long-running programs have in common."""
+
+import argparse
+import pathlib
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+
+from cassiapitch import __version__, config, events
+from cassiapitch.exceptions import CassiapitchError, SettingsError
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def run(
+    program: str,
+    settings_class: type,
+    body: Callable[[Any, anyio.Event], Awaitable[None]],
+    arguments: list[str] | None = None,
+) -> int:
+    """Reads settings, then runs `body` until it ends; returns an exit code.
+
+    Args:
+        program: Program name for messages.
+        settings_class: Data class of the settings file.
+        body: Called with the settings and an event that is set by SIGTERM or
+            SIGINT, upon which it shuts down gracefully and returns.
+        arguments: Command line without the program name.
+    """
+    options = _parse(program, arguments)
+    try:
+        settings = config.load(pathlib.Path(options.settings), settings_class)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"{program}: {options.settings}: {fault}", file=sys.stderr)
+        return EXIT_USAGE
+    if options.check_settings:
+        print(f"{options.settings}: no faults")
+        return EXIT_OK
+    events.write_to(settings.log_path)
+    events.log(events.Event.PROCESS_STARTED, program=program, name=settings.name)
+    try:
+        anyio.run(_with_signals, body, settings, backend="asyncio")
+    except* CassiapitchError as group:
+        for error in group.exceptions:
+            events.log(events.Event.PROCESS_FAILED, program=program, reason=str(error))
+            print(f"{program}: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    events.log(events.Event.PROCESS_STOPPED, program=program, name=settings.name)
+    return EXIT_OK
+
+
+def _parse(program: str, arguments: list[str] | None) -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog=program)
+    parser.add_argument(
+        "--settings", required=True, help="settings file, JSON with comments"
+    )
+    parser.add_argument(
+        "--check-settings",
+        action="store_true",
+        help="only check the settings file; exit code 2 if it has faults",
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser.parse_args(arguments)
+
+
+async def _with_signals(
+    body: Callable[[Any, anyio.Event], Awaitable[None]], settings: Any
+) -> None:
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_signals, stop)
+        await body(settings, stop)
+        group.cancel_scope.cancel()
+
+
+async def _watch_signals(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for number in received:
+            events.log(events.Event.PROCESS_STOPPING, signal=int(number))
+            stop.set()
--- /dev/null
+++ b/cassiapitch/settings.py
@@ -0,0 +1,133 @@
+"""Settings of each program; `config.load` reads them."""
+
+import dataclasses
+from typing import Annotated
+
+from msgspec import Meta
+
+Port = Annotated[int, Meta(ge=0, le=65535)]
+PositiveInt = Annotated[int, Meta(ge=1)]
+NaturalInt = Annotated[int, Meta(ge=0)]
+Name = Annotated[str, Meta(pattern=r"^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$")]
+Sha256Hex = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+IpNumber = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]{2,45}$")]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """Where a process listens: an IP number and a port."""
+
+    ip: IpNumber
+    port: Port
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TlsSettings:
+    """Files of mutual TLS between the system's own processes."""
+
+    ca_path: str
+    certificate_path: str
+    key_path: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operator:
+    """Who may use the administration API and sign bundles.
+
+    Attributes:
+        name: Recorded as author of each change.
+        token_sha256: Digest of the bearer token for the administration API.
+        public_key_hex: Ed25519 public key for bundle signatures, 32 bytes in hex.
+    """
+
+    name: Name
+    token_sha256: Sha256Hex
+    public_key_hex: Sha256Hex
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlPeer:
+    """One control member as its peers and the entries reach it."""
+
+    name: Name
+    zone: Name
+    address: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Settings of `cassiapitch-control`.
+
+    Attributes:
+        name: This member's name in the control group.
+        zone: Availability zone of this instance.
+        cluster: Name of the deployment; members of another one are refused.
+        data_path: The data folder on this instance's disk.
+        rpc_address: Where peers and entries reach this member.
+        admin_address: Where the administration API and announcements listen.
+        initial_members: The members that form the group at its first start.
+        operators: Who may use the administration API and sign bundles.
+        bootstrap: Whether this member takes part in forming a new group.
+        tls: Mutual TLS between the system's own processes; none on loopback.
+        placement_policy: `demand`, or `fixed` as the baseline.
+        rate_policy: `demand`, or `equal_split` as the baseline.
+    """
+
+    name: Name
+    zone: Name
+    cluster: Name
+    data_path: str
+    rpc_address: Address
+    admin_address: Address
+    initial_members: tuple[ControlPeer, ...]
+    operators: tuple[Operator, ...]
+    bootstrap: bool = True
+    tls: TlsSettings | None = None
+    placement_policy: Annotated[str, Meta(pattern="^(demand|fixed)$")] = "demand"
+    rate_policy: Annotated[str, Meta(pattern="^(demand|equal_split)$")] = "demand"
+    log_path: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of `cassiapitch-entry`.
+
+    Attributes:
+        name: This entry's name.
+        zone: Availability zone of this instance.
+        cluster: Name of the deployment.
+        caller_address: Where callers reach this entry.
+        admin_address: Where state dumps and drain orders are answered.
+        control: The control members to link to.
+        operators: Who may ask for a state dump or a drain.
+        tls: Mutual TLS between the system's own processes.
+        balancer_delay_ms: How long the balancer takes to notice `/healthz`.
+        routing_policy: `least_cost`, or `round_robin` as the baseline.
+        queue_policy: `weighted_fair`, or `first_come` as the baseline.
+        body_limit_bytes: Largest request body.
+        connections_limit_count: Largest number of open caller connections.
+        seed: Seed of the routing decisions.
+    """
+
+    name: Name
+    zone: Name
+    cluster: Name
+    caller_address: Address
+    admin_address: Address
+    control: tuple[ControlPeer, ...]
+    operators: tuple[Operator, ...]
+    tls: TlsSettings | None = None
+    balancer_delay_ms: NaturalInt = 2_000
+    routing_policy: Annotated[str, Meta(pattern="^(least_cost|round_robin)$")] = (
+        "least_cost"
+    )
+    queue_policy: Annotated[str, Meta(pattern="^(weighted_fair|first_come)$")] = (
+        "weighted_fair"
+    )
+    body_limit_bytes: PositiveInt = 4 * 1024 * 1024
+    connections_limit_count: PositiveInt = 2_000
+    seed: NaturalInt = 1
+    log_path: str | None = None
--- /dev/null
+++ b/cassiapitch/statechart.py
@@ -0,0 +1,89 @@
+"""Interprets the state charts in `charts/`.
+
+A chart is a JSON object: `name`, `initial`, `final` (list of states) and `states`,
+which maps each state to its `on` table from event to next state. A library such
+as sismic costs 100 to 150 microseconds a transition, too much for each request; a
+table look-up costs under one.
+"""
+
+import dataclasses
+import functools
+import importlib.resources
+import json
+
+from cassiapitch.exceptions import ChartError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chart:
+    """A checked state chart.
+
+    Attributes:
+        name: The chart's name, as in its file.
+        initial: The state that a new instance of the chart starts in.
+        final: States that end the life of what the chart describes.
+        transitions: Maps (state, event) to the next state.
+    """
+
+    name: str
+    initial: str
+    final: frozenset[str]
+    transitions: dict[tuple[str, str], str]
+
+    def allows(self, state: str, event: str) -> bool:
+        """Tells whether `event` leads anywhere from `state`."""
+        return (state, event) in self.transitions
+
+    def next_state(self, state: str, event: str) -> str:
+        """Returns the state after `event`.
+
+        Raises:
+            ChartError: The chart has no such transition.
+        """
+        try:
+            return self.transitions[(state, event)]
+        except KeyError:
+            raise ChartError(
+                f"chart {self.name}: no transition for {event!r} in state {state!r}"
+            ) from None
+
+
+def parse_chart(text: str) -> Chart:
+    """Checks a chart's text.
+
+    Raises:
+        ChartError: A state is named but not defined, or can't be reached.
+    """
+    document = json.loads(text)
+    states = document["states"]
+    transitions = {
+        (state, event): target
+        for state, body in states.items()
+        for event, target in body.get("on", {}).items()
+    }
+    final = frozenset(document.get("final", []))
+    named = {document["initial"], *final, *transitions.values()}
+    if undefined := named - states.keys():
+        raise ChartError(f"chart {document['name']}: undefined {sorted(undefined)}")
+    if lost := states.keys() - _reachable(document["initial"], transitions):
+        raise ChartError(f"chart {document['name']}: unreachable {sorted(lost)}")
+    return Chart(document["name"], document["initial"], final, transitions)
+
+
+def _reachable(initial: str, transitions: dict[tuple[str, str], str]) -> set[str]:
+    reached = {initial}
+    waiting = [initial]
+    while waiting:
+        state = waiting.pop()
+        for (source, _), target in transitions.items():
+            if source == state and target not in reached:
+                reached.add(target)
+                waiting.append(target)
+    return reached
+
+
+@functools.cache
+def load_chart(name: str) -> Chart:
+    """Loads `charts/<name>.json` of this package."""
+    path = importlib.resources.files("cassiapitch") / "charts" / f"{name}.json"
+    return parse_chart(path.read_text(encoding="utf-8"))
--- /dev/null
+++ b/tests/test_asgi.py
@@ -0,0 +1,51 @@
+"""Tests of the HTTP helpers."""
+
+import anyio
+import httpcore
+import pytest
+
+from cassiapitch import asgi
+from cassiapitch.settings import Address
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.anyio
+async def test_close_completes_responses_in_progress():
+    """Guards against a stop that cuts a response."""
+    started, go_on = anyio.Event(), anyio.Event()
+
+    async def app(scope, receive, send):
+        started.set()
+        await go_on.wait()
+        await asgi.send_json(send, 200, {"ok": True})
+
+    server = asgi.HttpServer(app, Address("127.0.0.1", 0))
+    answers = []
+
+    async def call():
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request("GET", f"http://127.0.0.1:{server.port}/")
+            answers.append((response.status, response.content))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run)
+        group.start_soon(call)
+        await started.wait()
+        server.close()
+        go_on.set()
+    assert answers == [(200, b'{"ok":true}')]
+
+
+@pytest.mark.anyio
+async def test_body_over_the_limit_is_refused():
+    """Guards against unbounded memory for one caller's body."""
+
+    async def receive():
+        return {"type": "http.request", "body": b"x" * 60, "more_body": True}
+
+    outcome = await asgi.read_body(receive, limit_bytes=100, timeout_ms=10_000)
+    assert outcome == asgi.BodyTooLarge()
--- /dev/null
+++ b/tests/test_common.py
@@ -0,0 +1,99 @@
+"""Tests of the small common modules: timers, charts, codec and settings."""
+
+import contextlib
+import dataclasses
+import random
+
+import pytest
+
+from cassiapitch import codec, config, messages, settings, statechart, timers
+from cassiapitch.exceptions import ChartError, CodecError, SettingsError
+from cassiapitch.outcomes import ANSWERS, ErrorKind
+
+
+def test_every_error_kind_has_an_answer():
+    """Guards against a kind of refusal that raises instead of answering."""
+    assert set(ANSWERS) == set(ErrorKind)
+
+
+def test_periodic_timer_fires_once_after_a_freeze():
+    """Guards against a burst of missed ticks when a stopped process goes on."""
+    queue = timers.Timers()
+    seen = []
+    queue.subscribe_every(100, seen.append, start_ms=0)
+    queue.fire(100)
+    queue.fire(5_000)
+    assert seen == [100, 5_000]
+    assert queue.next_due_ms() == 5_100
+
+
+def test_cancelled_timer_does_not_fire():
+    """Guards against a deadline that fires for a request that has ended."""
+    queue = timers.Timers()
+    seen = []
+    token = queue.subscribe_at(10, seen.append)
+    queue.cancel(token)
+    queue.fire(20)
+    assert seen == []
+    assert queue.next_due_ms() is None
+
+
+@pytest.mark.parametrize(
+    "name", ["backend_server", "order", "request", "bundle", "shutdown"]
+)
+def test_shipped_charts_are_consistent(name):
+    """Guards against a chart with an undefined or unreachable state."""
+    assert statechart.load_chart(name).name == name
+
+
+def test_chart_refuses_an_event_that_it_does_not_allow():
+    """Guards against a request that is answered twice."""
+    chart = statechart.load_chart("request")
+    with pytest.raises(ChartError, match="answered"):
+        chart.next_state("answered", "complete")
+
+
+def test_codec_returns_what_was_encoded():
+    """Guards against a field that is lost on the way between processes."""
+    delta = messages.ViewDelta(1, 2, {"key/ab": b"\x00"}, ("model/x",))
+    assert codec.decode(codec.encode(delta)) == delta
+
+
+def test_codec_refuses_damaged_messages():
+    """Guards against a crash, or a wrong message, on malformed input."""
+    data = codec.encode(messages.Confirmed(3, 4))
+    source = random.Random(7)
+    for _ in range(500):
+        damaged = bytearray(data)
+        damaged[source.randrange(len(damaged))] = source.randrange(256)
+        with contextlib.suppress(CodecError):
+            codec.decode(bytes(damaged[: source.randrange(len(damaged) + 1)]))
+
+
+def test_settings_list_every_fault_with_its_path():
+    """Guards against an operator who has to find faults one start at a time."""
+    text = """{
+      // the port is out of range, the zone is missing, one field is unknown
+      "name": "entry-1", "cluster": "c", "operators": [], "control": [],
+      "caller_address": {"ip": "127.0.0.1", "port": 70000},
+      "admin_address": {"ip": 5, "port": 1},
+      "colour": "blue",
+    }"""
+    with pytest.raises(SettingsError) as caught:
+        config.parse(text, settings.EntrySettings)
+    paths = {fault.split(":")[0] for fault in caught.value.faults}
+    assert paths == {
+        "$.zone",
+        "$.colour",
+        "$.caller_address.port",
+        "$.admin_address.ip",
+    }
+
+
+def test_settings_defaults_are_used():
+    """Guards against a default that the strict check does not accept."""
+    text = """{"name": "e", "zone": "a", "cluster": "c", "operators": [],
+      "control": [], "caller_address": {"ip": "127.0.0.1", "port": 1},
+      "admin_address": {"ip": "127.0.0.1", "port": 2}}"""
+    entry = config.parse(text, settings.EntrySettings)
+    assert dataclasses.asdict(entry)["balancer_delay_ms"] == 2_000
