Add the operators' command line

Cause: operators need a program for bundles, keys, members, dumps and status. Ruled out: reporting a refusal that follows an unanswered attempt as final; the first attempt may have been applied and may itself cause the refusal. Ruled out: printing a new key when the outcome is unknown; its digest is enough to withdraw it.

--- /dev/null
+++ b/cassiapitch/client.py
@@ -0,0 +1,245 @@
+"""Client of the administration API, and the operators' connection settings."""
+
+import dataclasses
+import itertools
+import json
+import pathlib
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import httpcore
+
+from cassiapitch import config, timers
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.settings import Address, Name, PositiveInt
+
+ATTEMPT_TIMEOUT_MS = 3_000
+RETRY_PAUSE_MS = 200
+ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdminPeer:
+    """One process as its administration API is reached."""
+
+    name: Name
+    address: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientSettings:
+    """Settings of `cassiapitch`; relative paths start at the settings file's folder.
+
+    Attributes:
+        name: The operator's name, as in the settings of the control members.
+        token_path: File with the bearer token.
+        key_path: File with the Ed25519 private key; only `sign` and `roll` read it.
+        control: Administration addresses of all control members.
+        entries: Administration addresses of entries, for drain, dump and status.
+        timeout_ms: Time for a command over all its attempts.
+    """
+
+    name: Name
+    token_path: str
+    key_path: str
+    control: tuple[AdminPeer, ...]
+    entries: tuple[AdminPeer, ...] = ()
+    timeout_ms: PositiveInt = 15_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Done:
+    """The request was carried out; `document` is the answer."""
+
+    document: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was certainly not carried out."""
+
+    code: str
+    message: str
+    document: Any = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have been carried out; `message` says why it is open."""
+
+    message: str
+
+
+Outcome = Done | Refused | Unknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _TryAgain:
+    """One attempt's end that another attempt may mend."""
+
+    message: str
+    may_be_applied: bool
+
+
+class Client:
+    """Sends one request at a time, to each given process in turn."""
+
+    def __init__(
+        self,
+        token: str,
+        timeout_ms: int,
+        *,
+        now_ms: Callable[[], int] = timers.now_ms,
+        pause: Callable[[float], None] = time.sleep,
+    ) -> None:
+        """Takes the bearer token and the time for all attempts of a request."""
+        self._token = token
+        self._timeout_ms = timeout_ms
+        self._now_ms = now_ms
+        self._pause = pause
+
+    def request(
+        self,
+        peers: Iterable[AdminPeer],
+        method: str,
+        path: str,
+        document: Any = None,
+        *,
+        attempt_count: int | None = None,
+    ) -> Outcome:
+        """Sends a request until one process answers it or the time is over.
+
+        Every request of the administration API is safe to repeat, therefore one
+        that got no answer is sent again.
+
+        Args:
+            peers: The processes to ask, in this order.
+            method: HTTP method.
+            path: Path of the administration API.
+            document: JSON document to send, if any.
+            attempt_count: Rounds over all peers; None for as many as fit the time.
+        """
+        peers = tuple(peers)
+        rounds = itertools.count() if attempt_count is None else range(attempt_count)
+        deadline_ms = self._now_ms() + self._timeout_ms
+        open_reason: str | None = None
+        reasons: dict[str, str] = {}
+        for round_number in rounds:
+            if round_number > 0:
+                self._pause(RETRY_PAUSE_MS / 1000)
+            for peer in peers:
+                left_ms = deadline_ms - self._now_ms()
+                if left_ms <= 0:
+                    return _give_up(open_reason, reasons)
+                limit_ms = min(left_ms, ATTEMPT_TIMEOUT_MS)
+                result = self._attempt(peer, method, path, document, limit_ms)
+                if isinstance(result, Done):
+                    return result
+                if isinstance(result, Refused):
+                    return _refused(result, open_reason)
+                reasons[f"{peer.name} ({peer.address})"] = result.message
+                if result.may_be_applied:
+                    open_reason = f"{peer.name}: {result.message}"
+        return _give_up(open_reason, reasons)
+
+    def _attempt(
+        self, peer: AdminPeer, method: str, path: str, document: Any, limit_ms: int
+    ) -> Done | Refused | _TryAgain:
+        limit_s = limit_ms / 1000
+        timeout = {name: limit_s for name in ("connect", "read", "write", "pool")}
+        headers = [("authorization", f"Bearer {self._token}")]
+        body = b""
+        if document is not None:
+            body = json.dumps(document).encode()
+            headers.append(("content-type", "application/json"))
+        headers.append(("content-length", str(len(body))))
+        host = peer.address.ip
+        host = f"[{host}]" if ":" in host else host
+        url = f"http://{host}:{peer.address.port}{path}"
+        try:
+            with httpcore.ConnectionPool(max_connections=1) as pool:
+                response = pool.request(
+                    method,
+                    url,
+                    headers=headers,
+                    content=body,
+                    extensions={"timeout": timeout},
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            return _TryAgain(f"no connection: {error}", may_be_applied=False)
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            reason = str(error) or type(error).__name__
+            return _TryAgain(f"no answer: {reason}", may_be_applied=True)
+        except httpcore.ProtocolError as error:
+            return _TryAgain(f"broken answer: {error}", may_be_applied=True)
+        return _read_answer(response.status, response.content)
+
+
+def _read_answer(status: int, content: bytes) -> Done | Refused | _TryAgain:
+    try:
+        document = json.loads(content) if content else {}
+    except ValueError:
+        document = None
+    if 200 <= status < 300:
+        if document is None:
+            return _TryAgain("answer is not JSON", may_be_applied=True)
+        return Done(document)
+    error = document.get("error") if isinstance(document, dict) else None
+    error = error if isinstance(error, dict) else {}
+    code = str(error.get("code", f"http_{status}"))
+    message = str(error.get("message", f"HTTP status {status}"))
+    if code == "no_leader":
+        return _TryAgain(f"no_leader: {message}", may_be_applied=False)
+    if status >= 500:
+        return _TryAgain(f"{code}: {message}", may_be_applied=True)
+    return Refused(code, message, error)
+
+
+def _refused(refused: Refused, open_reason: str | None) -> Outcome:
+    if open_reason is None:
+        return refused
+    # An earlier attempt may have been applied and may itself be the reason for
+    # this refusal, for instance of a member that was promoted by it.
+    return Unknown(
+        f"{refused.code}: {refused.message}; an earlier attempt may have been "
+        f"applied ({open_reason})"
+    )
+
+
+def _give_up(open_reason: str | None, reasons: dict[str, str]) -> Outcome:
+    if open_reason is not None:
+        return Unknown(open_reason)
+    listed = "; ".join(f"{peer}: {reason}" for peer, reason in reasons.items())
+    return Refused("unavailable", f"no process carried it out: {listed}")
+
+
+def load_settings(path: pathlib.Path) -> ClientSettings:
+    """Reads the operator's file and resolves the paths in it.
+
+    Raises:
+        SettingsError: The file can't be read or has faults.
+    """
+    settings: ClientSettings = config.load(path, ClientSettings)
+    if not settings.control:
+        raise SettingsError(["$.control: expected at least one control member"])
+    return dataclasses.replace(
+        settings,
+        token_path=str(path.parent / settings.token_path),
+        key_path=str(path.parent / settings.key_path),
+    )
+
+
+def read_token(path: str) -> str:
+    """Reads the bearer token.
+
+    Raises:
+        SettingsError: The file can't be read or is empty.
+    """
+    try:
+        token = pathlib.Path(path).read_text(encoding="ascii").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError([f"$.token_path: {error}"]) from None
+    if not token:
+        raise SettingsError([f"$.token_path: {path} is empty"])
+    return token
--- /dev/null
+++ b/cassiapitch/cmdline.py
@@ -0,0 +1,260 @@
+"""The operators' program `cassiapitch`: its command line."""
+
+import argparse
+import pathlib
+import sys
+from collections.abc import Callable
+
+from cassiapitch import __version__, bundlefiles, operations
+from cassiapitch.console import Context
+from cassiapitch.exceptions import CassiapitchError, SettingsError
+from cassiapitch.process import EXIT_FAILED, EXIT_USAGE
+
+DEFAULT_OPERATOR_FILE = "operator.jsonc"
+
+_EXIT_CODES = """\
+exit codes:
+  0  done
+  1  refused or failed; nothing was changed
+  2  usage or settings
+  3  outcome unknown: the change may have been made; repeating it is safe
+"""
+
+Run = Callable[[Context, argparse.Namespace], int]
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs one command and returns the exit code."""
+    options = build_parser().parse_args(arguments)
+    context = Context(
+        operator_path=pathlib.Path(options.operator_file),
+        as_json=options.json,
+    )
+    try:
+        code: int = options.run(context, options)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"cassiapitch: {fault}", file=sys.stderr)
+        return EXIT_USAGE
+    except (CassiapitchError, OSError) as error:
+        print(f"cassiapitch: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    return code
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Returns the parser of the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog="cassiapitch",
+        description="Operates a cassiapitch deployment.",
+        epilog=_EXIT_CODES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+    _add_bundle_commands(commands)
+    _add_key_commands(commands)
+    _add_member_commands(commands)
+    _add_process_commands(commands)
+    _add_secret_commands(commands)
+    return parser
+
+
+def _command(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+    name: str,
+    run: Run,
+    summary: str,
+    example: str,
+) -> argparse.ArgumentParser:
+    parser = commands.add_parser(
+        name,
+        help=summary,
+        description=summary[0].upper() + summary[1:] + ".",
+        epilog=f"example:\n  {example}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "-f",
+        "--operator-file",
+        default=DEFAULT_OPERATOR_FILE,
+        metavar="FILE",
+        help="connection settings, JSON with comments (default: %(default)s)",
+    )
+    parser.add_argument("--json", action="store_true", help="print the result as JSON")
+    parser.set_defaults(run=run)
+    return parser
+
+
+def _add_bundle_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    check = _command(
+        commands,
+        "check",
+        bundlefiles.check,
+        "check a bundle file without contacting the deployment",
+        "cassiapitch check bundle.jsonc",
+    )
+    check.add_argument("bundle", type=pathlib.Path, help="bundle file")
+    sign = _command(
+        commands,
+        "sign",
+        bundlefiles.sign,
+        "check and sign a bundle file",
+        "cassiapitch sign bundle.jsonc --out bundle.sig",
+    )
+    sign.add_argument("bundle", type=pathlib.Path, help="bundle file")
+    sign.add_argument(
+        "--out",
+        type=pathlib.Path,
+        help="signature file (default: the bundle's path with .sig added)",
+    )
+    roll = _command(
+        commands,
+        "roll",
+        bundlefiles.roll,
+        "roll out a bundle; it is in force once the command returns 0",
+        "cassiapitch roll bundle.jsonc",
+    )
+    roll.add_argument("bundle", type=pathlib.Path, help="bundle file")
+    roll.add_argument(
+        "--signature",
+        type=pathlib.Path,
+        help="signature file written by `sign`; without it the operator's key signs",
+    )
+    show = _command(
+        commands,
+        "show",
+        bundlefiles.show,
+        "show the bundle in force",
+        "cassiapitch show --out current.jsonc",
+    )
+    show.add_argument("--out", type=pathlib.Path, help="write the bundle's text here")
+
+
+def _add_key_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    grant = _command(
+        commands,
+        "grant",
+        operations.grant,
+        "grant a key to a client account; prints a new key once and sends its digest",
+        "cassiapitch grant jersey-shop > jersey-shop.key",
+    )
+    grant.add_argument("client_account", help="name of the client account")
+    grant.add_argument(
+        "--sha256", metavar="HEX", help="digest of a key that exists already"
+    )
+    withdraw = _command(
+        commands,
+        "withdraw",
+        operations.withdraw,
+        "withdraw a key for good; the key is read from standard input",
+        "cassiapitch withdraw < jersey-shop.key",
+    )
+    withdraw.add_argument("--sha256", metavar="HEX", help="digest instead of the key")
+
+
+def _add_member_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    member = commands.add_parser(
+        "member",
+        help="change the control group",
+        description="Change the control group, one member at a time.",
+    )
+    changes = member.add_subparsers(required=True, metavar="CHANGE")
+    add = _command(
+        changes,
+        "add",
+        operations.member_add,
+        "add a control member as a learner; promote it once it has caught up",
+        "cassiapitch member add control-4 --zone bc-west-1 --address 10.0.1.4:7000",
+    )
+    add.add_argument("name", help="the member's name in its settings")
+    add.add_argument("--zone", required=True, help="its availability zone")
+    add.add_argument(
+        "--address", required=True, metavar="IP:PORT", help="its rpc_address"
+    )
+    named: tuple[tuple[str, str], ...] = (
+        ("promote", "make a learner a voting member"),
+        ("remove", "remove a member, also one that is lost"),
+        ("transfer", "transfer leadership to a member"),
+    )
+    for change, summary in named:
+        example = f"cassiapitch member {change} control-2"
+        parser = _command(
+            changes, change, operations.member_change(change), summary, example
+        )
+        parser.add_argument("name", help="the member's name")
+
+
+def _add_process_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    drain = _command(
+        commands,
+        "drain",
+        operations.drain,
+        "stop one process gracefully; it finishes its requests first",
+        "cassiapitch drain entry-3",
+    )
+    drain.add_argument("process", help="its name in the operator file, or IP:PORT")
+    dump = _command(
+        commands,
+        "dump",
+        operations.dump,
+        "print one process's whole state as JSON; it holds no key",
+        "cassiapitch dump control-1 --out control-1.json",
+    )
+    dump.add_argument("process", help="its name in the operator file, or IP:PORT")
+    dump.add_argument("--out", type=pathlib.Path, help="write the dump to this file")
+    _command(
+        commands,
+        "status",
+        operations.status,
+        "show every process of the operator file; exit code 1 if one doesn't answer",
+        "cassiapitch status --json | jq 'keys'",
+    )
+
+
+def _add_secret_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    keygen = _command(
+        commands,
+        "keygen",
+        operations.keygen_operator,
+        "make an operator's signing key and token; prints the lines for the settings",
+        "cassiapitch keygen mara --out secrets",
+    )
+    keygen.add_argument("name", help="the operator's name")
+    keygen.add_argument("--out", type=pathlib.Path, default=pathlib.Path("."))
+    certify = _command(
+        commands,
+        "certify",
+        operations.certify_processes,
+        "make certificates for mutual TLS, and a CA where there is none yet",
+        "cassiapitch certify control-1 control-2 entry-1 --out certificates",
+    )
+    certify.add_argument("name", nargs="+", help="name of each process")
+    certify.add_argument("--out", type=pathlib.Path, default=pathlib.Path("."))
+    certify.add_argument(
+        "--days",
+        type=_positive,
+        default=825,
+        help="days until a certificate expires (default: %(default)s)",
+    )
+
+
+def _positive(text: str) -> int:
+    value = int(text)
+    if value < 1:
+        raise ValueError(text)
+    return value
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cassiapitch/console.py
@@ -0,0 +1,102 @@
+"""What all commands of the operators' program have in common."""
+
+import dataclasses
+import json
+import pathlib
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from cassiapitch import client
+from cassiapitch.client import Client, ClientSettings, Done, Refused
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.process import EXIT_FAILED, EXIT_OK
+
+EXIT_UNKNOWN = 3
+API = "/admin/v1"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """What all commands have in common.
+
+    Attributes:
+        operator_path: The operator's connection settings.
+        as_json: Whether results are printed as JSON.
+    """
+
+    operator_path: pathlib.Path
+    as_json: bool
+
+    def settings(self) -> ClientSettings:
+        """Reads the operator's file."""
+        try:
+            return client.load_settings(self.operator_path)
+        except SettingsError as error:
+            raise SettingsError(
+                [_with_file(self.operator_path, fault) for fault in error.faults]
+            ) from None
+
+
+def _with_file(path: pathlib.Path, fault: str) -> str:
+    # Errors of reading the file name it already.
+    return f"{path}: {fault}" if fault.startswith("$") else fault
+
+
+def open_client(settings: ClientSettings) -> Client:
+    """Returns a client that carries the operator's token."""
+    return Client(client.read_token(settings.token_path), settings.timeout_ms)
+
+
+def ask_group(
+    settings: ClientSettings, method: str, path: str, document: Any = None
+) -> client.Outcome:
+    """Asks the control members in turn."""
+    return open_client(settings).request(settings.control, method, API + path, document)
+
+
+def report(
+    context: Context, outcome: client.Outcome, describe: Callable[[Any], str]
+) -> int:
+    """Prints how a request ended and returns the exit code."""
+    if isinstance(outcome, Done):
+        print_result(context, outcome.document, describe(outcome.document))
+        return EXIT_OK
+    if isinstance(outcome, Refused):
+        _print_refusal(context, outcome)
+        return EXIT_FAILED
+    if context.as_json:
+        print_json({"error": {"code": "unknown", "message": outcome.message}})
+    print(f"cassiapitch: outcome unknown: {outcome.message}", file=sys.stderr)
+    print("cassiapitch: repeating the command is safe", file=sys.stderr)
+    return EXIT_UNKNOWN
+
+
+def _print_refusal(context: Context, refused: Refused) -> None:
+    details = refused.document or {}
+    if context.as_json:
+        error = {**details, "code": refused.code, "message": refused.message}
+        print_json({"error": error})
+    verb = "failed" if refused.code == "unavailable" else "refused"
+    print(f"cassiapitch: {verb}: {refused.code}: {refused.message}", file=sys.stderr)
+    for fault in details.get("faults", []):
+        print(f"  {fault}", file=sys.stderr)
+    if refused.code == "version_conflict" and "author" in details:
+        print(
+            f"  in force under this version: digest {details.get('digest')} "
+            f"by {details['author']}",
+            file=sys.stderr,
+        )
+
+
+def print_result(context: Context, document: Any, text: str) -> None:
+    """Prints a result for a person or, with `--json`, for a program."""
+    if context.as_json:
+        print_json(document)
+    else:
+        print(text)
+
+
+def print_json(document: Any) -> None:
+    """Prints a JSON document."""
+    print(json.dumps(document, indent=2, sort_keys=True))
--- /dev/null
+++ b/cassiapitch/keygen.py
@@ -0,0 +1,68 @@
+"""Makes callers' keys, operators' keys and tokens, and writes secret files."""
+
+import dataclasses
+import hashlib
+import os
+import pathlib
+import secrets
+
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+KEY_BYTES = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorKey:
+    """What `keygen` made.
+
+    Attributes:
+        key_path: File with the private key.
+        token_path: File with the bearer token.
+        public_key_hex: For the field of the same name in the control settings.
+        token_sha256: For the field of the same name in the control settings.
+    """
+
+    key_path: pathlib.Path
+    token_path: pathlib.Path
+    public_key_hex: str
+    token_sha256: str
+
+
+def new_key() -> str:
+    """Returns a random 256-bit key in URL-safe characters."""
+    return secrets.token_urlsafe(KEY_BYTES)
+
+
+def digest(key: str) -> str:
+    """Returns the SHA-256 of a key or token; only this is stored or sent."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def write_secret(path: pathlib.Path, data: bytes) -> None:
+    """Writes a new file that only its owner can read.
+
+    Raises:
+        FileExistsError: The file exists; a secret is never overwritten.
+    """
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+    with os.fdopen(descriptor, "wb") as file:
+        file.write(data)
+
+
+def make_operator_key(folder: pathlib.Path, name: str) -> OperatorKey:
+    """Writes `<name>.key.pem` and `<name>.token` into `folder`."""
+    folder.mkdir(parents=True, exist_ok=True)
+    private_key = ed25519.Ed25519PrivateKey.generate()
+    pem = private_key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    public_key = private_key.public_key().public_bytes_raw()
+    token = secrets.token_urlsafe(KEY_BYTES)
+    key_path = folder / f"{name}.key.pem"
+    token_path = folder / f"{name}.token"
+    write_secret(key_path, pem)
+    write_secret(token_path, token.encode() + b"\n")
+    return OperatorKey(key_path, token_path, public_key.hex(), digest(token))
--- /dev/null
+++ b/cassiapitch/operations.py
@@ -0,0 +1,227 @@
+"""Commands on keys, members, processes and secrets."""
+
+import argparse
+import getpass
+import ipaddress
+import json
+import re
+import sys
+from collections.abc import Callable
+
+from rich.console import Console
+
+from cassiapitch import certificates, client, keygen, statusview
+from cassiapitch.client import AdminPeer, Client, ClientSettings, Done
+from cassiapitch.console import (
+    API,
+    EXIT_UNKNOWN,
+    Context,
+    ask_group,
+    open_client,
+    print_json,
+    print_result,
+    report,
+)
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.process import EXIT_FAILED, EXIT_OK
+from cassiapitch.settings import Address
+
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+
+
+def grant(context: Context, options: argparse.Namespace) -> int:
+    """Grants a key; a new one is printed once, only its digest is sent."""
+    settings = context.settings()
+    key = None if options.sha256 else keygen.new_key()
+    sha256 = _check_digest(options.sha256) if key is None else keygen.digest(key)
+    body = {"sha256": sha256, "client_account": options.client_account}
+    outcome = ask_group(settings, "POST", "/keys/grant", body)
+    if isinstance(outcome, Done):
+        document = {"sha256": sha256, **outcome.document}
+        if key is not None:
+            document["key"] = key
+        if context.as_json:
+            print_json(document)
+            return EXIT_OK
+        print(f"granted to {options.client_account}: sha256 {sha256}", file=sys.stderr)
+        if key is not None:
+            print(key)
+        return EXIT_OK
+    code = report(context, outcome, str)
+    if code == EXIT_UNKNOWN and key is not None:
+        print(
+            f"cassiapitch: the new key was not printed; withdraw it with "
+            f"--sha256 {sha256} and grant another",
+            file=sys.stderr,
+        )
+    return code
+
+
+def withdraw(context: Context, options: argparse.Namespace) -> int:
+    """Withdraws a key."""
+    settings = context.settings()
+    if options.sha256:
+        sha256 = _check_digest(options.sha256)
+    else:
+        sha256 = keygen.digest(_read_key())
+    outcome = ask_group(settings, "POST", "/keys/withdraw", {"sha256": sha256})
+    return report(
+        context,
+        outcome,
+        lambda document: (
+            f"withdrawn: sha256 {sha256}; no entry serves it after 2 s "
+            f"(log index {document.get('index')})"
+        ),
+    )
+
+
+def member_add(context: Context, options: argparse.Namespace) -> int:
+    """Adds a control member as a learner."""
+    address = _parse_address(options.address)
+    body = {
+        "name": options.name,
+        "zone": options.zone,
+        "ip": address.ip,
+        "port": address.port,
+    }
+    outcome = ask_group(context.settings(), "POST", "/members/add", body)
+    return report(
+        context,
+        outcome,
+        lambda _: (
+            f"added as learner: {options.name}; promote it once `status` shows "
+            "that it has caught up"
+        ),
+    )
+
+
+def member_change(change: str) -> Callable[[Context, argparse.Namespace], int]:
+    """Returns the command `member <change>`."""
+
+    def run(context: Context, options: argparse.Namespace) -> int:
+        body = {"name": options.name}
+        outcome = ask_group(context.settings(), "POST", f"/members/{change}", body)
+        return report(context, outcome, lambda _: f"{change}: {options.name}: done")
+
+    return run
+
+
+def drain(context: Context, options: argparse.Namespace) -> int:
+    """Tells one process to stop gracefully."""
+    settings = context.settings()
+    peer = _find_peer(settings, options.process)
+    outcome = open_client(settings).request([peer], "POST", f"{API}/drain", {})
+    return report(context, outcome, lambda _: f"{peer.name}: shutting down gracefully")
+
+
+def dump(context: Context, options: argparse.Namespace) -> int:
+    """Prints or writes the state of one process."""
+    settings = context.settings()
+    peer = _find_peer(settings, options.process)
+    outcome = open_client(settings).request([peer], "GET", f"{API}/dump")
+    if not isinstance(outcome, Done):
+        return report(context, outcome, str)
+    if options.out is None:
+        print_json(outcome.document)
+        return EXIT_OK
+    text = json.dumps(outcome.document, indent=2, sort_keys=True)
+    options.out.write_text(text + "\n", encoding="utf-8")
+    print_result(context, {"file": str(options.out)}, f"written: {options.out}")
+    return EXIT_OK
+
+
+def status(context: Context, options: argparse.Namespace) -> int:
+    """Shows the status of every process of the operator's file."""
+    settings = context.settings()
+    # One attempt each: a process that doesn't answer is a result here.
+    asker = Client(client.read_token(settings.token_path), client.ATTEMPT_TIMEOUT_MS)
+    statuses = [
+        statusview.ProcessStatus(
+            peer.name,
+            kind,
+            str(peer.address),
+            asker.request([peer], "GET", f"{API}/status", attempt_count=1),
+        )
+        for kind, peers in (("control", settings.control), ("entry", settings.entries))
+        for peer in peers
+    ]
+    if context.as_json:
+        print_json(statusview.to_document(statuses))
+    else:
+        statusview.print_status(Console(), statuses)
+    everyone = all(isinstance(item.outcome, Done) for item in statuses)
+    return EXIT_OK if everyone else EXIT_FAILED
+
+
+def keygen_operator(context: Context, options: argparse.Namespace) -> int:
+    """Makes an operator's signing key and token."""
+    made = keygen.make_operator_key(options.out, options.name)
+    entry = {
+        "name": options.name,
+        "token_sha256": made.token_sha256,
+        "public_key_hex": made.public_key_hex,
+    }
+    files = {"key_path": str(made.key_path), "token_path": str(made.token_path)}
+    if context.as_json:
+        print_json({"operator": entry, **files})
+        return EXIT_OK
+    print(f"private key: {made.key_path}", file=sys.stderr)
+    print(f"token: {made.token_path}", file=sys.stderr)
+    print("for `operators` in the settings of control members and entries:")
+    print(json.dumps(entry, indent=2))
+    return EXIT_OK
+
+
+def certify_processes(context: Context, options: argparse.Namespace) -> int:
+    """Makes certificates for mutual TLS."""
+    made = certificates.certify(options.out, options.name, options.days)
+    document = {
+        item.name: {
+            "ca_path": str(item.ca_path),
+            "certificate_path": str(item.certificate_path),
+            "key_path": str(item.key_path),
+        }
+        for item in made
+    }
+    lines = [f"{item.name}: {item.certificate_path}" for item in made]
+    print_result(context, document, "\n".join(lines))
+    return EXIT_OK
+
+
+def _find_peer(settings: ClientSettings, text: str) -> AdminPeer:
+    known = {peer.name: peer for peer in (*settings.control, *settings.entries)}
+    if text in known:
+        return known[text]
+    if ":" in text:
+        return AdminPeer(text, _parse_address(text))
+    names = ", ".join(known)
+    raise SettingsError([f"{text}: neither IP:PORT nor one of {names}"])
+
+
+def _parse_address(text: str) -> Address:
+    ip, _, port = text.rpartition(":")
+    ip = ip.strip("[]")
+    try:
+        ipaddress.ip_address(ip)
+        number = int(port)
+    except ValueError:
+        raise SettingsError([f"{text}: expected IP:PORT"]) from None
+    if not 0 < number <= 65_535:
+        raise SettingsError([f"{text}: port out of range"])
+    return Address(ip, number)
+
+
+def _check_digest(text: str) -> str:
+    if _SHA256.fullmatch(text) is None:
+        raise SettingsError(["--sha256: expected 64 lower-case hexadecimal digits"])
+    return text
+
+
+def _read_key() -> str:
+    if sys.stdin.isatty():
+        key = getpass.getpass("key: ").strip()
+    else:
+        key = sys.stdin.readline().strip()
+    if not key:
+        raise SettingsError(["standard input: no key"])
+    return key
--- /dev/null
+++ b/tests/admin_stub.py
@@ -0,0 +1,50 @@
+"""A scripted administration API for tests of the operators' program."""
+
+import contextlib
+import http.server
+import json
+import threading
+
+# An answer of this status closes the connection without a response.
+NO_ANSWER = 0
+
+
+@contextlib.contextmanager
+def serve(*script):
+    """Serves (status, document) answers in turn; the last one is repeated.
+
+    Yields:
+        The port, and the list of received (method, path, headers, body).
+    """
+    answers = list(script)
+    received = []
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def _answer(self):
+            length = int(self.headers.get("content-length", 0))
+            body = self.rfile.read(length)
+            received.append((self.command, self.path, dict(self.headers), body))
+            status, document = answers.pop(0) if len(answers) > 1 else answers[0]
+            if status == NO_ANSWER:
+                self.close_connection = True
+                return
+            data = json.dumps(document).encode()
+            self.send_response(status)
+            self.send_header("content-length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        do_GET = do_POST = _answer  # noqa: N815
+
+        def log_message(self, *_):
+            pass
+
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+    thread.start()
+    try:
+        yield server.server_address[1], received
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,161 @@
+"""Tests of the operators' program from its command line to its exit code."""
+
+import hashlib
+import io
+import json
+import ssl
+
+import pytest
+
+from cassiapitch import cmdline
+from cassiapitch.rpc import client_context, server_context
+from cassiapitch.settings import TlsSettings
+from tests.admin_stub import serve
+
+COMMANDS = (
+    ["check"],
+    ["sign"],
+    ["roll"],
+    ["show"],
+    ["grant"],
+    ["withdraw"],
+    ["member", "add"],
+    ["member", "promote"],
+    ["member", "remove"],
+    ["member", "transfer"],
+    ["drain"],
+    ["dump"],
+    ["status"],
+    ["keygen"],
+    ["certify"],
+)
+
+
+@pytest.fixture
+def operator_file(tmp_path):
+    def write(port):
+        path = tmp_path / "operator.jsonc"
+        (tmp_path / "t.token").write_text("secret-token\n")
+        address = {"ip": "127.0.0.1", "port": port}
+        document = {
+            "name": "mara",
+            "token_path": "t.token",
+            "key_path": "t.key.pem",
+            "control": [{"name": "control-1", "address": address}],
+            "timeout_ms": 2_000,
+        }
+        path.write_text("// operator\n" + json.dumps(document))
+        return str(path)
+
+    return write
+
+
+@pytest.mark.parametrize("command", COMMANDS, ids=" ".join)
+def test_every_command_has_help_with_an_example(command, capsys):
+    """Guards against a command that an operator can only guess at."""
+    with pytest.raises(SystemExit) as stop:
+        cmdline.main([*command, "--help"])
+    assert stop.value.code == 0
+    assert "example:\n  cassiapitch " + " ".join(command) in capsys.readouterr().out
+
+
+def test_grant_prints_the_key_once_and_sends_its_digest(operator_file, capsys):
+    """Guards against a key that leaves the operator's machine."""
+    with serve((200, {"index": 3})) as (port, received):
+        assert cmdline.main(["grant", "shop", "-f", operator_file(port)]) == 0
+    key = capsys.readouterr().out.strip()
+    body = json.loads(received[0][3])
+    assert body == {
+        "sha256": hashlib.sha256(key.encode()).hexdigest(),
+        "client_account": "shop",
+    }
+    assert len(key) >= 43
+    assert key.encode() not in received[0][3]
+
+
+def test_grant_of_unknown_outcome_gives_code_3_and_the_digest(operator_file, capsys):
+    """Guards against a key that works and that nobody can withdraw."""
+    uncertain = (503, {"error": {"code": "uncertain", "message": "no quorum"}})
+    with serve(uncertain) as (port, received):
+        assert cmdline.main(["grant", "shop", "-f", operator_file(port)]) == 3
+    captured = capsys.readouterr()
+    assert captured.out == ""
+    assert json.loads(received[0][3])["sha256"] in captured.err
+
+
+def test_withdraw_reads_the_key_from_standard_input(operator_file, monkeypatch):
+    """Guards against a key on the command line, where other users can see it."""
+    monkeypatch.setattr("sys.stdin", io.StringIO("the-key\n"))
+    with serve((200, {"index": 3})) as (port, received):
+        assert cmdline.main(["withdraw", "-f", operator_file(port)]) == 0
+    assert json.loads(received[0][3]) == {
+        "sha256": hashlib.sha256(b"the-key").hexdigest()
+    }
+
+
+def test_refusal_gives_code_1_and_settings_faults_code_2(operator_file, tmp_path):
+    """Guards against scripts that can't tell a refusal from a mistyped file."""
+    refusal = (400, {"error": {"code": "account_unknown", "message": "no such"}})
+    with serve(refusal) as (port, _):
+        path = operator_file(port)
+        assert cmdline.main(["grant", "shop", "-f", path]) == 1
+        assert cmdline.main(["grant", "shop", "--sha256", "AB", "-f", path]) == 2
+    assert cmdline.main(["show", "-f", str(tmp_path / "none.jsonc")]) == 2
+
+
+def test_status_names_the_process_that_does_not_answer(operator_file, capsys):
+    """Guards against a status that fails as a whole when one process is down."""
+    with serve((200, {"member": {"role": "leader", "term": 4}})) as (port, _):
+        path = operator_file(port)
+        assert cmdline.main(["status", "-f", path]) == 0
+        shown = capsys.readouterr().out
+    assert "leader: control-1" in shown
+    assert "term=4" in shown
+    assert cmdline.main(["status", "--json", "-f", path]) == 1
+    assert "error" in json.loads(capsys.readouterr().out)["control-1"]
+
+
+def test_keygen_never_overwrites(tmp_path, capsys):
+    """Guards against the loss of the key that signs the bundles in force."""
+    arguments = ["keygen", "mara", "--out", str(tmp_path), "--json"]
+    assert cmdline.main(arguments) == 0
+    made = json.loads(capsys.readouterr().out)
+    token = (tmp_path / "mara.token").read_text().strip()
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    assert made["operator"]["token_sha256"] == digest
+    assert (tmp_path / "mara.key.pem").stat().st_mode & 0o077 == 0
+    assert cmdline.main(arguments) == 1
+
+
+def test_certificates_of_one_ca_accept_each_other_and_no_others(tmp_path):
+    """Guards against processes that can't connect, or that anybody can."""
+    for folder in ("a", "b"):
+        assert cmdline.main(["certify", "p", "--out", str(tmp_path / folder)]) == 0
+    assert cmdline.main(["certify", "q", "--out", str(tmp_path / "a")]) == 0
+    _handshake(_tls(tmp_path / "a", "q"), _tls(tmp_path / "a", "p"))
+    with pytest.raises(ssl.SSLError):
+        _handshake(_tls(tmp_path / "b", "p"), _tls(tmp_path / "a", "p"))
+
+
+def _tls(folder, name):
+    return TlsSettings(
+        str(folder / "ca.pem"),
+        str(folder / f"{name}.pem"),
+        str(folder / f"{name}.key.pem"),
+    )
+
+
+def _handshake(client, server):
+    to_server, to_client = ssl.MemoryBIO(), ssl.MemoryBIO()
+    ends = [
+        client_context(client).wrap_bio(to_client, to_server),
+        server_context(server).wrap_bio(to_server, to_client, server_side=True),
+    ]
+    for _ in range(6):
+        for end in ends:
+            try:
+                end.do_handshake()
+            except ssl.SSLWantReadError:
+                continue
+    for end in ends:
+        assert end.version() == "TLSv1.3"
