--- /dev/null
+++ b/cassiapitch/bundle.py
@@ -0,0 +1,244 @@
+"""The bundle: what operators configure as a whole, its schema and its checks."""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+from typing import Annotated
+
+from msgspec import Meta
+
+from cassiapitch import config
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.settings import Name, NaturalInt, PositiveInt, Sha256Hex
+from cassiapitch.types import RoleKind
+
+# A burst below this share of the rate would leave grants that expire before they
+# reach the entry; 1/25 keeps them valid for at least 20 ms.
+RATE_TO_BURST_LIMIT = 25
+
+MAX_CONTENT_BYTES = 4 * 1024 * 1024
+
+ItemName = Annotated[str, Meta(pattern=r"^[a-zA-Z0-9][a-zA-Z0-9._:/-]{0,127}$")]
+Method = Annotated[str, Meta(pattern=r"^(GET|POST|PUT|PATCH|DELETE)$")]
+RoutePath = Annotated[str, Meta(pattern=r"^/[a-zA-Z0-9._~/-]{0,255}$")]
+PositiveNumber = Annotated[float, Meta(gt=0)]
+VersionNumber = Annotated[int, Meta(ge=1, le=2**53)]
+Tokens = Annotated[int, Meta(ge=1, le=10**12)]
+
+_RESERVED_PREFIXES = ("/v1", "/admin", "/backend")
+_RESERVED_PATHS = ("/healthz",)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Role:
+    """A group of backend servers.
+
+    Attributes:
+        name: The role's name, which backend servers announce.
+        kind: Engine or plain service.
+        credential_sha256: Digest of the bearer credential of its backend servers.
+        fencing: Whether its engines reject orders with a stale fencing number.
+        memory_limit_mib: Upper limit on the memory used of one backend server's
+            accelerators; None trusts the announced memory.
+        running_limit_count: Upper limit on requests that one backend server runs
+            at once; None trusts the announced limit.
+    """
+
+    name: Name
+    kind: RoleKind
+    credential_sha256: Sha256Hex
+    fencing: bool = False
+    memory_limit_mib: PositiveInt | None = None
+    running_limit_count: PositiveInt | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """A model that engines of a role serve."""
+
+    name: ItemName
+    role: Name
+    memory_mib: PositiveInt
+    minimum_copies: NaturalInt = 0
+    context_tokens: PositiveInt = 8_192
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adapter:
+    """Fine-tuned weights on top of a model."""
+
+    name: ItemName
+    model: ItemName
+    memory_mib: PositiveInt
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account with its rate over all entries together."""
+
+    name: Name
+    rate_tokens_per_s: Tokens
+    burst_tokens: Tokens
+    weight: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Key:
+    """A caller's key, by its digest."""
+
+    sha256: Sha256Hex
+    client_account: Name
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A call that a plain service answers."""
+
+    path: RoutePath
+    method: Method
+    role: Name
+    idempotent: bool = False
+    open: bool = False
+    timeout_ms: Annotated[int, Meta(ge=1, le=3_600_000)] = 30_000
+    cost_tokens: NaturalInt = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Store:
+    """Limits of the weight store."""
+
+    loads_per_s: PositiveNumber = 1.0
+    loads_in_flight_count: PositiveInt = 2
+    adapters_in_flight_count: PositiveInt = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bundle:
+    """Everything that operators configure, as one version."""
+
+    version: VersionNumber
+    roles: tuple[Role, ...] = ()
+    models: tuple[Model, ...] = ()
+    adapters: tuple[Adapter, ...] = ()
+    client_accounts: tuple[ClientAccount, ...] = ()
+    keys: tuple[Key, ...] = ()
+    routes: tuple[Route, ...] = ()
+    store: Store = Store()
+
+
+def digest(content: bytes) -> str:
+    """Returns the digest that identifies a bundle file's bytes."""
+    return hashlib.sha256(content).hexdigest()
+
+
+def parse(text: str) -> Bundle:
+    """Reads a bundle and checks it as a whole.
+
+    Raises:
+        SettingsError: Lists each fault with its path.
+    """
+    if len(text.encode()) > MAX_CONTENT_BYTES:
+        raise SettingsError([f"$: larger than {MAX_CONTENT_BYTES} bytes"])
+    bundle = config.parse(text, Bundle)
+    if faults := find_faults(bundle):
+        raise SettingsError(faults)
+    return bundle
+
+
+def find_faults(bundle: Bundle) -> list[str]:
+    """Returns every fault that the fields' own types can't express."""
+    return [
+        *_duplicates("roles", (role.name for role in bundle.roles)),
+        *_duplicates("models", (model.name for model in bundle.models)),
+        *_duplicates("adapters", (adapter.name for adapter in bundle.adapters)),
+        *_duplicates("client_accounts", (item.name for item in bundle.client_accounts)),
+        *_duplicates("keys", (key.sha256 for key in bundle.keys)),
+        *_duplicates("routes", (f"{r.method} {r.path}" for r in bundle.routes)),
+        *_model_faults(bundle),
+        *_adapter_faults(bundle),
+        *_account_faults(bundle),
+        *_route_faults(bundle),
+    ]
+
+
+def _duplicates(section: str, names: Iterable[str]) -> list[str]:
+    first: dict[str, int] = {}
+    faults = []
+    for number, name in enumerate(names):
+        earlier = first.setdefault(name, number)
+        if earlier != number:
+            faults.append(
+                f"$.{section}[{number}]: duplicate of $.{section}[{earlier}]: {name}"
+            )
+    return faults
+
+
+def _model_faults(bundle: Bundle) -> list[str]:
+    kinds = {role.name: role.kind for role in bundle.roles}
+    faults = []
+    for number, model in enumerate(bundle.models):
+        path = f"$.models[{number}].role"
+        if model.role not in kinds:
+            faults.append(f"{path}: no role {model.role!r}")
+        elif kinds[model.role] is not RoleKind.ENGINE:
+            faults.append(f"{path}: role {model.role!r} is not of kind engine")
+    limits = {role.name: role.memory_limit_mib for role in bundle.roles}
+    for number, model in enumerate(bundle.models):
+        limit_mib = limits.get(model.role)
+        if limit_mib is not None and model.memory_mib > limit_mib:
+            faults.append(
+                f"$.models[{number}].memory_mib: above the {limit_mib} MiB of "
+                f"role {model.role!r}"
+            )
+    return faults
+
+
+def _adapter_faults(bundle: Bundle) -> list[str]:
+    models = {model.name for model in bundle.models}
+    faults = []
+    for number, adapter in enumerate(bundle.adapters):
+        if adapter.model not in models:
+            faults.append(f"$.adapters[{number}].model: no model {adapter.model!r}")
+        if adapter.name in models:
+            faults.append(
+                f"$.adapters[{number}].name: {adapter.name!r} is also a model's name"
+            )
+    return faults
+
+
+def _account_faults(bundle: Bundle) -> list[str]:
+    faults = []
+    for number, account in enumerate(bundle.client_accounts):
+        if account.burst_tokens * RATE_TO_BURST_LIMIT < account.rate_tokens_per_s:
+            faults.append(
+                f"$.client_accounts[{number}].burst_tokens: must be at least "
+                f"1/{RATE_TO_BURST_LIMIT} of rate_tokens_per_s"
+            )
+    names = {account.name for account in bundle.client_accounts}
+    for number, key in enumerate(bundle.keys):
+        if key.client_account not in names:
+            faults.append(
+                f"$.keys[{number}].client_account: no client account "
+                f"{key.client_account!r}"
+            )
+    return faults
+
+
+def _route_faults(bundle: Bundle) -> list[str]:
+    kinds = {role.name: role.kind for role in bundle.roles}
+    faults = []
+    for number, route in enumerate(bundle.routes):
+        path = f"$.routes[{number}]"
+        if _is_reserved(route.path):
+            faults.append(f"{path}.path: {route.path!r} is reserved")
+        if route.role not in kinds:
+            faults.append(f"{path}.role: no role {route.role!r}")
+        elif kinds[route.role] is not RoleKind.SERVICE:
+            faults.append(f"{path}.role: role {route.role!r} is not of kind service")
+    return faults
+
+
+def _is_reserved(path: str) -> bool:
+    return path in _RESERVED_PATHS or any(
+        path == prefix or path.startswith(prefix + "/") for prefix in _RESERVED_PREFIXES
+    )
