Check, sign and roll bundles through the shared modules

Cause: the bundle schema and signatures exist now, so the commands that need them can be run and tested. Conclusion: a rolled bundle carries a signature over the file's exact bytes, checked by a test with CRLF line ends.

--- a/cassiapitch/bundlefiles.py
+++ b/cassiapitch/bundlefiles.py
@@ -9,6 +9,7 @@
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
+from cassiapitch import bundle, signing
 from cassiapitch.client import ClientSettings, Done
 from cassiapitch.console import (
     Context,
@@ -110,9 +111,6 @@
 
 
 def _bundle_faults(content: str) -> list[str]:
-    # Imported here, so that commands that need no bundle start faster.
-    from cassiapitch import bundle
-
     try:
         bundle.parse(content)
     except SettingsError as error:
@@ -121,8 +119,6 @@
 
 
 def _sign(settings: ClientSettings, content: str) -> str:
-    from cassiapitch import signing
-
     try:
         pem = pathlib.Path(settings.key_path).read_bytes()
         key = serialization.load_pem_private_key(pem, password=None)
@@ -130,4 +126,4 @@
         raise SettingsError([f"$.key_path: {error}"]) from None
     if not isinstance(key, ed25519.Ed25519PrivateKey):
         raise SettingsError([f"$.key_path: {settings.key_path}: not an Ed25519 key"])
-    return signing.sign(key, content)
+    return signing.sign(key.private_bytes_raw(), content.encode())
--- a/cassiapitch/keygen.py
+++ b/cassiapitch/keygen.py
@@ -9,6 +9,8 @@
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
+from cassiapitch import signing
+
 KEY_BYTES = 32
 
 
@@ -53,16 +55,17 @@
 def make_operator_key(folder: pathlib.Path, name: str) -> OperatorKey:
     """Writes `<name>.key.pem` and `<name>.token` into `folder`."""
     folder.mkdir(parents=True, exist_ok=True)
-    private_key = ed25519.Ed25519PrivateKey.generate()
-    pem = private_key.private_bytes(
+    private_key = signing.generate_private_key()
+    pem = ed25519.Ed25519PrivateKey.from_private_bytes(private_key).private_bytes(
         serialization.Encoding.PEM,
         serialization.PrivateFormat.PKCS8,
         serialization.NoEncryption(),
     )
-    public_key = private_key.public_key().public_bytes_raw()
     token = secrets.token_urlsafe(KEY_BYTES)
     key_path = folder / f"{name}.key.pem"
     token_path = folder / f"{name}.token"
     write_secret(key_path, pem)
     write_secret(token_path, token.encode() + b"\n")
-    return OperatorKey(key_path, token_path, public_key.hex(), digest(token))
+    return OperatorKey(
+        key_path, token_path, signing.public_key_hex(private_key), digest(token)
+    )
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cassiapitch import cmdline
+from cassiapitch import cmdline, signing
 from cassiapitch.rpc import client_context, server_context
 from cassiapitch.settings import TlsSettings
 from tests.admin_stub import serve
@@ -127,6 +127,41 @@
     assert cmdline.main(arguments) == 1
 
 
+def test_roll_sends_a_valid_signature_of_the_checked_file(
+    operator_file, tmp_path, capsys
+):
+    """Guards against a bundle that is signed or sent other than as written."""
+    assert cmdline.main(["keygen", "t", "--out", str(tmp_path), "--json"]) == 0
+    public_key = json.loads(capsys.readouterr().out)["operator"]["public_key_hex"]
+    bundle = tmp_path / "bundle.jsonc"
+    bundle.write_text('// first\r\n{"version": 1}\n', newline="")
+    answer = {"version": 1, "digest": "ab", "author": "mara", "index": 5}
+    with serve((200, answer)) as (port, received):
+        path = operator_file(port)
+        assert cmdline.main(["sign", str(bundle), "-f", path]) == 0
+        signature = str(bundle) + ".sig"
+        assert cmdline.main(["roll", str(bundle), "-f", path]) == 0
+        options = ["--signature", signature, "-f", path]
+        assert cmdline.main(["roll", str(bundle), *options]) == 0
+    first, second = (json.loads(body) for _, _, _, body in received)
+    assert first == second
+    assert first["operator"] == "mara"
+    content = bundle.read_bytes()
+    assert first["content"].encode() == content
+    assert signing.is_signed(public_key, content, first["signature_hex"])
+
+
+def test_faulty_bundle_is_not_sent(operator_file, tmp_path, capsys):
+    """Guards against a roll-out whose faults the operator sees only afterwards."""
+    bundle = tmp_path / "bundle.jsonc"
+    bundle.write_text('{"version": 1, "models": [{"name": "m", "role": "none"}]}')
+    with serve((200, {})) as (port, received):
+        assert cmdline.main(["roll", str(bundle), "-f", operator_file(port)]) == 1
+    assert received == []
+    assert "$.models[0].memory_mib: missing" in capsys.readouterr().err
+    assert cmdline.main(["check", str(bundle)]) == 1
+
+
 def test_certificates_of_one_ca_accept_each_other_and_no_others(tmp_path):
     """Guards against processes that can't connect, or that anybody can."""
     for folder in ("a", "b"):
