--- /dev/null
+++ b/tests/test_arrivals.py
@@ -0,0 +1,138 @@
+"""Tests of experiment files and of the calls drawn from them."""
+
+import collections
+import dataclasses
+import itertools
+
+import pytest
+
+from cassiapitch import arrivals, config, experiment
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.referencebucket import ReferenceBucket
+
+TEXT = """
+{
+  // Two classes and one account.
+  "name": "small", "seed": 3, "duration_ms": 60000, "accelerators_count": 2,
+  "entries": [{"ip": "127.0.0.1", "port": 8080}],
+  "models": {"names": ["a", "b", "c"], "zipf_exponent": 1.0},
+  "classes": [
+    {"name": "chat", "kind": "chat", "deadline_ms": 9000, "stream": true,
+     "prompt": {"median_tokens": 100, "sigma": 0.5},
+     "answer": {"median_tokens": 100},
+     "prefix_sharing": {"group_count": 2, "prefix_tokens": 40}},
+    {"name": "stock", "kind": "route", "deadline_ms": 300, "path": "/stock",
+     "method": "GET", "cost_tokens": 10}
+  ],
+  "accounts": [
+    {"name": "shop", "rate_tokens_per_s": 2000, "burst_tokens": 4000,
+     "rate_share": 0.5, "class_weights": {"chat": 1, "stock": 1},
+     "key_environment": "SHOP_KEY"}
+  ]
+}
+"""
+
+
+def _experiment(**changes):
+    plan = config.parse(TEXT, experiment.Experiment)
+    return dataclasses.replace(plan, **changes)
+
+
+def _with_account(**changes):
+    plan = _experiment()
+    account = dataclasses.replace(plan.accounts[0], **changes)
+    return dataclasses.replace(plan, accounts=(account,))
+
+
+def test_same_file_and_seed_give_the_same_calls():
+    """Guards against two runs whose difference is only their load."""
+    first = list(arrivals.calls(_experiment()))
+    assert first == list(arrivals.calls(_experiment()))
+    assert first != list(arrivals.calls(_experiment(seed=4)))
+    assert [call.number for call in first] == list(range(len(first)))
+    assert all(a.at_ms <= b.at_ms for a, b in itertools.pairwise(first))
+
+
+@pytest.mark.parametrize("burstiness", [1.0, 5.0])
+def test_offered_tokens_are_the_share_of_the_rate(burstiness):
+    """Guards against an account that sends more or less than the file says."""
+    plan = _with_account(burstiness=burstiness)
+    plan = dataclasses.replace(plan, duration_ms=600_000)
+    tokens = sum(call.cost_tokens for call in arrivals.calls(plan))
+    assert tokens / 600 == pytest.approx(1_000, rel=0.2)
+
+
+def test_burstiness_raises_the_variance_of_arrivals():
+    """Guards against a burstiness that only changes the mean."""
+
+    def dispersion(burstiness):
+        plan = _with_account(burstiness=burstiness)
+        counts = collections.Counter(
+            call.at_ms // 1000 for call in arrivals.calls(plan)
+        )
+        values = [counts[second] for second in range(60)]
+        mean = sum(values) / 60
+        return sum((value - mean) ** 2 for value in values) / 60 / mean
+
+    assert dispersion(5.0) > 2 * dispersion(1.0)
+
+
+def test_shift_makes_a_model_popular_from_its_time_on():
+    """Guards against a shift that is applied early, late or not at all."""
+    shift = experiment.Shift(30_000, "b", 1_000_000.0)
+    calls = list(arrivals.calls(_experiment(shifts=(shift,))))
+    late = {call.model for call in calls if call.at_ms >= 30_000}
+    early = {call.model for call in calls if call.at_ms < 30_000}
+    assert late - {""} == {"b"}
+    assert len(early - {""}) > 1
+
+
+def test_prompts_have_their_length_share_prefixes_and_differ():
+    """Guards against prompts that cost other tokens than the rate is charged."""
+    calls = [call for call in arrivals.calls(_experiment()) if call.model]
+    assert len({call.prompt for call in calls}) == len(calls)
+    for call in calls:
+        assert call.cost_tokens == len(call.prompt) // 4 + call.answer_tokens
+    assert len({call.prompt[:40] for call in calls}) <= 2 * 3
+
+
+def test_every_fault_of_an_experiment_is_listed():
+    """Guards against a run that fails halfway because of its file."""
+    plan = _with_account(class_weights={"none": 1.0}, key_path="a.key")
+    plan = dataclasses.replace(plan, entries=(), shifts=(experiment.Shift(0, "x"),))
+    faults = experiment.find_faults(plan)
+    assert {fault.split(":")[0] for fault in faults} == {
+        "$.entries",
+        "$.accounts[0].class_weights.none",
+        "$.accounts[0]",
+        "$.shifts[0].model",
+    }
+
+
+def test_missing_key_is_named(monkeypatch, tmp_path):
+    """Guards against a run in which an account is refused for an empty key."""
+    monkeypatch.delenv("SHOP_KEY", raising=False)
+    with pytest.raises(SettingsError) as error:
+        experiment.read_keys(_experiment(), tmp_path)
+    assert error.value.faults[0].startswith("$.accounts[0]")
+
+
+def test_reference_bucket_admits_burst_and_rate():
+    """Guards against a rightful refusal that is reported as wrongful."""
+    bucket = ReferenceBucket(rate_tokens_per_s=100, burst_tokens=50)
+    assert bucket.charge(0, 50) is not None
+    assert bucket.charge(0, 1) is None
+    assert bucket.charge(100, 10) is not None
+    assert bucket.charge(100, 1) is None
+
+
+def test_refund_after_an_overflow_adds_no_budget():
+    """Guards against a reference that grants more than the account's rate."""
+    bucket = ReferenceBucket(rate_tokens_per_s=100, burst_tokens=50)
+    charge = bucket.charge(0, 50)
+    full = bucket.charge(1_000, 50)
+    bucket.refund(1_000, charge, 50)
+    assert bucket.charge(1_000, 1) is None
+    bucket.refund(1_000, full, 20)
+    assert bucket.charge(1_000, 20) is not None
+    assert bucket.charge(1_000, 1) is None
