--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,87 @@
+"""Tests of the shipped examples and of the reference of settings."""
+
+import dataclasses
+import pathlib
+import re
+import typing
+
+import pytest
+
+from cassiapitch import bundle, client, config, experiment, settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+FILES = sorted((ROOT / "settings").rglob("*.jsonc"))
+SCHEMAS = {
+    "control": settings.ControlSettings,
+    "entry": settings.EntrySettings,
+    "operator": client.ClientSettings,
+    "bundle": bundle.Bundle,
+    "load": experiment.Experiment,
+}
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: f"{path.parent.name}-{path.stem}")
+def test_shipped_file_passes_its_checks(path):
+    """Guards against an example that its own program refuses."""
+    parsed = config.load(path, SCHEMAS[path.stem])
+    if isinstance(parsed, bundle.Bundle):
+        assert bundle.find_faults(parsed) == []
+    if isinstance(parsed, experiment.Experiment):
+        assert experiment.find_faults(parsed) == []
+
+
+def test_both_deployments_have_every_kind_of_file():
+    """Guards against an example that is left out."""
+    folders = {path.parent.name for path in FILES}
+    assert folders == {"spoke-and-saddle", "waqa-and-sons"}
+    assert len(FILES) == len(folders) * len(SCHEMAS)
+
+
+@pytest.mark.parametrize("folder", ["spoke-and-saddle", "waqa-and-sons"])
+def test_load_agrees_with_the_bundle(folder):
+    """Guards against wrongful refusals that are the experiment file's fault."""
+    rolled = bundle.parse((ROOT / "settings" / folder / "bundle.jsonc").read_text())
+    plan = experiment.load(ROOT / "settings" / folder / "load.jsonc")
+    limits = {
+        item.name: (item.rate_tokens_per_s, item.burst_tokens)
+        for item in rolled.client_accounts
+    }
+    for account in plan.accounts:
+        assert limits[account.name] == (account.rate_tokens_per_s, account.burst_tokens)
+    routes = {(item.method, item.path): item for item in rolled.routes}
+    for item in plan.classes:
+        if item.kind is experiment.CallKind.ROUTE:
+            route = routes[item.method, item.path]
+            assert (route.cost_tokens, route.open) == (item.cost_tokens, item.open)
+    adapters = {item.name: item.model for item in rolled.adapters}
+    known = {item.name for item in rolled.models} | adapters.keys()
+    assert set(plan.models.names) <= known
+    for name, model in plan.models.adapters.items():
+        assert adapters[name] == model
+
+
+def _data_classes(cls, found):
+    """Collects a settings class and every data class in its fields."""
+    if cls in found:
+        return
+    found[cls] = [field.name for field in dataclasses.fields(cls)]
+    waiting = list(typing.get_type_hints(cls).values())
+    while waiting:
+        hint = waiting.pop()
+        if dataclasses.is_dataclass(hint):
+            _data_classes(hint, found)
+        waiting.extend(typing.get_args(hint))
+
+
+def test_reference_names_every_field_of_every_settings_class():
+    """Guards against a field that operators can't look up, or that is gone."""
+    found = {}
+    for cls in SCHEMAS.values():
+        _data_classes(cls, found)
+    text = (ROOT / "docs" / "settings.md").read_text()
+    documented = {}
+    for section in re.split(r"^### ", text, flags=re.MULTILINE)[1:]:
+        title = section.split("\n", 1)[0].strip("` ")
+        documented[title] = re.findall(r"^\| `(\w+)` \|", section, re.MULTILINE)
+    expected = {cls.__name__: names for cls, names in found.items()}
+    assert documented == expected
