--- /dev/null
+++ b/cassiapitch/admin.py
@@ -0,0 +1,343 @@
+"""Administration API of a control member: HTTP with JSON."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Any
+
+import anyio.to_thread
+import msgspec
+from msgspec import Meta
+
+from cassiapitch import asgi, bundle, commands, events, group, operators, signing
+from cassiapitch.events import Event
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.group import Applied, Group, NoLeader
+from cassiapitch.replicated import ReplicatedState
+from cassiapitch.settings import Address, IpNumber, Name, Operator, Sha256Hex
+from cassiapitch.types import AccountName
+
+# A bundle's text grows when it is escaped as a JSON string.
+BODY_LIMIT_BYTES = 2 * bundle.MAX_CONTENT_BYTES
+BODY_TIMEOUT_MS = 15_000
+PROPOSE_TIMEOUT_MS = 1_500
+ATTEMPTS_COUNT = 3
+RETRY_PAUSE_S = 0.2
+PREFIX = "/admin/v1"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BundleBody:
+    """Body of a request to bring a bundle into force."""
+
+    content: str
+    signature_hex: Annotated[str, Meta(max_length=256)]
+    operator: Annotated[str, Meta(max_length=128)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantBody:
+    """Body of a request to grant a key."""
+
+    sha256: Sha256Hex
+    client_account: Name
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WithdrawBody:
+    """Body of a request to withdraw a key."""
+
+    sha256: Sha256Hex
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberBody:
+    """Body of a request to add a control member."""
+
+    name: Name
+    zone: Name
+    ip: IpNumber
+    port: Annotated[int, Meta(ge=1, le=65535)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NameBody:
+    """Body of a request that names a control member."""
+
+    name: Name
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """An HTTP answer; `code` is what the log says of it."""
+
+    status: int
+    document: Any
+    code: str = "ok"
+
+
+Route = tuple[type | None, Callable[[Any, Operator], Awaitable[Reply]]]
+
+
+def error_reply(status: int, code: str, message: str, **fields: Any) -> Reply:
+    """Returns the answer for an error."""
+    document = {"error": {"code": code, "message": message, **fields}}
+    return Reply(status, document, code)
+
+
+class AdminApi:
+    """The ASGI application of the administration API."""
+
+    def __init__(
+        self,
+        accepted_operators: tuple[Operator, ...],
+        member: Group,
+        state: ReplicatedState,
+        status: Callable[[], Any],
+        dump: Callable[[], Any],
+        drain: Callable[[], None],
+    ) -> None:
+        """Makes the application.
+
+        Args:
+            accepted_operators: Who may use it and sign bundles.
+            member: This control member.
+            state: The replicated state.
+            status: Returns the status document.
+            dump: Returns the state dump.
+            drain: Begins the graceful shutdown of this process.
+        """
+        self._operators = accepted_operators
+        self._member = member
+        self._state = state
+        self._status = status
+        self._dump = dump
+        self._drain = drain
+        self._routes: dict[tuple[str, str], Route] = {
+            ("POST", "/bundles"): (BundleBody, self._put_bundle),
+            ("GET", "/bundle"): (None, self._get_bundle),
+            ("POST", "/keys/grant"): (GrantBody, self._grant_key),
+            ("POST", "/keys/withdraw"): (WithdrawBody, self._withdraw_key),
+            ("POST", "/members/add"): (MemberBody, self._add_member),
+            ("POST", "/members/promote"): (NameBody, self._promote_member),
+            ("POST", "/members/remove"): (NameBody, self._remove_member),
+            ("POST", "/members/transfer"): (NameBody, self._transfer),
+            ("POST", "/drain"): (None, self._begin_drain),
+            ("GET", "/status"): (None, self._get_status),
+            ("GET", "/dump"): (None, self._get_dump),
+        }
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Answers one request."""
+        if scope["type"] != "http":
+            return
+        method, path = scope["method"], scope["path"]
+        reply = await self._answer(method, path, scope, receive)
+        if reply is None:
+            return
+        if method == "POST":
+            events.log(Event.CHANGE_ANSWERED, path=path, code=reply.code)
+        headers = [(b"connection", b"close")] if reply.status in (408, 413) else None
+        await asgi.send_json(send, reply.status, reply.document, headers)
+
+    async def _answer(
+        self, method: str, path: str, scope: asgi.Scope, receive: asgi.Receive
+    ) -> Reply | None:
+        operator = operators.authenticate(
+            self._operators, asgi.header(scope, b"authorization")
+        )
+        if operator is None:
+            events.log(Event.ADMIN_REFUSED, path=path[:200])
+            return error_reply(401, "unauthorized", "no valid operator token")
+        local = path.removeprefix(PREFIX) if path.startswith(PREFIX + "/") else ""
+        route = self._routes.get((method, local))
+        if route is None:
+            if any(known == local for _, known in self._routes):
+                return error_reply(405, "method_not_allowed", f"not {method}")
+            return error_reply(404, "not_found", "no such path")
+        body_class, answer = route
+        if body_class is None:
+            return await answer(None, operator)
+        body = await asgi.read_body(receive, BODY_LIMIT_BYTES, BODY_TIMEOUT_MS)
+        match body:
+            case asgi.CallerGone():
+                return None
+            case asgi.BodyTooLarge():
+                message = f"the limit is {BODY_LIMIT_BYTES} bytes"
+                return error_reply(413, "body_too_large", message)
+            case asgi.BodyLate():
+                return error_reply(408, "body_timeout", "the body came too slowly")
+        try:
+            document = msgspec.json.decode(body.data, type=body_class)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            return error_reply(400, "bad_request", str(error))
+        return await answer(document, operator)
+
+    async def _propose(self, command: Any) -> Any | Reply:
+        """Returns the command's result, or the answer if there is none.
+
+        Commands are idempotent by content, so an unclear outcome is resolved by
+        proposing again; a lost answer costs the operator no decision.
+        """
+        is_certain = True
+        for _ in range(ATTEMPTS_COUNT):
+            outcome = await group.propose(self._member, command, PROPOSE_TIMEOUT_MS)
+            if isinstance(outcome, Applied):
+                return outcome.result
+            is_certain = is_certain and isinstance(outcome, NoLeader)
+            await anyio.sleep(RETRY_PAUSE_S)
+        if is_certain:
+            return error_reply(503, "no_leader", "not applied; send it again")
+        return error_reply(503, "uncertain", "may be applied; send it again")
+
+    async def _put_bundle(self, body: BundleBody, operator: Operator) -> Reply:
+        signer = next((o for o in self._operators if o.name == body.operator), None)
+        if signer is None:
+            return _refused(["$.operator: no operator of this name"])
+        try:
+            content = body.content.encode()
+        except UnicodeEncodeError:
+            return _refused(["$.content: not valid Unicode"])
+        if not signing.is_signed(signer.public_key_hex, content, body.signature_hex):
+            fault = f"$.signature_hex: not a signature of {signer.name!r} for content"
+            return _refused([fault])
+        try:
+            # In a thread, so that heartbeats go on while a large file is parsed.
+            parsed = await anyio.to_thread.run_sync(bundle.parse, body.content)
+        except SettingsError as error:
+            return _refused(error.faults)
+        result = await self._propose(
+            commands.PutBundle(
+                parsed, body.content, body.signature_hex, signer.name, operator.name
+            )
+        )
+        return _bundle_reply(result)
+
+    async def _get_bundle(self, body: None, operator: Operator) -> Reply:
+        if self._state.bundle is None:
+            return error_reply(404, "no_bundle", "no bundle is in force")
+        record = self._state.records[self._state.bundle.version]
+        return Reply(
+            200,
+            {
+                "version": record.version,
+                "digest": record.digest,
+                "author": record.author,
+                "index": record.index,
+                "content": self._state.content,
+            },
+        )
+
+    async def _grant_key(self, body: GrantBody, operator: Operator) -> Reply:
+        account = AccountName(body.client_account)
+        command = commands.GrantKey(body.sha256, account, operator.name)
+        return _key_reply(await self._propose(command))
+
+    async def _withdraw_key(self, body: WithdrawBody, operator: Operator) -> Reply:
+        command = commands.WithdrawKey(body.sha256, operator.name)
+        return _key_reply(await self._propose(command))
+
+    async def _add_member(self, body: MemberBody, operator: Operator) -> Reply:
+        address = Address(body.ip, body.port)
+        _log_membership(operator, "add", body.name)
+        outcome = await self._member.add_learner(body.name, address, body.zone)
+        return _member_reply(outcome)
+
+    async def _promote_member(self, body: NameBody, operator: Operator) -> Reply:
+        _log_membership(operator, "promote", body.name)
+        return _member_reply(await self._member.promote(body.name))
+
+    async def _remove_member(self, body: NameBody, operator: Operator) -> Reply:
+        _log_membership(operator, "remove", body.name)
+        return _member_reply(await self._member.remove(body.name))
+
+    async def _transfer(self, body: NameBody, operator: Operator) -> Reply:
+        _log_membership(operator, "transfer", body.name)
+        return _member_reply(await self._member.transfer_leadership(body.name))
+
+    async def _begin_drain(self, body: None, operator: Operator) -> Reply:
+        self._drain()
+        return Reply(202, {})
+
+    async def _get_status(self, body: None, operator: Operator) -> Reply:
+        return Reply(200, self._status())
+
+    async def _get_dump(self, body: None, operator: Operator) -> Reply:
+        events.log(Event.DUMP_SERVED, operator=operator.name)
+        return Reply(200, self._dump())
+
+
+def _refused(faults: list[str]) -> Reply:
+    return error_reply(400, "bundle_refused", "the bundle has faults", faults=faults)
+
+
+def _bundle_reply(result: Any) -> Reply:
+    match result:
+        case Reply():
+            return result
+        case commands.BundleAccepted():
+            return Reply(
+                200,
+                {
+                    "version": result.version,
+                    "digest": result.digest,
+                    "author": result.author,
+                    "index": result.index,
+                    "warnings": list(result.warnings),
+                },
+            )
+        case commands.BundleRefused():
+            return _refused(list(result.faults))
+        case commands.VersionConflict():
+            code, message = "version_conflict", "another bundle has this version"
+        case commands.VersionSuperseded():
+            code, message = "version_superseded", "a newer version is in force"
+        case _:
+            return _unexpected(result)
+    return error_reply(
+        409,
+        code,
+        message,
+        version=result.version,
+        digest=result.digest,
+        author=result.author,
+    )
+
+
+def _key_reply(result: Any) -> Reply:
+    match result:
+        case Reply():
+            return result
+        case commands.KeyChanged():
+            return Reply(200, {"index": result.index})
+        case commands.KeyRefused():
+            status = 400 if result.code == "account_unknown" else 409
+            return error_reply(status, result.code, result.message)
+        case _:
+            return _unexpected(result)
+
+
+def _member_reply(outcome: Any) -> Reply:
+    match type(outcome).__name__:
+        case "Committed":
+            return Reply(200, {"index": outcome.index})
+        case "NotAccepted":
+            message = "not applied; send it to the leader"
+            return error_reply(503, "no_leader", message, leader=outcome.leader)
+        case "Uncertain":
+            return error_reply(503, "uncertain", "may be applied; send it again")
+        case _:
+            reason = getattr(outcome, "reason", type(outcome).__name__)
+            return error_reply(409, "change_refused", str(reason))
+
+
+def _unexpected(result: Any) -> Reply:
+    message = f"the control group answered {type(result).__name__}"
+    return error_reply(500, "internal", message)
+
+
+def _log_membership(operator: Operator, change: str, name: str) -> None:
+    events.log(
+        Event.MEMBERSHIP_CHANGED, operator=operator.name, change=change, member=name
+    )
--- a/cassiapitch/commands.py
+++ b/cassiapitch/commands.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from cassiapitch import codec
+from cassiapitch.bundle import Bundle
 from cassiapitch.types import AccountName, ClaimState, LifeId, RequestDigest
 
 
@@ -15,9 +16,12 @@
     """Brings a bundle into force.
 
     The signature was checked before the command was proposed, because members'
-    settings may differ while operators are exchanged; it is kept for audits.
+    settings may differ while operators are exchanged; it is kept for audits. The
+    parsed bundle travels with its text, since parsing JSON with comments inside
+    `apply` would block the leader's heartbeats for a large bundle.
     """
 
+    bundle: Bundle
     content: str
     signature_hex: str
     operator: str
--- /dev/null
+++ b/cassiapitch/controlnode.py
@@ -0,0 +1,221 @@
+"""Wires a control member's parts together and runs their tasks."""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import anyio
+import anyio.abc
+
+from cassiapitch import asgi, dump, group, rpc, timers
+from cassiapitch.admin import AdminApi
+from cassiapitch.batching import Proposals
+from cassiapitch.group import Group
+from cassiapitch.hub import Hub
+from cassiapitch.leadership import RateDesk
+from cassiapitch.messages import (
+    Announcement,
+    DemandReport,
+    LoadReports,
+    RateAsk,
+    RelayedGrants,
+)
+from cassiapitch.relay import Relay
+from cassiapitch.replicated import FleetState, ReplicatedState
+from cassiapitch.settings import ControlSettings
+
+LOAD_REPORT_PERIOD_S = 1.0
+CLOSE_TIMEOUT_S = 3
+BACKEND_PREFIX = "/backend/"
+
+
+class Member(Group, Protocol):
+    """What the process needs of `member.Member` besides `Group`."""
+
+    async def run(self) -> None:
+        """Owns sockets and files until cancelled."""
+
+    def serve_handlers(self) -> list[Any]:
+        """Returns handlers to mount on the process's rpc server."""
+
+
+class PlacementTask(Protocol):
+    """What the process needs of `controller.Controller`."""
+
+    def on_announcement(self, announcement: Announcement) -> None:
+        """Takes an announcement of a backend server."""
+
+    def on_demand(self, report: DemandReport) -> None:
+        """Takes an entry's demand."""
+
+    def load_reports(self) -> LoadReports:
+        """Returns what is new since the last call."""
+
+    async def run(self) -> None:
+        """Places models while this member leads, until cancelled."""
+
+
+Deliver = Callable[[Announcement], Awaitable[bool]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """Parts of a control member that other modules make.
+
+    Attributes:
+        make_member: Makes the member from its state machine and `on_applied`.
+        fleet: Backend servers and orders as replicated state.
+        fleet_commands: The fleet's command data classes.
+        make_placement: Makes the placement task, given the member.
+        make_announce_route: Makes the application for announcements.
+    """
+
+    make_member: Callable[[ReplicatedState, Callable[[int], None]], Member]
+    fleet: FleetState
+    fleet_commands: tuple[type, ...]
+    make_placement: Callable[[Member], PlacementTask]
+    make_announce_route: Callable[[Deliver], asgi.App]
+
+
+class ControlNode:
+    """One control member with everything that it serves."""
+
+    def __init__(
+        self, settings: ControlSettings, parts: Parts, stop: anyio.Event
+    ) -> None:
+        self._settings = settings
+        self._stop = stop
+        self.state = ReplicatedState(parts.fleet, parts.fleet_commands)
+        self.member = parts.make_member(self.state, self._on_applied)
+        self._proposals = Proposals(self.member, timers.now_ms)
+        self._desk = RateDesk(
+            self.member, self.state, settings.rate_policy, timers.now_ms
+        )
+        self._relay = Relay(
+            settings.name,
+            settings.cluster,
+            self.member,
+            settings.tls,
+            self._on_leader,
+            self._on_answer,
+        )
+        self.hub = Hub(
+            settings.cluster,
+            self.state,
+            self.member,
+            self._proposals,
+            self._relay.send,
+        )
+        self._placement = parts.make_placement(self.member)
+        self._admin = AdminApi(
+            settings.operators,
+            self.member,
+            self.state,
+            self._status,
+            self._dump,
+            stop.set,
+        )
+        self._announce = parts.make_announce_route(self._deliver)
+
+    def _on_applied(self, index: int) -> None:
+        self.hub.on_applied(index)
+
+    def _on_leader(self, message: Any, reply: Callable[[Any], None]) -> None:
+        match message:
+            case RateAsk():
+                self._desk.ask(message, reply)
+            case DemandReport():
+                self._placement.on_demand(message)
+            case Announcement():
+                self._placement.on_announcement(message)
+
+    def _on_answer(self, message: Any) -> None:
+        match message:
+            case RelayedGrants():
+                self.hub.deliver_grants(message)
+            case LoadReports():
+                self.hub.broadcast(message)
+
+    async def _deliver(self, announcement: Announcement) -> bool:
+        if self.member.status().leader is None:
+            return False
+        self._relay.send(announcement)
+        return True
+
+    def _status(self) -> Any:
+        return dump.status_document(
+            self._settings.zone, self.member, self.state, self.hub, timers.now_ms()
+        )
+
+    def _dump(self) -> Any:
+        return dump.dump_document(
+            self._settings.zone,
+            self.member,
+            self.state,
+            self.hub,
+            self._desk,
+            timers.now_ms(),
+        )
+
+    async def run(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until `stop` is set; reports the administration port."""
+        app = _route(self._admin, self._announce)
+        http = asgi.HttpServer(app, self._settings.admin_address)
+        # The member's peers reach it through this server, also for forming the
+        # group, so it listens before the member runs.
+        server = await rpc.serve(
+            [*self.member.serve_handlers(), self.hub.handler(), self._relay.handler()],
+            self._settings.rpc_address,
+            self._settings.tls,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.member.run)
+            tasks.start_soon(self._proposals.run)
+            tasks.start_soon(self.hub.run_confirmations)
+            tasks.start_soon(self._relay.run)
+            tasks.start_soon(self._desk.run)
+            tasks.start_soon(self._placement.run)
+            tasks.start_soon(self._report_load)
+            http_ended = anyio.Event()
+            tasks.start_soon(_run_http, http, http_ended)
+            task_status.started(http.port)
+            await self._stop.wait()
+            await self._shut_down(http)
+            with anyio.move_on_after(CLOSE_TIMEOUT_S):
+                await http_ended.wait()
+            tasks.cancel_scope.cancel()
+        with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+            await server.close()
+
+    async def _shut_down(self, http: asgi.HttpServer) -> None:
+        """Hands over leadership before entries and operators lose this member."""
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            if group.is_leader(self.member):
+                await self.member.transfer_leadership(None)
+        self.hub.close_links()
+        http.close()
+
+    async def _report_load(self) -> None:
+        while True:
+            await anyio.sleep(LOAD_REPORT_PERIOD_S)
+            if group.is_leader(self.member):
+                self._relay.broadcast(self._placement.load_reports())
+
+
+async def _run_http(http: asgi.HttpServer, ended: anyio.Event) -> None:
+    await http.run()
+    ended.set()
+
+
+def _route(admin: asgi.App, announce: asgi.App) -> asgi.App:
+    """Returns the application of both kinds of callers on the one port."""
+
+    async def serve(scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        is_backend = scope.get("path", "").startswith(BACKEND_PREFIX)
+        await (announce if is_backend else admin)(scope, receive, send)
+
+    return serve
--- /dev/null
+++ b/cassiapitch/dump.py
@@ -0,0 +1,130 @@
+"""Status and state dump of a control member as JSON documents.
+
+Key digests never appear: whoever reads a dump should learn nothing that identifies
+a caller's key.
+"""
+
+import collections
+from typing import Any
+
+from cassiapitch import __version__
+from cassiapitch.group import Group
+from cassiapitch.hub import Hub
+from cassiapitch.leadership import RateDesk
+from cassiapitch.replicated import ReplicatedState
+
+
+def status_document(
+    zone: str, member: Group, state: ReplicatedState, hub: Hub, now_ms: int
+) -> dict[str, Any]:
+    """Returns what operators look at first."""
+    status = member.status()
+    return {
+        "program": "cassiapitch-control",
+        "program_version": __version__,
+        "name": status.name,
+        "zone": zone,
+        "role": str(status.role),
+        "term": status.term,
+        "leader": status.leader,
+        "has_lease": member.has_lease(now_ms),
+        "commit_index": status.commit_index,
+        "applied_index": status.applied_index,
+        "members": [_member(item) for item in status.members],
+        "bundle": _bundle(state),
+        "counts": _counts(state),
+        "links": hub.describe(),
+    }
+
+
+def dump_document(
+    zone: str,
+    member: Group,
+    state: ReplicatedState,
+    hub: Hub,
+    desk: RateDesk,
+    now_ms: int,
+) -> dict[str, Any]:
+    """Returns everything that this member knows, keys as counts only."""
+    return {
+        **status_document(zone, member, state, hub, now_ms),
+        "log_time_ms": state.time_ms,
+        "view_index": state.view.index,
+        "view_horizon": state.view.horizon,
+        "view_items": dict(
+            collections.Counter(name.split("/", 1)[0] for name in state.view.items)
+        ),
+        "links_by_zone": dict(hub.count_links()),
+        "accepted_versions": [
+            {
+                "version": record.version,
+                "digest": record.digest,
+                "author": record.author,
+                "index": record.index,
+            }
+            for record in list(state.records.values())[-100:]
+        ],
+        "keys_by_account": _keys_by_account(state),
+        "claims_by_account": {
+            account: count for account, count in state.claims.counts.items() if count
+        },
+        "suspects": [
+            {
+                "digest": item.digest,
+                "crash_count": len(item.lives),
+                "quarantined": item.is_quarantined,
+                "until_ms": item.until_ms,
+            }
+            for item in state.suspects.table.values()
+        ],
+        "floors": {
+            "term": state.floors.term,
+            "sequence": state.floors.sequence,
+            "microtokens": dict(state.floors.floors),
+        },
+        "rates": desk.describe(),
+    }
+
+
+def _member(item: Any) -> dict[str, Any]:
+    document = {
+        "name": item.name,
+        "zone": item.zone,
+        "ip": item.ip,
+        "port": item.port,
+        "voter": item.voter,
+    }
+    for field in ("match_index", "heard_ms_ago", "state"):
+        if hasattr(item, field):
+            document[field] = getattr(item, field)
+    return document
+
+
+def _bundle(state: ReplicatedState) -> dict[str, Any] | None:
+    if state.bundle is None:
+        return None
+    record = state.records[state.bundle.version]
+    return {
+        "version": record.version,
+        "digest": record.digest,
+        "author": record.author,
+        "index": record.index,
+    }
+
+
+def _counts(state: ReplicatedState) -> dict[str, int]:
+    items = collections.Counter(name.split("/", 1)[0] for name in state.view.items)
+    return {
+        "keys_working": items["key"],
+        "keys_granted": len(state.keys.granted),
+        "keys_withdrawn": len(state.keys.withdrawn),
+        "claims": len(state.claims.table),
+        "suspects": len(state.suspects.table),
+        "backend_servers": items["backend"],
+    }
+
+
+def _keys_by_account(state: ReplicatedState) -> dict[str, int]:
+    return dict(
+        collections.Counter(item.account for item in state.keys.view_items().values())
+    )
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -22,6 +22,18 @@
     SETTINGS_REFUSED = 105
     DUMP_SERVED = 106
 
+    LINK_OPENED = 301
+    LINK_CLOSED = 302
+    LINK_REFUSED = 303
+    GRANTER_STARTED = 304
+    GRANTER_STOPPED = 305
+    RELAY_OPENED = 306
+    RELAY_CLOSED = 307
+    CHANGE_ANSWERED = 308
+    ADMIN_REFUSED = 309
+    SNAPSHOT_SENT = 310
+    MEMBERSHIP_CHANGED = 311
+
 
 def log(event: Event, **fields: Any) -> None:
     """Writes one event.
--- /dev/null
+++ b/cassiapitch/granter.py
@@ -0,0 +1,338 @@
+"""Grants of rate tokens on the leader, under floors in the replicated log.
+
+A granter exists for one term. It starts from the floors that the previous one
+promised to keep, and charges only while its member holds the lease.
+"""
+
+import dataclasses
+from collections.abc import Iterable, Sequence
+
+from cassiapitch import bucket as buckets
+from cassiapitch import division
+from cassiapitch.bucket import MICROTOKENS, Bucket
+from cassiapitch.commands import RecordFloors
+from cassiapitch.division import Want
+from cassiapitch.messages import Grant, RateAsk, RateGrants, Refund
+from cassiapitch.types import AccountName
+
+RECORD_PERIOD_MS = 500
+# A record that a waiting call needs is proposed sooner; one round trip to a quorum
+# takes some milliseconds.
+URGENT_PERIOD_MS = 20
+# A floor is recorded anew once it is this share of the cap off its target.
+FLOOR_TOLERANCE = 20
+RESERVATION_MS = 1_000
+SESSIONS_LIMIT_COUNT = 20_000
+NEVER_MS = 3_600_000
+
+# Rate and burst of each account, in tokens.
+Limits = dict[AccountName, tuple[int, int]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """Tokens set aside for the oldest call that did not fit.
+
+    Attributes:
+        entry: Entry at which the call waits.
+        needed_tokens: Its cost.
+        saved: Microtokens set aside so far, out of the bucket's level.
+        asked_ms: When the entry last asked for it.
+    """
+
+    entry: str
+    needed_tokens: int
+    saved: int
+    asked_ms: int
+
+
+@dataclasses.dataclass(slots=True)
+class Granter:
+    """State of the granter of one term.
+
+    Attributes:
+        term: Its term.
+        buckets: One for each account that a bundle of this term named.
+        active: Accounts of the bundle in force.
+        floors: Floors of the last committed record, in microtokens.
+        pending: Record that was proposed and may have been committed.
+        sequence: Number of the last record.
+        recorded_ms: When the last record was proposed.
+        wanted: Microtokens that waiting calls need, by account.
+        reservations: At most one for each account.
+        sessions: Last sequence and answer of each run of an entry.
+    """
+
+    term: int
+    buckets: dict[AccountName, Bucket]
+    active: Limits
+    floors: dict[AccountName, int]
+    pending: RecordFloors | None = None
+    sequence: int = 1
+    recorded_ms: int = 0
+    wanted: dict[AccountName, int] = dataclasses.field(default_factory=dict)
+    reservations: dict[AccountName, Reservation] = dataclasses.field(
+        default_factory=dict
+    )
+    sessions: dict[tuple[str, str], RateGrants] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def takeover_record(term: int) -> RecordFloors:
+    """Returns the command whose result a new granter starts from.
+
+    Once it is committed, records of earlier terms are without effect, so that the
+    floors in its result are the ones in force.
+    """
+    return RecordFloors(term, 1, {})
+
+
+def start(
+    term: int, floors: dict[AccountName, int], limits: Limits, now_ms: int
+) -> Granter:
+    """Returns a granter that starts from the promised floors."""
+    granter = Granter(term, {}, {}, dict(floors))
+    set_limits(granter, limits, now_ms)
+    return granter
+
+
+def set_limits(granter: Granter, limits: Limits, now_ms: int) -> None:
+    """Takes over the rates of a bundle.
+
+    The bucket of an account that is gone is kept, so that an account that comes
+    back in a later bundle gets no second burst.
+    """
+    for account, (rate, burst) in limits.items():
+        present = granter.buckets.get(account)
+        if present is None:
+            level = granter.floors.get(account, 0)
+            granter.buckets[account] = buckets.create(rate, burst, level, now_ms)
+        elif granter.active.get(account) != (rate, burst):
+            granter.buckets[account] = buckets.reconfigure(present, rate, burst, now_ms)
+    granter.active = dict(limits)
+
+
+def answer(
+    granter: Granter, asks: Sequence[RateAsk], now_ms: int
+) -> list[tuple[RateAsk, RateGrants]]:
+    """Answers asks that arrived together; late ones get no answer.
+
+    The caller has checked that its member holds the lease at `now_ms`, and has read
+    `now_ms` after the asks arrived. A repeated ask gets its first answer again.
+    """
+    answers = []
+    fresh = []
+    for ask in asks:
+        session = granter.sessions.get((ask.entry, ask.life_id))
+        if session is None or ask.sequence > session.sequence:
+            _open_session(granter, ask)
+            fresh.append(ask)
+        elif ask.sequence == session.sequence and ask not in fresh:
+            answers.append((ask, session))
+    for ask in fresh:
+        for refund in ask.refunds:
+            _take_refund(granter, refund, now_ms)
+    grants = _grant(granter, fresh, now_ms)
+    for ask, issued in zip(fresh, grants, strict=True):
+        response = RateGrants(ask.sequence, tuple(issued))
+        session = granter.sessions.get((ask.entry, ask.life_id))
+        if session is not None and session.sequence == ask.sequence:
+            granter.sessions[(ask.entry, ask.life_id)] = response
+        answers.append((ask, response))
+    return answers
+
+
+def _open_session(granter: Granter, ask: RateAsk) -> None:
+    name = (ask.entry, ask.life_id)
+    granter.sessions.pop(name, None)
+    granter.sessions[name] = RateGrants(ask.sequence, ())
+    if len(granter.sessions) > SESSIONS_LIMIT_COUNT:
+        del granter.sessions[next(iter(granter.sessions))]
+
+
+def _take_refund(granter: Granter, refund: Refund, now_ms: int) -> None:
+    bucket = granter.buckets.get(refund.account)
+    if bucket is not None and refund.term == granter.term:
+        amount = refund.tokens * MICROTOKENS
+        buckets.credit(bucket, amount, refund.granted_ms, now_ms)
+
+
+def _grant(granter: Granter, asks: Sequence[RateAsk], now_ms: int) -> list[list[Grant]]:
+    issued: list[list[Grant]] = [[] for _ in asks]
+    wants: dict[AccountName, list[Want]] = {}
+    for number, ask in enumerate(asks):
+        for item in ask.asks:
+            if item.account in granter.active:
+                needed = max(item.needed_tokens, item.largest_tokens, 0)
+                want = Want(
+                    number,
+                    ask.entry,
+                    needed,
+                    max(item.expected_tokens, 0),
+                    max(item.largest_tokens, 0),
+                )
+                wants.setdefault(item.account, []).append(want)
+    for account, group in wants.items():
+        for want, grant in _grant_account(granter, account, group, now_ms):
+            issued[want.number].append(grant)
+    return issued
+
+
+def _grant_account(
+    granter: Granter, account: AccountName, wants: list[Want], now_ms: int
+) -> list[tuple[Want, Grant]]:
+    bucket = granter.buckets[account]
+    buckets.refill(bucket, now_ms)
+    reservation = _current_reservation(granter, account, wants, now_ms)
+    spendable = bucket.level - floor_in_force(granter, account)
+    shares = division.divide(spendable // MICROTOKENS, wants, reservation)
+    grants = []
+    unmet = []
+    for want, tokens in zip(wants, shares, strict=True):
+        stamp = buckets.charge(bucket, tokens * MICROTOKENS, now_ms) if tokens else 0
+        if tokens < want.needed_tokens:
+            unmet.append((want, tokens))
+        grants.append((want, tokens, stamp))
+    _note_unmet(granter, account, unmet, now_ms)
+    return [
+        (
+            want,
+            Grant(
+                account,
+                tokens,
+                bucket.life_ms,
+                granter.term,
+                stamp,
+                _wait_ms(bucket, want, tokens),
+            ),
+        )
+        for want, tokens, stamp in grants
+    ]
+
+
+def _current_reservation(
+    granter: Granter, account: AccountName, wants: list[Want], now_ms: int
+) -> Reservation | None:
+    """Lets the reservation save half of what can be spent, and ends a stale one."""
+    reservation = granter.reservations.get(account)
+    if reservation is None:
+        return None
+    bucket = granter.buckets[account]
+    for want in wants:
+        if want.entry == reservation.entry:
+            if want.largest_tokens == 0:
+                del granter.reservations[account]
+                return None
+            reservation = dataclasses.replace(
+                reservation, needed_tokens=want.largest_tokens, asked_ms=now_ms
+            )
+    if now_ms - reservation.asked_ms > RESERVATION_MS:
+        del granter.reservations[account]
+        return None
+    spendable = max(0, bucket.level - floor_in_force(granter, account))
+    saved = min(reservation.saved, spendable)
+    saved += (spendable - saved) // 2
+    needed = reservation.needed_tokens * MICROTOKENS
+    reservation = dataclasses.replace(reservation, saved=min(saved, needed))
+    granter.reservations[account] = reservation
+    return reservation
+
+
+def _note_unmet(
+    granter: Granter,
+    account: AccountName,
+    unmet: list[tuple[Want, int]],
+    now_ms: int,
+) -> None:
+    """Remembers what waiting calls need, for the next record and round."""
+    bucket = granter.buckets[account]
+    reservation = granter.reservations.get(account)
+    if reservation is not None and not any(
+        want.entry == reservation.entry for want, _ in unmet
+    ):
+        served = now_ms == reservation.asked_ms
+        if served:
+            del granter.reservations[account]
+    granter.wanted.pop(account, None)
+    if not unmet:
+        return
+    missing = sum(want.needed_tokens - given for want, given in unmet)
+    granter.wanted[account] = missing * MICROTOKENS
+    for want, given in unmet:
+        fits = want.largest_tokens * MICROTOKENS <= bucket.cap
+        if account not in granter.reservations and fits and given < want.largest_tokens:
+            granter.reservations[account] = Reservation(
+                want.entry, want.largest_tokens, 0, now_ms
+            )
+
+
+def _wait_ms(bucket: Bucket, want: Want, given: int) -> int | None:
+    if given >= want.needed_tokens:
+        return None
+    if want.largest_tokens * MICROTOKENS > bucket.cap:
+        return NEVER_MS
+    missing = (want.needed_tokens - given) * MICROTOKENS - max(bucket.level, 0)
+    return min(NEVER_MS, max(URGENT_PERIOD_MS, -(-missing // bucket.rate)))
+
+
+def floor_in_force(granter: Granter, account: AccountName) -> int:
+    """Returns the level below which nothing is granted.
+
+    A proposed record may be committed or not, so both it and the last committed
+    one bind the granter.
+    """
+    floor = granter.floors.get(account, 0)
+    if granter.pending is not None:
+        floor = max(floor, granter.pending.floors.get(account, 0))
+    return floor
+
+
+def next_record(granter: Granter, now_ms: int) -> RecordFloors | None:
+    """Returns the record to propose now, or None if none is due.
+
+    A pending record is proposed again with the same content.
+    """
+    elapsed_ms = now_ms - granter.recorded_ms
+    if elapsed_ms < URGENT_PERIOD_MS:
+        return None
+    if granter.pending is not None:
+        granter.recorded_ms = now_ms
+        return granter.pending
+    floors = _target_floors(granter, now_ms, urgent_only=elapsed_ms < RECORD_PERIOD_MS)
+    if not floors:
+        return None
+    granter.sequence += 1
+    granter.recorded_ms = now_ms
+    granter.pending = RecordFloors(granter.term, granter.sequence, floors)
+    return granter.pending
+
+
+def record_committed(granter: Granter, record: RecordFloors) -> None:
+    """Takes over a record that is in the log."""
+    if granter.pending == record:
+        granter.floors.update(record.floors)
+        granter.pending = None
+
+
+def _target_floors(
+    granter: Granter, now_ms: int, *, urgent_only: bool
+) -> dict[AccountName, int]:
+    floors = {}
+    for account in granter.active:
+        bucket = granter.buckets[account]
+        buckets.refill(bucket, now_ms)
+        present = granter.floors.get(account, 0)
+        level = max(bucket.level, 0)
+        missing = granter.wanted.get(account, 0)
+        target = max(0, min(level // 2, level - missing))
+        is_urgent = missing > 0 and target < present
+        is_off = abs(target - present) * FLOOR_TOLERANCE > bucket.cap
+        if is_urgent or (is_off and not urgent_only):
+            floors[account] = target
+    return floors
+
+
+def limits_of(accounts: Iterable[tuple[str, int, int]]) -> Limits:
+    """Returns limits by account from (name, rate, burst)."""
+    return {AccountName(name): (rate, burst) for name, rate, burst in accounts}
--- /dev/null
+++ b/cassiapitch/hub.py
@@ -0,0 +1,312 @@
+"""Serves entries: the view, confirmations, claims, reports and rate grants."""
+
+import collections
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import grpclib.exceptions
+import grpclib.server
+
+from cassiapitch import commands, confirmations, events, group, linkstate, rpc
+from cassiapitch import view as views
+from cassiapitch.batching import Proposals
+from cassiapitch.events import Event
+from cassiapitch.exceptions import CodecError
+from cassiapitch.group import Group
+from cassiapitch.linkstate import LinkState
+from cassiapitch.messages import (
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimFinish,
+    ClaimRelease,
+    ConfirmAsk,
+    CrashAnswer,
+    CrashReport,
+    DemandReport,
+    LinkHello,
+    LinkRefused,
+    LoadReports,
+    RateAsk,
+    RelayedGrants,
+    SuspectCleared,
+    ViewSnapshot,
+)
+from cassiapitch.replicated import ReplicatedState
+
+READ_TIMEOUT_MS = 1_000
+READ_RETRY_MS = 50
+HELLO_TIMEOUT_S = 5
+# An entry that doesn't take a message for this long reconnects and then gets one
+# increment instead of everything that it missed.
+SEND_TIMEOUT_S = 5
+LINKS_LIMIT_COUNT = 4_096
+
+Stream = grpclib.server.Stream[Any, Any]
+PRIMARY_ONLY = (RateAsk, ClaimAsk, ClaimFinish, ClaimRelease, CrashReport)
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Link:
+    """A link with what wakes its writing task and what ends it."""
+
+    state: LinkState
+    wake: anyio.Event
+    scope: anyio.CancelScope
+    reason: str = "closed by the entry"
+
+
+class Hub:
+    """All links of this control member."""
+
+    def __init__(
+        self,
+        cluster: str,
+        state: ReplicatedState,
+        member: Group,
+        proposals: Proposals,
+        relay: Callable[[Any], None],
+    ) -> None:
+        """Makes the hub.
+
+        Args:
+            cluster: Name of the deployment; entries of another one are refused.
+            state: The replicated state that the view comes from.
+            member: This control member.
+            proposals: Where claims and reports are queued.
+            relay: Takes rate asks and demand reports for the leader.
+        """
+        self._cluster = cluster
+        self._state = state
+        self._member = member
+        self._proposals = proposals
+        self._relay = relay
+        self._links: set[Link] = set()
+        self._primary: dict[tuple[str, str], Link] = {}
+        self._confirmations = confirmations.Confirmations()
+        self._asked = anyio.Event()
+
+    def handler(self) -> rpc.Handler:
+        """Returns the service to mount on the process's rpc server."""
+        return rpc.Handler("Hub", {"Link": self.serve_link})
+
+    def on_applied(self, index: int) -> None:
+        """Tells the links that the member has applied entries up to `index`."""
+        views.advance(self._state.view, index)
+        for link in self._links:
+            if views.has_changes(self._state.view, link.state.sent_index):
+                link.wake.set()
+
+    def broadcast(self, reports: LoadReports) -> None:
+        """Queues load reports for all links."""
+        for link in self._links:
+            self._push(link, reports)
+
+    def deliver_grants(self, answer: RelayedGrants) -> None:
+        """Queues the answer to a rate ask for the entry's link, if it is there."""
+        link = self._primary.get((answer.entry, answer.life_id))
+        if link is not None:
+            self._push(link, answer.grants)
+
+    def describe(self) -> list[dict[str, Any]]:
+        """Returns the links for status and dump."""
+        return [
+            {
+                "entry": link.state.hello.entry,
+                "zone": link.state.hello.zone,
+                "life_id": link.state.hello.life_id,
+                "primary": link.state.hello.primary,
+                "applied_index": link.state.sent_index,
+                "queued_count": len(link.state.queue),
+            }
+            for link in sorted(self._links, key=lambda link: link.state.hello.entry)
+        ]
+
+    def close_links(self) -> None:
+        """Ends all links; the entries connect to other members."""
+        for link in self._links:
+            link.reason = "this member stops"
+            link.scope.cancel()
+
+    async def serve_link(self, stream: Stream) -> None:
+        """Serves one link until either side ends it."""
+        hello = None
+        with anyio.move_on_after(HELLO_TIMEOUT_S):
+            hello = await stream.recv_message()
+        if refusal := self._refusal(hello):
+            events.log(Event.LINK_REFUSED, reason=refusal)
+            await stream.send_message(LinkRefused(refusal))
+            return
+        await self._serve_accepted(stream, hello)
+
+    def _refusal(self, hello: Any) -> str | None:
+        if not isinstance(hello, LinkHello):
+            return "the first message must be LinkHello"
+        if hello.cluster != self._cluster:
+            return f"this is deployment {self._cluster!r}, not {hello.cluster!r}"
+        if len(self._links) >= LINKS_LIMIT_COUNT:
+            return "too many links"
+        return None
+
+    async def _serve_accepted(self, stream: Stream, hello: LinkHello) -> None:
+        with anyio.CancelScope() as scope:
+            link = Link(linkstate.open_link(hello), anyio.Event(), scope)
+            self._add(link)
+            try:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._write, stream, link)
+                    await self._read(stream, link)
+                    tasks.cancel_scope.cancel()
+            except* (grpclib.exceptions.StreamTerminatedError, OSError) as errors:
+                link.reason = str(errors.exceptions[0])
+            except* CodecError as errors:
+                link.reason = f"malformed message: {errors.exceptions[0]}"
+            finally:
+                self._remove(link)
+
+    def _add(self, link: Link) -> None:
+        hello = link.state.hello
+        self._links.add(link)
+        if hello.primary:
+            self._primary[(hello.entry, hello.life_id)] = link
+        link.wake.set()
+        events.log(
+            Event.LINK_OPENED,
+            entry=hello.entry,
+            primary=hello.primary,
+            applied_index=hello.applied_index,
+        )
+
+    def _remove(self, link: Link) -> None:
+        hello = link.state.hello
+        self._links.discard(link)
+        if self._primary.get((hello.entry, hello.life_id)) is link:
+            del self._primary[(hello.entry, hello.life_id)]
+        events.log(Event.LINK_CLOSED, entry=hello.entry, reason=link.reason)
+
+    async def _write(self, stream: Stream, link: Link) -> None:
+        while True:
+            await link.wake.wait()
+            link.wake = anyio.Event()
+            for message in linkstate.take(link.state, self._state.view):
+                if isinstance(message, ViewSnapshot) and message.first:
+                    events.log(Event.SNAPSHOT_SENT, entry=link.state.hello.entry)
+                with anyio.move_on_after(SEND_TIMEOUT_S) as limit:
+                    await stream.send_message(message)
+                if limit.cancelled_caught:
+                    self._close(link, "the entry takes messages too slowly")
+                    return
+
+    async def _read(self, stream: Stream, link: Link) -> None:
+        while (message := await stream.recv_message()) is not None:
+            self._dispatch(link, message)
+
+    def _dispatch(self, link: Link, message: Any) -> None:
+        if isinstance(message, PRIMARY_ONLY) and not link.state.hello.primary:
+            self._close(link, "only the primary link carries asks")
+            return
+        match message:
+            case ConfirmAsk():
+                confirmations.ask(self._confirmations, link, message.sequence)
+                self._asked.set()
+            case RateAsk() | DemandReport():
+                self._relay(message)
+            case ClaimAsk() | ClaimFinish() | ClaimRelease():
+                self._propose(link, message, _claim_answer)
+            case CrashReport() | SuspectCleared():
+                self._propose(link, message, _crash_answer)
+            case _:
+                self._close(link, f"unexpected message {type(message).__name__}")
+
+    def _propose(
+        self, link: Link, message: Any, make_answer: Callable[[int, Any], Any]
+    ) -> None:
+        if link.state.open_asks_count >= linkstate.ASKS_LIMIT_COUNT:
+            self._push(link, make_answer(message.sequence, None))
+            return
+        link.state.open_asks_count += 1
+
+        def answered(result: Any | None) -> None:
+            link.state.open_asks_count -= 1
+            self._push(link, make_answer(message.sequence, result))
+
+        self._proposals.propose(_command_of(message), answered)
+
+    def _push(self, link: Link, message: Any) -> None:
+        linkstate.push(link.state, message)
+        link.wake.set()
+        if link.state.overflowed:
+            self._close(link, "too many messages wait for the entry")
+
+    def _close(self, link: Link, reason: str) -> None:
+        link.reason = reason
+        link.scope.cancel()
+
+    async def run_confirmations(self) -> None:
+        """Answers confirmation asks until cancelled."""
+        while True:
+            while not confirmations.begin_read(self._confirmations):
+                self._asked = anyio.Event()
+                await self._asked.wait()
+            index = await group.read_index(self._member, READ_TIMEOUT_MS)
+            if index is not None:
+                views.advance(self._state.view, index)
+            answers = confirmations.end_read(self._confirmations, index)
+            for link, sequence in answers:
+                self._confirm(link, sequence, index)
+            if index is None:
+                await anyio.sleep(READ_RETRY_MS / 1000)
+
+    def _confirm(self, link: Any, sequence: int, index: int | None) -> None:
+        if link in self._links and index is not None:
+            linkstate.confirm(link.state, sequence, index)
+            link.wake.set()
+
+    def count_links(self) -> collections.Counter[str]:
+        """Returns the number of links by zone of the entry."""
+        return collections.Counter(link.state.hello.zone for link in self._links)
+
+
+def _command_of(message: Any) -> Any:
+    match message:
+        case ClaimAsk():
+            return commands.ClaimKey(
+                message.account,
+                message.key_digest,
+                message.request_digest,
+                message.holder,
+                message.lifetime_ms,
+            )
+        case ClaimFinish():
+            return commands.FinishClaim(
+                message.account,
+                message.key_digest,
+                message.holder,
+                message.status,
+                message.content_type,
+                message.body,
+            )
+        case ClaimRelease():
+            return commands.ReleaseClaim(
+                message.account, message.key_digest, message.holder
+            )
+        case CrashReport():
+            return commands.ReportCrash(message.life_id, message.digests)
+        case _:
+            return commands.ClearSuspect(message.digest)
+
+
+def _claim_answer(sequence: int, result: Any | None) -> ClaimAnswer:
+    if not isinstance(result, commands.ClaimResult):
+        return ClaimAnswer(sequence, None)
+    return ClaimAnswer(
+        sequence, result.state, result.status, result.content_type, result.body
+    )
+
+
+def _crash_answer(sequence: int, result: Any | None) -> CrashAnswer:
+    if not isinstance(result, commands.SuspectResult):
+        return CrashAnswer(sequence, False, ())
+    return CrashAnswer(sequence, True, result.crash_counts)
--- /dev/null
+++ b/cassiapitch/leadership.py
@@ -0,0 +1,159 @@
+"""What runs only on the leader: rate grants and the expiry of records."""
+
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from cassiapitch import equalsplit, events, granter, group
+from cassiapitch.commands import ExpireRecords, FloorsRecorded, RecordFloors
+from cassiapitch.equalsplit import EqualSplit
+from cassiapitch.events import Event
+from cassiapitch.granter import Granter, Limits
+from cassiapitch.group import Applied, Group
+from cassiapitch.messages import RateAsk, RelayedGrants
+from cassiapitch.replicated import ReplicatedState
+
+POLL_S = 0.02
+# Asks that arrive within this time are divided together.
+GATHER_S = 0.002
+PROPOSE_TIMEOUT_MS = 1_000
+EXPIRY_PERIOD_MS = 5_000
+ASKS_LIMIT_COUNT = 8_192
+
+Reply = Callable[[Any], None]
+
+
+class RateDesk:
+    """Answers rate asks while this member leads and holds the lease."""
+
+    def __init__(
+        self,
+        member: Group,
+        state: ReplicatedState,
+        policy: str,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._member = member
+        self._state = state
+        self._policy = policy
+        self._now_ms = now_ms
+        self._asks: list[tuple[RateAsk, Reply]] = []
+        self._asked = anyio.Event()
+        self._granter: Granter | EqualSplit | None = None
+
+    def ask(self, ask: RateAsk, reply: Reply) -> None:
+        """Queues an ask; without a granter or room for it, it is dropped."""
+        if self._granter is not None and len(self._asks) < ASKS_LIMIT_COUNT:
+            self._asks.append((ask, reply))
+            self._asked.set()
+
+    def describe(self) -> dict[str, Any]:
+        """Returns the granter's state for the dump."""
+        if not isinstance(self._granter, Granter):
+            return {"granting": self._granter is not None, "policy": self._policy}
+        return {
+            "granting": True,
+            "policy": self._policy,
+            "term": self._granter.term,
+            "level_microtokens": {
+                account: bucket.level
+                for account, bucket in self._granter.buckets.items()
+            },
+            "floor_microtokens": dict(self._granter.floors),
+        }
+
+    async def run(self) -> None:
+        """Answers asks, starts and stops the granter until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._answer)
+            tasks.start_soon(self._expire)
+            while True:
+                await self._follow_leadership()
+                await anyio.sleep(POLL_S)
+
+    async def _follow_leadership(self) -> None:
+        status = self._member.status()
+        if not group.is_leader(self._member):
+            self._stop()
+            return
+        if self._granter is not None and self._granter.term != status.term:
+            self._stop()
+        if not self._member.has_lease(self._now_ms()):
+            return
+        if self._granter is None:
+            await self._start(status.term)
+        elif isinstance(self._granter, Granter):
+            await self._record(self._granter)
+
+    def _stop(self) -> None:
+        if self._granter is not None:
+            events.log(Event.GRANTER_STOPPED, term=self._granter.term)
+        self._granter = None
+        self._asks.clear()
+
+    async def _start(self, term: int) -> None:
+        if self._policy == "equal_split":
+            self._granter = EqualSplit(term, self._limits())
+        else:
+            outcome = await self._propose(granter.takeover_record(term))
+            if outcome is None or self._member.status().term != term:
+                return
+            limits = self._limits()
+            now_ms = self._now_ms()
+            self._granter = granter.start(term, outcome.floors, limits, now_ms)
+        events.log(Event.GRANTER_STARTED, term=term, policy=self._policy)
+
+    async def _record(self, current: Granter) -> None:
+        record = granter.next_record(current, self._now_ms())
+        if record is not None and await self._propose(record) is not None:
+            granter.record_committed(current, record)
+
+    async def _propose(self, record: RecordFloors) -> FloorsRecorded | None:
+        outcome = await group.propose(self._member, record, PROPOSE_TIMEOUT_MS)
+        if not isinstance(outcome, Applied):
+            return None
+        result = outcome.result
+        if isinstance(result, FloorsRecorded) and result.accepted:
+            return result
+        return None
+
+    async def _answer(self) -> None:
+        while True:
+            while not self._asks:
+                self._asked = anyio.Event()
+                await self._asked.wait()
+            await anyio.sleep(GATHER_S)
+            waiting, self._asks = self._asks, []
+            self._answer_together(waiting)
+
+    def _answer_together(self, waiting: list[tuple[RateAsk, Reply]]) -> None:
+        now_ms = self._now_ms()
+        if self._granter is None or not self._member.has_lease(now_ms):
+            return
+        if self._member.status().term != self._granter.term:
+            return
+        asks = [ask for ask, _ in waiting]
+        if isinstance(self._granter, Granter):
+            granter.set_limits(self._granter, self._limits(), now_ms)
+            answers = granter.answer(self._granter, asks, now_ms)
+        else:
+            equalsplit.set_limits(self._granter, self._limits())
+            answers = equalsplit.answer(self._granter, asks, now_ms)
+        replies = {id(ask): reply for ask, reply in waiting}
+        for ask, grants in answers:
+            replies[id(ask)](RelayedGrants(ask.entry, ask.life_id, grants))
+
+    def _limits(self) -> Limits:
+        bundle = self._state.bundle
+        accounts = () if bundle is None else bundle.client_accounts
+        return granter.limits_of(
+            (item.name, item.rate_tokens_per_s, item.burst_tokens) for item in accounts
+        )
+
+    async def _expire(self) -> None:
+        """Log time advances only with entries; this lets quarantines end."""
+        while True:
+            await anyio.sleep(EXPIRY_PERIOD_MS / 1000)
+            if group.is_leader(self._member) and self._state.has_pending_expiry():
+                await group.propose(self._member, ExpireRecords(), PROPOSE_TIMEOUT_MS)
--- /dev/null
+++ b/cassiapitch/linkstate.py
@@ -0,0 +1,85 @@
+"""One entry's link at a control member: what is still to be sent.
+
+The increment of the view is computed when it is sent and covers all changes up to
+then, so a slow link holds no queue of deltas; other messages have a bounded queue.
+"""
+
+import collections
+import dataclasses
+from typing import Any
+
+from cassiapitch import view as views
+from cassiapitch.messages import Confirmed, LinkHello
+from cassiapitch.view import View
+
+QUEUE_LIMIT_COUNT = 512
+ASKS_LIMIT_COUNT = 512
+
+
+@dataclasses.dataclass(slots=True)
+class LinkState:
+    """State of one link.
+
+    Attributes:
+        hello: What the entry said of itself.
+        sent_index: Index of the view that the entry has once all is received.
+        confirmed: The last confirmation that is not sent yet.
+        queue: Other messages for the entry.
+        open_asks_count: Claims and reports of the entry that are not answered.
+        overflowed: Whether the queue was full; the link is then closed.
+    """
+
+    hello: LinkHello
+    sent_index: int
+    confirmed: Confirmed | None = None
+    queue: collections.deque[Any] = dataclasses.field(default_factory=collections.deque)
+    open_asks_count: int = 0
+    overflowed: bool = False
+
+
+def open_link(hello: LinkHello) -> LinkState:
+    """Returns the state of a new link."""
+    return LinkState(hello, hello.applied_index)
+
+
+def push(link: LinkState, message: Any) -> None:
+    """Queues a message; a full queue marks the link to be closed."""
+    if len(link.queue) >= QUEUE_LIMIT_COUNT:
+        link.overflowed = True
+        return
+    link.queue.append(message)
+
+
+def confirm(link: LinkState, sequence: int, index: int) -> None:
+    """Notes a confirmation; a later one replaces it while it waits."""
+    if link.confirmed is None or sequence > link.confirmed.sequence:
+        link.confirmed = Confirmed(sequence, index)
+
+
+def take(link: LinkState, view: View) -> list[Any]:
+    """Returns what is to be sent now, in order.
+
+    A confirmation comes after a view that reaches its index, if need be an
+    increment without items: log entries that change no item move the index only.
+    """
+    messages: list[Any] = []
+    needed = 0 if link.confirmed is None else link.confirmed.index
+    is_behind = views.has_changes(view, link.sent_index) or needed > link.sent_index
+    is_new = link.sent_index == 0 and view.index > 0
+    # An entry that is ahead of this member waits: its view never goes back.
+    if (is_behind or is_new) and view.index > link.sent_index:
+        messages += _view_messages(link, view)
+    if link.confirmed is not None and link.confirmed.index <= link.sent_index:
+        messages.append(link.confirmed)
+        link.confirmed = None
+    messages += link.queue
+    link.queue.clear()
+    return messages
+
+
+def _view_messages(link: LinkState, view: View) -> list[Any]:
+    since = link.sent_index
+    link.sent_index = view.index
+    if views.can_increment(view, since):
+        return [views.delta_since(view, since)]
+    return list(views.snapshot_parts(view))
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -463,6 +463,37 @@
     reason: str
 
 
+# Relay, between control members: a member passes on what only the leader handles.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayHello:
+    """First message of a relay stream, from a member to the leader."""
+
+    member: str
+    cluster: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayBatch:
+    """Encoded messages in one, in either direction.
+
+    To the leader: `RateAsk`, `DemandReport` and `Announcement`. From the leader:
+    `RelayedGrants` and `LoadReports`.
+    """
+
+    messages: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedGrants:
+    """The answer to a relayed `RateAsk`, to be passed on to the entry's link."""
+
+    entry: str
+    life_id: str
+    grants: RateGrants
+
+
 # Announcements of backend servers, passed from a member to the leader.
 
 
@@ -552,6 +583,9 @@
     CrashAnswer,
     LoadReports,
     LinkRefused,
+    RelayHello,
+    RelayBatch,
+    RelayedGrants,
     Announcement,
 )
 codec.register(ALL)
--- /dev/null
+++ b/cassiapitch/relay.py
@@ -0,0 +1,202 @@
+"""Passes on to the leader what only the leader handles, and its answers back."""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import grpclib.exceptions
+import grpclib.server
+
+from cassiapitch import codec, events, group, rpc
+from cassiapitch.events import Event
+from cassiapitch.exceptions import CodecError
+from cassiapitch.group import Group
+from cassiapitch.messages import LinkRefused, RelayBatch, RelayHello
+from cassiapitch.settings import Address, TlsSettings
+
+QUEUE_LIMIT_COUNT = 8_192
+BATCH_LIMIT_COUNT = 512
+CONNECT_TIMEOUT_S = 2
+SEND_TIMEOUT_S = 5
+RETRY_PAUSE_S = 0.1
+LEADER_POLL_S = 0.05
+
+Stream = grpclib.server.Stream[Any, Any]
+Reply = Callable[[Any], None]
+
+
+class Outbox:
+    """Bounded queue of messages that travel in batches; a full one drops.
+
+    Everything relayed is asked or reported again by its sender, so dropping the
+    oldest message costs a delay and no state.
+    """
+
+    def __init__(self) -> None:
+        self._messages: collections.deque[Any] = collections.deque(
+            maxlen=QUEUE_LIMIT_COUNT
+        )
+        self._changed = anyio.Event()
+
+    def push(self, message: Any) -> None:
+        """Queues a message."""
+        self._messages.append(message)
+        self._changed.set()
+
+    def clear(self) -> None:
+        """Drops everything, for instance what was meant for an earlier leader."""
+        self._messages.clear()
+
+    async def take(self) -> RelayBatch:
+        """Waits for messages and returns a batch of them."""
+        while not self._messages:
+            self._changed = anyio.Event()
+            await self._changed.wait()
+        count = min(BATCH_LIMIT_COUNT, len(self._messages))
+        return RelayBatch(
+            tuple(codec.encode(self._messages.popleft()) for _ in range(count))
+        )
+
+
+class Relay:
+    """This member's end of the relay, as a follower and as the leader."""
+
+    def __init__(
+        self,
+        name: str,
+        cluster: str,
+        member: Group,
+        tls: TlsSettings | None,
+        on_leader: Callable[[Any, Reply], None],
+        on_answer: Callable[[Any], None],
+    ) -> None:
+        """Makes the relay.
+
+        Args:
+            name: This member's name.
+            cluster: Name of the deployment.
+            member: This control member.
+            tls: Mutual TLS between members.
+            on_leader: Takes a relayed message when this member is the leader,
+                with a function that sends an answer back.
+            on_answer: Takes what the leader sends.
+        """
+        self._hello = RelayHello(name, cluster)
+        self._member = member
+        self._tls = tls
+        self._on_leader = on_leader
+        self._on_answer = on_answer
+        self._outbox = Outbox()
+        self._followers: set[Outbox] = set()
+
+    def handler(self) -> rpc.Handler:
+        """Returns the service to mount on the process's rpc server."""
+        return rpc.Handler("Relay", {"Messages": self.serve})
+
+    def send(self, message: Any) -> None:
+        """Passes a message to the leader; it may be lost."""
+        if group.is_leader(self._member):
+            self._on_leader(message, self._on_answer)
+        else:
+            self._outbox.push(message)
+
+    def broadcast(self, message: Any) -> None:
+        """Sends a message of the leader to all members, this one included."""
+        self._on_answer(message)
+        for outbox in self._followers:
+            outbox.push(message)
+
+    async def serve(self, stream: Stream) -> None:
+        """Serves a follower's stream on the leader."""
+        hello = await stream.recv_message()
+        is_ours = isinstance(hello, RelayHello) and hello.cluster == self._hello.cluster
+        if not is_ours:
+            await stream.send_message(LinkRefused("not a member of this deployment"))
+            return
+        outbox = Outbox()
+        self._followers.add(outbox)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_send_batches, stream, outbox)
+                await self._receive_from_follower(stream, outbox)
+                tasks.cancel_scope.cancel()
+        except* (
+            grpclib.exceptions.StreamTerminatedError,
+            OSError,
+            CodecError,
+        ) as error:
+            events.log(Event.RELAY_CLOSED, member=hello.member, reason=str(error))
+        finally:
+            self._followers.discard(outbox)
+
+    async def _receive_from_follower(self, stream: Stream, outbox: Outbox) -> None:
+        while isinstance(batch := await stream.recv_message(), RelayBatch):
+            if not group.is_leader(self._member):
+                return
+            for data in batch.messages:
+                self._on_leader(codec.decode(data), outbox.push)
+
+    async def run(self) -> None:
+        """Keeps a stream to the present leader until cancelled."""
+        while True:
+            leader = self._leader_address()
+            if leader is None:
+                await anyio.sleep(LEADER_POLL_S)
+                continue
+            name, address = leader
+            try:
+                await self._run_stream(name, address)
+            except* (
+                grpclib.exceptions.StreamTerminatedError,
+                grpclib.exceptions.GRPCError,
+                TimeoutError,
+                OSError,
+                CodecError,
+            ) as error:
+                reason = str(error.exceptions[0])
+                events.log(Event.RELAY_CLOSED, leader=name, reason=reason)
+            self._outbox.clear()
+            await anyio.sleep(RETRY_PAUSE_S)
+
+    async def _run_stream(self, leader: str, address: Address) -> None:
+        channel = rpc.open_channel(address, self._tls)
+        try:
+            async with rpc.open_stream(channel, "Relay", "Messages") as stream:
+                with anyio.fail_after(CONNECT_TIMEOUT_S):
+                    await stream.send_message(self._hello)
+                events.log(Event.RELAY_OPENED, leader=leader)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(_send_batches, stream, self._outbox)
+                    tasks.start_soon(self._watch_leader, leader, tasks.cancel_scope)
+                    while isinstance(batch := await stream.recv_message(), RelayBatch):
+                        for data in batch.messages:
+                            self._on_answer(codec.decode(data))
+                    tasks.cancel_scope.cancel()
+                await stream.cancel()
+        finally:
+            channel.close()
+
+    async def _watch_leader(self, leader: str, scope: anyio.CancelScope) -> None:
+        while True:
+            await anyio.sleep(LEADER_POLL_S)
+            if self._member.status().leader != leader:
+                scope.cancel()
+                return
+
+    def _leader_address(self) -> tuple[str, Address] | None:
+        status = self._member.status()
+        if status.leader is None or status.leader == status.name:
+            return None
+        for member in status.members:
+            if member.name == status.leader:
+                return member.name, Address(member.ip, member.port)
+        return None
+
+
+async def _send_batches(stream: Any, outbox: Outbox) -> None:
+    while True:
+        batch = await outbox.take()
+        with anyio.fail_after(SEND_TIMEOUT_S):
+            await stream.send_message(batch)
--- /dev/null
+++ b/cassiapitch/replicated.py
@@ -0,0 +1,309 @@
+"""The replicated state machine: delegates each command and maintains the view."""
+
+import dataclasses
+from typing import Any, Protocol
+
+import msgspec
+
+from cassiapitch import bundle as bundles
+from cassiapitch import claims, codec, commands, floors, keys, suspects, view
+from cassiapitch.exceptions import CodecError, StorageError
+from cassiapitch.messages import (
+    AccountItem,
+    AdapterItem,
+    BackendItem,
+    BundleItem,
+    ModelItem,
+    RoleItem,
+    RouteItem,
+)
+from cassiapitch.types import AccountName, ModelName
+
+SNAPSHOT_FORMAT = 1
+# Accepted versions that are remembered for resends. A resend of an older one is
+# answered with `VersionSuperseded`.
+RECORDS_LIMIT_COUNT = 20_000
+
+
+class FleetState(Protocol):
+    """Backend servers and orders as replicated state, see `fleet.Fleet`."""
+
+    def apply(self, command: Any, index: int, time_ms: int) -> Any:
+        """Applies one of the fleet's commands; the result is a data class."""
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state."""
+
+    def view_items(self) -> dict[str, BackendItem]:
+        """Returns the view's items of backend servers by item name."""
+
+    def set_bundle(self, bundle: bundles.Bundle) -> None:
+        """Takes over a bundle that came into force."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateSnapshot:
+    """Everything replicated, as it is written to disk and sent to members."""
+
+    format: int
+    index: int
+    time_ms: int
+    bundle: bundles.Bundle | None
+    content: str
+    signature_hex: str
+    records: tuple[commands.BundleAccepted, ...]
+    accounts: tuple[AccountName, ...]
+    granted: dict[str, keys.GrantedKey]
+    withdrawn: dict[str, keys.WithdrawnKey]
+    claims: tuple[claims.Claim, ...]
+    releases: tuple[claims.Release, ...]
+    suspects: tuple[suspects.Suspect, ...]
+    floors: floors.Floors
+    fleet: bytes
+
+
+class ReplicatedState:
+    """All replicated state; implements `member.StateMachine`."""
+
+    def __init__(self, fleet: FleetState, fleet_commands: tuple[type, ...]) -> None:
+        self._fleet = fleet
+        self._fleet_commands = fleet_commands
+        self._backend_items: dict[str, BackendItem] = {}
+        self.index = 0
+        self.time_ms = 0
+        self.bundle: bundles.Bundle | None = None
+        self.content = ""
+        self.signature_hex = ""
+        self.records: dict[int, commands.BundleAccepted] = {}
+        self.keys = keys.Keys()
+        self.claims = claims.Claims()
+        self.suspects = suspects.Suspects()
+        self.floors = floors.Floors(0, 0, {})
+        self.view = view.View()
+
+    def apply(self, index: int, time_ms: int, command: bytes) -> bytes:
+        """Applies one log entry and returns the encoded result."""
+        self.index = index
+        self.time_ms = time_ms
+        changes = suspects.expire(self.suspects, time_ms)
+        result, more = self._apply_encoded(command, index, time_ms)
+        changes.update(more)
+        view.apply_changes(self.view, index, changes)
+        return result
+
+    def _apply_encoded(
+        self, data: bytes, index: int, time_ms: int
+    ) -> tuple[bytes, view.Changes]:
+        try:
+            command = codec.decode(data)
+        except CodecError as error:
+            return codec.encode(commands.CommandMalformed(str(error))), {}
+        if isinstance(command, commands.CommandBatch):
+            return self._apply_batch(command, index, time_ms)
+        result, changes = self._apply_command(command, index, time_ms)
+        return codec.encode(result), changes
+
+    def _apply_batch(
+        self, batch: commands.CommandBatch, index: int, time_ms: int
+    ) -> tuple[bytes, view.Changes]:
+        results = []
+        changes: view.Changes = {}
+        for data in batch.commands:
+            result, more = self._apply_encoded(data, index, time_ms)
+            results.append(result)
+            changes.update(more)
+        return codec.encode(commands.BatchResult(tuple(results))), changes
+
+    def _apply_command(
+        self, command: Any, index: int, time_ms: int
+    ) -> tuple[Any, view.Changes]:
+        match command:
+            case commands.PutBundle():
+                return self._put_bundle(command, index)
+            case commands.GrantKey():
+                return keys.grant(self.keys, command, index)
+            case commands.WithdrawKey():
+                return keys.withdraw(self.keys, command, index)
+            case commands.ClaimKey():
+                return claims.claim(self.claims, command, time_ms), {}
+            case commands.FinishClaim():
+                return claims.finish(self.claims, command, time_ms), {}
+            case commands.ReleaseClaim():
+                return claims.release(self.claims, command, time_ms), {}
+            case commands.ReportCrash():
+                return suspects.report(self.suspects, command, time_ms)
+            case commands.ClearSuspect():
+                return suspects.clear(self.suspects, command)
+            case commands.RecordFloors():
+                return floors.record(self.floors, command), {}
+            case commands.ExpireRecords():
+                claims.expire(self.claims, time_ms)
+                return commands.Expired(), {}
+        if isinstance(command, self._fleet_commands):
+            result = self._fleet.apply(command, index, time_ms)
+            return result, self._fleet_changes()
+        reason = f"{type(command).__name__} is not a command"
+        return commands.CommandMalformed(reason), {}
+
+    def _put_bundle(
+        self, command: commands.PutBundle, index: int
+    ) -> tuple[Any, view.Changes]:
+        new = command.bundle
+        digest = bundles.digest(command.content.encode())
+        record = self.records.get(new.version)
+        if record is not None and record.digest == digest:
+            return record, {}
+        if record is not None:
+            conflict = commands.VersionConflict(
+                record.version, record.digest, record.author
+            )
+            return conflict, {}
+        if self.bundle is not None and new.version <= self.bundle.version:
+            winner = self.records[self.bundle.version]
+            superseded = commands.VersionSuperseded(
+                winner.version, winner.digest, winner.author
+            )
+            return superseded, {}
+        faults = bundles.find_faults(new) + keys.find_conflicts(self.keys, new)
+        if faults:
+            return commands.BundleRefused(tuple(faults)), {}
+        warnings = keys.find_withdrawn(self.keys, new)
+        accepted = commands.BundleAccepted(
+            new.version, digest, command.author, index, warnings
+        )
+        return accepted, self._bring_into_force(command, accepted)
+
+    def _bring_into_force(
+        self, command: commands.PutBundle, record: commands.BundleAccepted
+    ) -> view.Changes:
+        before = self._own_items()
+        self.bundle = command.bundle
+        self.content = command.content
+        self.signature_hex = command.signature_hex
+        self.records[record.version] = record
+        if len(self.records) > RECORDS_LIMIT_COUNT:
+            del self.records[next(iter(self.records))]
+        keys.set_bundle(self.keys, command.bundle)
+        self._fleet.set_bundle(command.bundle)
+        after = self._own_items()
+        changes: view.Changes = dict.fromkeys(before.keys() - after.keys())
+        changes.update(after)
+        changes.update(self._fleet_changes())
+        return changes
+
+    def _own_items(self) -> dict[str, Any]:
+        """Returns the view's items except those of the fleet."""
+        items: dict[str, Any] = {**self.keys.view_items(), **self.suspects.view_items()}
+        if self.bundle is not None:
+            items["bundle"] = _bundle_item(self.records[self.bundle.version])
+            items.update(_bundle_items(self.bundle))
+        return items
+
+    def _fleet_changes(self) -> view.Changes:
+        before = self._backend_items
+        after = self._fleet.view_items()
+        changes: view.Changes = dict.fromkeys(before.keys() - after.keys())
+        for name, item in after.items():
+            if before.get(name) != item:
+                changes[name] = item
+        self._backend_items = dict(after)
+        return changes
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state; equal states give equal bytes."""
+        return msgspec.msgpack.encode(
+            StateSnapshot(
+                SNAPSHOT_FORMAT,
+                self.index,
+                self.time_ms,
+                self.bundle,
+                self.content,
+                self.signature_hex,
+                tuple(self.records.values()),
+                tuple(sorted(self.keys.accounts)),
+                self.keys.granted,
+                self.keys.withdrawn,
+                tuple(self.claims.table.values()),
+                tuple(self.claims.releases.values()),
+                tuple(self.suspects.table.values()),
+                self.floors,
+                self._fleet.snapshot(),
+            )
+        )
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the whole state by a snapshot's.
+
+        Raises:
+            StorageError: The snapshot is malformed or of an unknown format.
+        """
+        try:
+            saved = msgspec.msgpack.decode(data, type=StateSnapshot)
+        except msgspec.MsgspecError as error:
+            raise StorageError(f"snapshot can't be read: {error}") from None
+        if saved.format != SNAPSHOT_FORMAT:
+            raise StorageError(f"snapshot of unknown format {saved.format}")
+        self.index = saved.index
+        self.time_ms = saved.time_ms
+        self.bundle = saved.bundle
+        self.content = saved.content
+        self.signature_hex = saved.signature_hex
+        self.records = {record.version: record for record in saved.records}
+        self.keys = keys.load(
+            saved.accounts, saved.bundle, saved.granted, saved.withdrawn
+        )
+        self.claims = claims.load(saved.claims, saved.releases)
+        self.suspects = suspects.load(saved.suspects)
+        self.floors = saved.floors
+        if saved.bundle is not None:
+            self._fleet.set_bundle(saved.bundle)
+        self._fleet.restore(saved.fleet)
+        self._backend_items = dict(self._fleet.view_items())
+        view.reset(self.view, saved.index, {**self._own_items(), **self._backend_items})
+
+    def has_pending_expiry(self) -> bool:
+        """Tells whether `ExpireRecords` may have something to end."""
+        return bool(self.suspects.table or self.claims.releases)
+
+
+def _bundle_item(record: commands.BundleAccepted) -> BundleItem:
+    return BundleItem(record.version, record.digest, record.author)
+
+
+def _bundle_items(bundle: bundles.Bundle) -> dict[str, Any]:
+    items: dict[str, Any] = {}
+    for model in bundle.models:
+        items[f"model/{model.name}"] = ModelItem(
+            ModelName(model.name),
+            model.role,
+            model.memory_mib,
+            model.minimum_copies,
+            model.context_tokens,
+        )
+    for adapter in bundle.adapters:
+        items[f"adapter/{adapter.name}"] = AdapterItem(
+            adapter.name, ModelName(adapter.model), adapter.memory_mib
+        )
+    for account in bundle.client_accounts:
+        items[f"account/{account.name}"] = AccountItem(
+            AccountName(account.name),
+            account.rate_tokens_per_s,
+            account.burst_tokens,
+            account.weight,
+        )
+    for role in bundle.roles:
+        items[f"role/{role.name}"] = RoleItem(role.name, role.kind, role.fencing)
+    for route in bundle.routes:
+        items[f"route/{route.method} {route.path}"] = RouteItem(
+            route.path,
+            route.method,
+            route.role,
+            route.idempotent,
+            route.open,
+            route.timeout_ms,
+            route.cost_tokens,
+        )
+    return items
--- /dev/null
+++ b/cassiapitch/suspects.py
@@ -0,0 +1,115 @@
+"""Requests under which backend servers crashed, as replicated state."""
+
+import dataclasses
+
+from cassiapitch.commands import ClearSuspect, ReportCrash, SuspectResult
+from cassiapitch.messages import SuspectItem
+from cassiapitch.types import LifeId, RequestDigest
+from cassiapitch.view import Changes
+
+QUARANTINE_CRASH_COUNT = 2
+QUARANTINE_MS = 600_000
+SUSPECTS_LIMIT_COUNT = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """One request digest.
+
+    Attributes:
+        digest: The request's digest.
+        lives: Distinct lives of backend servers that crashed under it.
+        until_ms: Log time at which the record, and with it a quarantine, ends.
+    """
+
+    digest: RequestDigest
+    lives: tuple[LifeId, ...]
+    until_ms: int
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether the request is refused for now."""
+        return len(self.lives) >= QUARANTINE_CRASH_COUNT
+
+
+@dataclasses.dataclass(slots=True)
+class Suspects:
+    """All suspects, the ones that end first at the beginning."""
+
+    table: dict[RequestDigest, Suspect] = dataclasses.field(default_factory=dict)
+
+    def view_items(self) -> dict[str, SuspectItem]:
+        """Returns the view's items of all suspects."""
+        return {f"suspect/{item.digest}": _item(item) for item in self.table.values()}
+
+
+def load(items: tuple[Suspect, ...]) -> Suspects:
+    """Returns the state that a snapshot holds."""
+    return Suspects({item.digest: item for item in items})
+
+
+def report(
+    state: Suspects, command: ReportCrash, time_ms: int
+) -> tuple[SuspectResult, Changes]:
+    """Counts a crash; the same life counts once for each digest."""
+    changes: Changes = {}
+    for digest in command.digests:
+        existing = state.table.get(digest)
+        lives = () if existing is None else existing.lives
+        if command.life_id in lives:
+            continue
+        # A new crash moves the record to the end of the table and of its time.
+        state.table.pop(digest, None)
+        state.table[digest] = Suspect(
+            digest, (*lives, command.life_id), time_ms + QUARANTINE_MS
+        )
+        changes[f"suspect/{digest}"] = _item(state.table[digest])
+    changes.update(_evict(state))
+    return _result(state, command.digests), changes
+
+
+def clear(state: Suspects, command: ClearSuspect) -> tuple[SuspectResult, Changes]:
+    """Forgets a suspect that ran cleanly; a quarantine ends only by time."""
+    existing = state.table.get(command.digest)
+    if existing is None or existing.is_quarantined:
+        return _result(state, (command.digest,)), {}
+    del state.table[command.digest]
+    return _result(state, (command.digest,)), {f"suspect/{command.digest}": None}
+
+
+def expire(state: Suspects, time_ms: int) -> Changes:
+    """Ends the records that are past their time."""
+    changes: Changes = {}
+    while state.table:
+        first = next(iter(state.table.values()))
+        if first.until_ms > time_ms:
+            break
+        del state.table[first.digest]
+        changes[f"suspect/{first.digest}"] = None
+    return changes
+
+
+def _evict(state: Suspects) -> Changes:
+    """Keeps the table bounded; requests not in quarantine go first."""
+    changes: Changes = {}
+    excess = len(state.table) - SUSPECTS_LIMIT_COUNT
+    if excess <= 0:
+        return changes
+    candidates = sorted(state.table.values(), key=lambda item: item.is_quarantined)
+    for item in candidates[:excess]:
+        del state.table[item.digest]
+        changes[f"suspect/{item.digest}"] = None
+    return changes
+
+
+def _item(suspect: Suspect) -> SuspectItem:
+    return SuspectItem(len(suspect.lives), suspect.is_quarantined)
+
+
+def _result(state: Suspects, digests: tuple[RequestDigest, ...]) -> SuspectResult:
+    return SuspectResult(
+        tuple(
+            len(state.table[digest].lives) if digest in state.table else 0
+            for digest in digests
+        )
+    )
--- /dev/null
+++ b/cassiapitch/view.py
@@ -0,0 +1,118 @@
+"""The view: flat items that entries need, and increments between two indices.
+
+Only the names of changed items are kept for each index. An increment carries the
+items' present values, so that any number of changes merges into one delta and a
+delta never carries a value that is already replaced.
+"""
+
+import collections
+import dataclasses
+from typing import Any
+
+from cassiapitch import codec
+from cassiapitch.messages import ViewDelta, ViewSnapshot
+
+KEPT_CHANGES_COUNT = 4_096
+SNAPSHOT_PART_BYTES = 256 * 1024
+
+# Maps names of changed items to their new value, None for a deleted item.
+Changes = dict[str, Any]
+
+
+@dataclasses.dataclass(slots=True)
+class View:
+    """Items as of `index` and the names that recent commands changed.
+
+    Attributes:
+        index: Index of the last applied log entry.
+        items: Maps item names to their encoded value.
+        changes: (index, changed names) of recent commands, oldest first.
+        horizon: Increments can be given from this index on.
+    """
+
+    index: int = 0
+    items: dict[str, bytes] = dataclasses.field(default_factory=dict)
+    changes: collections.deque[tuple[int, tuple[str, ...]]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    horizon: int = 0
+
+
+def encode_items(values: dict[str, Any]) -> dict[str, bytes]:
+    """Returns the items of a view by name, in order of name."""
+    return {name: codec.encode(values[name]) for name in sorted(values)}
+
+
+def apply_changes(view: View, index: int, changes: Changes) -> None:
+    """Moves the view to `index`; items whose bytes stay equal don't count."""
+    names = [name for name in sorted(changes) if _replace(view, name, changes[name])]
+    view.index = index
+    if names:
+        view.changes.append((index, tuple(names)))
+    while len(view.changes) > KEPT_CHANGES_COUNT:
+        view.horizon = view.changes.popleft()[0]
+
+
+def _replace(view: View, name: str, value: Any) -> bool:
+    before = view.items.get(name)
+    if value is None:
+        return view.items.pop(name, None) is not None
+    after = codec.encode(value)
+    view.items[name] = after
+    return before != after
+
+
+def advance(view: View, index: int) -> None:
+    """Moves the view past log entries that carry no command."""
+    view.index = max(view.index, index)
+
+
+def reset(view: View, index: int, values: dict[str, Any]) -> None:
+    """Replaces the whole view after a restored snapshot."""
+    view.items = encode_items(values)
+    view.index = index
+    view.changes.clear()
+    view.horizon = index
+
+
+def can_increment(view: View, since: int) -> bool:
+    """Tells whether an increment from index `since` can be given."""
+    return view.horizon <= since <= view.index and since > 0
+
+
+def has_changes(view: View, since: int) -> bool:
+    """Tells whether any item changed after index `since`."""
+    return bool(view.changes) and view.changes[-1][0] > since
+
+
+def delta_since(view: View, since: int) -> ViewDelta:
+    """Returns the increment from index `since` to the present one."""
+    names: set[str] = set()
+    for index, changed in reversed(view.changes):
+        if index <= since:
+            break
+        names.update(changed)
+    upserts = {name: view.items[name] for name in sorted(names) if name in view.items}
+    deletes = tuple(sorted(names - upserts.keys()))
+    return ViewDelta(since, view.index, upserts, deletes)
+
+
+def snapshot_parts(view: View) -> list[ViewSnapshot]:
+    """Returns the whole view in parts of a bounded size.
+
+    A single item that is larger than a part's limit travels alone in its part.
+    """
+    groups: list[dict[str, bytes]] = [{}]
+    size_bytes = 0
+    for name, value in view.items.items():
+        item_bytes = len(name.encode()) + len(value) + 16
+        if groups[-1] and size_bytes + item_bytes > SNAPSHOT_PART_BYTES:
+            groups.append({})
+            size_bytes = 0
+        groups[-1][name] = value
+        size_bytes += item_bytes
+    last = len(groups) - 1
+    return [
+        ViewSnapshot(view.index, items, first=number == 0, last=number == last)
+        for number, items in enumerate(groups)
+    ]
