--- /dev/null
+++ b/cassiapitch/consensus.py
@@ -0,0 +1,167 @@
+"""Consensus of the control group: what a member does on each input.
+
+Raft (Ongaro and Ousterhout, "In search of an understandable consensus algorithm",
+2014; Ongaro's thesis for pre-vote, single-member changes, read index and leadership
+transfer). The state is in `node`, the rules are in `elections`, `replication`,
+`reads`, `snapshots` and `changes`.
+"""
+
+import dataclasses
+from typing import Any
+
+from cassiapitch import changes, codec, elections, reads, replication, snapshots
+from cassiapitch.node import Node, Role
+from cassiapitch.raftmessages import (
+    Append,
+    AppendAnswer,
+    ChunkAnswer,
+    Entry,
+    EntryKind,
+    Group,
+    Heartbeat,
+    HeartbeatAnswer,
+    ReadAnswer,
+    ReadAsk,
+    Snapshot,
+    SnapshotChunk,
+    TimeoutNow,
+    VoteAnswer,
+    VoteAsk,
+)
+
+# A leader takes no more proposals while this much is not committed.
+UNCOMMITTED_LIMIT_BYTES = 32 * 1024 * 1024
+UNCOMMITTED_LIMIT_COUNT = 16_384
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Restore:
+    """The state machine has to be replaced by this snapshot."""
+
+    snapshot: Snapshot
+
+
+def form(node: Node, group: Group, now_ms: int) -> None:
+    """Writes the first record of a new group into an empty log."""
+    assert node.log.last_index == 0, "a group is formed once"
+    kind, data = replication.encode_group_entry(group)
+    node.append((Entry(1, 0, 0, kind, data),))
+    node.reset_election_timer(now_ms)
+
+
+def receive(node: Node, sender: str, target: str, message: Any, now_ms: int) -> None:
+    """Handles one message.
+
+    Args:
+        node: This member's state.
+        sender: Disk id of the sender.
+        target: Disk id that the message was meant for; another member's message,
+            for instance one for a lost disk under the same name, is dropped.
+        message: The message.
+        now_ms: The current time.
+    """
+    if target != node.own_id:
+        return
+    if isinstance(message, VoteAsk):
+        elections.on_vote_ask(node, sender, message, now_ms)
+    elif isinstance(message, VoteAnswer):
+        elections.on_vote_answer(node, sender, message, now_ms)
+    elif isinstance(message, ReadAsk):
+        reads.on_read_ask(node, sender, message, now_ms)
+    elif isinstance(message, ReadAnswer):
+        reads.on_read_answer(node, message)
+    else:
+        if message.term > node.term:
+            node.become_follower(message.term, None, now_ms)
+        _receive_in_term(node, sender, message, now_ms)
+        _advance(node, now_ms)
+
+
+def _receive_in_term(node: Node, sender: str, message: Any, now_ms: int) -> None:
+    # Asks of an older term are answered with the newer one; answers are dropped.
+    if isinstance(message, Append):
+        replication.on_append(node, sender, message, now_ms)
+    elif isinstance(message, Heartbeat):
+        replication.on_heartbeat(node, sender, message, now_ms)
+    elif message.term < node.term:
+        return
+    elif isinstance(message, AppendAnswer):
+        replication.on_append_answer(node, sender, message, now_ms)
+    elif isinstance(message, HeartbeatAnswer):
+        replication.note_contact(node, sender, message.round, message.sent_ms)
+    elif isinstance(message, SnapshotChunk):
+        replication.follow(node, sender, now_ms)
+        snapshots.on_chunk(node, sender, message)
+    elif isinstance(message, ChunkAnswer):
+        replication.on_chunk_answer(node, sender, message, now_ms)
+    elif isinstance(message, TimeoutNow):
+        elections.on_timeout_now(node, message, now_ms)
+
+
+def _advance(node: Node, now_ms: int) -> None:
+    reads.advance(node, now_ms)
+    changes.finish_transfer(node, now_ms)
+
+
+def tick(node: Node, now_ms: int) -> None:
+    """Does what is due; to be called every few milliseconds."""
+    elections.tick(node, now_ms)
+    replication.tick(node, now_ms)
+    _advance(node, now_ms)
+
+
+def synced(node: Node, write_number: int, now_ms: int) -> None:
+    """Notes that all writes up to a number are synced."""
+    node.synced(write_number)
+    replication.advance_commit(node, now_ms)
+    _advance(node, now_ms)
+
+
+def accepts_proposals(node: Node) -> bool:
+    """Tells whether `propose` takes commands now."""
+    leadership = node.leadership
+    if leadership is None or leadership.transfer_to is not None:
+        return False
+    waiting_count = node.log.last_index - node.commit_index
+    if waiting_count > UNCOMMITTED_LIMIT_COUNT:
+        return False
+    # The size is summed up only where the whole log in memory exceeds the limit.
+    if node.log.size_bytes <= UNCOMMITTED_LIMIT_BYTES:
+        return True
+    waiting = node.log.entries[len(node.log.entries) - waiting_count :]
+    return sum(len(entry.data) for entry in waiting) <= UNCOMMITTED_LIMIT_BYTES
+
+
+def propose(node: Node, commands: list[bytes], now_ms: int) -> int | None:
+    """Appends commands in one write; returns the first index, None if rejected."""
+    if not accepts_proposals(node):
+        return None
+    items = [(EntryKind.COMMAND, command) for command in commands]
+    return replication.append_own(node, items, now_ms)
+
+
+def take_applicable(node: Node, limit_count: int) -> Restore | list[Entry]:
+    """Returns what the state machine has to do next; an empty list for nothing.
+
+    Only entries that are synced here are applied, so that a snapshot never covers
+    more than the disk's log.
+    """
+    saved = node.to_restore
+    if saved is not None:
+        if node.durable_index < saved.index:
+            return []
+        node.to_restore = None
+        node.applied_index = saved.index
+        return Restore(codec.decode(saved.blob))
+    last = min(node.commit_index, node.durable_index)
+    last = min(last, node.applied_index + limit_count)
+    entries = [
+        node.log.entry(index) for index in range(node.applied_index + 1, last + 1)
+    ]
+    node.applied_index = max(node.applied_index, last)
+    return entries
+
+
+def is_leader(node: Node) -> bool:
+    """Tells whether this member leads in its term."""
+    return node.role is Role.LEADER
--- /dev/null
+++ b/cassiapitch/elections.py
@@ -0,0 +1,136 @@
+"""Elections: pre-vote, votes, and the start of a leadership."""
+
+from cassiapitch import quorum, replication
+from cassiapitch.node import (
+    ELECTION_MIN_MS,
+    HEARTBEAT_MS,
+    Leadership,
+    Node,
+    Progress,
+    Role,
+)
+from cassiapitch.raftmessages import (
+    EntryKind,
+    TimeoutNow,
+    VoteAnswer,
+    VoteAsk,
+)
+
+
+def start_pre_vote(node: Node, now_ms: int) -> None:
+    """Asks whether an election could be won, without disturbing a leader."""
+    _campaign(node, now_ms, pre_vote=True, transfer=False)
+
+
+def _campaign(node: Node, now_ms: int, *, pre_vote: bool, transfer: bool) -> None:
+    node.role = Role.CANDIDATE
+    node.leader_id = None
+    node.pre_voting = pre_vote
+    node.votes = {node.own_id}
+    node.reset_election_timer(now_ms)
+    if not pre_vote:
+        node.term += 1
+        node.vote = node.own_id
+        node.save_vote()
+    asked_term = node.term + 1 if pre_vote else node.term
+    ask = VoteAsk(
+        asked_term, pre_vote, transfer, node.log.last_index, node.log.last_term
+    )
+    for disk_id in quorum.voter_ids(node.group):
+        if disk_id != node.own_id:
+            node.send_synced(disk_id, ask)
+    _count_votes(node, now_ms)
+
+
+def _count_votes(node: Node, now_ms: int) -> None:
+    if not quorum.is_quorum(node.group, node.votes):
+        return
+    if node.pre_voting:
+        _campaign(node, now_ms, pre_vote=False, transfer=False)
+    else:
+        _become_leader(node, now_ms)
+
+
+def _become_leader(node: Node, now_ms: int) -> None:
+    node.role = Role.LEADER
+    node.leader_id = node.own_id
+    next_index = node.log.last_index + 1
+    node.leadership = Leadership(
+        elected_ms=now_ms,
+        base_time_ms=node.last_time_ms,
+        first_index=next_index,
+        progress={
+            one.disk_id: Progress(next_index)
+            for one in node.group.members
+            if one.disk_id != node.own_id
+        },
+        next_heartbeat_ms=now_ms + HEARTBEAT_MS,
+    )
+    replication.append_own(node, [(EntryKind.NOTHING, b"")], now_ms)
+
+
+def on_vote_ask(node: Node, sender: str, ask: VoteAsk, now_ms: int) -> None:
+    """Gives or rejects a vote."""
+    if not ask.transfer and _follows_a_leader(node, now_ms):
+        _answer(node, sender, ask, granted=False)
+        return
+    if ask.term > node.term and not ask.pre_vote:
+        node.become_follower(ask.term, None, now_ms)
+    own = (node.log.last_term, node.log.last_index)
+    up_to_date = (ask.last_term, ask.last_index) >= own
+    if ask.pre_vote:
+        _answer(node, sender, ask, granted=up_to_date and ask.term > node.term)
+        return
+    granted = up_to_date and ask.term == node.term and node.vote in (None, sender)
+    if granted:
+        if node.vote is None:
+            node.vote = sender
+            node.save_vote()
+        node.reset_election_timer(now_ms)
+    _answer(node, sender, ask, granted=granted)
+
+
+def _follows_a_leader(node: Node, now_ms: int) -> bool:
+    if node.leadership is not None:
+        contact_ms = replication.quorum_contact_ms(node, now_ms)
+        return contact_ms is not None and now_ms - contact_ms < ELECTION_MIN_MS
+    return now_ms - node.heard_ms < ELECTION_MIN_MS
+
+
+def _answer(node: Node, sender: str, ask: VoteAsk, *, granted: bool) -> None:
+    answer = VoteAnswer(node.term, ask.term, ask.pre_vote, granted)
+    node.send_synced(sender, answer)
+
+
+def on_vote_answer(node: Node, sender: str, answer: VoteAnswer, now_ms: int) -> None:
+    """Counts a vote; it counts only if the voter's disk belongs to the group."""
+    if answer.term > node.term:
+        # A granted pre-vote carries the voter's own term, which isn't higher.
+        node.become_follower(answer.term, None, now_ms)
+        return
+    asked_term = node.term + 1 if node.pre_voting else node.term
+    if (
+        node.role is Role.CANDIDATE
+        and answer.granted
+        and answer.pre_vote == node.pre_voting
+        and answer.asked_term == asked_term
+    ):
+        node.votes.add(sender)
+        _count_votes(node, now_ms)
+
+
+def on_timeout_now(node: Node, message: TimeoutNow, now_ms: int) -> None:
+    """Takes over from a leader that has already stepped down."""
+    is_voter = node.own_id in quorum.voter_ids(node.group)
+    if message.term == node.term and node.leadership is None and is_voter:
+        _campaign(node, now_ms, pre_vote=False, transfer=True)
+
+
+def tick(node: Node, now_ms: int) -> None:
+    """Starts an election if nothing was heard of a leader for too long."""
+    if node.leadership is not None or now_ms < node.election_due_ms:
+        return
+    if node.own_id in quorum.voter_ids(node.group):
+        start_pre_vote(node, now_ms)
+    else:
+        node.reset_election_timer(now_ms)
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -22,6 +22,18 @@
     SETTINGS_REFUSED = 105
     DUMP_SERVED = 106
 
+    LOG_OPENED = 201
+    GROUP_FORMED = 202
+    WAITING_FOR_ADMISSION = 203
+    LEADER_CHANGED = 204
+    GROUP_CHANGED = 205
+    SNAPSHOT_TAKEN = 206
+    SNAPSHOT_INSTALLED = 207
+    PEER_CONNECTED = 208
+    PEER_LOST = 209
+    PEER_REFUSED = 210
+    STORAGE_FAILED = 211
+
 
 def log(event: Event, **fields: Any) -> None:
     """Writes one event.
--- /dev/null
+++ b/cassiapitch/files.py
@@ -0,0 +1,94 @@
+"""The file operations of the journal, so that tests can replace the disk."""
+
+import dataclasses
+import os
+import pathlib
+from collections.abc import Callable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Files:
+    """Operations on the files of one folder; names are relative to it.
+
+    Attributes:
+        list_names: Returns the names of all files.
+        read: Returns a file's bytes.
+        append: Writes at a file's end and makes the file if need be; the bytes are
+            not durable before `sync`.
+        sync: Makes a file's bytes durable.
+        replace: Renames a file over another one.
+        truncate: Cuts a file to a length.
+        remove: Deletes a file.
+        sync_folder: Makes names durable.
+    """
+
+    list_names: Callable[[], list[str]]
+    read: Callable[[str], bytes]
+    append: Callable[[str, bytes], None]
+    sync: Callable[[str], None]
+    replace: Callable[[str, str], None]
+    truncate: Callable[[str, int], None]
+    remove: Callable[[str], None]
+    sync_folder: Callable[[], None]
+
+
+def open_folder(path: str) -> Files:
+    """Returns the operations on a folder of the disk; it is made if need be."""
+    folder = pathlib.Path(path)
+    folder.mkdir(parents=True, exist_ok=True)
+    # A file stays open between writes: an error that the kernel meets while it
+    # writes back is reported to the descriptor that wrote.
+    descriptors: dict[str, int] = {}
+
+    def descriptor(name: str) -> int:
+        if name not in descriptors:
+            flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
+            descriptors[name] = os.open(folder / name, flags, 0o600)
+        return descriptors[name]
+
+    def close(name: str) -> None:
+        if name in descriptors:
+            os.close(descriptors.pop(name))
+
+    def append(name: str, data: bytes) -> None:
+        rest = memoryview(data)
+        while len(rest) > 0:
+            rest = rest[os.write(descriptor(name), rest) :]
+
+    def replace(source: str, target: str) -> None:
+        close(source)
+        close(target)
+        os.replace(folder / source, folder / target)
+
+    def remove(name: str) -> None:
+        close(name)
+        os.unlink(folder / name)
+
+    def sync_folder() -> None:
+        opened = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(opened)
+        finally:
+            os.close(opened)
+
+    return Files(
+        list_names=lambda: sorted(os.listdir(folder)),
+        read=lambda name: (folder / name).read_bytes(),
+        append=append,
+        sync=lambda name: os.fsync(descriptor(name)),
+        replace=replace,
+        truncate=lambda name, length: os.truncate(descriptor(name), length),
+        remove=remove,
+        sync_folder=sync_folder,
+    )
+
+
+def write_atomically(files: Files, name: str, data: bytes) -> None:
+    """Replaces a file so that a crash leaves the old or the new one, never a mix."""
+    temporary = f"{name}.tmp"
+    if temporary in files.list_names():
+        files.remove(temporary)
+    files.append(temporary, data)
+    files.sync(temporary)
+    files.replace(temporary, name)
+    files.sync_folder()
--- /dev/null
+++ b/cassiapitch/peers.py
@@ -0,0 +1,244 @@
+"""Streams to the other control members.
+
+Each member opens one stream to every other one and only sends on it; answers come
+back on the other one's stream. Messages may be lost: consensus repeats what matters.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import grpclib.client
+import grpclib.exceptions
+import grpclib.server
+
+from cassiapitch import codec, events, rpc
+from cassiapitch.exceptions import CodecError
+from cassiapitch.raftmessages import PeerBatch, PeerHello
+from cassiapitch.settings import Address, TlsSettings
+from cassiapitch.timers import now_ms
+
+SERVICE = "Raft"
+METHOD = "Messages"
+QUEUE_LIMIT_BYTES = 16 * 1024 * 1024
+QUEUE_LIMIT_COUNT = 4_096
+BATCH_BYTES = 512 * 1024
+CONNECT_TIMEOUT_S = 1.0
+SEND_TIMEOUT_S = 3.0
+# A connection to an isolated instance looks intact until TCP gives up, which takes
+# minutes. Whoever is sent messages answers within milliseconds.
+SILENCE_LIMIT_MS = 3_000
+BACKOFF_FIRST_S = 0.05
+BACKOFF_LAST_S = 1.0
+
+LOST = (OSError, TimeoutError, grpclib.exceptions.GRPCError, CodecError)
+LOST_STREAM = (
+    *LOST,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
+
+
+class PeerRefusedError(Exception):
+    """The process at an address is not the member that was expected there."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    """Messages that wait for one member, and its connection's state."""
+
+    target: str
+    address: Address
+    waiting: collections.deque[bytes]
+    size_bytes: int
+    changed: anyio.Event
+    scope: anyio.CancelScope
+    unanswered_ms: int | None = None
+
+
+class Peers:
+    """Links to all members that something was sent to."""
+
+    def __init__(
+        self,
+        hello: Callable[[], PeerHello],
+        on_message: Callable[[str, str, Any], None],
+        tls: TlsSettings | None,
+    ) -> None:
+        """Prepares the links.
+
+        Args:
+            hello: Returns what this member says of itself.
+            on_message: Called with sender, target and each message that arrives.
+            tls: Mutual TLS between members.
+        """
+        self._hello = hello
+        self._on_message = on_message
+        self._tls = tls
+        self._links: dict[str, _Link] = {}
+        self._members: dict[str, Address] = {}
+        # Addresses of members with an open stream to this one: a member whose group
+        # is out of date has to answer a leader that it doesn't know yet.
+        self._connected: dict[str, Address] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Owns the links until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
+    def keep(self, addresses: dict[str, Address]) -> None:
+        """Takes the addresses of the group and closes links to others."""
+        self._members = addresses
+        wanted = addresses.keys() | self._connected.keys()
+        for target in self._links.keys() - wanted:
+            self._links.pop(target).scope.cancel()
+
+    def send(self, target: str, message: Any) -> bool:
+        """Queues a message; returns False if it was dropped at once."""
+        address = self._members.get(target) or self._connected.get(target)
+        if address is None or self._group is None:
+            return False
+        link = self._links.get(target)
+        if link is None or link.address != address:
+            link = self._open(target, address)
+        data = codec.encode(message)
+        if (
+            len(link.waiting) >= QUEUE_LIMIT_COUNT
+            or link.size_bytes + len(data) > QUEUE_LIMIT_BYTES
+        ):
+            return False
+        link.waiting.append(data)
+        link.size_bytes += len(data)
+        link.changed.set()
+        return True
+
+    def _open(self, target: str, address: Address) -> _Link:
+        assert self._group is not None
+        old = self._links.get(target)
+        if old is not None:
+            old.scope.cancel()
+        link = _Link(
+            target, address, collections.deque(), 0, anyio.Event(), anyio.CancelScope()
+        )
+        self._links[target] = link
+        self._group.start_soon(self._keep_connected, link)
+        return link
+
+    async def _keep_connected(self, link: _Link) -> None:
+        delay_s = BACKOFF_FIRST_S
+        with link.scope:
+            while True:
+                started_ms = now_ms()
+                try:
+                    await self._connect(link)
+                except PeerRefusedError as error:
+                    fields = {"target": link.target, "reason": str(error)}
+                    events.log(events.Event.PEER_REFUSED, **fields)
+                except LOST_STREAM as error:
+                    fields = {"target": link.target, "reason": repr(error)}
+                    events.log(events.Event.PEER_LOST, **fields)
+                # What waited is old by now; its senders repeat what still matters.
+                link.waiting.clear()
+                link.size_bytes = 0
+                if now_ms() - started_ms > 10_000:
+                    delay_s = BACKOFF_FIRST_S
+                await anyio.sleep(delay_s)
+                delay_s = min(BACKOFF_LAST_S, delay_s * 2)
+
+    async def _connect(self, link: _Link) -> None:
+        channel = rpc.open_channel(link.address, self._tls)
+        try:
+            async with rpc.open_stream(channel, SERVICE, METHOD) as stream:
+                hello = await self._exchange(stream)
+                if hello.disk_id != link.target:
+                    raise PeerRefusedError(f"{hello.name} has another disk")
+                fields = {"name": hello.name, "target": link.target}
+                events.log(events.Event.PEER_CONNECTED, **fields)
+                link.unanswered_ms = None
+                await self._send_all(link, stream)
+        finally:
+            channel.close()
+
+    async def _exchange(self, stream: grpclib.client.Stream[Any, Any]) -> PeerHello:
+        own = self._hello()
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            await stream.send_message(own)
+            hello = await stream.recv_message()
+        if not isinstance(hello, PeerHello) or hello.cluster != own.cluster:
+            raise PeerRefusedError("not a member of this deployment")
+        return hello
+
+    async def _send_all(
+        self, link: _Link, stream: grpclib.client.Stream[Any, Any]
+    ) -> None:
+        while True:
+            if not link.waiting:
+                link.changed = anyio.Event()
+                await link.changed.wait()
+            batch = self._take_batch(link)
+            time_ms = now_ms()
+            if link.unanswered_ms is None:
+                link.unanswered_ms = time_ms
+            elif time_ms - link.unanswered_ms > SILENCE_LIMIT_MS:
+                raise TimeoutError("the member does not answer")
+            with anyio.fail_after(SEND_TIMEOUT_S):
+                await stream.send_message(batch)
+
+    def _take_batch(self, link: _Link) -> PeerBatch:
+        items: list[bytes] = []
+        size_bytes = 0
+        while link.waiting and size_bytes < BATCH_BYTES:
+            item = link.waiting.popleft()
+            size_bytes += len(item)
+            items.append(item)
+        link.size_bytes -= size_bytes
+        return PeerBatch(link.target, tuple(items))
+
+    async def probe(self, address: Address) -> PeerHello | None:
+        """Asks the member at an address who it is; None if it doesn't answer."""
+        channel = rpc.open_channel(address, self._tls)
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                async with rpc.open_stream(channel, SERVICE, METHOD) as stream:
+                    hello = await self._exchange(stream)
+                    await stream.end()
+            return hello
+        except (*LOST_STREAM, PeerRefusedError):
+            return None
+        finally:
+            channel.close()
+
+    async def serve(self, stream: grpclib.server.Stream[Any, Any]) -> None:
+        """Receives another member's messages."""
+        hello = await stream.recv_message()
+        own = self._hello()
+        if not isinstance(hello, PeerHello):
+            return
+        await stream.send_message(own)
+        if hello.cluster != own.cluster:
+            events.log(events.Event.PEER_REFUSED, target=hello.name, reason="cluster")
+            return
+        address = Address(hello.ip, hello.port)
+        self._connected[hello.disk_id] = address
+        try:
+            await self._receive(hello.disk_id, stream)
+        finally:
+            if self._connected.get(hello.disk_id) is address:
+                del self._connected[hello.disk_id]
+
+    async def _receive(
+        self, sender: str, stream: grpclib.server.Stream[Any, Any]
+    ) -> None:
+        async for batch in stream:
+            if not isinstance(batch, PeerBatch):
+                return
+            link = self._links.get(sender)
+            if link is not None:
+                link.unanswered_ms = None
+            for item in batch.items:
+                self._on_message(sender, batch.target, codec.decode(item))
--- /dev/null
+++ b/cassiapitch/snapshots.py
@@ -0,0 +1,103 @@
+"""Snapshots: taking them, and sending them in chunks to members that lag behind."""
+
+import zlib
+
+from cassiapitch import codec
+from cassiapitch.node import Node, Progress, SaveSnapshot
+from cassiapitch.raftmessages import ChunkAnswer, Snapshot, SnapshotChunk
+
+CHUNK_BYTES = 256 * 1024
+# Entries kept in memory behind a snapshot, so that a member that was away for a
+# moment gets entries rather than the whole state.
+RETAINED_COUNT = 1_024
+
+
+def take(node: Node, data: bytes, retained_count: int = RETAINED_COUNT) -> None:
+    """Stores a snapshot of the state machine as of the applied index."""
+    index = node.applied_index
+    if index <= node.log.base_index:
+        return
+    entry = node.log.entry(index)
+    snapshot = Snapshot(index, entry.term, entry.time_ms, node.group_at(index), data)
+    saved = SaveSnapshot(index, entry.term, codec.encode(snapshot), reset=False)
+    node.compact(saved, retained_count)
+
+
+def start(node: Node, disk_id: str, progress: Progress, now_ms: int) -> None:
+    """Begins to send the newest snapshot to a member."""
+    progress.snapshot = node.snapshot
+    progress.snapshot_offset = 0
+    progress.progress_ms = now_ms
+    send_chunk(node, disk_id, progress)
+
+
+def send_chunk(node: Node, disk_id: str, progress: Progress) -> None:
+    """Sends the chunk that the member needs next."""
+    saved = progress.snapshot
+    assert saved is not None
+    offset = progress.snapshot_offset
+    message = SnapshotChunk(
+        node.term,
+        saved.index,
+        saved.term,
+        offset,
+        len(saved.blob),
+        zlib.crc32(saved.blob),
+        saved.blob[offset : offset + CHUNK_BYTES],
+    )
+    node.send(disk_id, message)
+
+
+def on_chunk(node: Node, sender: str, chunk: SnapshotChunk) -> None:
+    """Collects chunks; installs the snapshot once it is complete."""
+    if chunk.index <= node.commit_index:
+        # The log already holds all of it, so that nothing needs to be installed.
+        answer = ChunkAnswer(node.term, chunk.index, chunk.total_bytes)
+        node.send_synced(sender, answer)
+        return
+    identity = (chunk.term, chunk.index, chunk.checksum)
+    if identity != node.incoming_identity:
+        node.incoming_identity = identity
+        node.incoming = bytearray()
+    if chunk.offset == len(node.incoming):
+        node.incoming += chunk.data
+    if len(node.incoming) == chunk.total_bytes:
+        _complete(node, chunk)
+    if chunk.index <= node.commit_index:
+        next_offset = chunk.total_bytes
+    else:
+        next_offset = len(node.incoming)
+    node.send_synced(sender, ChunkAnswer(node.term, chunk.index, next_offset))
+
+
+def _complete(node: Node, chunk: SnapshotChunk) -> None:
+    blob = bytes(node.incoming)
+    node.incoming = bytearray()
+    node.incoming_identity = None
+    if zlib.crc32(blob) == chunk.checksum:
+        node.install(SaveSnapshot(chunk.index, chunk.index_term, blob, reset=True))
+
+
+def on_chunk_answer(node: Node, sender: str, answer: ChunkAnswer, now_ms: int) -> bool:
+    """Sends the next chunk; returns whether entries can follow now."""
+    leadership = node.leadership
+    progress = None if leadership is None else leadership.progress.get(sender)
+    if progress is None or progress.snapshot is None:
+        return False
+    saved = progress.snapshot
+    if saved.index != answer.index:
+        return False
+    progress.progress_ms = now_ms
+    if answer.next_offset >= len(saved.blob):
+        progress.snapshot = None
+        progress.match_index = max(progress.match_index, saved.index)
+        progress.next_index = progress.match_index + 1
+        progress.probing = True
+        progress.waiting_count = 0
+        return True
+    if answer.next_offset == progress.snapshot_offset:
+        # A repeated answer; the timeout sends the chunk again if it was lost.
+        return False
+    progress.snapshot_offset = answer.next_offset
+    send_chunk(node, sender, progress)
+    return False
--- /dev/null
+++ b/tests/log_member.py
@@ -0,0 +1,123 @@
+"""One member of a control group as a process, driven by JSON lines on its input.
+
+Each line is a list: a number, an operation and its arguments. Each answer is a line
+with the same number. Started by tests and by bench/log_cost.py.
+"""
+
+import dataclasses
+import json
+import sys
+import time
+
+import anyio
+import anyio.to_thread
+
+from cassiapitch import events, rpc
+from cassiapitch.member import Member
+from cassiapitch.settings import Address, ControlPeer, ControlSettings
+
+
+class Register:
+    """State machine that keeps every command in order."""
+
+    def __init__(self):
+        self.commands = []
+        self.index = 0
+
+    def apply(self, index, time_ms, command):
+        assert index > self.index, "an index was applied twice"
+        self.index = index
+        self.commands.append(command.decode())
+        return str(len(self.commands)).encode()
+
+    def snapshot(self):
+        return json.dumps([self.index, self.commands]).encode()
+
+    def restore(self, data):
+        self.index, self.commands = json.loads(data)
+
+
+def make_settings(name, ports, folder, **changes):
+    """Settings of one of several members on loopback."""
+    peers = tuple(
+        ControlPeer(other, f"zone-{other}", Address("127.0.0.1", port))
+        for other, port in ports.items()
+        if other in changes.get("initial", ports)
+    )
+    own = Address("127.0.0.1", ports[name])
+    return ControlSettings(
+        name, "zone", "test", str(folder), own, own, peers, (), changes.get("form", True)
+    )
+
+
+def describe(outcome):
+    name = type(outcome).__name__
+    fields = dataclasses.asdict(outcome)
+    if isinstance(fields.get("result"), bytes):
+        fields["result"] = fields["result"].decode()
+    return {"outcome": name, **fields}
+
+
+class Server:
+    def __init__(self, settings, **options):
+        self.machine = Register()
+        self.member = Member(settings, self.machine, lambda index: None, **options)
+        self.settings = settings
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        server = await rpc.serve(
+            self.member.serve_handlers(), self.settings.rpc_address, None
+        )
+        try:
+            await self.member.run(task_status=task_status)
+        finally:
+            with anyio.CancelScope(shield=True):
+                server.server.close()
+
+    async def do(self, operation, *arguments):
+        member = self.member
+        if operation == "propose":
+            outcome = await member.propose(arguments[0].encode(), arguments[1])
+        elif operation == "read":
+            outcome = await member.read_index(arguments[0])
+        elif operation == "status":
+            return dataclasses.asdict(member.status())
+        elif operation == "commands":
+            return self.machine.commands
+        elif operation == "cpu":
+            return time.process_time_ns()
+        elif operation == "add":
+            outcome = await member.add_learner(
+                arguments[0], Address("127.0.0.1", arguments[1])
+            )
+        else:
+            outcome = await getattr(member, operation)(*arguments)
+        return describe(outcome)
+
+
+async def serve_lines(server, group):
+    async def handle(number, operation, arguments):
+        answer = await server.do(operation, *arguments)
+        sys.stdout.write(json.dumps([number, answer]) + "\n")
+        sys.stdout.flush()
+
+    while line := await anyio.to_thread.run_sync(sys.stdin.readline):
+        number, operation, *arguments = json.loads(line)
+        group.start_soon(handle, number, operation, arguments)
+    group.cancel_scope.cancel()
+
+
+async def main(arguments):
+    options = json.loads(arguments)
+    settings = make_settings(options["name"], options["ports"], options["folder"])
+    server = Server(settings)
+    async with anyio.create_task_group() as group:
+        await group.start(server.run)
+        sys.stdout.write('"ready"\n')
+        sys.stdout.flush()
+        await serve_lines(server, group)
+
+
+if __name__ == "__main__":
+    events.write_to("/dev/null")
+    anyio.run(main, sys.argv[1])
