--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -21,6 +21,14 @@
     PROCESS_FAILED = 104
     SETTINGS_REFUSED = 105
     DUMP_SERVED = 106
+    STANDIN_LISTENING = 501
+    TERM_BEGUN = 502
+    BACKEND_CHANGED = 503
+    ORDERS_RECORDED = 504
+    ORDER_ANSWERED = 505
+    ORDER_SETTLED = 506
+    PROPOSAL_FAILED = 507
+    BACKEND_EVENT = 508
 
 
 def log(event: Event, **fields: Any) -> None:
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -468,10 +468,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadedModel:
-    """A model that an engine holds."""
+    """A model that an engine holds.
+
+    Attributes:
+        model: The model.
+        version: Version of the bundle that defined it when it was loaded.
+        memory_mib: Memory that it occupies, 0 where the engine doesn't say.
+    """
 
     model: ModelName
     version: int
+    memory_mib: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -504,6 +511,8 @@
         waiting_count: Requests that wait.
         leaving: Whether it is about to stop.
         cached_prefixes: Digests of prompt prefixes in its cache, late and gapped.
+        sequence: Number of this announcement in its life. Members pass
+            announcements on concurrently, so that they may arrive out of order.
     """
 
     name: BackendName
@@ -523,6 +532,7 @@
     waiting_count: int = 0
     leaving: bool = False
     cached_prefixes: tuple[str, ...] = ()
+    sequence: int = 0
 
 
 ALL = (
--- /dev/null
+++ b/cassiapitch/standin_service.py
@@ -0,0 +1,110 @@
+"""A stand-in plain service that records each run of a call."""
+
+import collections
+import dataclasses
+from typing import Any
+
+import anyio
+
+from cassiapitch import asgi, timers
+from cassiapitch.messages import Announcement
+from cassiapitch.standin_faults import Faults, HeaderLog, drop_connection, update_faults
+from cassiapitch.standin_settings import StandinSettings
+from cassiapitch.types import BackendName, LifeId
+
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+BODY_TIMEOUT_MS = 30_000
+
+
+class Service:
+    """Answers every path; a call takes one step."""
+
+    def __init__(self, settings: StandinSettings, life_id: LifeId) -> None:
+        self.settings = settings
+        self.life_id = life_id
+        self.faults = Faults()
+        self.leaving = False
+        self.headers = HeaderLog()
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.paths: collections.Counter[str] = collections.Counter()
+        self._running_count = 0
+
+    def announcement(self, ip: str, port: int, sequence: int) -> Announcement:
+        """Returns what the service says of itself now."""
+        return Announcement(
+            name=BackendName(self.settings.name),
+            life_id=self.life_id,
+            role=self.settings.role,
+            zone=self.settings.zone,
+            ip=ip,
+            port=port,
+            memory_mib=0,
+            max_running_count=self.settings.max_running_count,
+            running_count=self._running_count,
+            leaving=self.leaving or self.faults.leaving,
+            sequence=sequence,
+        )
+
+    def is_idle(self) -> bool:
+        """Tells whether no call runs."""
+        return self._running_count == 0
+
+    async def run(self) -> None:
+        """Does nothing until cancelled; calls run by themselves."""
+        await anyio.sleep_forever()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the stand-in's state for tests."""
+        return {
+            "name": self.settings.name,
+            "life_id": self.life_id,
+            "runs": self.runs,
+            "doubled": [key for key, count in self.runs.items() if count > 1],
+            "paths": self.paths,
+            "headers": list(self.headers.seen),
+        }
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Answers one request."""
+        body = await asgi.read_body(receive, BODY_LIMIT_BYTES, BODY_TIMEOUT_MS)
+        if not isinstance(body, asgi.Body):
+            return
+        if scope["path"] == "/standin/dump":
+            await self._json(send, 200, self.dump())
+        elif scope["path"] == "/standin/faults":
+            update_faults(self.faults, body.data)
+            await self._json(send, 200, dataclasses.asdict(self.faults))
+        elif self.faults.take("unavailable"):
+            await self._json(send, 503, {"error": {"code": "overloaded"}})
+        else:
+            await self._call(scope, body.data, receive, send)
+
+    async def _call(
+        self, scope: asgi.Scope, body: bytes, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        self.headers.record(scope)
+        request_id = asgi.header(scope, b"x-request-id") or f"local-{timers.now_ms()}"
+        self.runs[request_id] += 1
+        self.paths[f"{scope['method']} {scope['path']}"] += 1
+        self._running_count += 1
+        try:
+            await anyio.sleep(self.settings.step_ms / 1000)
+        finally:
+            self._running_count -= 1
+        if self.faults.take("drop_responses"):
+            await drop_connection(receive, send)
+            return
+        answer = {
+            "method": scope["method"],
+            "path": scope["path"],
+            "request_id": request_id,
+            "run_count": self.runs[request_id],
+            "body_bytes": len(body),
+        }
+        await self._json(send, 200, answer)
+
+    async def _json(self, send: asgi.Send, status: int, document: Any) -> None:
+        headers = [(b"x-life-id", self.life_id.encode())]
+        await asgi.send_json(send, status, document, headers)
--- /dev/null
+++ b/cassiapitch/standin_settings.py
@@ -0,0 +1,66 @@
+"""Settings of `cassiapitch-standin`."""
+
+import dataclasses
+from typing import Annotated
+
+from msgspec import Meta
+
+from cassiapitch.settings import Address, Name, NaturalInt, PositiveInt
+from cassiapitch.types import RoleKind
+
+Ratio = Annotated[float, Meta(ge=0, le=1)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StandinSettings:
+    """Settings of one stand-in backend server.
+
+    Attributes:
+        name: Its name, which a later run may take again.
+        kind: Engine or plain service.
+        role: Its role in the bundle.
+        zone: Its availability zone.
+        address: Where it serves; also its address in announcements.
+        credential: Bearer credential of its role.
+        announce_addresses: Admin addresses of control members, tried in turn.
+        announce_ms: Time between announcements.
+        memory_mib: Accelerator memory for models and adapters.
+        step_ms: Time of one step of continuous batching, or of a service call.
+        max_running_count: Requests that run at once.
+        fencing: Whether orders with a stale fence are rejected.
+        load_ms: Time to load a model, by its name; others take `load_ms_per_gib`.
+        load_ms_per_gib: Time to load one GiB of a model that `load_ms` lacks.
+        adapter_load_ms: Time to load an adapter.
+        report_lag_ms: Age of the reported load and cache events.
+        cache_prefixes_count: Prompt prefixes that the cache holds.
+        cache_gap_ratio: Share of cache events that are never published.
+        prefill_tokens_per_step: Uncached prompt tokens that one step processes.
+        resume_ms: How long a stream goes on without a connection.
+        leave_ms: Shortest time between announcing `leaving` and the exit.
+        seed: Seed of the cache gaps.
+        log_path: Log file; None for standard error.
+    """
+
+    name: Name
+    kind: RoleKind
+    role: Name
+    zone: Name
+    address: Address
+    credential: str = ""
+    announce_addresses: tuple[Address, ...] = ()
+    announce_ms: PositiveInt = 500
+    memory_mib: PositiveInt = 81_920
+    step_ms: PositiveInt = 20
+    max_running_count: PositiveInt = 32
+    fencing: bool = True
+    load_ms: dict[str, NaturalInt] = dataclasses.field(default_factory=dict)
+    load_ms_per_gib: NaturalInt = 100
+    adapter_load_ms: NaturalInt = 10
+    report_lag_ms: NaturalInt = 0
+    cache_prefixes_count: PositiveInt = 64
+    cache_gap_ratio: Ratio = 0.0
+    prefill_tokens_per_step: PositiveInt = 2_048
+    resume_ms: NaturalInt = 10_000
+    leave_ms: NaturalInt = 2_500
+    seed: NaturalInt = 1
+    log_path: str | None = None
--- /dev/null
+++ b/tests/test_standin.py
@@ -0,0 +1,276 @@
+"""Tests of the stand-in engine and service over HTTP."""
+
+import json
+
+import anyio
+import httpcore
+import pytest
+
+from cassiapitch import asgi
+from cassiapitch.settings import Address
+from cassiapitch.standin_engine import Engine
+from cassiapitch.standin_service import Service
+from cassiapitch.standin_settings import StandinSettings
+from cassiapitch.standin_streams import token_text
+
+LIMIT_S = 20
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Standin:
+    """A running stand-in and the calls that tests make to it."""
+
+    def __init__(self, backend, port):
+        self.backend = backend
+        self.base = f"http://127.0.0.1:{port}"
+
+    async def call(self, method, path, document=None, headers=None):
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request(
+                method,
+                self.base + path,
+                headers=headers or {},
+                content=None if document is None else json.dumps(document).encode(),
+            )
+            return response.status, response.content
+
+    async def order(self, order_id, kind, model, number, memory_mib=0, **fields):
+        document = {
+            "order_id": order_id,
+            "fence_term": 1,
+            "fence_number": number,
+            "life_id": "life",
+            "kind": kind,
+            "model": model,
+            "memory_mib": memory_mib,
+        }
+        status, body = await self.call("POST", "/orders", document | fields)
+        return status, json.loads(body)
+
+    async def dump(self):
+        return json.loads((await self.call("GET", "/standin/dump"))[1])
+
+    async def until(self, condition):
+        with anyio.fail_after(LIMIT_S):
+            while not condition(dump := await self.dump()):  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+        return dump
+
+    async def load(self, model="m", number=1):
+        await self.order(f"load-{model}", "load", model, number, 10)
+        await self.until(lambda dump: f"load-{model}" in dump["settled"])
+
+    async def events(self, method, path, document, request_id):
+        """Returns the (position, data) of each event and whether the end came."""
+        content = None if document is None else json.dumps(document).encode()
+        data = b""
+        headers = {"X-Request-Id": request_id}
+        async with httpcore.AsyncConnectionPool() as pool:
+            try:
+                async with pool.stream(
+                    method, self.base + path, headers=headers, content=content
+                ) as response:
+                    assert response.status == 200
+                    async for part in response.aiter_stream():
+                        data += part
+            except (httpcore.RemoteProtocolError, httpcore.NetworkError):
+                pass
+        events = data.decode().split("\n\n")
+        found = [event.split("\n") for event in events if event.startswith("id: ")]
+        pairs = [(int(one[4:]), json.loads(two[6:])) for one, two in found]
+        return pairs, "data: [DONE]" in events
+
+
+class Run:
+    """Runs a stand-in inside the test's event loop."""
+
+    def __init__(self, cls=Engine, **fields):
+        fields = {"step_ms": 2, "load_ms_per_gib": 1, "kind": "engine"} | fields
+        self.settings = StandinSettings(
+            name="b", role="r", zone="z", address=Address("127.0.0.1", 0), **fields
+        )
+        self.crashes = []
+        self.cls = cls
+
+    async def __aenter__(self):
+        arguments = {}
+        if self.cls is Engine:
+            arguments["crash"] = lambda: self.crashes.append(True)
+        backend = self.cls(self.settings, "life", **arguments)
+        self.server = asgi.HttpServer(backend, Address("127.0.0.1", 0))
+        self.group = anyio.create_task_group()
+        await self.group.__aenter__()
+        self.group.start_soon(self.server.run)
+        self.group.start_soon(backend.run)
+        return Standin(backend, self.server.port)
+
+    async def __aexit__(self, *error):
+        self.server.close()
+        self.group.cancel_scope.cancel()
+        await self.group.__aexit__(None, None, None)
+
+
+def body(**fields):
+    return {
+        "model": "m",
+        "prompt": "hello",
+        "max_tokens": 30,
+        "ignore_eos": True,
+        "stream": True,
+    } | fields
+
+
+@pytest.mark.anyio
+async def test_load_over_the_memory_is_recorded_as_overcommit():
+    """Guards against placement errors that no run would show."""
+    async with Run(memory_mib=100, load_ms={"a": 60_000}) as standin:
+        await standin.order("1", "load", "a", 1, 60)
+        assert (await standin.dump())["overcommit"] == []
+        await standin.order("2", "load", "b", 2, 60)
+        dump = await standin.dump()
+    assert [item["order_id"] for item in dump["overcommit"]] == ["2"]
+    assert dump["most_used_mib"] == 120
+
+
+@pytest.mark.anyio
+async def test_resumed_and_continued_streams_repeat_no_token_and_miss_none():
+    """Guards against gaps after a cut; a crossed stream has another request id."""
+    async with Run(max_running_count=4) as standin:
+        await standin.load()
+        await standin.call(
+            "POST", "/standin/faults", {"break_streams": 1, "break_after_tokens": 7}
+        )
+        first, is_complete = await standin.events(
+            "POST", "/v1/completions", body(), "q1"
+        )
+        assert [position for position, _ in first] == list(range(7))
+        assert not is_complete
+        # Another stream runs at the same time; its events carry its own id.
+        other, _ = await standin.events(
+            "POST", "/v1/completions", body(prompt="x"), "q2"
+        )
+        rest, is_complete = await standin.events(
+            "GET", "/v1/streams/q1?after=6", None, "q1"
+        )
+        assert is_complete
+        continued, _ = await standin.events(
+            "POST",
+            "/v1/completions",
+            body(continue_position=7, continue_text="w"),
+            "q3",
+        )
+    texts = [data["choices"][0]["text"] for _, data in first + rest]
+    assert texts[:-1] == [token_text("m", "", "hello", index) for index in range(30)]
+    assert [item["choices"] for _, item in continued] == [
+        item["choices"] for _, item in rest
+    ]
+    assert {data["id"] for _, data in first + rest} == {"q1"}
+    assert {data["id"] for _, data in other} == {"q2"}
+    assert rest[-1][1]["usage"]["completion_tokens"] == 30
+
+
+@pytest.mark.anyio
+async def test_cancelled_stream_ends_without_done():
+    """Guards against generation that goes on after its caller left."""
+    async with Run() as standin:
+        await standin.load()
+        results = []
+
+        async def read():
+            request = body(max_tokens=1_000_000)
+            results.append(
+                await standin.events("POST", "/v1/completions", request, "q")
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read)
+            await standin.until(lambda dump: dump["running"] == ["q"])
+            status, _ = await standin.call("DELETE", "/v1/streams/q")
+        assert status == 200
+        await standin.until(lambda dump: dump["running"] == [])
+        assert (await standin.call("GET", "/v1/streams/q?after=1"))[0] == 404
+    assert not results[0][1]
+
+
+@pytest.mark.anyio
+async def test_marked_request_crashes_the_engine():
+    """Guards against a crash test that crashes nothing, or on any request."""
+    run = Run()
+    async with run as standin:
+        await standin.load()
+        await standin.call("POST", "/v1/completions", body(stream=False))
+        assert run.crashes == []
+        await standin.call(
+            "POST", "/v1/completions", body(prompt="CRASH-ENGINE", stream=False)
+        )
+    assert run.crashes
+
+
+@pytest.mark.anyio
+async def test_stale_and_late_orders():
+    """Guards against a fencing engine that runs late orders."""
+    async with Run(fencing=True) as standin:
+        await standin.load("a", 5)
+        status, answer = await standin.order("old", "load", "b", 4, 10)
+        assert (status, answer["error"]["code"]) == (409, "stale_fence")
+        status, answer = await standin.order("x", "load", "b", 6, 10, life_id="other")
+        assert (status, answer["error"]["code"]) == (409, "other_life")
+        assert (await standin.order("load-a", "load", "a", 5, 10))[0] == 202
+    async with Run(fencing=False) as standin:
+        await standin.call(
+            "POST", "/standin/faults", {"double_orders": 1, "order_delay_ms": 100}
+        )
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await standin.order("1", "load", "a", 1, 10)
+        await standin.order("2", "unload", "a", 2)
+        await standin.until(
+            lambda dump: (
+                [item["late"] for item in dump["orders"]] == [False, False, True]
+            )
+        )
+        await standin.until(
+            lambda dump: [item["name"] for item in dump["residents"]] == ["a"]
+        )
+
+
+@pytest.mark.anyio
+async def test_unload_waits_for_requests_and_refuses_new_ones():
+    """Guards against an unload that cuts an answer."""
+    async with Run() as standin:
+        await standin.load()
+        results = []
+
+        async def read():
+            results.append(
+                await standin.events(
+                    "POST", "/v1/completions", body(max_tokens=200), "q"
+                )
+            )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(read)
+            await standin.until(lambda dump: dump["running"] == ["q"])
+            await standin.order("u", "unload", "m", 2)
+            status, answer = await standin.call("POST", "/v1/completions", body())
+            assert (status, json.loads(answer)["error"]["code"]) == (409, "not_loaded")
+        assert results[0][1]
+        await standin.until(lambda dump: dump["used_mib"] == 0)
+
+
+@pytest.mark.anyio
+async def test_doubled_run_of_a_call_shows():
+    """Guards against a repeated non-idempotent call that nobody sees."""
+    async with Run(Service, kind="service") as standin:
+        await standin.call("POST", "/standin/faults", {"drop_responses": 1})
+        headers = {"X-Request-Id": "q", "Authorization": "Bearer secret"}
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await standin.call("POST", "/reorder", {}, headers)
+        assert (await standin.dump())["doubled"] == []
+        await standin.call("POST", "/reorder", {}, headers)
+        dump = await standin.dump()
+    assert dump["doubled"] == ["q"]
+    assert "authorization: Bearer secret" in dump["headers"]
