--- /dev/null
+++ b/testbed/__init__.py
@@ -0,0 +1,1 @@
+"""Starts deployments on loopback for the demo, the bench and tests."""
--- /dev/null
+++ b/testbed/processes.py
@@ -0,0 +1,110 @@
+"""Processes of a testbed: started as modules, ended by their id."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KILL_WAIT_S = 10
+
+
+class ManagedProcess:
+    """One program with its log files."""
+
+    def __init__(
+        self, name: str, module: str, settings_path: pathlib.Path, folder: pathlib.Path
+    ) -> None:
+        """Describes the program; `start` runs it, also again after an end."""
+        self.name = name
+        self.output_path = folder / f"{name}.out"
+        self._arguments = [
+            sys.executable,
+            "-m",
+            module,
+            "--settings",
+            str(settings_path),
+        ]
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Starts the program; its output is appended to `output_path`."""
+        with open(self.output_path, "ab") as output:
+            self._process = subprocess.Popen(
+                self._arguments,
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    def exit_code(self) -> int | None:
+        """Returns the exit code, negative for a signal, None while it runs."""
+        return None if self._process is None else self._process.poll()
+
+    def is_running(self) -> bool:
+        """Tells whether the program runs."""
+        return self._process is not None and self._process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal if the program runs."""
+        if self._process is not None and self.is_running():
+            self._process.send_signal(number)
+
+    def kill(self) -> None:
+        """Ends the program at once."""
+        if self._process is not None and self.is_running():
+            self._process.kill()
+            self._process.wait(KILL_WAIT_S)
+
+    def cpu_s(self) -> float | None:
+        """Returns the CPU time used so far, None if the program doesn't run."""
+        if self._process is None or not self.is_running():
+            return None
+        stat = pathlib.Path(f"/proc/{self._process.pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def memory_mib(self) -> float | None:
+        """Returns the resident memory, None if the program doesn't run."""
+        if self._process is None or not self.is_running():
+            return None
+        statm = pathlib.Path(f"/proc/{self._process.pid}/statm").read_text()
+        pages = int(statm.split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+    def last_output(self, line_count: int = 15) -> str:
+        """Returns the end of its output, for error messages."""
+        if not self.output_path.exists():
+            return ""
+        text = self.output_path.read_text(encoding="utf-8", errors="replace")
+        return "\n".join(text.splitlines()[-line_count:])
+
+
+class ProcessGroup:
+    """Every process of a testbed; ends all of them on exit."""
+
+    def __init__(self) -> None:
+        self._processes: dict[str, ManagedProcess] = {}
+
+    def __enter__(self) -> "ProcessGroup":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self._processes.values():
+            process.kill()
+
+    def __getitem__(self, name: str) -> ManagedProcess:
+        return self._processes[name]
+
+    def add(self, process: ManagedProcess) -> ManagedProcess:
+        """Takes charge of a process's end."""
+        self._processes[process.name] = process
+        return process
+
+    def running(self) -> list[ManagedProcess]:
+        """Returns the processes that run."""
+        return [item for item in self._processes.values() if item.is_running()]
