Make process.py importable and report errors of nested task groups

Cause: `return` in an `except*` block is a syntax error, so no program that imports process.py could start; errors of nested groups were not unpacked. Ruled out: catching the group with `except`, which would also swallow errors that are not the package's own. Conclusion: the errors are collected and reported after the block.

--- a/cassiapitch/process.py
+++ b/cassiapitch/process.py
@@ -44,10 +44,13 @@
         return EXIT_OK
     events.write_to(settings.log_path)
     events.log(events.Event.PROCESS_STARTED, program=program, name=settings.name)
+    failures: list[Exception] = []
     try:
         anyio.run(_with_signals, body, settings, backend="asyncio")
     except* CassiapitchError as group:
-        for error in group.exceptions:
+        failures.extend(_leaves(group))
+    if failures:
+        for error in failures:
             events.log(events.Event.PROCESS_FAILED, program=program, reason=str(error))
             print(f"{program}: {error}", file=sys.stderr)
         return EXIT_FAILED
@@ -55,6 +58,17 @@
     return EXIT_OK
 
 
+def _leaves(group: BaseExceptionGroup[Any]) -> list[Any]:
+    """Returns the errors themselves; nested task groups nest their groups."""
+    errors = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            errors.extend(_leaves(error))
+        else:
+            errors.append(error)
+    return errors
+
+
 def _parse(program: str, arguments: list[str] | None) -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog=program)
     parser.add_argument(
--- a/tests/test_common.py
+++ b/tests/test_common.py
@@ -4,10 +4,19 @@
 import dataclasses
 import random
 
+import anyio
 import pytest
 
-from cassiapitch import codec, config, messages, settings, statechart, timers
-from cassiapitch.exceptions import ChartError, CodecError, SettingsError
+from cassiapitch import (
+    codec,
+    config,
+    messages,
+    process,
+    settings,
+    statechart,
+    timers,
+)
+from cassiapitch.exceptions import ChartError, CodecError, SettingsError, StorageError
 from cassiapitch.outcomes import ANSWERS, ErrorKind
 
 
@@ -97,3 +106,23 @@
       "admin_address": {"ip": "127.0.0.1", "port": 2}}"""
     entry = config.parse(text, settings.EntrySettings)
     assert dataclasses.asdict(entry)["balancer_delay_ms"] == 2_000
+
+
+def test_errors_of_nested_task_groups_end_a_program_with_code_1(tmp_path, capfd):
+    """Guards against a traceback instead of the reason why a program ended."""
+    path = tmp_path / "settings.json"
+    path.write_text('{"name": "a"}')
+
+    async def body(_settings, _stop):
+        async with anyio.create_task_group():
+            raise StorageError("disk is full")
+
+    code = process.run("program", _Named, body, ["--settings", str(path)])
+    assert code == process.EXIT_FAILED
+    assert "program: disk is full" in capfd.readouterr().err
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Named:
+    name: str
+    log_path: str | None = None
