--- /dev/null
+++ b/cassiapitch/api.py
@@ -0,0 +1,268 @@
+"""The OpenAI-compatible interface: requests, answers and refusals."""
+
+import dataclasses
+import hashlib
+import math
+from typing import Any
+
+import msgspec
+
+from cassiapitch.outcomes import (
+    ANSWERS,
+    ErrorKind,
+    Refusal,
+    RunOutcome,
+)
+from cassiapitch.streams import Answer
+from cassiapitch.types import Priority, RequestDigest
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+DEFAULT_MAX_TOKENS = 256
+BYTES_PER_TOKEN = 4
+URGENT_DEADLINE_MS = 30_000
+BATCH_DEADLINE_MS = 600_000
+LARGEST_DEADLINE_MS = 24 * 3_600_000
+
+# Fields that the entry sets itself towards engines, or that say nothing of what an
+# answer contains; a request's digest leaves them out.
+_OWN_FIELDS = ("stream", "stream_options", "priority", "user")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GenerationRequest:
+    """A parsed request for generated text.
+
+    Attributes:
+        path: Path at the entry and at the engine.
+        model: Name of a model or an adapter.
+        stream: Whether the caller wants the answer as it grows.
+        max_tokens: Longest answer, or None for the default.
+        priority: Urgent or batch.
+        prompt: Text of the prompt.
+        prompt_tokens: Estimate of its tokens.
+        body: The whole request.
+        digest: Digest of what is to be answered.
+    """
+
+    path: str
+    model: str
+    stream: bool
+    max_tokens: int | None
+    priority: Priority
+    prompt: str
+    prompt_tokens: int
+    body: dict[str, Any]
+    digest: RequestDigest
+
+
+def parse_generation(
+    path: str, data: bytes, priority_header: str | None
+) -> GenerationRequest | Refusal:
+    """Parses the body of a call of the generation routes."""
+    try:
+        body = msgspec.json.decode(data)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        return Refusal(ErrorKind.BAD_JSON, "the body is not valid JSON")
+    if not isinstance(body, dict):
+        return Refusal(ErrorKind.BAD_JSON, "the body is not a JSON object")
+    fault = _fault(path, body, priority_header)
+    if fault is not None:
+        return Refusal(ErrorKind.BAD_REQUEST, fault)
+    prompt = _prompt_text(path, body)
+    batch = (priority_header or body.get("priority")) == "batch"
+    kept = {key: value for key, value in body.items() if key not in _OWN_FIELDS}
+    content = msgspec.json.encode(kept, order="deterministic")
+    return GenerationRequest(
+        path=path,
+        model=body["model"],
+        stream=body.get("stream") or False,
+        max_tokens=body.get("max_completion_tokens") or body.get("max_tokens"),
+        priority=Priority.BATCH if batch else Priority.URGENT,
+        prompt=prompt,
+        prompt_tokens=math.ceil(len(prompt.encode(errors="replace")) / 4),
+        body=body,
+        digest=RequestDigest(digest_of(path, content)),
+    )
+
+
+def digest_of(*parts: str | bytes) -> str:
+    """Returns a digest of parts, each with its length so that none run together."""
+    state = hashlib.sha256()
+    for part in parts:
+        data = part.encode() if isinstance(part, str) else part
+        state.update(b"%d:" % len(data))
+        state.update(data)
+    return state.hexdigest()
+
+
+def _fault(path: str, body: dict[str, Any], priority_header: str | None) -> str | None:
+    if not isinstance(body.get("model"), str) or not body["model"]:
+        return "model: expected a string"
+    if not isinstance(body.get("stream") or False, bool):
+        return "stream: expected a boolean"
+    for name in ("max_tokens", "max_completion_tokens"):
+        value = body.get(name)
+        if value is not None and (type(value) is not int or value < 1):
+            return f"{name}: expected a whole number from 1"
+    # An answer is resumed by token position, which one choice alone has.
+    for name in ("n", "best_of"):
+        if body.get(name) not in (None, 1):
+            return f"{name}: only 1 is supported"
+    for value in (body.get("priority"), priority_header):
+        if value not in (None, "urgent", "batch"):
+            return "priority: expected urgent or batch"
+    if path == CHAT_PATH:
+        messages = body.get("messages")
+        if not isinstance(messages, list) or not messages:
+            return "messages: expected a list with at least one message"
+        if not all(isinstance(message, dict) for message in messages):
+            return "messages: expected objects"
+    elif not isinstance(body.get("prompt"), str):
+        return "prompt: expected a string"
+    return None
+
+
+def _prompt_text(path: str, body: dict[str, Any]) -> str:
+    if path == COMPLETIONS_PATH:
+        return body["prompt"]
+    parts: list[str] = []
+    for message in body["messages"]:
+        content = message.get("content")
+        if isinstance(content, str):
+            parts.append(content)
+        elif content is not None:
+            parts.append(msgspec.json.encode(content).decode())
+    return "\n".join(parts)
+
+
+def engine_body(
+    request: GenerationRequest,
+    model: str,
+    adapter: str | None,
+    max_tokens: int,
+    answer: Answer,
+) -> bytes:
+    """Returns the body for an engine; a continuation names what is there already."""
+    body = dict(request.body)
+    for name in (*_OWN_FIELDS, "max_completion_tokens", "adapter"):
+        body.pop(name, None)
+    body.pop("continue_text", None)
+    body.pop("continue_position", None)
+    body["model"] = model
+    body["stream"] = True
+    body["max_tokens"] = max_tokens
+    body["priority"] = request.priority.value
+    if adapter is not None:
+        body["adapter"] = adapter
+    if answer.next_position:
+        body["continue_text"] = answer.text
+        body["continue_position"] = answer.next_position
+    return msgspec.json.encode(body)
+
+
+def whole_answer(path: str, answer: Answer, prompt_tokens: int, name: str) -> bytes:
+    """Returns the body of an answer that the caller didn't want streamed."""
+    prompt = prompt_tokens if answer.usage is None else answer.usage.prompt_tokens
+    completion = answer_tokens(answer)
+    if path == CHAT_PATH:
+        kind = "chat.completion"
+        content = {"message": {"role": "assistant", "content": answer.text}}
+    else:
+        kind = "text_completion"
+        content = {"text": answer.text}
+    choice = {"index": 0, **content, "finish_reason": answer.finish_reason}
+    document = {
+        "id": answer.request_id,
+        "object": kind,
+        "created": answer.created,
+        "model": name,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": prompt,
+            "completion_tokens": completion,
+            "total_tokens": prompt + completion,
+        },
+    }
+    return msgspec.json.encode(document)
+
+
+def answer_tokens(answer: Answer) -> int:
+    """Returns the generated tokens.
+
+    An engine that continued an answer may count only its own part, so positions
+    count where they say more.
+    """
+    if answer.usage is None:
+        return answer.next_position
+    return max(answer.usage.completion_tokens, answer.next_position - 1)
+
+
+def deadline_ms(header: str | None, priority: Priority, now_ms: int) -> int | None:
+    """Returns when a request must have begun to be answered.
+
+    Returns None where `X-Deadline-Ms` isn't a whole number above 0.
+    """
+    urgent = priority is Priority.URGENT
+    default_ms = URGENT_DEADLINE_MS if urgent else BATCH_DEADLINE_MS
+    if header is None:
+        return now_ms + default_ms
+    if not header.isascii() or not header.isdigit() or int(header) == 0:
+        return None
+    largest_ms = default_ms if urgent else LARGEST_DEADLINE_MS
+    return now_ms + min(int(header), largest_ms)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusalAnswer:
+    """A refusal as HTTP."""
+
+    status: int
+    body: bytes
+    headers: list[tuple[bytes, bytes]]
+
+
+# These say "unknown" of another call than the refused one.
+_OF_ANOTHER_CALL = (ErrorKind.CLAIM_RUNNING, ErrorKind.CLAIM_UNKNOWN)
+
+
+def outcome_of(refusal: Refusal, may_have_left: bool) -> RunOutcome:
+    """Returns what is said of a refused request; `not_run` only where it is true."""
+    if may_have_left:
+        return RunOutcome.UNKNOWN
+    if refusal.kind in _OF_ANOTHER_CALL:
+        return RunOutcome.UNKNOWN
+    return RunOutcome.NOT_RUN
+
+
+def refusal_document(
+    refusal: Refusal, request_id: str, may_have_left: bool
+) -> dict[str, Any]:
+    """Returns the JSON object of a refusal."""
+    answer = ANSWERS[refusal.kind]
+    return {
+        "error": {
+            "type": answer.type,
+            "code": refusal.kind.value,
+            "message": refusal.message,
+            "outcome": outcome_of(refusal, may_have_left).value,
+            "request_id": request_id,
+        }
+    }
+
+
+def refusal_answer(
+    refusal: Refusal, request_id: str, may_have_left: bool
+) -> RefusalAnswer:
+    """Returns a refusal with its status and the time to come back."""
+    answer = ANSWERS[refusal.kind]
+    headers = [(b"x-request-id", request_id.encode())]
+    retry_s = answer.retry_after_s
+    if refusal.retry_after_ms is not None:
+        retry_s = max(1, math.ceil(refusal.retry_after_ms / 1000))
+    if retry_s is not None:
+        headers.append((b"retry-after", str(retry_s).encode()))
+    if answer.status == 401:
+        headers.append((b"www-authenticate", b"Bearer"))
+    document = refusal_document(refusal, request_id, may_have_left)
+    return RefusalAnswer(answer.status, msgspec.json.encode(document), headers)
--- a/cassiapitch/asgi.py
+++ b/cassiapitch/asgi.py
@@ -130,6 +130,10 @@
             uvicorn.Config(
                 app,
                 loop="asyncio",
+                # A bound method isn't recognised as an ASGI 3 application.
+                interface="asgi3",
+                # Forwarding headers are not trusted, and cost time on each request.
+                proxy_headers=False,
                 http="h11",
                 ws="none",
                 lifespan="off",
--- /dev/null
+++ b/cassiapitch/callers.py
@@ -0,0 +1,391 @@
+"""The ASGI application that callers reach."""
+
+import hashlib
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from cassiapitch import api, asgi, events, timers
+from cassiapitch.asgi import Headers, Receive, Scope, Send
+from cassiapitch.callerstream import CallerStream, SlowCallerError
+from cassiapitch.calls import (
+    Call,
+    CallEndedError,
+    CallRefusedError,
+    refusal_for,
+    refused,
+)
+from cassiapitch.catalog import Target
+from cassiapitch.crashes import Crashes
+from cassiapitch.entrystate import EntryState
+from cassiapitch.generation import EngineRefusedError, Generation, Plan
+from cassiapitch.messages import RouteItem
+from cassiapitch.operators import bearer_token
+from cassiapitch.outcomes import ErrorKind, Refusal
+from cassiapitch.rateanswers import check_admitted
+from cassiapitch.retries import Course
+from cassiapitch.scrubbing import body_holds_key, forwarded_headers, forwarded_query
+from cassiapitch.servicecalls import ServiceCall, ServiceRequest
+
+BODY_LIMIT_MS = 30_000
+HEADERS_LIMIT_BYTES = 16 * 1024
+HEADERS_LIMIT_COUNT = 100
+GENERATION_PATHS = (api.CHAT_PATH, api.COMPLETIONS_PATH)
+MODELS_PATH = "/v1/models"
+HEALTH_PATH = "/healthz"
+RUNNING = "running"
+
+Work = Callable[[Call, Scope, Receive, Send], Awaitable[None]]
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class CallerApplication:
+    """Answers callers; one instance serves every connection of an entry."""
+
+    def __init__(self, state: EntryState, crashes: Crashes) -> None:
+        self._state = state
+        self._crashes = crashes
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serves one request."""
+        if scope["type"] != "http":
+            return
+        if scope["path"] == HEALTH_PATH:
+            await self._answer_health(send)
+            return
+        course = Course(idempotent=True)
+        call = Call(self._state.next_request_id(), course, timers.now_ms())
+        self._state.retries.request(call.arrived_ms)
+        self._state.authorization.enter(call)
+        try:
+            await self._serve(call, scope, receive, send)
+        except CallerGoneError:
+            self._step_last(call, "caller_gone")
+        except (CallEndedError, CallRefusedError) as error:
+            self._step_last(call, "refuse")
+            await self._refuse(call, send, refusal_for(error))
+        finally:
+            self._state.authorization.leave(call)
+
+    async def _serve(
+        self, call: Call, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        size_bytes = sum(len(name) + len(value) for name, value in scope["headers"])
+        too_many = len(scope["headers"]) > HEADERS_LIMIT_COUNT
+        if too_many or size_bytes > HEADERS_LIMIT_BYTES:
+            message = f"headers may have {HEADERS_LIMIT_BYTES} bytes"
+            raise CallRefusedError(Refusal(ErrorKind.HEADERS_TOO_LARGE, message))
+        call.key = bearer_token(asgi.header(scope, b"authorization"))
+        method, path = scope["method"], scope["path"]
+        if path == MODELS_PATH and method == "GET":
+            await self._authorise(call)
+            await self._answer_models(call, send)
+        elif path in GENERATION_PATHS and method == "POST":
+            await self._authorise(call)
+            await self._generate(call, scope, receive, send)
+        else:
+            route = self._find_route(method, path)
+            if not route.open:
+                await self._authorise(call)
+            await self._call_service(call, route, scope, receive, send)
+
+    def _find_route(self, method: str, path: str) -> RouteItem:
+        routes = self._state.catalog.routes
+        route = routes.get(f"{method} {path}")
+        if route is not None:
+            return route
+        if path in (*GENERATION_PATHS, MODELS_PATH) or any(
+            item.path == path for item in routes.values()
+        ):
+            message = f"{path} has no method {method}"
+            raise CallRefusedError(Refusal(ErrorKind.METHOD_NOT_ALLOWED, message))
+        raise CallRefusedError(Refusal(ErrorKind.ROUTE_UNKNOWN, "no such path"))
+
+    async def _authorise(self, call: Call) -> None:
+        """Finds the account of the call's key in a confirmed view."""
+        if call.key is None:
+            raise refused(ErrorKind.KEY_MISSING)
+        if not await self._state.wait_fresh():
+            raise refused(ErrorKind.AUTHORIZATION_UNCONFIRMED)
+        digest = hashlib.sha256(call.key.encode()).hexdigest()
+        item = self._state.catalog.keys.get(digest)
+        if item is None:
+            # The key may have been granted a moment ago.
+            await self._state.wait_confirmed_since(call.arrived_ms)
+            item = self._state.catalog.keys.get(digest)
+        account = None
+        if item is not None:
+            account = self._state.catalog.accounts.get(item.account)
+        if account is None:
+            raise refused(ErrorKind.KEY_UNKNOWN)
+        call.key_digest, call.account = digest, account
+
+    async def _read_body(self, receive: Receive) -> bytes:
+        limit_bytes = self._state.settings.body_limit_bytes
+        outcome = await asgi.read_body(receive, limit_bytes, BODY_LIMIT_MS)
+        if isinstance(outcome, asgi.Body):
+            return outcome.data
+        if isinstance(outcome, asgi.CallerGone):
+            raise CallerGoneError
+        if isinstance(outcome, asgi.BodyTooLarge):
+            message = f"the body may have {limit_bytes} bytes"
+            raise CallRefusedError(Refusal(ErrorKind.BODY_TOO_LARGE, message))
+        message = f"the body must arrive within {BODY_LIMIT_MS // 1000} s"
+        raise CallRefusedError(Refusal(ErrorKind.BODY_TIMEOUT, message))
+
+    async def _generate(
+        self, call: Call, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        data = await self._read_body(receive)
+        priority = asgi.header(scope, b"x-priority")
+        request = api.parse_generation(scope["path"], data, priority)
+        if isinstance(request, Refusal):
+            raise CallRefusedError(request)
+        if body_holds_key(data, call.key, json=True):
+            raise refused(ErrorKind.KEY_IN_BODY)
+        call.priority = request.priority
+        call.deadline_ms = self._deadline_ms(call, scope)
+        plan = self._plan(call, request)
+        self._state.authorization.check(call, timers.now_ms())
+        call.scope = anyio.CancelScope()
+        if not request.stream:
+            await self._generate_whole(call, plan, receive, send)
+            return
+        headers = self._headers(call)
+        stream = CallerStream(call, self._state.authorization, send, headers)
+        await self._generate_stream(call, plan, stream, receive, send)
+
+    def _deadline_ms(self, call: Call, scope: Scope) -> int:
+        header = asgi.header(scope, b"x-deadline-ms")
+        deadline_ms = api.deadline_ms(header, call.priority, call.arrived_ms)
+        if deadline_ms is None:
+            message = "X-Deadline-Ms: expected a whole number above 0"
+            raise CallRefusedError(Refusal(ErrorKind.BAD_REQUEST, message))
+        return deadline_ms
+
+    def _plan(self, call: Call, request: api.GenerationRequest) -> Plan:
+        target = self._state.catalog.target(request.model)
+        if target is None:
+            message = f"no model or adapter {request.model!r}"
+            raise CallRefusedError(Refusal(ErrorKind.MODEL_UNKNOWN, message))
+        for name in _names(target):
+            self._state.demand.arrived(name, call.priority)
+        if self._crashes.is_quarantined(request.digest):
+            raise refused(ErrorKind.REQUEST_QUARANTINED)
+        wanted_tokens = request.max_tokens or api.DEFAULT_MAX_TOKENS
+        max_tokens = min(wanted_tokens, target.model.context_tokens)
+        return Plan(request, target, max_tokens)
+
+    async def _run_generation(
+        self, call: Call, plan: Plan, generation: Generation
+    ) -> None:
+        """Runs a generation within the account's budget."""
+        admitted = check_admitted(await self._state.admit(call, plan.cost_tokens))
+        try:
+            await generation.run()
+        finally:
+            used_tokens = generation.used_tokens()
+            self._state.budget.settle(admitted, used_tokens)
+            for name in _names(plan.target):
+                self._state.demand.used(name, call.priority, used_tokens)
+
+    async def _generate_whole(
+        self, call: Call, plan: Plan, receive: Receive, send: Send
+    ) -> None:
+        generation = Generation(self._state, self._crashes, call, plan, None)
+
+        async def work() -> None:
+            await self._run_generation(call, plan, generation)
+
+        try:
+            await _run_watched(call, receive, work)
+        except EngineRefusedError as error:
+            await self._pass_on(call, send, error)
+            return
+        prompt_tokens = plan.request.prompt_tokens
+        body = api.whole_answer(
+            plan.request.path, generation.answer, prompt_tokens, plan.request.model
+        )
+        await self._answer(call, send, 200, body, "application/json")
+
+    async def _generate_stream(
+        self,
+        call: Call,
+        plan: Plan,
+        stream: CallerStream,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        generation = Generation(self._state, self._crashes, call, plan, stream.put)
+
+        async def work() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(stream.write)
+                await self._run_generation(call, plan, generation)
+                stream.finish()
+
+        try:
+            await _run_watched(call, receive, work)
+        except EngineRefusedError as error:
+            await self._pass_on(call, send, error)
+        except SlowCallerError:
+            events.log(events.Event.SLOW_CALLER, request_id=call.request_id)
+            self._step_last(call, "caller_gone")
+            stream.connection.abort()
+        except (CallEndedError, CallRefusedError) as error:
+            if not stream.is_started:
+                raise
+            self._step_last(call, "fail")
+            refusal = refusal_for(error)
+            events.log(
+                events.Event.STREAM_CUT,
+                request_id=call.request_id,
+                reason=refusal.kind.value,
+            )
+            await stream.cut(refusal, flush=isinstance(error, CallRefusedError))
+
+    async def _call_service(
+        self, call: Call, route: RouteItem, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        call.course.idempotent = route.idempotent
+        call.deadline_ms = call.arrived_ms + route.timeout_ms
+        body = await self._read_body(receive)
+        content_type = asgi.header(scope, b"content-type") or ""
+        if body_holds_key(body, call.key, json="json" in content_type):
+            raise refused(ErrorKind.KEY_IN_BODY)
+        headers = forwarded_headers(scope["headers"], call.key, call.request_id)
+        request = ServiceRequest(
+            route=route,
+            query=forwarded_query(scope["query_string"], call.key),
+            headers=headers,
+            body=body,
+            idempotency_key=asgi.header(scope, b"idempotency-key"),
+        )
+        service_call = ServiceCall(self._state, self._crashes, call, request)
+        if self._crashes.is_quarantined(service_call.digest):
+            raise refused(ErrorKind.REQUEST_QUARANTINED)
+        answers = []
+
+        async def work() -> None:
+            answers.append(await service_call.run())
+
+        await _run_watched(call, receive, work)
+        answer = answers[0]
+        extra = [(b"idempotency-replayed", b"true")] if answer.replayed else []
+        await self._answer(
+            call, send, answer.status, answer.body, answer.content_type, extra
+        )
+
+    async def _pass_on(self, call: Call, send: Send, error: EngineRefusedError) -> None:
+        self._step_last(call, "complete")
+        await self._answer(call, send, error.status, error.body, error.content_type)
+
+    async def _answer(
+        self,
+        call: Call,
+        send: Send,
+        status: int,
+        body: bytes,
+        content_type: str,
+        extra: Headers | None = None,
+    ) -> None:
+        """Sends a whole answer if the call is still authorised."""
+        if call.key_digest is not None and call.ended is None:
+            await self._state.wait_fresh()
+        self._state.authorization.check(call, timers.now_ms())
+        headers = [*self._headers(call), *(extra or [])]
+        await asgi.send_response(send, status, body, content_type, headers)
+
+    async def _answer_health(self, send: Send) -> None:
+        if self._state.shutdown != RUNNING:
+            await asgi.send_json(send, 503, {"status": "leaving"}, _CLOSE)
+        elif self._state.catalog.index == 0:
+            await asgi.send_json(send, 503, {"status": "no view yet"})
+        else:
+            await asgi.send_json(send, 200, {"status": "ok"})
+
+    async def _answer_models(self, call: Call, send: Send) -> None:
+        catalog = self._state.catalog
+        names = sorted([*catalog.models, *catalog.adapters])
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "cassiapitch"}
+            for name in names
+        ]
+        self._state.authorization.check(call, timers.now_ms())
+        document = {"object": "list", "data": data}
+        await asgi.send_json(send, 200, document, self._headers(call))
+
+    async def _refuse(self, call: Call, send: Send, refusal: Refusal) -> None:
+        may_have_left = call.course.may_have_left
+        answer = api.refusal_answer(refusal, call.request_id, may_have_left)
+        headers = [*answer.headers, *self._closing()]
+        if refusal.kind in _CLOSING_KINDS:
+            # The rest of the body is not read, so that nothing can follow it.
+            headers = [*answer.headers, *_CLOSE]
+        await asgi.send_response(send, answer.status, answer.body, headers=headers)
+
+    def _headers(self, call: Call) -> Headers:
+        return [(b"x-request-id", call.request_id.encode()), *self._closing()]
+
+    def _closing(self) -> Headers:
+        """Returns what makes callers open connections elsewhere during a stop."""
+        return [] if self._state.shutdown == RUNNING else list(_CLOSE)
+
+    def _step_last(self, call: Call, event: str) -> None:
+        if call.course.allows(event):
+            call.course.step(event)
+
+
+_CLOSE: Headers = [(b"connection", b"close")]
+_CLOSING_KINDS = (
+    ErrorKind.BODY_TOO_LARGE,
+    ErrorKind.BODY_TIMEOUT,
+    ErrorKind.HEADERS_TOO_LARGE,
+)
+
+
+def _names(target: Target) -> tuple[str, ...]:
+    if target.adapter is None:
+        return (target.model.name,)
+    return (target.model.name, target.adapter)
+
+
+async def _run_watched(
+    call: Call, receive: Receive, work: Callable[[], Awaitable[None]]
+) -> None:
+    """Runs `work` until it ends, the call is ended, or the caller goes away."""
+    is_gone = False
+
+    async def watch() -> None:
+        nonlocal is_gone
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        is_gone = True
+        scope.cancel()
+
+    scope = call.scope or anyio.CancelScope()
+    errors: list[Exception] = []
+    with scope:
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            try:
+                await work()
+            except Exception as error:
+                errors.append(error)
+            group.cancel_scope.cancel()
+    if errors:
+        raise _first(errors[0])
+    if call.ended is not None and scope.cancelled_caught:
+        raise CallEndedError(call.ended)
+    if is_gone:
+        raise CallerGoneError
+
+
+def _first(error: BaseException) -> BaseException:
+    """Returns the first error that isn't a group."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- /dev/null
+++ b/cassiapitch/callerstream.py
@@ -0,0 +1,148 @@
+"""Writes a streamed answer to its caller, within bounded memory."""
+
+from typing import Any
+
+import anyio
+import msgspec
+
+from cassiapitch import api, timers
+from cassiapitch.asgi import Headers, Send
+from cassiapitch.calls import Authorization, Call
+from cassiapitch.outcomes import Refusal
+
+BUFFER_LIMIT_COUNT = 64
+SLOW_CALLER_LIMIT_MS = 10_000
+
+
+class SlowCallerError(Exception):
+    """The caller reads too slowly."""
+
+
+class CallerConnection:
+    """The caller's connection under an ASGI `send` of `uvicorn`.
+
+    `uvicorn` waits inside `send` while the caller doesn't read. A check made before
+    that wait says nothing about the moment of writing, so the wait is made here and
+    the check after it. Other servers' `send` functions work without the wait.
+    """
+
+    def __init__(self, send: Send) -> None:
+        cycle = getattr(send, "__self__", None)
+        self._flow: Any = getattr(cycle, "flow", None)
+        self._transport: Any = getattr(cycle, "transport", None)
+
+    @property
+    def is_blocked(self) -> bool:
+        """Whether earlier bytes have not been taken by the caller yet."""
+        return self._flow is not None and self._flow.write_paused
+
+    async def wait_writable(self, timeout_ms: int) -> bool:
+        """Waits until more may be written; false if that takes too long."""
+        while self.is_blocked:
+            with anyio.move_on_after(timeout_ms / 1000) as scope:
+                await self._flow.drain()
+            if scope.cancelled_caught:
+                return False
+        return True
+
+    def abort(self) -> None:
+        """Closes the connection without sending what is still buffered."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class CallerStream:
+    """Chunks on their way to one caller; those that wait are sent together."""
+
+    def __init__(
+        self,
+        call: Call,
+        authorization: Authorization,
+        send: Send,
+        headers: Headers,
+    ) -> None:
+        self.connection = CallerConnection(send)
+        self.is_started = False
+        self._call = call
+        self._authorization = authorization
+        self._send = send
+        self._headers = headers
+        self._chunks: list[bytes] = []
+        self._is_finished = False
+        self._has_chunks = anyio.Event()
+        self._has_space = anyio.Event()
+
+    async def put(self, chunk: bytes) -> None:
+        """Adds a chunk; waits while the buffer is full."""
+        while len(self._chunks) >= BUFFER_LIMIT_COUNT:
+            self._has_space = anyio.Event()
+            await self._has_space.wait()
+        self._chunks.append(chunk)
+        self._has_chunks.set()
+
+    def finish(self) -> None:
+        """Says that the answer is complete."""
+        self._is_finished = True
+        self._has_chunks.set()
+
+    async def write(self) -> None:
+        """Writes chunks until the answer is complete.
+
+        Raises:
+            SlowCallerError: The caller took nothing for too long.
+            CallEndedError: The call is no longer authorised.
+        """
+        while True:
+            await self._has_chunks.wait()
+            if not await self.connection.wait_writable(SLOW_CALLER_LIMIT_MS):
+                raise SlowCallerError
+            self._authorization.check(self._call, timers.now_ms())
+            is_last = self._is_finished
+            data = b"".join(self._chunks)
+            self._chunks.clear()
+            self._has_chunks = anyio.Event()
+            self._has_space.set()
+            await self._start()
+            if is_last:
+                data += b"data: [DONE]\n\n"
+            body = {
+                "type": "http.response.body",
+                "body": data,
+                "more_body": not is_last,
+            }
+            await self._send(body)
+            if is_last:
+                return
+
+    async def cut(self, refusal: Refusal, *, flush: bool) -> None:
+        """Ends a started answer with an error event and without its last chunk.
+
+        The caller sees that the answer is truncated, since the connection closes
+        before the end of the chunked response.
+
+        Args:
+            refusal: What went wrong.
+            flush: Whether chunks that still wait may be sent before it.
+        """
+        if self.connection.is_blocked:
+            self.connection.abort()
+            return
+        document = api.refusal_document(refusal, self._call.request_id, True)
+        data = b"".join(self._chunks) if flush else b""
+        data += b"data: " + msgspec.json.encode(document) + b"\n\n"
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def _start(self) -> None:
+        if self.is_started:
+            return
+        self.is_started = True
+        headers = [
+            (b"content-type", b"text/event-stream; charset=utf-8"),
+            (b"cache-control", b"no-cache"),
+            *self._headers,
+        ]
+        await self._send(
+            {"type": "http.response.start", "status": 200, "headers": headers}
+        )
--- /dev/null
+++ b/cassiapitch/calls.py
@@ -0,0 +1,155 @@
+"""Calls in progress: whose they are, and what ends them early."""
+
+import dataclasses
+
+import anyio
+
+from cassiapitch.catalog import Catalog
+from cassiapitch.freshness import Freshness
+from cassiapitch.messages import AccountItem
+from cassiapitch.outcomes import ErrorKind, Refusal
+from cassiapitch.retries import Course
+from cassiapitch.types import Priority
+
+
+class CallEndedError(Exception):
+    """The call must not go on; `kind` says why."""
+
+    def __init__(self, kind: ErrorKind) -> None:
+        super().__init__(kind.value)
+        self.kind = kind
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Call:
+    """One caller's request.
+
+    Attributes:
+        request_id: Identity over all entries, also towards backend servers.
+        course: What has happened to it.
+        arrived_ms: When its head had arrived.
+        key: The key's text, for the checks that it goes nowhere; None if absent.
+        key_digest: Digest of the key that authorised it; None on an open route.
+        account: The client account; None on an open route.
+        priority: Urgent or batch.
+        deadline_ms: When it must have begun to be answered.
+        ended: Why it was ended from outside.
+        scope: Cancelled when it is ended, where it may be cut.
+    """
+
+    request_id: str
+    course: Course
+    arrived_ms: int
+    key: str | None = None
+    key_digest: str | None = None
+    account: AccountItem | None = None
+    priority: Priority = Priority.URGENT
+    deadline_ms: int = 0
+    ended: ErrorKind | None = None
+    scope: anyio.CancelScope | None = None
+
+    def end(self, kind: ErrorKind) -> None:
+        """Ends the call early; the first reason counts."""
+        if self.ended is None:
+            self.ended = kind
+            if self.scope is not None:
+                self.scope.cancel()
+
+
+class Authorization:
+    """Checks that a call is still authorised, and ends calls that aren't."""
+
+    def __init__(self, catalog: Catalog, freshness: Freshness) -> None:
+        self._catalog = catalog
+        self._freshness = freshness
+        self._calls: set[Call] = set()
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def enter(self, call: Call) -> None:
+        """Registers a call."""
+        self._calls.add(call)
+
+    def leave(self, call: Call) -> None:
+        """Forgets a call."""
+        self._calls.discard(call)
+
+    def fault(self, call: Call, now_ms: int) -> ErrorKind | None:
+        """Returns why a call may not go on at `now_ms`, or None if it may."""
+        if call.ended is not None:
+            return call.ended
+        if call.key_digest is None:
+            return None
+        if not self._freshness.is_fresh(now_ms):
+            return ErrorKind.AUTHORIZATION_UNCONFIRMED
+        item = self._catalog.keys.get(call.key_digest)
+        if item is None or call.account is None or item.account != call.account.name:
+            return ErrorKind.KEY_WITHDRAWN
+        return None
+
+    def check(self, call: Call, now_ms: int) -> None:
+        """Raises if a call may not go on.
+
+        Raises:
+            CallEndedError: It may not.
+        """
+        kind = self.fault(call, now_ms)
+        if kind is not None:
+            raise CallEndedError(kind)
+
+    def end_unauthorised(self, now_ms: int) -> int:
+        """Ends every call that may not go on; returns how many."""
+        count = 0
+        for call in list(self._calls):
+            if call.ended is None and (kind := self.fault(call, now_ms)) is not None:
+                call.end(kind)
+                count += 1
+        return count
+
+
+class CallRefusedError(Exception):
+    """The call gets a refusal; raised where several steps must be left at once."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+MESSAGES: dict[ErrorKind, str] = {
+    ErrorKind.KEY_MISSING: "send a key: Authorization: Bearer <key>",
+    ErrorKind.KEY_UNKNOWN: "the key is not known",
+    ErrorKind.KEY_WITHDRAWN: "the key was withdrawn",
+    ErrorKind.AUTHORIZATION_UNCONFIRMED: "the key could not be confirmed in time",
+    ErrorKind.MODEL_LOADING: "the model is not loaded yet",
+    ErrorKind.NO_BACKEND_SERVER: "no backend server can be reached",
+    ErrorKind.OVERLOADED: "too many requests wait for this model",
+    ErrorKind.DEADLINE_EXCEEDED: "the request can't be answered before its deadline",
+    ErrorKind.BACKEND_SERVER_FAILED: "the backend server failed",
+    ErrorKind.STREAM_LOST: "the rest of the answer was lost",
+    ErrorKind.REQUEST_QUARANTINED: "backend servers crashed while this request ran",
+    ErrorKind.CLAIM_RUNNING: "a call with this idempotency key is running",
+    ErrorKind.CLAIM_UNKNOWN: (
+        "a call with this idempotency key ended without a known outcome"
+    ),
+    ErrorKind.CLAIM_MISMATCH: "this idempotency key belongs to another request",
+    ErrorKind.CLAIMS_FULL: "the client account has too many idempotency keys",
+    ErrorKind.CLAIM_UNAVAILABLE: "the idempotency key could not be recorded",
+    ErrorKind.KEY_IN_BODY: "the body contains the key",
+    ErrorKind.NOT_READY: "the rate could not be confirmed in time",
+    ErrorKind.INTERNAL: "internal error",
+}
+
+
+def refused(kind: ErrorKind, retry_after_ms: int | None = None) -> CallRefusedError:
+    """Returns the exception for a refusal with the usual message of its kind."""
+    return CallRefusedError(
+        Refusal(kind, MESSAGES[kind], retry_after_ms=retry_after_ms)
+    )
+
+
+def refusal_for(error: CallEndedError | CallRefusedError) -> Refusal:
+    """Returns the refusal that an early end leads to."""
+    if isinstance(error, CallRefusedError):
+        return error.refusal
+    return Refusal(error.kind, MESSAGES[error.kind])
--- /dev/null
+++ b/cassiapitch/catalog.py
@@ -0,0 +1,242 @@
+"""The applied view, decoded: what the entry knows of the replicated state."""
+
+import dataclasses
+from typing import Any
+
+from cassiapitch import codec
+from cassiapitch.messages import (
+    AccountItem,
+    AdapterItem,
+    BackendItem,
+    BundleItem,
+    KeyItem,
+    ModelItem,
+    RoleItem,
+    RouteItem,
+    SuspectItem,
+    ViewDelta,
+    ViewSnapshot,
+)
+
+SERVING = "serving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Applied:
+    """The view moved on.
+
+    Attributes:
+        index: Log index that it reflects now.
+        removed_keys: Digests of keys that no longer work.
+        backends_changed: Whether a backend server was changed.
+    """
+
+    index: int
+    removed_keys: frozenset[str]
+    backends_changed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ignored:
+    """The message holds nothing newer than the view."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gap:
+    """The delta applies to a view that is newer than this one."""
+
+
+ApplyOutcome = Applied | Ignored | Gap
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """What a model name of a request means: a model, with or without adapter."""
+
+    model: ModelItem
+    adapter: str | None
+
+
+class Catalog:
+    """Typed items of the view, by kind and name."""
+
+    def __init__(self) -> None:
+        self.index = 0
+        self._tables: dict[str, dict[str, Any]] = _empty_tables()
+        self._by_role: dict[str, dict[str, BackendItem]] = {}
+        self._by_model: dict[str, dict[str, BackendItem]] = {}
+
+    def apply_snapshot(self, index: int, items: dict[str, bytes]) -> ApplyOutcome:
+        """Replaces the whole view unless it is as new already.
+
+        Raises:
+            CodecError: An item can't be decoded; the view is unchanged.
+        """
+        if index <= self.index:
+            return Ignored()
+        tables = _empty_tables()
+        for name, data in items.items():
+            kind, key = _split(name)
+            tables.setdefault(kind, {})[key] = codec.decode(data)
+        removed = self.keys.keys() - tables["key"].keys()
+        self._tables = tables
+        self._by_role, self._by_model = {}, {}
+        for backend in tables["backend"].values():
+            self._index_backend(backend)
+        self.index = index
+        return Applied(index, frozenset(removed), True)
+
+    def apply_delta(self, delta: ViewDelta) -> ApplyOutcome:
+        """Applies a delta as a whole.
+
+        Values are absolute, so a delta that begins before the view's index and
+        ends after it is applied without harm.
+
+        Raises:
+            CodecError: An item can't be decoded; the view is unchanged.
+        """
+        if delta.index <= self.index:
+            return Ignored()
+        if delta.previous_index > self.index:
+            return Gap()
+        decoded = {name: codec.decode(data) for name, data in delta.upserts.items()}
+        removed: set[str] = set()
+        backends_changed = False
+        for name in delta.deletes:
+            kind, key = _split(name)
+            item = self._tables.setdefault(kind, {}).pop(key, None)
+            if kind == "key" and item is not None:
+                removed.add(key)
+            elif kind == "backend" and item is not None:
+                self._unindex_backend(item)
+                backends_changed = True
+        for name, item in decoded.items():
+            kind, key = _split(name)
+            earlier = self._tables.setdefault(kind, {}).get(key)
+            self._tables[kind][key] = item
+            if kind == "backend":
+                if earlier is not None:
+                    self._unindex_backend(earlier)
+                self._index_backend(item)
+                backends_changed = True
+        self.index = delta.index
+        return Applied(delta.index, frozenset(removed), backends_changed)
+
+    @property
+    def bundle(self) -> BundleItem | None:
+        """The bundle in force."""
+        return self._tables["bundle"].get("")
+
+    @property
+    def models(self) -> dict[str, ModelItem]:
+        """Models by name."""
+        return self._tables["model"]
+
+    @property
+    def adapters(self) -> dict[str, AdapterItem]:
+        """Adapters by name."""
+        return self._tables["adapter"]
+
+    @property
+    def accounts(self) -> dict[str, AccountItem]:
+        """Client accounts by name."""
+        return self._tables["account"]
+
+    @property
+    def roles(self) -> dict[str, RoleItem]:
+        """Roles by name."""
+        return self._tables["role"]
+
+    @property
+    def routes(self) -> dict[str, RouteItem]:
+        """Routes of plain services by `<method> <path>`."""
+        return self._tables["route"]
+
+    @property
+    def keys(self) -> dict[str, KeyItem]:
+        """Keys that work, by digest."""
+        return self._tables["key"]
+
+    @property
+    def backends(self) -> dict[str, BackendItem]:
+        """Backend servers by name."""
+        return self._tables["backend"]
+
+    @property
+    def suspects(self) -> dict[str, SuspectItem]:
+        """Requests that were running when backend servers crashed, by digest."""
+        return self._tables["suspect"]
+
+    def target(self, name: str) -> Target | None:
+        """Returns what a request's model name means, or None if unknown."""
+        if (model := self.models.get(name)) is not None:
+            return Target(model, None)
+        adapter = self.adapters.get(name)
+        if adapter is None or (model := self.models.get(adapter.model)) is None:
+            return None
+        return Target(model, adapter.name)
+
+    def engines(self, target: Target) -> list[BackendItem]:
+        """Returns engines that may get new work for `target`."""
+        return [
+            backend
+            for backend in self._by_model.get(target.model.name, {}).values()
+            if backend.state == SERVING
+            and backend.role == target.model.role
+            and (target.adapter is None or target.adapter in backend.adapters)
+        ]
+
+    def services(self, role: str) -> list[BackendItem]:
+        """Returns backend servers of `role` that may get new work."""
+        members = self._by_role.get(role, {}).values()
+        return [backend for backend in members if backend.state == SERVING]
+
+    def _index_backend(self, backend: BackendItem) -> None:
+        self._by_role.setdefault(backend.role, {})[backend.name] = backend
+        for model in backend.models:
+            self._by_model.setdefault(model, {})[backend.name] = backend
+
+    def _unindex_backend(self, backend: BackendItem) -> None:
+        self._by_role.get(backend.role, {}).pop(backend.name, None)
+        for model in backend.models:
+            self._by_model.get(model, {}).pop(backend.name, None)
+
+
+class SnapshotParts:
+    """Gathers the parts of one link's snapshot."""
+
+    def __init__(self) -> None:
+        self._index: int | None = None
+        self._items: dict[str, bytes] = {}
+
+    def add(self, part: ViewSnapshot) -> dict[str, bytes] | None:
+        """Returns the whole snapshot's items with its last part, else None."""
+        if part.first:
+            self._index, self._items = part.index, {}
+        if self._index != part.index:
+            return None
+        self._items.update(part.items)
+        if not part.last:
+            return None
+        items, self._index, self._items = self._items, None, {}
+        return items
+
+
+def _empty_tables() -> dict[str, dict[str, Any]]:
+    kinds = (
+        "bundle",
+        "model",
+        "adapter",
+        "account",
+        "role",
+        "route",
+        "key",
+        "backend",
+        "suspect",
+    )
+    return {kind: {} for kind in kinds}
+
+
+def _split(name: str) -> tuple[str, str]:
+    kind, _, key = name.partition("/")
+    return kind, key
--- /dev/null
+++ b/cassiapitch/controlasks.py
@@ -0,0 +1,86 @@
+"""Asks to the control group that are answered one by one: claims, crash reports."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from cassiapitch import timers
+
+ASK_AGAIN_MS = 100
+
+SendMessage = Callable[[Any], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Open:
+    message: Any
+    answered: anyio.Event
+    answer: Any = None
+
+
+class ControlAsks:
+    """Open asks by sequence; a new primary link is sent those without an answer."""
+
+    def __init__(self) -> None:
+        self._sequence = 0
+        self._open: dict[int, _Open] = {}
+        self._send: SendMessage | None = None
+
+    def link_opened(self, send: SendMessage) -> None:
+        """Sends open asks again over a new primary link.
+
+        Every ask names its call or crash, so asking twice has no further effect.
+        """
+        self._send = send
+        for item in self._open.values():
+            send(item.message)
+
+    def link_closed(self) -> None:
+        """Holds asks back until there is a primary link again."""
+        self._send = None
+
+    def answered(self, message: Any) -> None:
+        """Takes an answer; one of an unknown ask is ignored."""
+        item = self._open.get(message.sequence)
+        if item is not None:
+            item.answer = message
+            item.answered.set()
+
+    def tell(self, build: Callable[[int], Any]) -> None:
+        """Sends a message whose answer doesn't matter, if there is a link."""
+        self._sequence += 1
+        if self._send is not None:
+            self._send(build(self._sequence))
+
+    async def ask(
+        self,
+        build: Callable[[int], Any],
+        is_decided: Callable[[Any], bool],
+        timeout_ms: int,
+    ) -> Any | None:
+        """Asks until a decided answer arrives; None when the time is over."""
+        until_ms = timers.now_ms() + timeout_ms
+        while (left_ms := until_ms - timers.now_ms()) > 0:
+            answer = await self._ask_once(build, left_ms)
+            if answer is not None and is_decided(answer):
+                return answer
+            await anyio.sleep(min(ASK_AGAIN_MS, left_ms) / 1000)
+        return None
+
+    async def _ask_once(
+        self, build: Callable[[int], Any], timeout_ms: int
+    ) -> Any | None:
+        self._sequence += 1
+        sequence = self._sequence
+        item = _Open(build(sequence), anyio.Event())
+        self._open[sequence] = item
+        try:
+            if self._send is not None:
+                self._send(item.message)
+            with anyio.move_on_after(timeout_ms / 1000):
+                await item.answered.wait()
+        finally:
+            del self._open[sequence]
+        return item.answer
--- /dev/null
+++ b/cassiapitch/crashes.py
@@ -0,0 +1,94 @@
+"""Finds out whether a backend server crashed, and reports it."""
+
+import enum
+
+import anyio
+
+from cassiapitch import events, timers
+from cassiapitch.entrystate import EntryState
+from cassiapitch.messages import BackendItem, CrashAnswer, CrashReport, SuspectCleared
+from cassiapitch.suspicion import QUARANTINE_CRASHES_COUNT
+from cassiapitch.types import LifeId, RequestDigest
+
+REPORT_LIMIT_MS = 3_000
+
+
+class Verdict(enum.Enum):
+    """What becomes of a request that was running in a crash."""
+
+    RETRY = "retry"
+    QUARANTINED = "quarantined"
+    UNRECORDED = "unrecorded"
+
+
+class Crashes:
+    """Reports each crash once and lets every affected request wait for it."""
+
+    def __init__(self, state: EntryState) -> None:
+        self._state = state
+        self._reported: dict[LifeId, tuple[anyio.Event, list[bool]]] = {}
+
+    async def report(self, backend: BackendItem, digest: RequestDigest) -> Verdict:
+        """Reports that `backend` crashed while `digest` ran on it.
+
+        A request is run again only once the report is recorded, since the next
+        crash must be recognised as its second, whoever retries it.
+        """
+        life_id = backend.life_id
+        digests = self._state.suspicion.crashed(life_id)
+        if digests is not None:
+            self._reported[life_id] = (anyio.Event(), [])
+            digests = digests if digest in digests else (*digests, digest)
+            self._state.start_background(self._send, backend, digests)
+        done, recorded = self._reported[life_id]
+        await done.wait()
+        if not recorded:
+            return Verdict.UNRECORDED
+        if self.crash_count(digest) >= QUARANTINE_CRASHES_COUNT:
+            return Verdict.QUARANTINED
+        return Verdict.RETRY
+
+    def crash_count(self, digest: RequestDigest) -> int:
+        """Returns the known crashes under a digest."""
+        item = self._state.catalog.suspects.get(digest)
+        in_view = 0 if item is None else item.crash_count
+        return self._state.suspicion.crash_count(digest, in_view, timers.now_ms())
+
+    def is_quarantined(self, digest: RequestDigest) -> bool:
+        """Tells whether a request is refused because it crashed backend servers."""
+        item = self._state.catalog.suspects.get(digest)
+        return item is not None and item.quarantined
+
+    def ran_clean(self, digest: RequestDigest) -> None:
+        """Says that a suspect ran to its end."""
+        self._state.suspicion.cleared(digest)
+        self._state.asks.tell(lambda sequence: SuspectCleared(sequence, digest))
+
+    async def _send(
+        self, backend: BackendItem, digests: tuple[RequestDigest, ...]
+    ) -> None:
+        events.log(
+            events.Event.BACKEND_CRASHED,
+            backend=backend.name,
+            life_id=backend.life_id,
+            requests_count=len(digests),
+        )
+        done, recorded = self._reported[backend.life_id]
+        try:
+            answer = await self._state.asks.ask(
+                lambda sequence: CrashReport(
+                    sequence, backend.name, backend.life_id, digests
+                ),
+                _is_recorded,
+                REPORT_LIMIT_MS,
+            )
+            if answer is not None:
+                recorded.append(True)
+                counts = answer.crash_counts
+                self._state.suspicion.recorded(digests, counts, timers.now_ms())
+        finally:
+            done.set()
+
+
+def _is_recorded(answer: object) -> bool:
+    return isinstance(answer, CrashAnswer) and answer.recorded
--- /dev/null
+++ b/cassiapitch/entry.py
@@ -0,0 +1,225 @@
+"""`cassiapitch-entry`: takes callers' requests and forwards them."""
+
+import logging
+import sys
+from typing import Any
+
+import anyio
+
+from cassiapitch import budget, demand, events, process, timers
+from cassiapitch.asgi import HttpServer
+from cassiapitch.callers import CallerApplication
+from cassiapitch.catalog import Gap, SnapshotParts
+from cassiapitch.crashes import Crashes
+from cassiapitch.entrystate import EntryState
+from cassiapitch.link import Link, LinkHandlers, LinkPlan
+from cassiapitch.messages import (
+    ClaimAnswer,
+    ConfirmAsk,
+    Confirmed,
+    CrashAnswer,
+    LinkHello,
+    LoadReports,
+    RateGrants,
+    ViewDelta,
+    ViewSnapshot,
+)
+from cassiapitch.operatorroutes import OperatorApplication
+from cassiapitch.settings import EntrySettings
+
+PRIMARY = 0
+LINKS_COUNT = 2
+TICK_MS = 100
+# A wake for a waiting call asks at once, but calls that come together ask together.
+RATE_ASK_SPACING_MS = 5
+RETURN_LIMIT_MS = 200
+
+
+class EntryProcess:
+    """The tasks of one entry."""
+
+    def __init__(self, settings: EntrySettings, stop: anyio.Event) -> None:
+        self.state = EntryState(settings)
+        self._settings = settings
+        self._stop = stop
+        self._crashes = Crashes(self.state)
+        self._plan = LinkPlan(settings.control, settings.zone, settings.name)
+        self._parts = {slot: SnapshotParts() for slot in range(LINKS_COUNT)}
+        self._send_primary: Any = None
+        application = CallerApplication(self.state, self._crashes)
+        self.callers = HttpServer(
+            application,
+            settings.caller_address,
+            connections_limit_count=settings.connections_limit_count,
+        )
+        operators = OperatorApplication(self.state, self._plan, stop)
+        self.operators = HttpServer(operators, settings.admin_address)
+
+    async def run(self) -> None:
+        """Serves until the stop event, then finishes every call and returns."""
+        async with anyio.create_task_group() as group:
+            self.state.use_background(group)
+            self._start_links(group)
+            group.start_soon(self._tick)
+            group.start_soon(self._ask_rates)
+            group.start_soon(self._report_demand)
+            group.start_soon(self.operators.run)
+            events.log(
+                events.Event.ENTRY_LISTENING,
+                caller_port=self.callers.port,
+                admin_port=self.operators.port,
+            )
+            group.start_soon(self._close_on_stop)
+            await self.callers.run()
+            self.state.step_shutdown("drained")
+            await self._return_grants()
+            self.state.step_shutdown("stopped")
+            group.cancel_scope.cancel()
+
+    def _start_links(self, group: Any) -> None:
+        handlers = LinkHandlers(
+            hello=self._hello,
+            confirm_ask=self._confirm_ask,
+            opened=self._opened,
+            received=self._received,
+            closed=self._closed,
+        )
+        for slot in range(min(LINKS_COUNT, len(self._settings.control))):
+            link = Link(slot, self._plan, handlers, self._settings.tls)
+            group.start_soon(link.run)
+
+    def _hello(self, slot: int) -> LinkHello:
+        return LinkHello(
+            entry=self._settings.name,
+            life_id=self.state.life_id,
+            cluster=self._settings.cluster,
+            zone=self._settings.zone,
+            applied_index=self.state.catalog.index,
+            primary=slot == PRIMARY,
+        )
+
+    def _confirm_ask(self) -> ConfirmAsk:
+        return self.state.freshness.ask(timers.now_ms())
+
+    def _opened(self, slot: int, send: Any) -> None:
+        self._parts[slot] = SnapshotParts()
+        events.log(
+            events.Event.LINK_OPENED,
+            link=slot,
+            member=self._plan.current()[slot].name,
+        )
+        if slot == PRIMARY:
+            self._send_primary = send
+            self.state.asks.link_opened(send)
+            self.state.rate_needed.fire()
+
+    def _closed(self, slot: int) -> None:
+        if slot == PRIMARY:
+            self._send_primary = None
+            self.state.asks.link_closed()
+
+    def _received(self, slot: int, message: Any) -> bool:
+        """Acts on a message; true if the link must be opened anew."""
+        if isinstance(message, Confirmed):
+            self.state.take_confirmation(message)
+        elif isinstance(message, ViewDelta):
+            outcome = self.state.catalog.apply_delta(message)
+            self.state.applied(outcome)
+            return isinstance(outcome, Gap)
+        elif isinstance(message, ViewSnapshot):
+            items = self._parts[slot].add(message)
+            if items is not None:
+                outcome = self.state.catalog.apply_snapshot(message.index, items)
+                self.state.applied(outcome)
+                events.log(events.Event.VIEW_APPLIED, index=self.state.catalog.index)
+        elif isinstance(message, RateGrants):
+            self.state.take_grants(message)
+        elif isinstance(message, ClaimAnswer | CrashAnswer):
+            self.state.asks.answered(message)
+        elif isinstance(message, LoadReports):
+            self.state.take_loads(message)
+        return False
+
+    async def _tick(self) -> None:
+        """Ends what lasted too long."""
+        while True:
+            await anyio.sleep(TICK_MS / 1000)
+            now_ms = timers.now_ms()
+            ended_count = self.state.authorization.end_unauthorised(now_ms)
+            if ended_count:
+                events.log(
+                    events.Event.CALLS_ENDED,
+                    reason="authorization_unconfirmed",
+                    calls_count=ended_count,
+                )
+            self.state.budget.tick(now_ms)
+            self.state.deliver_decisions()
+            self.state.scheduler.tick(now_ms)
+
+    async def _ask_rates(self) -> None:
+        """Asks for grants every period, and at once when a call waits for one."""
+        due_ms = timers.now_ms() + budget.ASK_PERIOD_MS
+        while True:
+            await self.state.rate_needed.wait(due_ms - timers.now_ms())
+            now_ms = timers.now_ms()
+            is_due = now_ms >= due_ms
+            if is_due:
+                due_ms = now_ms + budget.ASK_PERIOD_MS
+            if self._send_primary is None:
+                continue
+            if not is_due:
+                await anyio.sleep(RATE_ASK_SPACING_MS / 1000)
+                now_ms = timers.now_ms()
+                if not self.state.budget.needs_ask(now_ms):
+                    continue
+            message = self.state.budget.ask(now_ms, periodic=is_due)
+            if message is not None and self._send_primary is not None:
+                self._send_primary(message)
+
+    async def _report_demand(self) -> None:
+        while True:
+            await anyio.sleep(demand.REPORT_PERIOD_MS / 1000)
+            if self._send_primary is None:
+                continue
+            models = self.state.catalog.models
+            waiting = {
+                key: value
+                for key, value in self.state.scheduler.waiting().items()
+                if key[0] in models
+            }
+            report = self.state.demand.report(waiting)
+            if report is not None:
+                self._send_primary(report)
+
+    async def _close_on_stop(self) -> None:
+        """Leaves the balancer, then stops listening; calls go on to their end."""
+        await self._stop.wait()
+        self.state.step_shutdown("stop")
+        events.log(events.Event.ENTRY_DRAINING, operator=None)
+        await anyio.sleep(self._settings.balancer_delay_ms / 1000)
+        self.state.step_shutdown("balancer_left")
+        self.callers.close()
+
+    async def _return_grants(self) -> None:
+        message = self.state.budget.return_all()
+        if message is not None and self._send_primary is not None:
+            self._send_primary(message)
+            # Lets the link's task write it before the link is closed.
+            await anyio.sleep(RETURN_LIMIT_MS / 1000)
+
+
+async def serve(settings: EntrySettings, stop: anyio.Event) -> None:
+    """Runs an entry until `stop` is set and every call is finished."""
+    # `uvicorn` logs a line for every answer that is cut on purpose; the entry logs
+    # its own numbered events.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+    await EntryProcess(settings, stop).run()
+
+
+def main() -> int:
+    """Runs the program."""
+    return process.run("cassiapitch-entry", EntrySettings, serve)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cassiapitch/entrystate.py
@@ -0,0 +1,195 @@
+"""The state that the tasks of one entry share."""
+
+import random
+import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from cassiapitch import events, timers
+from cassiapitch.budget import (
+    Admitted,
+    Budget,
+    Decision,
+    Waiting,
+)
+from cassiapitch.calls import Authorization, Call
+from cassiapitch.catalog import Applied, ApplyOutcome, Catalog
+from cassiapitch.controlasks import ControlAsks
+from cassiapitch.demand import Demand
+from cassiapitch.forward import Connections
+from cassiapitch.freshness import NEW_CALL_WAIT_MS, Freshness
+from cassiapitch.messages import Confirmed, LoadReports, RateGrants
+from cassiapitch.retries import RetryBudget
+from cassiapitch.routing import Router
+from cassiapitch.scheduler import Scheduler
+from cassiapitch.settings import EntrySettings
+from cassiapitch.statechart import load_chart
+from cassiapitch.suspicion import Suspicion
+from cassiapitch.types import ModelName
+
+
+class Signal:
+    """Wakes every task that waits for the next change."""
+
+    def __init__(self) -> None:
+        self._event = anyio.Event()
+
+    def fire(self) -> None:
+        """Wakes the waiting tasks."""
+        event, self._event = self._event, anyio.Event()
+        event.set()
+
+    async def wait(self, timeout_ms: int) -> None:
+        """Waits for the next change, at most for a time."""
+        event = self._event
+        with anyio.move_on_after(max(0, timeout_ms) / 1000):
+            await event.wait()
+
+
+class EntryState:
+    """Decision state of one entry; only the entry's event loop touches it."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.life_id = secrets.token_hex(8)
+        self.catalog = Catalog()
+        self.freshness = Freshness()
+        self.budget = Budget(settings.name, self.life_id)
+        self.authorization = Authorization(self.catalog, self.freshness)
+        self.router = Router(
+            settings.routing_policy, settings.zone, random.Random(settings.seed)
+        )
+        self.suspicion = Suspicion()
+        self.scheduler = Scheduler(settings.queue_policy, self.router, self.suspicion)
+        self.retries = RetryBudget()
+        self.demand = Demand(settings.name)
+        self.asks = ControlAsks()
+        self.connections = Connections()
+        self.confirmed = Signal()
+        self.rate_needed = Signal()
+        self.shutdown = load_chart("shutdown").initial
+        self.requests_count = 0
+        self._expected: dict[ModelName, int] = {}
+        self._budget_waits: dict[str, tuple[anyio.Event, list[Decision]]] = {}
+        self._background: anyio.abc.TaskGroup | None = None
+
+    def use_background(self, group: anyio.abc.TaskGroup) -> None:
+        """Sets the task group for work that outlives a call."""
+        self._background = group
+
+    def start_background(
+        self, work: Callable[..., Coroutine[Any, Any, None]], *arguments: Any
+    ) -> None:
+        """Starts work that outlives a call, such as a cancel at an engine."""
+        if self._background is not None:
+            self._background.start_soon(work, *arguments)
+
+    def next_request_id(self) -> str:
+        """Returns a request identity that is unique over all entries."""
+        self.requests_count += 1
+        return f"{self.settings.name}-{self.life_id}-{self.requests_count}"
+
+    def step_shutdown(self, event: str) -> None:
+        """Follows `charts/shutdown.json`."""
+        self.shutdown = load_chart("shutdown").next_state(self.shutdown, event)
+
+    def applied(self, outcome: ApplyOutcome) -> None:
+        """Acts on a change of the view."""
+        if not isinstance(outcome, Applied):
+            return
+        self.freshness.applied(outcome.index)
+        now_ms = timers.now_ms()
+        if outcome.removed_keys:
+            count = self.authorization.end_unauthorised(now_ms)
+            if count:
+                events.log(
+                    events.Event.CALLS_ENDED, reason="key_withdrawn", calls_count=count
+                )
+        if outcome.backends_changed:
+            lives = {item.life_id for item in self.catalog.backends.values()}
+            self.router.forget_except(lives)
+            self.suspicion.forget_except(lives)
+            self.start_background(self.connections.forget_except, lives)
+            self.scheduler.pump()
+        self.confirmed.fire()
+
+    def take_confirmation(self, message: Confirmed) -> None:
+        """Takes a confirmation and wakes calls that wait for one."""
+        self.freshness.confirmed(message)
+        self.confirmed.fire()
+
+    def take_grants(self, message: RateGrants) -> None:
+        """Takes grants and decides calls that wait for them."""
+        self.budget.grants(message, timers.now_ms())
+        self.deliver_decisions()
+
+    def take_loads(self, message: LoadReports) -> None:
+        """Takes load reports and the times at which copies are expected."""
+        now_ms = timers.now_ms()
+        for report in message.reports:
+            self.router.report(report, now_ms)
+        self._expected = {
+            model: now_ms + expected_ms
+            for model, expected_ms in message.expected_ms.items()
+        }
+        self.scheduler.pump()
+
+    def expected_ms(self, name: ModelName) -> int | None:
+        """Returns the time until a copy is expected, or None if none is."""
+        at_ms = self._expected.get(name)
+        return None if at_ms is None else max(0, at_ms - timers.now_ms())
+
+    def deliver_decisions(self) -> None:
+        """Wakes the calls on whose budget there is a decision now."""
+        for call, decision in self.budget.decisions():
+            wait = self._budget_waits.get(call)
+            if wait is not None:
+                wait[1].append(decision)
+                wait[0].set()
+            elif isinstance(decision, Admitted):
+                self.budget.settle(decision, 0)
+
+    async def wait_fresh(self) -> bool:
+        """Waits at most the limit for new calls until the view is confirmed."""
+        until_ms = timers.now_ms() + NEW_CALL_WAIT_MS
+        while not self.freshness.is_fresh(now_ms := timers.now_ms()):
+            if now_ms >= until_ms:
+                return False
+            await self.confirmed.wait(until_ms - now_ms)
+        return True
+
+    async def wait_confirmed_since(self, since_ms: int) -> bool:
+        """Waits for a confirmation that was asked for after `since_ms`."""
+        until_ms = timers.now_ms() + NEW_CALL_WAIT_MS
+        while (self.freshness.as_of_ms or 0) < since_ms:
+            if (now_ms := timers.now_ms()) >= until_ms:
+                return False
+            await self.confirmed.wait(until_ms - now_ms)
+        return True
+
+    async def admit(self, call: Call, tokens: int) -> Decision:
+        """Takes a call's tokens from its account, waiting for a grant if needed."""
+        account = call.account
+        if account is None:
+            return Admitted("", ())
+        decision = self.budget.request(
+            call.request_id, account, tokens, timers.now_ms()
+        )
+        if not isinstance(decision, Waiting):
+            return decision
+        event, decisions = anyio.Event(), list[Decision]()
+        self._budget_waits[call.request_id] = (event, decisions)
+        self.rate_needed.fire()
+        try:
+            await event.wait()
+        except BaseException:
+            if decisions and isinstance(decisions[0], Admitted):
+                self.budget.settle(decisions[0], 0)
+            raise
+        finally:
+            del self._budget_waits[call.request_id]
+            self.budget.withdraw(call.request_id, account.name)
+        return decisions[0]
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -22,6 +22,21 @@
     SETTINGS_REFUSED = 105
     DUMP_SERVED = 106
 
+    LINK_OPENED = 401
+    LINK_LOST = 402
+    VIEW_APPLIED = 403
+    VIEW_REFUSED = 404
+    CALLS_ENDED = 405
+    BACKEND_CRASHED = 406
+    STREAM_RESUMED = 407
+    STREAM_CONTINUED = 408
+    STREAM_CUT = 409
+    SLOW_CALLER = 410
+    CLAIM_NOT_FINISHED = 411
+    ENTRY_DRAINING = 412
+    ENTRY_LISTENING = 413
+    CALL_FAILED = 414
+
 
 def log(event: Event, **fields: Any) -> None:
     """Writes one event.
--- /dev/null
+++ b/cassiapitch/forward.py
@@ -0,0 +1,234 @@
+"""Connections to backend servers, and what is sent over them."""
+
+import dataclasses
+from collections.abc import AsyncGenerator, Callable
+from typing import Any
+
+import anyio
+import httpcore
+
+from cassiapitch import timers
+from cassiapitch.messages import BackendItem
+from cassiapitch.types import LifeId
+
+CONNECT_LIMIT_MS = 1_000
+IDLE_LIMIT_S = 10.0
+IDLE_LIMIT_COUNT = 64
+LIFE_HEADER = b"x-life-id"
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotConnected:
+    """No connection was made, so nothing was sent.
+
+    Attributes:
+        refused: Whether the other side actively refused it.
+    """
+
+    refused: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionLost:
+    """The connection ended, or nothing arrived in time, after sending had begun."""
+
+
+class _GuardedStream(httpcore.AsyncNetworkStream):
+    """Checks just before each write that the call may still go on.
+
+    `httpcore` passes through the event loop between the call and the write; a
+    process that was stopped there would send on an authorisation that is over.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self.guard: Callable[[], None] | None = None
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        return await self._stream.read(max_bytes, timeout)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        if self.guard is not None:
+            self.guard()
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        return self._stream.get_extra_info(info)
+
+
+@dataclasses.dataclass(slots=True)
+class Connection:
+    """An open connection to one life of a backend server."""
+
+    http: httpcore.AsyncHTTP11Connection
+    stream: _GuardedStream
+    address: tuple[str, int]
+    life_id: LifeId
+    host: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Response:
+    """A response whose body hasn't been read yet."""
+
+    status: int
+    headers: Headers
+    parts: AsyncGenerator[bytes, None]
+    _inner: httpcore.Response
+
+    def header(self, name: bytes) -> str | None:
+        """Returns a header's value; `name` is in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value.decode("latin-1")
+        return None
+
+    async def close(self) -> None:
+        """Ends the response; without its whole body the connection is closed."""
+        with anyio.CancelScope(shield=True):
+            await self.parts.aclose()
+            await self._inner.aclose()
+
+
+class Connections:
+    """Idle connections, kept for the next request to the same life."""
+
+    def __init__(self) -> None:
+        self._backend = httpcore.AnyIOBackend()
+        self._idle: dict[LifeId, list[Connection]] = {}
+
+    async def open(
+        self, backend: BackendItem, *, fresh: bool
+    ) -> Connection | NotConnected:
+        """Returns a connection; a fresh one where a lost request can't be repeated.
+
+        A kept connection may have been closed by the other side while a request
+        is on its way, which leaves open whether the request was read.
+        """
+        idle = self._idle.get(backend.life_id)
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.http.is_available() and not connection.http.has_expired():
+                return connection
+            await _close(connection)
+        try:
+            stream = await self._backend.connect_tcp(
+                backend.ip, backend.port, timeout=CONNECT_LIMIT_MS / 1000
+            )
+        except httpcore.ConnectTimeout:
+            return NotConnected(refused=False)
+        except httpcore.ConnectError:
+            return NotConnected(refused=True)
+        guarded = _GuardedStream(stream)
+        host = backend.ip.encode()
+        origin = httpcore.Origin(b"http", host, backend.port)
+        http = httpcore.AsyncHTTP11Connection(origin, guarded, IDLE_LIMIT_S)
+        authority = b"[%s]:%d" if b":" in host else b"%s:%d"
+        return Connection(
+            http,
+            guarded,
+            (backend.ip, backend.port),
+            backend.life_id,
+            authority % (host, backend.port),
+        )
+
+    async def give_back(self, connection: Connection) -> None:
+        """Keeps a connection if its last response was read to the end."""
+        connection.stream.guard = None
+        idle = self._idle.setdefault(connection.life_id, [])
+        if connection.http.is_available() and len(idle) < IDLE_LIMIT_COUNT:
+            idle.append(connection)
+        else:
+            await _close(connection)
+
+    async def forget_except(self, life_ids: set[LifeId]) -> None:
+        """Closes connections to lives that the view no longer holds."""
+        for life_id in [key for key in self._idle if key not in life_ids]:
+            for connection in self._idle.pop(life_id):
+                await _close(connection)
+
+    async def close(self) -> None:
+        """Closes every idle connection."""
+        await self.forget_except(set())
+
+
+async def exchange(
+    connection: Connection,
+    method: str,
+    target: str,
+    headers: Headers,
+    body: bytes,
+    *,
+    guard: Callable[[], None] | None,
+    head_limit_ms: int,
+    part_limit_ms: int,
+) -> Response | ConnectionLost:
+    """Sends one request and returns the head of its response.
+
+    Args:
+        connection: From `Connections.open`.
+        method: HTTP method.
+        target: Path and query.
+        headers: Without `Host` and `Content-Length`.
+        body: The whole body.
+        guard: Called before every write; what it raises is passed on.
+        head_limit_ms: Longest time until the head of the response.
+        part_limit_ms: Longest time between two parts of the body.
+    """
+    connection.stream.guard = guard
+    fields = [(b"Host", connection.host), *headers]
+    if body or method not in ("GET", "DELETE"):
+        fields.append((b"Content-Length", str(len(body)).encode()))
+    request = httpcore.Request(
+        method.encode(),
+        httpcore.URL(
+            scheme=b"http",
+            host=connection.address[0].encode(),
+            port=connection.address[1],
+            target=target.encode("ascii", "backslashreplace"),
+        ),
+        headers=fields,
+        content=body,
+        extensions={
+            "timeout": {
+                "read": part_limit_ms / 1000,
+                "write": part_limit_ms / 1000,
+            }
+        },
+    )
+    until_ms = timers.now_ms() + head_limit_ms
+    response: httpcore.Response | None = None
+    try:
+        with anyio.move_on_after(max(0, until_ms - timers.now_ms()) / 1000):
+            response = await connection.http.handle_async_request(request)
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+        return ConnectionLost()
+    if response is None:
+        return ConnectionLost()
+    parts: Any = response.stream.__aiter__()
+    return Response(response.status, response.headers, parts, response)
+
+
+async def read_all(response: Response, limit_bytes: int) -> bytes | None:
+    """Returns a whole body, or None if it is cut short or too large."""
+    parts: list[bytes] = []
+    size_bytes = 0
+    try:
+        async for part in response.parts:
+            size_bytes += len(part)
+            if size_bytes > limit_bytes:
+                return None
+            parts.append(part)
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+        return None
+    return b"".join(parts)
+
+
+async def _close(connection: Connection) -> None:
+    with anyio.CancelScope(shield=True):
+        await connection.http.aclose()
--- /dev/null
+++ b/cassiapitch/generation.py
@@ -0,0 +1,459 @@
+"""Runs one request for generated text on engines until its answer is complete."""
+
+import dataclasses
+import enum
+from collections.abc import Awaitable, Callable
+
+import anyio
+import httpcore
+import msgspec
+
+from cassiapitch import api, events, timers
+from cassiapitch.calls import Call, refused
+from cassiapitch.catalog import Target
+from cassiapitch.crashes import Crashes, Verdict
+from cassiapitch.entrystate import EntryState
+from cassiapitch.forward import (
+    LIFE_HEADER,
+    Connection,
+    ConnectionLost,
+    NotConnected,
+    Response,
+    exchange,
+    read_all,
+)
+from cassiapitch.messages import BackendItem
+from cassiapitch.outcomes import ErrorKind
+from cassiapitch.routing import prefix_digests
+from cassiapitch.scheduler import NoSlot, Slot, Wanted
+from cassiapitch.streams import (
+    Answer,
+    Chunk,
+    EndMark,
+    EventSplitter,
+    Missing,
+    Taken,
+    parse_event,
+)
+from cassiapitch.types import Priority
+
+# Without a chunk for this long a stream is taken for broken and resumed. Engines
+# may set batch requests aside for urgent ones.
+STALL_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 60_000}
+RESUMES_LIMIT_COUNT = 3
+RESUME_DELAY_MS = 50
+CANCEL_LIMIT_MS = 2_000
+ERROR_BODY_LIMIT_BYTES = 64 * 1024
+_PASSED_ON = (400, 404, 413, 422)
+
+PutChunk = Callable[[bytes], Awaitable[None]]
+
+
+class EngineRefusedError(Exception):
+    """The engine answered that the request is wrong; the answer is passed on."""
+
+    def __init__(self, status: int, content_type: str, body: bytes) -> None:
+        super().__init__(str(status))
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+
+class _End(enum.Enum):
+    """How an attempt on one backend server ended."""
+
+    COMPLETE = "complete"
+    UNSENT = "unsent"
+    NOT_LOADED = "not_loaded"
+    OVERLOADED = "overloaded"
+    FAILED = "failed"
+    CRASHED = "crashed"
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What is to be generated.
+
+    Attributes:
+        request: The caller's request.
+        target: Model and adapter.
+        max_tokens: Longest answer.
+    """
+
+    request: api.GenerationRequest
+    target: Target
+    max_tokens: int
+
+    @property
+    def cost_tokens(self) -> int:
+        """Tokens that are admitted for the request."""
+        return self.request.prompt_tokens + self.max_tokens
+
+
+class Generation:
+    """One answer and the attempts that it takes."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        crashes: Crashes,
+        call: Call,
+        plan: Plan,
+        put: PutChunk | None,
+    ) -> None:
+        """Prepares a run.
+
+        Args:
+            state: The entry's state.
+            crashes: Reports crashes.
+            call: The caller's call.
+            plan: What is to be generated.
+            put: Takes each chunk's bytes, or None if only the whole is wanted.
+        """
+        self.answer = Answer(call.request_id)
+        self._state = state
+        self._crashes = crashes
+        self._call = call
+        self._plan = plan
+        self._put = put
+        self._wanted = self._make_wanted()
+
+    def used_tokens(self) -> int:
+        """Returns what the request used of the account's rate."""
+        if not self._call.course.may_have_left:
+            return 0
+        usage = self.answer.usage
+        prompt_tokens = self._plan.request.prompt_tokens
+        if usage is not None and usage.prompt_tokens > 0:
+            prompt_tokens = usage.prompt_tokens
+        return prompt_tokens + api.answer_tokens(self.answer)
+
+    async def run(self) -> None:
+        """Returns once the answer is complete.
+
+        Raises:
+            CallRefusedError: It can't be completed.
+            CallEndedError: The call must not go on.
+            EngineRefusedError: The engine answered that the request is wrong.
+        """
+        self._call.course.step("admit")
+        while not self.answer.is_complete:
+            slot = await self._state.scheduler.acquire(self._wanted)
+            if isinstance(slot, NoSlot):
+                raise self._no_slot(slot)
+            self._call.course.step("route")
+            end = _End.FAILED
+            try:
+                end = await self._attempt(slot.backend)
+            finally:
+                self._state.scheduler.release(slot, completed=end is _End.COMPLETE)
+            if end is not _End.COMPLETE:
+                await self._prepare_retry(end, slot)
+        self._call.course.step("complete")
+        if self._wanted.suspect:
+            self._crashes.ran_clean(self._plan.request.digest)
+
+    def _make_wanted(self) -> Wanted:
+        call, plan, state = self._call, self._plan, self._state
+        account = call.account
+        name = plan.target.adapter or plan.target.model.name
+        return Wanted(
+            queue=plan.target.model.name,
+            candidates=lambda: state.catalog.engines(plan.target),
+            expected_ms=lambda: state.expected_ms(name),
+            account="" if account is None else account.name,
+            weight=1 if account is None else account.weight,
+            priority=call.priority,
+            cost=plan.cost_tokens,
+            deadline_ms=call.deadline_ms,
+            digest=plan.request.digest,
+            prefixes=prefix_digests(plan.request.prompt),
+            suspect=self._crashes.crash_count(plan.request.digest) > 0,
+            narrow=plan.target.adapter is not None,
+        )
+
+    def _no_slot(self, slot: NoSlot) -> Exception:
+        target = self._plan.target
+        if slot.kind is ErrorKind.MODEL_LOADING:
+            name = target.adapter or target.model.name
+            self._state.demand.refused(name, self._call.priority)
+        if self.answer.next_position:
+            return refused(ErrorKind.STREAM_LOST)
+        return refused(slot.kind, slot.retry_after_ms)
+
+    async def _prepare_retry(self, end: _End, slot: Slot) -> None:
+        """Returns if another attempt may be made.
+
+        Raises:
+            CallRefusedError: It may not.
+        """
+        self._wanted.excluded.add(slot.backend.life_id)
+        if end is _End.CRASHED:
+            await self._report_crash(slot.backend)
+        course = self._call.course
+        if course.allows("retry"):
+            course.step("retry")
+        if course.may_retry(self._state.retries, timers.now_ms()):
+            return
+        if self.answer.next_position:
+            raise refused(ErrorKind.STREAM_LOST)
+        kinds = {
+            _End.UNSENT: ErrorKind.NO_BACKEND_SERVER,
+            _End.NOT_LOADED: ErrorKind.MODEL_LOADING,
+            _End.OVERLOADED: ErrorKind.OVERLOADED,
+        }
+        raise refused(kinds.get(end, ErrorKind.BACKEND_SERVER_FAILED))
+
+    async def _report_crash(self, backend: BackendItem) -> None:
+        verdict = await self._crashes.report(backend, self._plan.request.digest)
+        if verdict is Verdict.QUARANTINED:
+            raise refused(ErrorKind.REQUEST_QUARANTINED)
+        if verdict is Verdict.UNRECORDED:
+            streamed = self.answer.next_position > 0
+            lost = ErrorKind.STREAM_LOST
+            raise refused(lost if streamed else ErrorKind.BACKEND_SERVER_FAILED)
+        self._wanted.suspect = True
+
+    async def _attempt(self, backend: BackendItem) -> _End:
+        connection = await self._state.connections.open(backend, fresh=False)
+        if isinstance(connection, NotConnected):
+            self._note_unreachable(backend, connection)
+            self._call.course.not_sent()
+            return _End.UNSENT
+        end: _End | None = None
+        try:
+            end = await self._send(backend, connection)
+            if end is _End.BROKEN:
+                end = await self._resume(backend)
+            return end
+        finally:
+            # Whatever else ends the attempt leaves the engine generating.
+            is_written = self._call.course.state not in ("sending", "queued")
+            if is_written and end in (None, _End.FAILED, _End.CRASHED):
+                self._cancel(backend)
+
+    def _note_unreachable(self, backend: BackendItem, failure: NotConnected) -> None:
+        self._state.router.unreachable(backend.life_id, timers.now_ms())
+        if failure.refused:
+            self._state.demand.backend_refused(backend.life_id)
+
+    def _guard_first_send(self) -> Callable[[], None]:
+        is_first = True
+
+        def guard() -> None:
+            nonlocal is_first
+            self._check()
+            if is_first:
+                is_first = False
+                self._call.course.written()
+
+        return guard
+
+    def _check(self) -> None:
+        self._state.authorization.check(self._call, timers.now_ms())
+
+    async def _send(self, backend: BackendItem, connection: Connection) -> _End:
+        plan = self._plan
+        if self.answer.next_position:
+            events.log(
+                events.Event.STREAM_CONTINUED,
+                request_id=self._call.request_id,
+                backend=backend.name,
+                position=self.answer.next_position,
+            )
+        body = api.engine_body(
+            plan.request,
+            plan.target.model.name,
+            plan.target.adapter,
+            plan.max_tokens,
+            self.answer,
+        )
+        headers = [
+            (b"Content-Type", b"application/json"),
+            (b"Accept", b"text/event-stream"),
+            (b"X-Request-Id", self._call.request_id.encode()),
+        ]
+        response = await exchange(
+            connection,
+            "POST",
+            plan.request.path,
+            headers,
+            body,
+            guard=self._guard_first_send(),
+            head_limit_ms=self._head_limit_ms(),
+            part_limit_ms=STALL_LIMIT_MS[self._call.priority],
+        )
+        if isinstance(response, ConnectionLost):
+            self._refuse_late()
+            return _End.BROKEN
+        try:
+            return await self._take_response(backend, response)
+        finally:
+            await response.close()
+            await self._state.connections.give_back(connection)
+
+    def _head_limit_ms(self) -> int:
+        if self.answer.next_position:
+            return STALL_LIMIT_MS[self._call.priority]
+        return max(1, self._call.deadline_ms - timers.now_ms())
+
+    def _refuse_late(self) -> None:
+        """Raises if the deadline passed before the first chunk."""
+        is_late = timers.now_ms() >= self._call.deadline_ms
+        if is_late and self.answer.next_position == 0:
+            raise refused(ErrorKind.DEADLINE_EXCEEDED)
+
+    async def _take_response(self, backend: BackendItem, response: Response) -> _End:
+        if _is_other_life(backend, response):
+            return _End.CRASHED
+        if response.status == 200:
+            return await self._read(response)
+        body = await read_all(response, ERROR_BODY_LIMIT_BYTES) or b""
+        code = _error_code(body)
+        if (response.status, code) == (409, "not_loaded"):
+            self._call.course.declined()
+            return _End.NOT_LOADED
+        if (response.status, code) == (503, "overloaded"):
+            self._call.course.declined()
+            return _End.OVERLOADED
+        if response.status in _PASSED_ON and self.answer.next_position == 0:
+            content_type = response.header(b"content-type") or "application/json"
+            raise EngineRefusedError(response.status, content_type, body)
+        return _End.FAILED
+
+    async def _read(self, response: Response) -> _End:
+        """Reads a stream; returns COMPLETE or BROKEN."""
+        splitter = EventSplitter()
+        limit_s: float | None = None
+        if self.answer.next_position == 0:
+            limit_s = max(0, self._call.deadline_ms - timers.now_ms()) / 1000
+        try:
+            with anyio.move_on_after(limit_s) as scope:
+                async for part in response.parts:
+                    for raw in splitter.feed(part):
+                        if not await self._take_event(raw):
+                            return _End.BROKEN
+                    if self.answer.next_position:
+                        scope.deadline = float("inf")
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+            ValueError,
+        ):
+            pass
+        self._refuse_late()
+        return _End.COMPLETE if self.answer.is_complete else _End.BROKEN
+
+    async def _take_event(self, raw: bytes) -> bool:
+        """Takes one event; false if the stream must be resumed."""
+        event = parse_event(raw)
+        if isinstance(event, EndMark):
+            return self.answer.is_complete
+        if not isinstance(event, Chunk):
+            return True
+        taken = self.answer.take(event)
+        if isinstance(taken, Missing):
+            return False
+        if not isinstance(taken, Taken):
+            return True
+        if self._call.course.state == "running":
+            self._call.course.step("first_chunk")
+        if self._put is not None:
+            await self._put(raw)
+        return True
+
+    async def _resume(self, backend: BackendItem) -> _End:
+        """Goes on with the same stream on the same life of a backend server."""
+        course = self._call.course
+        for _ in range(RESUMES_LIMIT_COUNT):
+            if course.state == "streaming":
+                course.step("resume")
+            before = self.answer.next_position
+            end = await self._resume_once(backend)
+            if end is not _End.BROKEN:
+                return end
+            if self.answer.next_position == before:
+                await anyio.sleep(RESUME_DELAY_MS / 1000)
+        return _End.FAILED
+
+    async def _resume_once(self, backend: BackendItem) -> _End:
+        connection = await self._state.connections.open(backend, fresh=True)
+        if isinstance(connection, NotConnected):
+            self._note_unreachable(backend, connection)
+            return _End.CRASHED
+        request_id = self._call.request_id
+        response = await exchange(
+            connection,
+            "GET",
+            f"/v1/streams/{request_id}?after={self.answer.next_position - 1}",
+            [(b"X-Request-Id", request_id.encode())],
+            b"",
+            guard=self._check,
+            head_limit_ms=self._head_limit_ms(),
+            part_limit_ms=STALL_LIMIT_MS[self._call.priority],
+        )
+        if isinstance(response, ConnectionLost):
+            self._refuse_late()
+            return _End.BROKEN
+        try:
+            if _is_other_life(backend, response):
+                return _End.CRASHED
+            if response.status != 200:
+                return _End.FAILED
+            if self._call.course.state == "resuming":
+                self._call.course.step("resumed")
+            events.log(
+                events.Event.STREAM_RESUMED,
+                request_id=request_id,
+                backend=backend.name,
+                position=self.answer.next_position,
+            )
+            return await self._read(response)
+        finally:
+            await response.close()
+            await self._state.connections.give_back(connection)
+
+    def _cancel(self, backend: BackendItem) -> None:
+        self._state.start_background(
+            cancel_at_engine, self._state, backend, self._call.request_id
+        )
+
+
+async def cancel_at_engine(
+    state: EntryState, backend: BackendItem, request_id: str
+) -> None:
+    """Tells an engine that nobody wants a stream any more."""
+    with anyio.move_on_after(CANCEL_LIMIT_MS / 1000):
+        connection = await state.connections.open(backend, fresh=False)
+        if isinstance(connection, NotConnected):
+            return
+        response = await exchange(
+            connection,
+            "DELETE",
+            f"/v1/streams/{request_id}",
+            [(b"X-Request-Id", request_id.encode())],
+            b"",
+            guard=None,
+            head_limit_ms=CANCEL_LIMIT_MS,
+            part_limit_ms=CANCEL_LIMIT_MS,
+        )
+        if isinstance(response, Response):
+            await read_all(response, ERROR_BODY_LIMIT_BYTES)
+            await response.close()
+            await state.connections.give_back(connection)
+
+
+def _is_other_life(backend: BackendItem, response: Response) -> bool:
+    life_id = response.header(LIFE_HEADER)
+    return life_id is not None and life_id != backend.life_id
+
+
+def _error_code(body: bytes) -> str | None:
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        return None
+    error = document.get("error") if isinstance(document, dict) else None
+    return error.get("code") if isinstance(error, dict) else None
--- /dev/null
+++ b/cassiapitch/link.py
@@ -0,0 +1,201 @@
+"""Links of an entry to control members, and which member each one goes to."""
+
+import dataclasses
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import grpclib.exceptions
+
+from cassiapitch import events, rpc, timers
+from cassiapitch.exceptions import CodecError
+from cassiapitch.freshness import ASK_PERIOD_MS
+from cassiapitch.messages import ConfirmAsk, Confirmed, LinkHello, LinkRefused
+from cassiapitch.settings import ControlPeer, TlsSettings
+
+CONNECT_LIMIT_MS = 1_000
+# A member that is cut off from the quorum can't confirm; the link must move on
+# well within the freshness limit of 1,800 ms.
+SILENCE_LIMIT_MS = 1_000
+BACKOFF_FIRST_MS = 100
+BACKOFF_LARGEST_MS = 2_000
+OUTGOING_LIMIT_COUNT = 4_096
+
+
+class LinkPlan:
+    """Decides which member each link goes to."""
+
+    def __init__(self, members: tuple[ControlPeer, ...], zone: str, name: str) -> None:
+        # Entries of one zone start with different members, by their names.
+        turn = zlib.crc32(name.encode()) % max(1, len(members))
+        self._members = members[turn:] + members[:turn]
+        self._zone = zone
+        self._current: dict[int, ControlPeer] = {}
+        self._failures: dict[str, tuple[int, int]] = {}
+
+    def choose(self, slot: int, now_ms: int) -> ControlPeer | None:
+        """Returns the member for a link, or None if none is to be tried now."""
+        others = [peer for key, peer in self._current.items() if key != slot]
+        other_names = {peer.name for peer in others}
+        other_zones = {peer.zone for peer in others}
+        free = [
+            peer
+            for peer in self._members
+            if peer.name not in other_names
+            and self._failures.get(peer.name, (0, 0))[1] <= now_ms
+        ]
+        if not free:
+            return None
+        # Two links in one zone would end together with it.
+        chosen = min(
+            free,
+            key=lambda peer: (peer.zone in other_zones, peer.zone != self._zone),
+        )
+        self._current[slot] = chosen
+        return chosen
+
+    def failed(self, slot: int, now_ms: int) -> None:
+        """Ends a link; its member is tried again after a growing delay."""
+        peer = self._current.pop(slot)
+        count = self._failures.get(peer.name, (0, 0))[0] + 1
+        backoff_ms = BACKOFF_FIRST_MS * 2 ** min(count - 1, 10)
+        until_ms = now_ms + min(BACKOFF_LARGEST_MS, backoff_ms)
+        self._failures[peer.name] = (count, until_ms)
+
+    def succeeded(self, slot: int) -> None:
+        """The member of a link answered."""
+        self._failures.pop(self._current[slot].name, None)
+
+    def current(self) -> dict[int, ControlPeer]:
+        """Returns the member of each link."""
+        return dict(self._current)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkHandlers:
+    """What a link calls.
+
+    Attributes:
+        hello: Returns the first message of the link with this number.
+        confirm_ask: Returns the next confirmation ask.
+        opened: Called with the link's number and its send function.
+        received: Called with the link's number and each message; true if the link
+            must be opened anew since its deltas don't fit the view.
+        closed: Called with the link's number.
+    """
+
+    hello: Callable[[int], LinkHello]
+    confirm_ask: Callable[[], ConfirmAsk]
+    opened: Callable[[int, Callable[[Any], None]], None]
+    received: Callable[[int, Any], bool]
+    closed: Callable[[int], None]
+
+
+class LinkError(Exception):
+    """The link ended and the next member is to be tried."""
+
+
+EXPECTED_ERRORS = (
+    LinkError,
+    CodecError,
+    OSError,
+    anyio.WouldBlock,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.ProtocolError,
+    grpclib.exceptions.StreamTerminatedError,
+)
+
+
+class Link:
+    """Task of one link; keeps one stream to one member open."""
+
+    def __init__(
+        self,
+        slot: int,
+        plan: LinkPlan,
+        handlers: LinkHandlers,
+        tls: TlsSettings | None,
+    ) -> None:
+        self._slot = slot
+        self._plan = plan
+        self._handlers = handlers
+        self._tls = tls
+        self._heard_ms = 0
+
+    async def run(self) -> None:
+        """Opens the link again and again until cancelled."""
+        while True:
+            peer = self._plan.choose(self._slot, timers.now_ms())
+            if peer is None:
+                await anyio.sleep(BACKOFF_FIRST_MS / 1000)
+                continue
+            reason = await self._serve_caught(peer)
+            self._plan.failed(self._slot, timers.now_ms())
+            events.log(
+                events.Event.LINK_LOST,
+                link=self._slot,
+                member=peer.name,
+                reason=reason,
+            )
+
+    async def _serve_caught(self, peer: ControlPeer) -> str:
+        """Runs one stream to its end and returns the reason of the end."""
+        channel = rpc.open_channel(peer.address, self._tls)
+        try:
+            await self._serve(channel, peer)
+        except Exception as error:
+            leaves = _leaves(error)
+            if not all(isinstance(leaf, EXPECTED_ERRORS) for leaf in leaves):
+                raise
+            return f"{type(leaves[0]).__name__}: {leaves[0]}"
+        finally:
+            channel.close()
+        return "ended by the member"
+
+    async def _serve(self, channel: Any, peer: ControlPeer) -> None:
+        async with rpc.open_stream(channel, "Hub", "Link") as stream:
+            with anyio.fail_after(CONNECT_LIMIT_MS / 1000):
+                await stream.send_message(self._handlers.hello(self._slot))
+            sender, outgoing = anyio.create_memory_object_stream[Any](
+                OUTGOING_LIMIT_COUNT
+            )
+            self._heard_ms = timers.now_ms()
+            self._handlers.opened(self._slot, sender.send_nowait)
+            try:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._ask, sender)
+                    group.start_soon(self._send, stream, outgoing)
+                    await self._receive(stream)
+            finally:
+                self._handlers.closed(self._slot)
+                sender.close()
+                outgoing.close()
+
+    async def _send(self, stream: Any, outgoing: Any) -> None:
+        async for message in outgoing:
+            await stream.send_message(message)
+
+    async def _ask(self, sender: Any) -> None:
+        while True:
+            if timers.now_ms() - self._heard_ms > SILENCE_LIMIT_MS:
+                raise LinkError("no confirmation in time")
+            sender.send_nowait(self._handlers.confirm_ask())
+            await anyio.sleep(ASK_PERIOD_MS / 1000)
+
+    async def _receive(self, stream: Any) -> None:
+        while (message := await stream.recv_message()) is not None:
+            if isinstance(message, LinkRefused):
+                raise LinkError(f"refused: {message.reason}")
+            if isinstance(message, Confirmed):
+                self._heard_ms = timers.now_ms()
+                self._plan.succeeded(self._slot)
+            if self._handlers.received(self._slot, message):
+                raise LinkError("a delta is missing")
+        raise LinkError("ended by the member")
+
+
+def _leaves(error: BaseException) -> list[BaseException]:
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [leaf for part in error.exceptions for leaf in _leaves(part)]
--- /dev/null
+++ b/cassiapitch/routing.py
@@ -0,0 +1,169 @@
+"""Decides which backend server gets a request."""
+
+import dataclasses
+import hashlib
+import random
+from collections.abc import Collection, Sequence
+
+from cassiapitch.messages import BackendItem, LoadReport
+from cassiapitch.types import LifeId, Priority
+
+# Costs are in requests in flight, the unit of the score.
+ZONE_COST = 1.0
+PREFIX_CREDIT = 3.0
+# Load reports come once a second and lag; their weight halves in this time, so
+# that an old report doesn't keep work away from an idle backend server.
+REPORT_HALF_LIFE_MS = 2_000
+# Batch requests leave this share of a backend server's slots free for urgent ones.
+BATCH_SHARE = 0.75
+UNREACHABLE_MS = 1_000
+PREFIX_BYTES = (256, 1_024, 4_096, 16_384)
+
+
+@dataclasses.dataclass(slots=True)
+class _Load:
+    """What is known of the load of one life of a backend server."""
+
+    own_count: int = 0
+    own_at_report_count: int = 0
+    others_count: int = 0
+    reported_ms: int = 0
+    prefixes: frozenset[str] = frozenset()
+    avoid_until_ms: int = 0
+
+
+def prefix_digests(prompt: str) -> tuple[str, ...]:
+    """Returns digests of a prompt's prefixes, shortest first."""
+    data = prompt.encode()
+    return tuple(
+        hashlib.sha256(data[:size]).hexdigest()[:16]
+        for size in PREFIX_BYTES
+        if len(data) >= size
+    )
+
+
+class Router:
+    """Requests in flight and lagging reports of each backend server's life."""
+
+    def __init__(self, policy: str, zone: str, source: random.Random) -> None:
+        self._policy = policy
+        self._zone = zone
+        self._source = source
+        self._loads: dict[LifeId, _Load] = {}
+        self._turn = 0
+
+    def started(self, life_id: LifeId) -> None:
+        """Counts a request as in flight."""
+        self._load(life_id).own_count += 1
+
+    def ended(self, life_id: LifeId) -> None:
+        """Counts a request as no longer in flight."""
+        self._load(life_id).own_count -= 1
+
+    def in_flight(self, life_id: LifeId) -> int:
+        """Returns this entry's requests in flight at a backend server."""
+        load = self._loads.get(life_id)
+        return 0 if load is None else load.own_count
+
+    def report(self, report: LoadReport, now_ms: int) -> None:
+        """Takes a backend server's report of its load.
+
+        The report lags by about the time between two reports, so requests that
+        this entry sent since the previous one are not taken to be part of it.
+        """
+        load = self._load(report.life_id)
+        included = min(load.own_count, load.own_at_report_count)
+        load.others_count = max(
+            0, report.running_count + report.waiting_count - included
+        )
+        load.own_at_report_count = load.own_count
+        load.reported_ms = now_ms
+        load.prefixes = frozenset(report.cached_prefixes)
+
+    def unreachable(self, life_id: LifeId, now_ms: int) -> None:
+        """Sends nothing to a backend server for a while that can't be connected.
+
+        The view learns of a stopped backend server seconds later, and each request
+        sent to it until then would cost a retry.
+        """
+        self._load(life_id).avoid_until_ms = now_ms + UNREACHABLE_MS
+
+    def forget_except(self, life_ids: Collection[LifeId]) -> None:
+        """Forgets lives that the view no longer holds."""
+        for life_id in [key for key in self._loads if key not in life_ids]:
+            if self._loads[life_id].own_count == 0:
+                del self._loads[life_id]
+
+    def has_room(self, backend: BackendItem, priority: Priority, now_ms: int) -> bool:
+        """Tells whether a backend server has a slot for one more request.
+
+        An urgent request may always be the only one of this entry, so that other
+        entries' load can't keep it away for good.
+        """
+        load = self._loads.get(backend.life_id)
+        if load is None:
+            return True
+        if now_ms < load.avoid_until_ms:
+            return False
+        if load.own_count == 0 and priority is Priority.URGENT:
+            return True
+        share = BATCH_SHARE if priority is Priority.BATCH else 1.0
+        limit = max(1.0, backend.max_running_count * share)
+        return load.own_count + self._others(load, now_ms) < limit
+
+    def choose(
+        self,
+        candidates: Sequence[BackendItem],
+        priority: Priority,
+        prefixes: Sequence[str],
+        now_ms: int,
+    ) -> BackendItem | None:
+        """Returns the backend server for a request, or None if none has room."""
+        free = [
+            backend
+            for backend in candidates
+            if self.has_room(backend, priority, now_ms)
+        ]
+        if not free:
+            return None
+        if self._policy == "round_robin":
+            self._turn += 1
+            free.sort(key=lambda backend: backend.name)
+            return free[self._turn % len(free)]
+        if len(free) == 1:
+            return free[0]
+        scores = {
+            backend.name: self.score(backend, prefixes, now_ms) for backend in free
+        }
+        free.sort(key=lambda backend: (scores[backend.name], backend.name))
+        # Two drawn from the better half: entries that hold the same report would
+        # otherwise all send to the same backend server until the next one.
+        better = free[: max(2, (len(free) + 1) // 2)]
+        first, second = self._source.sample(better, 2)
+        if scores[first.name] <= scores[second.name]:
+            return first
+        return second
+
+    def score(
+        self, backend: BackendItem, prefixes: Sequence[str], now_ms: int
+    ) -> float:
+        """Returns the expected cost of sending a request to a backend server."""
+        zone_cost = 0.0 if backend.zone == self._zone else ZONE_COST
+        load = self._loads.get(backend.life_id)
+        if load is None:
+            return zone_cost
+        credit = 0.0
+        if prefixes:
+            cached = sum(1 for digest in prefixes if digest in load.prefixes)
+            credit = PREFIX_CREDIT * cached / len(prefixes)
+        return load.own_count + self._others(load, now_ms) - credit + zone_cost
+
+    def _others(self, load: _Load, now_ms: int) -> float:
+        age_ms = max(0, now_ms - load.reported_ms)
+        return load.others_count * 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+
+    def _load(self, life_id: LifeId) -> _Load:
+        load = self._loads.get(life_id)
+        if load is None:
+            load = self._loads[life_id] = _Load()
+        return load
--- /dev/null
+++ b/cassiapitch/scheduler.py
@@ -0,0 +1,240 @@
+"""Gives waiting requests a backend server, in the order of the fair queue."""
+
+import dataclasses
+from collections.abc import Callable, Iterator
+
+import anyio
+
+from cassiapitch import timers
+from cassiapitch.fairness import FairQueue, Ticket
+from cassiapitch.messages import BackendItem
+from cassiapitch.outcomes import ErrorKind
+from cassiapitch.routing import Router
+from cassiapitch.suspicion import Suspicion
+from cassiapitch.types import AccountName, LifeId, Priority, RequestDigest
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Wanted:
+    """What a request needs of a backend server.
+
+    Attributes:
+        queue: Name of its queue: the model, or the role of a plain service.
+        candidates: Returns the backend servers that may get it now.
+        expected_ms: Returns the time until there is a candidate if there is none
+            now, or None if none is expected.
+        account: Its client account, empty on an open route.
+        weight: The account's weight.
+        priority: Urgent or batch.
+        cost: Its tokens.
+        deadline_ms: When it is refused if it still waits.
+        digest: Digest of its content.
+        prefixes: Digests of its prompt's prefixes.
+        excluded: Lives that it must not go to.
+        suspect: Whether a backend server crashed while it ran.
+        narrow: Whether not every backend server of its queue is a candidate.
+    """
+
+    queue: str
+    candidates: Callable[[], list[BackendItem]]
+    expected_ms: Callable[[], int | None]
+    account: AccountName
+    weight: int
+    priority: Priority
+    cost: int
+    deadline_ms: int
+    digest: RequestDigest
+    prefixes: tuple[str, ...] = ()
+    excluded: set[LifeId] = dataclasses.field(default_factory=set)
+    suspect: bool = False
+    narrow: bool = False
+
+    @property
+    def is_special(self) -> bool:
+        """Whether others may be served while this one finds no backend server."""
+        return self.narrow or self.suspect or bool(self.excluded)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slot:
+    """A place at a backend server; give it back with `Scheduler.release`."""
+
+    backend: BackendItem
+    wanted: Wanted
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoSlot:
+    """No backend server for the request."""
+
+    kind: ErrorKind
+    retry_after_ms: int | None = None
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    wanted: Wanted
+    ticket: Ticket
+    done: anyio.Event
+    result: Slot | NoSlot | None = None
+
+
+class Scheduler:
+    """Queues by model, and the requests in flight."""
+
+    def __init__(self, policy: str, router: Router, suspicion: Suspicion) -> None:
+        self._policy = policy
+        self._router = router
+        self._suspicion = suspicion
+        self._queues: dict[str, FairQueue] = {}
+        self._waiters: dict[Ticket, _Waiter] = {}
+
+    async def acquire(self, wanted: Wanted) -> Slot | NoSlot:
+        """Returns a slot as soon as it is the request's turn, or the reason."""
+        now_ms = timers.now_ms()
+        queue = self._queues.get(wanted.queue)
+        if queue is None:
+            queue = self._queues[wanted.queue] = FairQueue(self._policy)
+        if not len(queue) and (slot := self._place(wanted, now_ms)) is not None:
+            return slot
+        refusal = self._hopeless(wanted, now_ms)
+        if refusal is None and queue.is_full():
+            refusal = NoSlot(ErrorKind.OVERLOADED, self._return_ms(queue))
+        if refusal is not None:
+            return refusal
+        return await self._wait(queue, wanted, now_ms)
+
+    def release(self, slot: Slot, *, completed: bool) -> None:
+        """Gives a slot back and serves who waits."""
+        life_id = slot.backend.life_id
+        self._router.ended(life_id)
+        self._suspicion.ended(life_id, slot.wanted.digest)
+        if completed:
+            self._queues[slot.wanted.queue].completed(timers.now_ms())
+        self.pump()
+
+    def pump(self) -> None:
+        """Serves waiting requests; call it whenever room may have appeared."""
+        if not self._waiters:
+            return
+        now_ms = timers.now_ms()
+        queues = [queue for queue in self._queues.values() if len(queue)]
+        for priority in (Priority.URGENT, Priority.BATCH):
+            for queue in queues:
+                self._pump_queue(queue, priority, now_ms)
+
+    def tick(self, now_ms: int) -> None:
+        """Refuses requests whose deadline passed, then serves who can be."""
+        for queue in self._queues.values():
+            for ticket in queue.expired(now_ms):
+                retry_ms = self._return_ms(queue)
+                refusal = NoSlot(ErrorKind.DEADLINE_EXCEEDED, retry_ms)
+                self._finish(queue, ticket, refusal)
+        self.pump()
+
+    def waiting(self) -> dict[tuple[str, Priority], tuple[int, int]]:
+        """Returns the waiting requests' number and longest wait by queue."""
+        now_ms = timers.now_ms()
+        found: dict[tuple[str, Priority], tuple[int, int]] = {}
+        for name, queue in self._queues.items():
+            for priority in Priority:
+                count, since_ms = queue.waiting(priority)
+                if count and since_ms is not None:
+                    found[(name, priority)] = (count, now_ms - since_ms)
+        return found
+
+    async def _wait(
+        self, queue: FairQueue, wanted: Wanted, now_ms: int
+    ) -> Slot | NoSlot:
+        ticket = Ticket(
+            wanted.account,
+            wanted.weight,
+            wanted.priority,
+            wanted.cost,
+            wanted.deadline_ms,
+            now_ms,
+        )
+        queue.push(ticket)
+        wait_ms = queue.expected_wait_ms(ticket, now_ms)
+        if wait_ms is not None and now_ms + wait_ms > wanted.deadline_ms:
+            queue.abandon(ticket)
+            return NoSlot(ErrorKind.DEADLINE_EXCEEDED, wait_ms)
+        waiter = _Waiter(wanted, ticket, anyio.Event())
+        self._waiters[ticket] = waiter
+        self._pump_queue(queue, wanted.priority, now_ms)
+        try:
+            await waiter.done.wait()
+        except BaseException:
+            if isinstance(waiter.result, Slot):
+                self.release(waiter.result, completed=False)
+            raise
+        finally:
+            queue.abandon(ticket)
+            self._waiters.pop(ticket, None)
+        return waiter.result or NoSlot(ErrorKind.INTERNAL)
+
+    def _pump_queue(self, queue: FairQueue, priority: Priority, now_ms: int) -> None:
+        for ticket in queue.in_order(priority):
+            waiter = self._waiters.get(ticket)
+            if waiter is None:
+                continue
+            slot = self._place(waiter.wanted, now_ms)
+            if slot is not None:
+                self._finish(queue, ticket, slot)
+            elif (refusal := self._hopeless(waiter.wanted, now_ms)) is not None:
+                self._finish(queue, ticket, refusal)
+            elif not waiter.wanted.is_special:
+                return
+
+    def _finish(self, queue: FairQueue, ticket: Ticket, result: Slot | NoSlot) -> None:
+        if isinstance(result, Slot):
+            queue.serve(ticket)
+        else:
+            queue.abandon(ticket)
+        waiter = self._waiters.pop(ticket)
+        waiter.result = result
+        waiter.done.set()
+
+    def _place(self, wanted: Wanted, now_ms: int) -> Slot | None:
+        candidates = list(self._allowed(wanted))
+        backend = self._router.choose(
+            candidates, wanted.priority, wanted.prefixes, now_ms
+        )
+        if backend is None:
+            return None
+        self._router.started(backend.life_id)
+        self._suspicion.started(backend.life_id, wanted.digest, wanted.suspect)
+        return Slot(backend, wanted)
+
+    def _allowed(self, wanted: Wanted) -> Iterator[BackendItem]:
+        for backend in wanted.candidates():
+            if backend.life_id in wanted.excluded:
+                continue
+            if self._suspicion.has_crashed(backend.life_id):
+                continue
+            if wanted.suspect and not self._suspicion.may_run_suspect(
+                backend.life_id, wanted.digest
+            ):
+                continue
+            yield backend
+
+    def _hopeless(self, wanted: Wanted, now_ms: int) -> NoSlot | None:
+        """Returns a refusal where no candidate comes before the deadline."""
+        usable = [
+            backend
+            for backend in wanted.candidates()
+            if backend.life_id not in wanted.excluded
+            and not self._suspicion.has_crashed(backend.life_id)
+        ]
+        if usable:
+            return None
+        expected_ms = wanted.expected_ms()
+        if expected_ms is not None and now_ms + expected_ms <= wanted.deadline_ms:
+            return None
+        return NoSlot(ErrorKind.MODEL_LOADING, expected_ms)
+
+    def _return_ms(self, queue: FairQueue) -> int | None:
+        """Returns when a refused caller should come back."""
+        now_ms = timers.now_ms()
+        _, since_ms = queue.waiting(Priority.URGENT)
+        return None if since_ms is None else max(1_000, now_ms - since_ms)
--- /dev/null
+++ b/cassiapitch/scrubbing.py
@@ -0,0 +1,78 @@
+"""Keeps callers' keys away from backend servers."""
+
+import urllib.parse
+
+import msgspec
+
+from cassiapitch.asgi import Headers
+
+# Headers that carry credentials, and those that belong to one connection only.
+_DROPPED = frozenset(
+    {
+        b"authorization",
+        b"cookie",
+        b"idempotency-key",
+        b"proxy-authorization",
+        b"host",
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+        b"x-request-id",
+    }
+)
+
+
+def forwarded_headers(headers: Headers, key: str | None, request_id: str) -> Headers:
+    """Returns the headers for a backend server."""
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _DROPPED
+        and not _holds(key, name)
+        and not _holds(key, value)
+    ]
+    kept.append((b"X-Request-Id", request_id.encode()))
+    return kept
+
+
+def forwarded_query(query: bytes, key: str | None) -> str:
+    """Returns the query string without parameters in which the key occurs."""
+    text = query.decode("latin-1")
+    kept = [
+        part
+        for part in text.split("&")
+        if not _holds(key, part.encode("latin-1"))
+        and not _holds(key, urllib.parse.unquote_to_bytes(part.replace("+", " ")))
+    ]
+    return "&".join(kept)
+
+
+def body_holds_key(body: bytes, key: str | None, *, json: bool) -> bool:
+    """Tells whether a body contains the key's text.
+
+    JSON can spell the same text with escapes, and form data with percent signs, so
+    that the decoded text is searched as well.
+    """
+    if key is None:
+        return False
+    if _holds(key, body):
+        return True
+    if b"%" in body and _holds(key, urllib.parse.unquote_to_bytes(body)):
+        return True
+    if not json or b"\\" not in body:
+        return False
+    try:
+        plain = msgspec.json.encode(msgspec.json.decode(body))
+    except (msgspec.MsgspecError, RecursionError):
+        return False
+    return _holds(key, plain)
+
+
+def _holds(key: str | None, data: bytes) -> bool:
+    return key is not None and key.encode() in data
--- /dev/null
+++ b/cassiapitch/servicecalls.py
@@ -0,0 +1,341 @@
+"""Runs one call of a plain service: claim, budget, sending at most once."""
+
+import dataclasses
+
+import anyio
+
+from cassiapitch import api, events, timers
+from cassiapitch.budget import Admitted
+from cassiapitch.calls import Call, refused
+from cassiapitch.crashes import Crashes, Verdict
+from cassiapitch.entrystate import EntryState
+from cassiapitch.forward import (
+    LIFE_HEADER,
+    ConnectionLost,
+    Headers,
+    NotConnected,
+    Response,
+    exchange,
+    read_all,
+)
+from cassiapitch.messages import (
+    BackendItem,
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimFinish,
+    ClaimRelease,
+    RouteItem,
+)
+from cassiapitch.outcomes import ErrorKind
+from cassiapitch.rateanswers import check_admitted
+from cassiapitch.scheduler import NoSlot, Slot, Wanted
+from cassiapitch.types import ClaimState
+
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+# The control group keeps bodies up to 64 KiB; one byte more tells it that this one
+# is too large, without sending all of it.
+KEPT_BODY_BYTES = 64 * 1024 + 1
+CLAIM_LIMIT_MS = 2_000
+CLAIM_MARGIN_MS = 10_000
+RELEASE_LIMIT_MS = 10_000
+FINISH_WAIT_MS = 1_000
+FINISH_LIMIT_MS = 60_000
+
+_CLAIM_REFUSALS = {
+    ClaimState.RUNNING: ErrorKind.CLAIM_RUNNING,
+    ClaimState.UNKNOWN: ErrorKind.CLAIM_UNKNOWN,
+    ClaimState.MISMATCH: ErrorKind.CLAIM_MISMATCH,
+    ClaimState.FULL: ErrorKind.CLAIMS_FULL,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """A call as it is forwarded, without anything of the caller's key.
+
+    Attributes:
+        route: The bundle's route.
+        query: Query string without the key.
+        headers: Headers to forward.
+        body: The body.
+        idempotency_key: The caller's `Idempotency-Key`, if any.
+    """
+
+    route: RouteItem
+    query: str
+    headers: Headers
+    body: bytes
+    idempotency_key: str | None
+
+    @property
+    def target(self) -> str:
+        """Path and query."""
+        return f"{self.route.path}?{self.query}" if self.query else self.route.path
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """A service's answer, or the kept one of an earlier call."""
+
+    status: int
+    content_type: str
+    body: bytes
+    replayed: bool = False
+
+
+class ServiceCall:
+    """One call and the attempts that it takes."""
+
+    def __init__(
+        self, state: EntryState, crashes: Crashes, call: Call, request: ServiceRequest
+    ) -> None:
+        self._state = state
+        self._crashes = crashes
+        self._call = call
+        self._request = request
+        route = request.route
+        self.digest = api.digest_of(
+            route.method, route.path, request.query, request.body
+        )
+        self._account = "" if call.account is None else call.account.name
+        self._key_digest = api.digest_of(
+            self._account, route.method, route.path, request.idempotency_key or ""
+        )
+
+    async def run(self) -> ServiceAnswer:
+        """Returns the answer.
+
+        Raises:
+            CallRefusedError: There is none.
+            CallEndedError: The call must not go on.
+        """
+        request = self._request
+        needs_claim = not request.route.idempotent and request.idempotency_key
+        if not needs_claim:
+            return await self._run_admitted()
+        try:
+            earlier = await self._claim()
+            if earlier is not None:
+                return earlier
+            answer = await self._run_admitted()
+        except BaseException:
+            if not self._call.course.may_have_left:
+                self._release()
+            raise
+        await self._finish(answer)
+        return answer
+
+    async def _run_admitted(self) -> ServiceAnswer:
+        cost = self._request.route.cost_tokens
+        admitted = check_admitted(await self._state.admit(self._call, cost))
+        try:
+            return await self._attempts()
+        finally:
+            self._settle(admitted)
+
+    def _settle(self, admitted: Admitted) -> None:
+        is_used = self._call.course.may_have_left
+        cost = self._request.route.cost_tokens if self._call.account else 0
+        self._state.budget.settle(admitted, cost if is_used else 0)
+
+    async def _attempts(self) -> ServiceAnswer:
+        self._call.course.step("admit")
+        wanted = self._make_wanted()
+        while True:
+            slot = await self._state.scheduler.acquire(wanted)
+            if isinstance(slot, NoSlot):
+                raise self._no_slot(slot)
+            self._call.course.step("route")
+            answer: ServiceAnswer | NotConnected | ConnectionLost | None = None
+            try:
+                answer = await self._attempt(slot.backend)
+            finally:
+                completed = isinstance(answer, ServiceAnswer)
+                self._state.scheduler.release(slot, completed=completed)
+            if isinstance(answer, ServiceAnswer):
+                self._call.course.step("complete")
+                if wanted.suspect:
+                    self._crashes.ran_clean(self.digest)
+                return answer
+            await self._prepare_retry(answer, slot, wanted)
+
+    def _make_wanted(self) -> Wanted:
+        account = self._call.account
+        role = self._request.route.role
+        return Wanted(
+            queue=f"role/{role}",
+            candidates=lambda: self._state.catalog.services(role),
+            expected_ms=lambda: None,
+            account=self._account,
+            weight=1 if account is None else account.weight,
+            priority=self._call.priority,
+            cost=max(1, self._request.route.cost_tokens),
+            deadline_ms=self._call.deadline_ms,
+            digest=self.digest,
+            suspect=self._crashes.crash_count(self.digest) > 0,
+        )
+
+    def _no_slot(self, slot: NoSlot) -> Exception:
+        if slot.kind is ErrorKind.MODEL_LOADING:
+            return refused(ErrorKind.NO_BACKEND_SERVER)
+        return refused(slot.kind, slot.retry_after_ms)
+
+    async def _prepare_retry(
+        self, failure: NotConnected | ConnectionLost, slot: Slot, wanted: Wanted
+    ) -> None:
+        wanted.excluded.add(slot.backend.life_id)
+        course = self._call.course
+        if isinstance(failure, ConnectionLost):
+            await self._look_for_crash(slot.backend, wanted)
+            if course.idempotent:
+                course.step("retry")
+        if not course.may_retry(self._state.retries, timers.now_ms()):
+            unsent = isinstance(failure, NotConnected)
+            lost = ErrorKind.BACKEND_SERVER_FAILED
+            raise refused(ErrorKind.NO_BACKEND_SERVER if unsent else lost)
+
+    async def _look_for_crash(self, backend: BackendItem, wanted: Wanted) -> None:
+        """Reports a crash if the backend server no longer takes connections."""
+        probe = await self._state.connections.open(backend, fresh=True)
+        if not isinstance(probe, NotConnected):
+            await self._state.connections.give_back(probe)
+            return
+        verdict = await self._crashes.report(backend, self.digest)
+        if verdict is Verdict.QUARANTINED:
+            raise refused(ErrorKind.REQUEST_QUARANTINED)
+        if verdict is Verdict.UNRECORDED:
+            raise refused(ErrorKind.BACKEND_SERVER_FAILED)
+        wanted.suspect = True
+
+    async def _attempt(
+        self, backend: BackendItem
+    ) -> ServiceAnswer | NotConnected | ConnectionLost:
+        course = self._call.course
+        connection = await self._state.connections.open(
+            backend, fresh=not course.idempotent
+        )
+        if isinstance(connection, NotConnected):
+            self._state.router.unreachable(backend.life_id, timers.now_ms())
+            if connection.refused:
+                self._state.demand.backend_refused(backend.life_id)
+            course.not_sent()
+            return connection
+        # A call that can't be repeated is followed to its end even if the caller
+        # goes away, so that its outcome can be recorded.
+        with anyio.CancelScope(shield=not course.idempotent):
+            limit_ms = self._request.route.timeout_ms
+            response = await exchange(
+                connection,
+                self._request.route.method,
+                self._request.target,
+                self._request.headers,
+                self._request.body,
+                guard=self._make_guard(),
+                head_limit_ms=limit_ms,
+                part_limit_ms=limit_ms,
+            )
+            if isinstance(response, ConnectionLost):
+                return response
+            try:
+                return await self._read(backend, response)
+            finally:
+                await response.close()
+                await self._state.connections.give_back(connection)
+
+    def _make_guard(self):  # noqa: ANN202
+        is_first = True
+
+        def guard() -> None:
+            nonlocal is_first
+            if is_first:
+                self._state.authorization.check(self._call, timers.now_ms())
+                is_first = False
+                self._call.course.written()
+
+        return guard
+
+    async def _read(
+        self, backend: BackendItem, response: Response
+    ) -> ServiceAnswer | ConnectionLost:
+        life_id = response.header(LIFE_HEADER)
+        if life_id is not None and life_id != backend.life_id:
+            # The answer is the newer life's own; the chosen life has crashed.
+            self._state.start_background(self._report, backend)
+        body = await read_all(response, ANSWER_LIMIT_BYTES)
+        if body is None:
+            return ConnectionLost()
+        content_type = response.header(b"content-type") or "application/octet-stream"
+        return ServiceAnswer(response.status, content_type, body)
+
+    async def _report(self, backend: BackendItem) -> None:
+        await self._crashes.report(backend, self.digest)
+
+    async def _claim(self) -> ServiceAnswer | None:
+        """Claims the key; returns the kept answer if the call ran before."""
+        answer = await self._state.asks.ask(
+            lambda sequence: ClaimAsk(
+                sequence=sequence,
+                account=self._account,
+                key_digest=self._key_digest,
+                request_digest=self.digest,
+                holder=self._call.request_id,
+                lifetime_ms=self._request.route.timeout_ms + CLAIM_MARGIN_MS,
+            ),
+            _is_decided,
+            CLAIM_LIMIT_MS,
+        )
+        if answer is None:
+            raise refused(ErrorKind.CLAIM_UNAVAILABLE)
+        if answer.state is ClaimState.GRANTED:
+            return None
+        if answer.state is not ClaimState.FINISHED:
+            raise refused(_CLAIM_REFUSALS[answer.state])
+        if answer.body is None:
+            message = "the call ran with this status; its answer was too large to keep"
+            body = b'{"status":%d,"message":"%s"}' % (answer.status, message.encode())
+            return ServiceAnswer(answer.status, "application/json", body, True)
+        return ServiceAnswer(answer.status, answer.content_type, answer.body, True)
+
+    def _release(self) -> None:
+        """Gives the claim back; the call did not run."""
+        self._state.start_background(self._send_release)
+
+    async def _send_release(self) -> None:
+        await self._state.asks.ask(
+            lambda sequence: ClaimRelease(
+                sequence, self._account, self._key_digest, self._call.request_id
+            ),
+            _is_decided,
+            RELEASE_LIMIT_MS,
+        )
+
+    async def _finish(self, answer: ServiceAnswer) -> None:
+        """Records the outcome, and waits for that at most a second."""
+        done = anyio.Event()
+        self._state.start_background(self._record, answer, done)
+        with anyio.move_on_after(FINISH_WAIT_MS / 1000, shield=True):
+            await done.wait()
+
+    async def _record(self, answer: ServiceAnswer, done: anyio.Event) -> None:
+        recorded = await self._state.asks.ask(
+            lambda sequence: ClaimFinish(
+                sequence=sequence,
+                account=self._account,
+                key_digest=self._key_digest,
+                holder=self._call.request_id,
+                status=answer.status,
+                content_type=answer.content_type,
+                body=answer.body[:KEPT_BODY_BYTES],
+            ),
+            _is_decided,
+            FINISH_LIMIT_MS,
+        )
+        done.set()
+        if recorded is None:
+            events.log(
+                events.Event.CLAIM_NOT_FINISHED, request_id=self._call.request_id
+            )
+
+
+def _is_decided(answer: object) -> bool:
+    return isinstance(answer, ClaimAnswer) and answer.state is not None
--- /dev/null
+++ b/cassiapitch/streams.py
@@ -0,0 +1,195 @@
+"""Decides which chunks of an engine's stream belong to a caller's answer."""
+
+import dataclasses
+
+import msgspec
+
+DONE = b"[DONE]"
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+    role: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta | None = None
+    text: str | None = None
+    finish_reason: str | None = None
+
+
+class Usage(msgspec.Struct):
+    """Tokens that an engine counted."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Data(msgspec.Struct):
+    id: str = ""
+    model: str = ""
+    created: int = 0
+    choices: list[_Choice] = []
+    usage: Usage | None = None
+
+
+_decoder = msgspec.json.Decoder(_Data)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Chunk:
+    """One event of an engine's stream.
+
+    Attributes:
+        position: Token position, from 0.
+        request_id: The request that it belongs to.
+        text: Generated text.
+        finish_reason: Set on the last event.
+        usage: Set on the last event.
+        model: Model name as the engine gives it.
+        created: Time as the engine gives it.
+        raw: The event's bytes with the empty line at its end.
+    """
+
+    position: int
+    request_id: str
+    text: str
+    finish_reason: str | None
+    usage: Usage | None
+    model: str
+    created: int
+    raw: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndMark:
+    """The engine's `[DONE]`."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Malformed:
+    """An event that isn't a chunk."""
+
+
+def parse_event(raw: bytes) -> Chunk | EndMark | Malformed:
+    """Decodes one SSE event."""
+    position = -1
+    data = b""
+    for line in raw.split(b"\n"):
+        if line.startswith(b"data:"):
+            data = line[5:].strip()
+        elif line.startswith(b"id:"):
+            digits = line[3:].strip()
+            position = int(digits) if digits.isdigit() else -1
+    if data == DONE:
+        return EndMark()
+    if position < 0:
+        return Malformed()
+    try:
+        body = _decoder.decode(data)
+    except msgspec.MsgspecError:
+        return Malformed()
+    text = ""
+    finish_reason = None
+    if body.choices:
+        choice = body.choices[0]
+        finish_reason = choice.finish_reason
+        if choice.delta is not None:
+            text = choice.delta.content or ""
+        else:
+            text = choice.text or ""
+    return Chunk(
+        position,
+        body.id,
+        text,
+        finish_reason,
+        body.usage,
+        body.model,
+        body.created,
+        raw,
+    )
+
+
+class EventSplitter:
+    """Cuts a byte stream into SSE events."""
+
+    def __init__(self, limit_bytes: int = 1024 * 1024) -> None:
+        self._rest = b""
+        self._limit_bytes = limit_bytes
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the events that are complete.
+
+        Raises:
+            ValueError: An event is larger than the limit.
+        """
+        data = self._rest + data
+        if b"\r" in data:
+            data = data.replace(b"\r\n", b"\n")
+        parts = data.split(b"\n\n")
+        self._rest = parts.pop()
+        if len(self._rest) > self._limit_bytes:
+            raise ValueError("an event is larger than the limit")
+        return [part + b"\n\n" for part in parts if part.strip()]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Taken:
+    """The chunk is the next one of the answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dropped:
+    """The chunk is of another request, or was taken already."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Missing:
+    """A chunk before this one was lost; the stream must be resumed."""
+
+
+class Answer:
+    """One answer as it grows, over any number of engine streams."""
+
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
+        self.next_position = 0
+        self.finish_reason: str | None = None
+        self.usage: Usage | None = None
+        self.model = ""
+        self.created = 0
+        self._texts: list[str] = []
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last event was taken."""
+        return self.finish_reason is not None
+
+    @property
+    def text(self) -> str:
+        """The text so far."""
+        return "".join(self._texts)
+
+    def take(self, chunk: Chunk) -> Taken | Dropped | Missing:
+        """Adds a chunk if it is the next one of this answer."""
+        if chunk.request_id != self.request_id or self.is_complete:
+            return Dropped()
+        if chunk.position > self.next_position:
+            return Missing()
+        is_closing = (
+            chunk.finish_reason is not None
+            and not chunk.text
+            and chunk.position == self.next_position - 1
+        )
+        if chunk.position < self.next_position and not is_closing:
+            return Dropped()
+        if not is_closing:
+            self.next_position += 1
+        if chunk.text:
+            self._texts.append(chunk.text)
+        self.model = self.model or chunk.model
+        self.created = self.created or chunk.created
+        if chunk.finish_reason is not None:
+            self.finish_reason = chunk.finish_reason
+            self.usage = chunk.usage
+        return Taken()
--- /dev/null
+++ b/cassiapitch/suspicion.py
@@ -0,0 +1,91 @@
+"""Decides how requests that may crash backend servers are contained."""
+
+import dataclasses
+from collections.abc import Collection
+
+from cassiapitch.types import LifeId, RequestDigest
+
+QUARANTINE_CRASHES_COUNT = 2
+FORGET_MS = 600_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    crash_count: int
+    until_ms: int
+
+
+class Suspicion:
+    """Digests in flight on each life, and digests that were in flight in a crash."""
+
+    def __init__(self) -> None:
+        self._in_flight: dict[LifeId, dict[RequestDigest, int]] = {}
+        self._suspects_on: dict[LifeId, set[RequestDigest]] = {}
+        self._known: dict[RequestDigest, _Known] = {}
+        self._crashed: set[LifeId] = set()
+
+    def started(self, life_id: LifeId, digest: RequestDigest, suspect: bool) -> None:
+        """Counts a request as running on a life of a backend server."""
+        counts = self._in_flight.setdefault(life_id, {})
+        counts[digest] = counts.get(digest, 0) + 1
+        if suspect:
+            self._suspects_on.setdefault(life_id, set()).add(digest)
+
+    def ended(self, life_id: LifeId, digest: RequestDigest) -> None:
+        """Counts a request as no longer running there."""
+        counts = self._in_flight.get(life_id, {})
+        counts[digest] = counts.get(digest, 0) - 1
+        if counts[digest] > 0:
+            return
+        counts.pop(digest)
+        self._suspects_on.get(life_id, set()).discard(digest)
+        if not counts:
+            self._in_flight.pop(life_id, None)
+            self._suspects_on.pop(life_id, None)
+
+    def crashed(self, life_id: LifeId) -> tuple[RequestDigest, ...] | None:
+        """Returns the digests to report for a crash, or None if it is known."""
+        if life_id in self._crashed:
+            return None
+        self._crashed.add(life_id)
+        return tuple(self._in_flight.get(life_id, {}))
+
+    def has_crashed(self, life_id: LifeId) -> bool:
+        """Tells whether this entry saw the life end in a crash."""
+        return life_id in self._crashed
+
+    def recorded(
+        self,
+        digests: Collection[RequestDigest],
+        crash_counts: Collection[int],
+        now_ms: int,
+    ) -> None:
+        """Takes the answer to a crash report."""
+        for digest, count in zip(digests, crash_counts, strict=False):
+            self._known[digest] = _Known(count, now_ms + FORGET_MS)
+
+    def cleared(self, digest: RequestDigest) -> None:
+        """Forgets a digest that ran to its end."""
+        self._known.pop(digest, None)
+
+    def crash_count(
+        self, digest: RequestDigest, in_view_count: int, now_ms: int
+    ) -> int:
+        """Returns the known crashes under a digest, here and in the view."""
+        known = self._known.get(digest)
+        if known is not None and now_ms >= known.until_ms:
+            del self._known[digest]
+            known = None
+        return max(in_view_count, 0 if known is None else known.crash_count)
+
+    def may_run_suspect(self, life_id: LifeId, digest: RequestDigest) -> bool:
+        """Tells whether no other suspect runs on a life of a backend server.
+
+        With two suspects on it, a crash would count against both, and the one
+        that is harmless would be quarantined too.
+        """
+        return not (self._suspects_on.get(life_id, set()) - {digest})
+
+    def forget_except(self, life_ids: Collection[LifeId]) -> None:
+        """Forgets crashes of lives that the view no longer holds."""
+        self._crashed &= set(life_ids)
