Add the open-loop load tool with its report and comparison

Cause: the three measures need load that does not wait for answers, latency from the intended send time, and a check of every streamed answer. Conclusion: a run counts cut, gapped and wrong answers, refusals within and beyond each account's rate, and doubled runs from the stand-ins' dumps; checked against an application that answers as scripted.

--- /dev/null
+++ b/cassiapitch/loadcaller.py
@@ -0,0 +1,313 @@
+"""Sends one call of an experiment and checks its answer."""
+
+import dataclasses
+import enum
+import json
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+from cassiapitch import streams, timers
+from cassiapitch.arrivals import Call
+from cassiapitch.experiment import CallClass, CallKind
+from cassiapitch.settings import Address
+from cassiapitch.types import Priority
+
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+
+TextOracle = Callable[[Call, CallClass, int], str]
+
+
+class Ending(enum.StrEnum):
+    """How a call ended at the caller."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    # The entry said that the answer isn't complete.
+    BROKEN_OFF = "broken_off"
+    # The connection ended without a complete answer and without saying so.
+    CUT = "cut"
+    CONNECTION_FAILED = "connection_failed"
+    TIMED_OUT = "timed_out"
+    UNSENT = "unsent"
+
+
+@dataclasses.dataclass(slots=True)
+class CallResult:
+    """What came of one call; times are from the start of the load.
+
+    Attributes:
+        ending: How it ended.
+        status: HTTP status, 0 without one.
+        code: Code of the refusal.
+        outcome: What the refusal says about the call, `not_run` or `unknown`.
+        request_id: The entry's identity of the call.
+        sent_ms: When it was sent.
+        first_ms: When the first token came, or the whole answer.
+        last_ms: When the last token came.
+        end_ms: When it ended.
+        tokens: Tokens of the answer; those received where it was streamed.
+        position_faults_count: Gaps and repeats in a streamed answer.
+        is_text_wrong: Whether the text differs from the expected one.
+        gaps_ms: Times between tokens.
+    """
+
+    ending: Ending = Ending.CUT
+    status: int = 0
+    code: str = ""
+    outcome: str = ""
+    request_id: str = ""
+    sent_ms: int = 0
+    first_ms: int | None = None
+    last_ms: int = 0
+    end_ms: int = 0
+    tokens: int = 0
+    position_faults_count: int = 0
+    is_text_wrong: bool = False
+    gaps_ms: list[int] = dataclasses.field(default_factory=list)
+
+
+class Caller:
+    """Sends calls one after another over one connection to one entry."""
+
+    def __init__(
+        self,
+        entry: Address,
+        start_ms: int,
+        oracle: TextOracle | None,
+    ) -> None:
+        """Connects with the first call.
+
+        Args:
+            entry: The entry's caller address.
+            start_ms: When the load starts, on this process's clock.
+            oracle: Returns the expected text of a call's first tokens.
+        """
+        self._host = f"[{entry.ip}]" if ":" in entry.ip else entry.ip
+        self._origin = httpcore.Origin(b"http", self._host.encode(), entry.port)
+        self._authority = f"{self._host}:{entry.port}"
+        self._start_ms = start_ms
+        self._oracle = oracle
+        self._connection: httpcore.AsyncHTTPConnection | None = None
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        await self._abandon()
+
+    async def send(
+        self, call: Call, item: CallClass, key: str, timeout_ms: int
+    ) -> CallResult:
+        """Sends a call and reads its answer to the end."""
+        result = CallResult(sent_ms=self._now_ms())
+        try:
+            await self._exchange(call, item, key, timeout_ms, result)
+        except httpcore.TimeoutException:
+            result.ending = Ending.TIMED_OUT
+        except (httpcore.ConnectError, httpcore.ConnectionNotAvailable):
+            result.ending = Ending.CONNECTION_FAILED
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            # Without a status nothing of an answer was cut.
+            is_cut = result.status == 200 and result.ending is not Ending.BROKEN_OFF
+            if is_cut:
+                result.ending = Ending.CUT
+            elif result.status == 0:
+                result.ending = Ending.CONNECTION_FAILED
+        finally:
+            result.end_ms = self._now_ms()
+            if result.ending not in (Ending.ANSWERED, Ending.REFUSED):
+                await self._abandon()
+        return result
+
+    async def _abandon(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            # Closed also when the call ends by a cancellation.
+            with anyio.CancelScope(shield=True):
+                await connection.aclose()
+
+    async def _exchange(
+        self,
+        call: Call,
+        item: CallClass,
+        key: str,
+        timeout_ms: int,
+        result: CallResult,
+    ) -> None:
+        timeout_s = timeout_ms / 1000
+        timeout = {name: timeout_s for name in ("connect", "read", "write", "pool")}
+        connection = self._connection
+        if connection is None or connection.has_expired() or connection.is_closed():
+            await self._abandon()
+            connection = httpcore.AsyncHTTPConnection(origin=self._origin)
+            self._connection = connection
+        body = _body(call, item)
+        path = item.path if item.kind is CallKind.ROUTE else _PATHS[item.kind]
+        method = item.method if item.kind is CallKind.ROUTE else "POST"
+        url = f"http://{self._authority}{path}"
+        async with connection.stream(
+            method,
+            url,
+            headers=_headers(call, item, key, self._authority, len(body)),
+            content=body,
+            extensions={"timeout": timeout},
+        ) as response:
+            result.status = response.status
+            for name, value in response.headers:
+                if name.lower() == b"x-request-id":
+                    result.request_id = value.decode("latin-1")
+            if response.status == 200 and item.stream:
+                await self._read_stream(response, call, item, result)
+            else:
+                await self._read_whole(response, call, item, result)
+
+    async def _read_whole(
+        self,
+        response: httpcore.Response,
+        call: Call,
+        item: CallClass,
+        result: CallResult,
+    ) -> None:
+        parts = []
+        size = 0
+        async for part in response.aiter_stream():
+            parts.append(part)
+            size += len(part)
+            if size > ANSWER_LIMIT_BYTES:
+                return
+        content = b"".join(parts)
+        if not 200 <= response.status < 300:
+            result.ending = Ending.REFUSED
+            result.code, result.outcome = read_refusal(content, response.status)
+            return
+        result.ending = Ending.ANSWERED
+        result.first_ms = result.last_ms = self._now_ms()
+        if item.kind is not CallKind.ROUTE:
+            self._check_whole(content, call, item, result)
+
+    def _check_whole(
+        self, content: bytes, call: Call, item: CallClass, result: CallResult
+    ) -> None:
+        try:
+            document = json.loads(content)
+            choice = document["choices"][0]
+            usage = document.get("usage") or {}
+            is_chat = item.kind is CallKind.CHAT
+            text = choice["message"]["content"] if is_chat else choice["text"]
+        except (ValueError, KeyError, IndexError, TypeError):
+            result.ending = Ending.CUT
+            return
+        result.tokens = usage.get("completion_tokens", 0)
+        if self._oracle is not None:
+            expected = self._oracle(call, item, result.tokens)
+            result.is_text_wrong = text != expected
+
+    async def _read_stream(
+        self,
+        response: httpcore.Response,
+        call: Call,
+        item: CallClass,
+        result: CallResult,
+    ) -> None:
+        splitter = streams.EventSplitter()
+        texts: list[str] = []
+        async for part in response.aiter_stream():
+            for raw in splitter.feed(part):
+                self._take_event(raw, texts, result)
+        if self._oracle is not None:
+            expected = self._oracle(call, item, result.tokens)
+            result.is_text_wrong = "".join(texts) != expected
+
+    def _take_event(self, raw: bytes, texts: list[str], result: CallResult) -> None:
+        event = streams.parse_event(raw)
+        if isinstance(event, streams.EndMark):
+            result.ending = Ending.ANSWERED
+            return
+        if isinstance(event, streams.Malformed):
+            code = _stream_error(raw)
+            if code:
+                result.code = code
+                result.ending = Ending.BROKEN_OFF
+            return
+        if not event.text:
+            return
+        if event.position != result.tokens:
+            result.position_faults_count += 1
+        now_ms = self._now_ms()
+        if result.first_ms is None:
+            result.first_ms = now_ms
+        else:
+            result.gaps_ms.append(now_ms - result.last_ms)
+        result.last_ms = now_ms
+        result.tokens += 1
+        texts.append(event.text)
+
+    def _now_ms(self) -> int:
+        return timers.now_ms() - self._start_ms
+
+
+_PATHS = {
+    CallKind.CHAT: "/v1/chat/completions",
+    CallKind.COMPLETION: "/v1/completions",
+}
+
+
+def messages(call: Call) -> list[dict[str, str]]:
+    """Returns the messages of a chat call."""
+    return [{"role": "user", "content": call.prompt}]
+
+
+def _body(call: Call, item: CallClass) -> bytes:
+    if item.kind is CallKind.ROUTE:
+        if item.method in ("GET", "DELETE"):
+            return b""
+        return msgspec.json.encode({"call": call.number, "account": call.account})
+    document: dict[str, Any] = {
+        "model": call.model,
+        "max_tokens": call.answer_tokens,
+        "stream": item.stream,
+    }
+    if item.priority is Priority.BATCH:
+        document["priority"] = "batch"
+    if item.kind is CallKind.CHAT:
+        document["messages"] = messages(call)
+    else:
+        document["prompt"] = call.prompt
+    return msgspec.json.encode(document)
+
+
+def _headers(
+    call: Call, item: CallClass, key: str, authority: str, body_bytes: int
+) -> list[tuple[str, str]]:
+    headers = [("host", authority), ("accept", "*/*")]
+    if item.kind is not CallKind.ROUTE:
+        # The entry may refuse at once what it can't begin to answer in time.
+        limit_ms = item.first_token_deadline_ms or item.deadline_ms
+        headers.append(("x-deadline-ms", str(limit_ms)))
+    if not item.open:
+        headers.append(("authorization", f"Bearer {key}"))
+    if item.idempotency_key:
+        headers.append(("idempotency-key", f"{call.account}-{call.number}"))
+    if body_bytes or item.method not in ("GET", "DELETE"):
+        headers.append(("content-type", "application/json"))
+        headers.append(("content-length", str(body_bytes)))
+    return headers
+
+
+def read_refusal(content: bytes, status: int) -> tuple[str, str]:
+    """Returns code and outcome of a refusal's body."""
+    try:
+        error = json.loads(content)["error"]
+        return str(error["code"]), str(error.get("outcome", ""))
+    except (ValueError, KeyError, TypeError):
+        return f"http_{status}", ""
+
+
+def _stream_error(raw: bytes) -> str:
+    for line in raw.split(b"\n"):
+        if line.startswith(b"data:"):
+            code, _ = read_refusal(line[5:], 0)
+            return "" if code == "http_0" else code
+    return ""
--- /dev/null
+++ b/cassiapitch/loadreport.py
@@ -0,0 +1,248 @@
+"""Writes a run's report with plots and compares the results of two runs."""
+
+import json
+import pathlib
+from typing import Any, NamedTuple
+
+from rich.console import Console
+from rich.table import Table
+
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.loadresult import FORMAT_VERSION, PERCENTILES
+
+RESULT_NAME = "result.json"
+REPORT_NAME = "report.md"
+SERIES_PLOT_NAME = "series.png"
+LATENCY_PLOT_NAME = "latency.png"
+
+_MEASURE_TEXTS = {
+    "attainment": "calls within the rate that were answered within their deadlines",
+    "attained_per_s_and_accelerator": "such calls a second and accelerator",
+    "model_moves_count": "models loaded during the run",
+    "worst_served_account": "client account with the lowest attainment",
+    "worst_served_attainment": "its attainment",
+    "refused_within_rate_count": "refused calls that were within the account's rate",
+    "refused_within_rate_share": "their share of all calls within the rate",
+}
+# Measures of which more is better; of all others less is.
+_MORE_IS_BETTER = (
+    "attainment",
+    "attained_per_s_and_accelerator",
+    "worst_served_attainment",
+)
+_TIMES = (
+    ("first_token_ms", "Time to first token or whole answer"),
+    ("token_gap_ms", "Time between tokens"),
+    ("whole_answer_ms", "Time to the whole answer"),
+)
+
+
+class Row(NamedTuple):
+    """One figure of two runs."""
+
+    name: str
+    first: Any
+    second: Any
+    verdict: str
+
+
+def read(path: pathlib.Path) -> dict[str, Any]:
+    """Reads a result, by its file or its folder.
+
+    Raises:
+        SettingsError: There is no result that this version can read.
+    """
+    file = path / RESULT_NAME if path.is_dir() else path
+    try:
+        document = json.loads(file.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise SettingsError([f"{file}: {error}"]) from None
+    if not isinstance(document, dict) or document.get("format") != FORMAT_VERSION:
+        raise SettingsError([f"{file}: not a result of format {FORMAT_VERSION}"])
+    return document
+
+
+def write(document: dict[str, Any], folder: pathlib.Path) -> None:
+    """Writes the report and its plots."""
+    _plot_series(document, folder / SERIES_PLOT_NAME)
+    _plot_latency(document, folder / LATENCY_PLOT_NAME)
+    text = "\n".join(_report_lines(document)) + "\n"
+    (folder / REPORT_NAME).write_text(text, encoding="utf-8")
+
+
+def format_value(value: Any) -> str:
+    """Returns a figure as text; None means that there is nothing to show."""
+    if value is None:
+        return "-"
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    return str(value)
+
+
+def _report_lines(document: dict[str, Any]) -> list[str]:
+    lines = [
+        f"# Load run: {document['experiment']}",
+        "",
+        f"Seed {document['seed']}, {document['duration_ms'] / 1000:g} s, "
+        f"{document['accelerators_count']} accelerators. Times are in milliseconds, "
+        "from the intended send time.",
+        "",
+        "## Measures",
+        "",
+        "| measure | value | meaning |",
+        "| --- | --- | --- |",
+    ]
+    for name, value in document["measures"].items():
+        lines.append(f"| {name} | {format_value(value)} | {_MEASURE_TEXTS[name]} |")
+    lines += ["", "## Integrity", "", "| check | count |", "| --- | --- |"]
+    for name, value in document["integrity"].items():
+        lines.append(f"| {name} | {value} |")
+    for title, section in (
+        ("Client accounts", "accounts"),
+        ("Classes", "classes"),
+        ("Client accounts and classes", "accounts_and_classes"),
+    ):
+        lines += ["", f"## {title}", "", *_group_table(document[section])]
+    lines += ["", "## Refusals", "", *_refusal_table(document["accounts"])]
+    for name, title in _TIMES:
+        lines += ["", f"## {title}", "", *_time_table(document, name)]
+    lines += ["", f"![Calls by second]({SERIES_PLOT_NAME})", ""]
+    lines += [f"![Latency percentiles]({LATENCY_PLOT_NAME})"]
+    return lines
+
+
+def _group_table(groups: dict[str, Any]) -> list[str]:
+    names = sorted({ending for item in groups.values() for ending in item["endings"]})
+    head = ["name", "offered", "within rate", "attainment", *names]
+    lines = ["| " + " | ".join(head) + " |", "| --- " * len(head) + "|"]
+    for name, item in groups.items():
+        cells = [
+            name,
+            item["offered_count"],
+            item["within_rate_count"],
+            item["attainment"],
+            *(item["endings"].get(ending, 0) for ending in names),
+        ]
+        lines.append("| " + " | ".join(format_value(cell) for cell in cells) + " |")
+    return lines
+
+
+def _refusal_table(accounts: dict[str, Any]) -> list[str]:
+    lines = ["| account | kind | within rate | beyond rate |", "| --- " * 4 + "|"]
+    for name, item in accounts.items():
+        within, beyond = item["refused_within_rate"], item["refused_beyond_rate"]
+        for kind in sorted({*within, *beyond}):
+            lines.append(
+                f"| {name} | {kind} | {within.get(kind, 0)} | {beyond.get(kind, 0)} |"
+            )
+    return lines
+
+
+def _time_table(document: dict[str, Any], name: str) -> list[str]:
+    heads = [*(f"p{percentile:g}" for percentile in PERCENTILES), "max"]
+    lines = ["| calls | " + " | ".join(heads) + " |", "| --- " * 7 + "|"]
+    for section in ("classes", "accounts", "accounts_and_classes"):
+        for group, item in document[section].items():
+            if item[name] is not None:
+                values = " | ".join(str(item[name][head]) for head in heads)
+                lines.append(f"| {group} | {values} |")
+    return lines
+
+
+def _plot_series(document: dict[str, Any], path: pathlib.Path) -> None:
+    # A figure without pyplot needs no display and no global state.
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(9, 4), layout="constrained")
+    axes = figure.add_subplot()
+    for name, values in document["series"].items():
+        axes.plot(range(len(values)), values, label=name)
+    for fault in document["faults"]:
+        axes.axvline(fault["at_ms"] / 1000, color="tab:red", linestyle=":")
+        axes.text(
+            fault["at_ms"] / 1000,
+            axes.get_ylim()[1],
+            f"{fault['action']} {fault['target']}",
+            rotation=90,
+            va="top",
+            fontsize=7,
+        )
+    for shift in document["shifts"]:
+        axes.axvline(shift["at_ms"] / 1000, color="tab:gray", linestyle="--")
+    axes.set_xlabel("seconds from the start")
+    axes.set_ylabel("calls a second")
+    axes.set_title(document["experiment"])
+    axes.legend()
+    figure.savefig(path, dpi=120)
+
+
+def _plot_latency(document: dict[str, Any], path: pathlib.Path) -> None:
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(9, 4), layout="constrained")
+    panels = figure.subplots(1, 2)
+    shown = (("first_token_ms", panels[0]), ("token_gap_ms", panels[1]))
+    heads = [f"p{percentile:g}" for percentile in PERCENTILES]
+    for name, axes in shown:
+        for group, item in document["classes"].items():
+            if item[name] is not None:
+                values = [item[name][head] for head in heads]
+                axes.plot(heads, values, marker="o", label=group)
+        axes.set_yscale("log")
+        axes.set_title(dict(_TIMES)[name])
+        axes.set_ylabel("milliseconds")
+        if axes.lines:
+            axes.legend(fontsize=7)
+    figure.savefig(path, dpi=120)
+
+
+def compare(first: dict[str, Any], second: dict[str, Any]) -> list[Row]:
+    """Returns the measures, integrity counts and 95th percentiles of two runs."""
+    rows = []
+    for name, value in first["measures"].items():
+        other = second["measures"].get(name)
+        rows.append(Row(name, value, other, _verdict(name, value, other)))
+    for name in sorted({*first["integrity"], *second["integrity"]}):
+        value = first["integrity"].get(name)
+        other = second["integrity"].get(name)
+        rows.append(Row(name, value, other, _verdict(name, value, other)))
+    for section in ("accounts", "classes"):
+        for group in sorted({*first[section], *second[section]}):
+            for time, _ in _TIMES:
+                name = f"{group} {time} p95"
+                value = _p95(first, section, group, time)
+                other = _p95(second, section, group, time)
+                if value is not None or other is not None:
+                    rows.append(Row(name, value, other, _verdict(name, value, other)))
+    return rows
+
+
+def _p95(document: dict[str, Any], section: str, group: str, time: str) -> Any:
+    values = document[section].get(group, {}).get(time)
+    return None if values is None else values["p95"]
+
+
+def _verdict(name: str, first: Any, second: Any) -> str:
+    if not isinstance(first, int | float) or not isinstance(second, int | float):
+        return "" if first == second else "differs"
+    if first == second:
+        return ""
+    is_better = (second > first) == (name in _MORE_IS_BETTER)
+    change = f" {(second - first) / first:+.1%}" if first else ""
+    return ("better" if is_better else "worse") + change
+
+
+def print_comparison(
+    first: dict[str, Any], second: dict[str, Any], rows: list[Row]
+) -> None:
+    """Prints the comparison as a table."""
+    console = Console()
+    if first.get("experiment_sha256") != second.get("experiment_sha256"):
+        console.print("[yellow]the runs are of different experiment files[/yellow]")
+    table = Table()
+    for head in ("figure", "first", "second", "second is"):
+        table.add_column(head)
+    for row in rows:
+        values = (format_value(row.first), format_value(row.second))
+        table.add_row(row.name, *values, row.verdict)
+    console.print(table)
--- /dev/null
+++ b/cassiapitch/loadrun.py
@@ -0,0 +1,201 @@
+"""Runs an experiment: one task sends calls at their times, workers carry them."""
+
+import json
+import sys
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import anyio
+import anyio.abc
+import httpcore
+import msgspec
+from anyio.streams.memory import MemoryObjectSendStream
+
+from cassiapitch import arrivals, timers
+from cassiapitch.arrivals import Call
+from cassiapitch.experiment import CallClass, CallKind, Experiment
+from cassiapitch.loadcaller import (
+    Caller,
+    CallResult,
+    Ending,
+    TextOracle,
+    messages,
+)
+from cassiapitch.loadresult import Collector, count_standins
+from cassiapitch.settings import Address
+
+START_DELAY_MS = 200
+PROGRESS_MS = 1_000
+DUMP_TIMEOUT_S = 10
+# Longest time for one call beyond its deadline, so that late answers are still
+# seen and counted as late.
+LATE_ANSWER_MS = 30_000
+
+Progress = Callable[[int, int, Collector], None]
+
+
+class _Worker:
+    """One task with one connection; takes the next call when it is idle."""
+
+    def __init__(self, caller: Caller, calls: MemoryObjectSendStream[Call]) -> None:
+        self.caller = caller
+        self.calls = calls
+
+
+class _Run:
+    """State of one run; the tasks below share it."""
+
+    def __init__(self, experiment: Experiment, keys: dict[str, str]) -> None:
+        self.experiment = experiment
+        self.classes = {item.name: item for item in experiment.classes}
+        self.keys = keys
+        self.collector = Collector(experiment)
+        self.start_ms = timers.now_ms() + START_DELAY_MS
+        self.oracle = text_oracle(experiment) if experiment.check_text else None
+        self.idle: list[list[_Worker]] = [[] for _ in experiment.entries]
+
+    async def dispatch(self, calls: Iterator[Call], group: anyio.abc.TaskGroup) -> None:
+        """Hands each call to a worker at its intended time."""
+        for call in calls:
+            delay_ms = self.start_ms + call.at_ms - timers.now_ms()
+            # A checkpoint even when late, so that the workers get their turn.
+            await anyio.sleep(max(0, delay_ms) / 1000)
+            self.collector.sent(call)
+            if self.collector.open_count > self.experiment.open_calls_limit_count:
+                result = CallResult(ending=Ending.UNSENT, end_ms=call.at_ms)
+                self.collector.ended(call, self.classes[call.class_name], result)
+                continue
+            entry = call.number % len(self.experiment.entries)
+            worker = self.idle[entry].pop() if self.idle[entry] else None
+            if worker is None:
+                worker = self._start_worker(entry, group)
+            worker.calls.send_nowait(call)
+
+    def _start_worker(self, entry: int, group: anyio.abc.TaskGroup) -> _Worker:
+        send, receive = anyio.create_memory_object_stream[Call](1)
+        address = self.experiment.entries[entry]
+        worker = _Worker(Caller(address, self.start_ms, self.oracle), send)
+
+        async def work() -> None:
+            try:
+                async for call in receive:
+                    await self._carry(worker.caller, call)
+                    self.idle[entry].append(worker)
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await worker.caller.close()
+
+        group.start_soon(work)
+        return worker
+
+    async def _carry(self, caller: Caller, call: Call) -> None:
+        item = self.classes[call.class_name]
+        result = CallResult(ending=Ending.TIMED_OUT)
+        limit_ms = item.deadline_ms + LATE_ANSWER_MS
+        try:
+            with anyio.move_on_after(limit_ms / 1000):
+                key = self.keys[call.account]
+                result = await caller.send(call, item, key, limit_ms)
+        finally:
+            if result.ending is Ending.TIMED_OUT:
+                result.end_ms = timers.now_ms() - self.start_ms
+            self.collector.ended(call, item, result)
+
+    async def drain(self) -> None:
+        """Waits for the open calls, within the experiment's time."""
+        with anyio.move_on_after(self.experiment.drain_ms / 1000):
+            # Calls end in many tasks; the result doesn't depend on this period.
+            while self.collector.open_count > 0:  # noqa: ASYNC110
+                await anyio.sleep(0.05)
+
+
+async def run(
+    experiment: Experiment, keys: dict[str, str], progress: Progress
+) -> dict[str, Any]:
+    """Runs an experiment and returns its result document."""
+    before = await _dumps(experiment.standins)
+    state = _Run(experiment, keys)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_report_progress, state, progress)
+        await state.dispatch(arrivals.calls(experiment), group)
+        await state.drain()
+        group.cancel_scope.cancel()
+    after = await _dumps(experiment.standins)
+    standins = count_standins(before, after) if experiment.standins else {}
+    if experiment.standins:
+        standins["unreachable_standins_count"] = len(experiment.standins) - len(after)
+    return state.collector.document(standins)
+
+
+async def _report_progress(state: _Run, progress: Progress) -> None:
+    while True:
+        await anyio.sleep(PROGRESS_MS / 1000)
+        elapsed_ms = timers.now_ms() - state.start_ms
+        progress(elapsed_ms, state.experiment.duration_ms, state.collector)
+
+
+def print_progress(elapsed_ms: int, duration_ms: int, collector: Collector) -> None:
+    """Prints one line each second on a terminal, else one each ten seconds."""
+    is_terminal = sys.stderr.isatty()
+    if not is_terminal and elapsed_ms // PROGRESS_MS % 10:
+        return
+    counts = collector.counts()
+    text = ", ".join(f"{name} {count}" for name, count in counts.items())
+    line = f"{elapsed_ms // 1000} of {duration_ms // 1000} s: {text}"
+    end = "\r" if is_terminal else "\n"
+    print(f"{line:<78}", end=end, file=sys.stderr, flush=True)
+
+
+def text_oracle(experiment: Experiment) -> TextOracle:
+    """Returns the function that knows the stand-in engine's texts."""
+    # Imported here: runs against other engines don't need the stand-in.
+    from cassiapitch import standin_streams
+
+    adapters = experiment.models.adapters
+
+    def expected(call: Call, item: CallClass, token_count: int) -> str:
+        prompt = call.prompt
+        if item.kind is CallKind.CHAT:
+            # The stand-in engine takes a chat's messages as one JSON text.
+            encoded = msgspec.json.encode(messages(call), order="sorted")
+            prompt = encoded.decode()
+        adapter = call.model if call.model in adapters else ""
+        model = adapters.get(call.model, call.model)
+        return "".join(
+            standin_streams.token_text(model, adapter, prompt, position)
+            for position in range(token_count)
+        )
+
+    return expected
+
+
+async def _dumps(addresses: tuple[Address, ...]) -> list[dict[str, Any]]:
+    dumps = []
+    for address in addresses:
+        dump = await _dump(address)
+        if dump is not None:
+            dumps.append(dump)
+    return dumps
+
+
+async def _dump(address: Address) -> dict[str, Any] | None:
+    host = f"[{address.ip}]" if ":" in address.ip else address.ip
+    url = f"http://{host}:{address.port}/standin/dump"
+    names = ("connect", "read", "write", "pool")
+    timeout = dict.fromkeys(names, DUMP_TIMEOUT_S)
+    origin = httpcore.Origin(b"http", host.encode(), address.port)
+    try:
+        async with httpcore.AsyncHTTPConnection(origin=origin) as connection:
+            response = await connection.request(
+                "GET", url, extensions={"timeout": timeout}
+            )
+            document: dict[str, Any] = json.loads(response.content)
+            return document
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+        ValueError,
+    ):
+        # A stand-in that crashed during the experiment has no dump to give.
+        return None
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,215 @@
+"""Tests of the load tool against an entry that answers as scripted."""
+
+import dataclasses
+import json
+
+import anyio
+import msgspec
+import pytest
+
+from cassiapitch import asgi, config, load, loadreport, loadrun, standin_streams
+from cassiapitch.arrivals import Call
+from cassiapitch.experiment import Experiment
+from cassiapitch.loadcaller import CallResult, Ending
+from cassiapitch.loadresult import Collector, count_standins, is_attained
+from cassiapitch.settings import Address
+
+TEXT = """
+{
+  "name": "scripted", "seed": 1, "duration_ms": 400, "accelerators_count": 2,
+  "entries": [{"ip": "127.0.0.1", "port": 1}],
+  "check_text": true,
+  "models": {"names": ["a", "b"], "adapters": {"b": "a"}},
+  "classes": [
+    {"name": "chat", "kind": "chat", "deadline_ms": 60000, "stream": true,
+     "prompt": {"median_tokens": 20}, "answer": {"median_tokens": 5}},
+    {"name": "whole", "kind": "completion", "deadline_ms": 60000,
+     "prompt": {"median_tokens": 20}, "answer": {"median_tokens": 5}}
+  ],
+  "accounts": [
+    {"name": "shop", "rate_tokens_per_s": 1000, "burst_tokens": 100000,
+     "rate_share": 1.0, "class_weights": {"chat": 1}, "key_path": "shop.key"}
+  ]
+}
+"""
+
+
+def _plan(port=1, **changes):
+    plan = config.parse(TEXT, Experiment)
+    entry = Address("127.0.0.1", port)
+    return dataclasses.replace(plan, entries=(entry,), **changes)
+
+
+def _events(generation, positions):
+    """Returns SSE events of tokens in the entry's form."""
+    for position in positions:
+        text = standin_streams.token_text(
+            generation.model, generation.adapter, generation.prompt, position
+        )
+        choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+        document = {"id": "r-1", "choices": [choice]}
+        yield b"id: %d\ndata: %s\n\n" % (position, json.dumps(document).encode())
+
+
+def _entry(answer):
+    """Returns an application that passes each parsed request to `answer`."""
+
+    async def app(scope, receive, send):
+        body = await asgi.read_body(receive, 1 << 20, 5_000)
+        document = msgspec.json.decode(body.data)
+        if document["model"] == "b":
+            document |= {"model": "a", "adapter": "b"}
+        data = msgspec.json.encode(document)
+        await answer(standin_streams.parse("r-1", scope["path"], data), send)
+
+    return app
+
+
+def _stream(positions, *tail):
+    async def answer(generation, send):
+        start = {"type": "http.response.start", "status": 200, "headers": []}
+        await send(start)
+        for event in (*_events(generation, positions), *tail):
+            await send({"type": "http.response.body", "body": event, "more_body": True})
+        await send({"type": "http.response.body", "body": b""})
+
+    return answer
+
+
+async def _refuse(_generation, send):
+    error = {"code": "rate_exceeded", "outcome": "not_run", "message": "later"}
+    await asgi.send_json(send, 429, {"error": error})
+
+
+def _run(answer, **changes):
+    async def body():
+        server = asgi.HttpServer(_entry(answer), Address("127.0.0.1", 0))
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.run)
+            plan = _plan(server.port, **changes)
+            document = await loadrun.run(plan, {"shop": "key"}, lambda *_: None)
+            group.cancel_scope.cancel()
+        return document
+
+    return anyio.run(body, backend="asyncio")
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+def test_complete_streams_attain():
+    """Guards against a tool that finds faults in correct answers."""
+    document = _run(_stream(range(5), DONE))
+    assert document["measures"]["attainment"] == 1.0
+    assert document["accounts"]["shop"]["offered_count"] > 5
+    assert document["integrity"]["wrong_texts_count"] == 0
+    assert document["accounts"]["shop"]["first_token_ms"]["p50"] >= 1
+
+
+@pytest.mark.parametrize(
+    ("answer", "field"),
+    [
+        (_stream(range(5)), "cut_answers_count"),
+        (_stream((0, 2, 3), DONE), "position_faults_count"),
+        (_stream((0, 1, 1), DONE), "wrong_texts_count"),
+        (
+            _stream((0, 1), b'data: {"error": {"code": "stream_lost"}}\n\n'),
+            "broken_off_answers_count",
+        ),
+    ],
+    ids=["no-end-mark", "gap", "repeat", "broken-off"],
+)
+def test_faulty_streams_are_counted(answer, field):
+    """Guards against a cut or garbled answer that counts as served."""
+    document = _run(answer)
+    offered = document["accounts"]["shop"]["offered_count"]
+    assert document["integrity"][field] >= offered > 5
+    assert document["measures"]["attainment"] == 0.0
+
+
+def test_refusals_within_the_rate_are_told_from_those_beyond_it():
+    """Guards against the measure of wrongful refusals counting rightful ones."""
+    document = _run(_refuse)
+    account = document["accounts"]["shop"]
+    assert account["refused_within_rate"] == {"rate_exceeded": account["offered_count"]}
+    poor = dataclasses.replace(_plan().accounts[0], burst_tokens=1)
+    document = _run(_refuse, accounts=(poor,))
+    account = document["accounts"]["shop"]
+    assert account["refused_within_rate"] == {}
+    assert account["refused_beyond_rate"] == {"rate_exceeded": account["offered_count"]}
+
+
+def test_calls_are_sent_without_waiting_for_answers():
+    """Guards against a closed loop, which hides the queue of a slow entry."""
+
+    async def never(_generation, _send):
+        await anyio.sleep_forever()
+
+    document = _run(never, drain_ms=0)
+    account = document["accounts"]["shop"]
+    assert account["offered_count"] > 5
+    assert account["endings"] == {"timed_out": account["offered_count"]}
+
+
+def test_unreachable_entry_is_reported_as_such():
+    """Guards against connection failures that count as refusals."""
+
+    async def body():
+        return await loadrun.run(_plan(1), {"shop": "key"}, lambda *_: None)
+
+    document = anyio.run(body, backend="asyncio")
+    assert set(document["accounts"]["shop"]["endings"]) == {"connection_failed"}
+
+
+def test_latency_counts_from_the_intended_time():
+    """Guards against a late sender that hides the wait before it."""
+    plan = _plan()
+    item = dataclasses.replace(plan.classes[0], deadline_ms=100)
+    call = Call(0, 1_000, "shop", "chat", "a", "p", 5, 6)
+    late = CallResult(
+        ending=Ending.ANSWERED, sent_ms=1_090, first_ms=1_110, end_ms=1_120
+    )
+    assert not is_attained(call, item, late)
+    collector = Collector(plan)
+    collector.sent(call)
+    collector.ended(call, item, late)
+    account = collector.document({})["accounts"]["shop"]
+    assert account["first_token_ms"]["p50"] == 110
+    assert account["attained_count"] == 0
+
+
+def test_standins_show_doubled_runs_and_moves():
+    """Guards against a doubled order that no caller notices."""
+
+    def order(number, verdict="accepted"):
+        return {"order_id": f"o{number}", "kind": "load", "verdict": verdict}
+
+    before = [{"life_id": "x", "orders": [order(1)]}]
+    after = [
+        {"life_id": "x", "orders": [order(1), order(2), order(2), order(3, "stale")]},
+        {"life_id": "y", "orders": [order(4)]},
+        {"life_id": "z", "doubled": ["r-1"], "overcommit": [{}]},
+    ]
+    assert count_standins(before, after) == {
+        "model_loads_count": 2,
+        "doubled_runs_count": 1,
+        "overcommits_count": 1,
+    }
+
+
+def test_report_and_comparison_from_the_command_line(tmp_path, capsys):
+    """Guards against a run whose figures are lost when the report fails."""
+    document = _run(_stream(range(5), DONE))
+    for name in ("first", "second"):
+        folder = tmp_path / name
+        folder.mkdir()
+        (folder / loadreport.RESULT_NAME).write_text(json.dumps(document))
+        loadreport.write(document, folder)
+        for file in ("report.md", "series.png", "latency.png"):
+            assert (folder / file).stat().st_size > 0
+        document["measures"]["attainment"] = 0.5
+    arguments = ["compare", str(tmp_path / "first"), str(tmp_path / "second"), "--json"]
+    assert load.main(arguments) == 0
+    rows = {row["name"]: row for row in json.loads(capsys.readouterr().out)}
+    assert rows["attainment"]["verdict"] == "worse -50.0%"
+    assert load.main(["compare", str(tmp_path), str(tmp_path)]) == 2
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -20,7 +20,9 @@
 }
 
 
-@pytest.mark.parametrize("path", FILES, ids=lambda path: f"{path.parent.name}-{path.stem}")
+@pytest.mark.parametrize(
+    "path", FILES, ids=lambda path: f"{path.parent.name}-{path.stem}"
+)
 def test_shipped_file_passes_its_checks(path):
     """Guards against an example that its own program refuses."""
     parsed = config.load(path, SCHEMAS[path.stem])
