--- a/cassiapitch/member.py
+++ b/cassiapitch/member.py
@@ -1,10 +1,9 @@
 """A member of the control group: the task that owns its sockets and files."""
 
-import dataclasses
 import random
 import secrets
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -13,12 +12,14 @@
 
 from cassiapitch import (
     consensus,
+    diskwriter,
     events,
     files,
     identity,
     journal,
     memberchanges,
     peers,
+    proposer,
     quorum,
     reads,
     replication,
@@ -26,19 +27,16 @@
     snapshots,
 )
 from cassiapitch.exceptions import StorageError
-from cassiapitch.node import Node, Send, Write
+from cassiapitch.membertypes import MemberStatus, StateMachine
+from cassiapitch.node import NO_GROUP, Node, Send
 from cassiapitch.proposals import (
-    Appended,
     Committed,
     NotAccepted,
-    Proposal,
     ReadConfirmed,
     Reads,
     ReadUnavailable,
     ReadWait,
-    Replies,
     Uncertain,
-    Waiting,
 )
 from cassiapitch.quorum import ChangeRefused
 from cassiapitch.raftmessages import (
@@ -49,64 +47,32 @@
     EntryKind,
     ForwardAnswer,
     ForwardAsk,
-    ForwardItem,
-    GroupMember,
     PeerHello,
 )
 from cassiapitch.settings import Address, ControlSettings
 from cassiapitch.timers import now_ms
 
+__all__ = [
+    "ChangeRefused",
+    "Committed",
+    "Member",
+    "MemberStatus",
+    "NotAccepted",
+    "ReadConfirmed",
+    "ReadUnavailable",
+    "StateMachine",
+    "Uncertain",
+]
+
 TICK_MS = 25
-BOOTSTRAP_RETRY_MS = 200
 APPLY_BATCH_COUNT = 256
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 SNAPSHOT_COUNT = 8_192
 
-ProposeOutcome = Committed | NotAccepted | Uncertain
 ReadOutcome = ReadConfirmed | ReadUnavailable
 ChangeOutcome = Committed | ChangeRefused | NotAccepted | Uncertain
 
 
-class StateMachine(Protocol):
-    """What the log is applied to; deterministic."""
-
-    def apply(self, index: int, time_ms: int, command: bytes) -> bytes:
-        """Applies one command and returns its result."""
-        ...
-
-    def snapshot(self) -> bytes:
-        """Returns the whole state."""
-        ...
-
-    def restore(self, data: bytes) -> None:
-        """Replaces the whole state by that of a snapshot."""
-        ...
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemberStatus:
-    """What a member knows of itself and the group.
-
-    Attributes:
-        name: Its name.
-        role: `leader`, `candidate`, `follower`, `learner`, or `waiting` for a
-            member that doesn't belong to a group.
-        term: Its term.
-        leader: The leader's name, if known.
-        commit_index: Highest index that it knows to be committed.
-        applied_index: Highest index that it has applied.
-        members: The group.
-    """
-
-    name: str
-    role: str
-    term: int
-    leader: str | None
-    commit_index: int
-    applied_index: int
-    members: tuple[GroupMember, ...]
-
-
 class Member:
     """One member; `run` has to run for everything else to work."""
 
@@ -142,21 +108,14 @@
         self._journal: journal.Journal | None = None
         self.peers = peers.Peers(self._hello, self._on_message, settings.tls)
         self._identity: identity.Identity | None = None
-        self._unsynced: list[Write] = []
-        self._synced_number = 0
+        self._writer = diskwriter.DiskWriter(self._on_synced)
         self._held: list[Send] = []
-        self._waiting = Waiting()
-        self._retry: list[Proposal] = []
-        self.appended = Appended()
-        self._forwarded: dict[int, Proposal] = {}
-        self._forward_number = 0
-        self._replies = Replies()
+        self.proposer = proposer.Proposer(
+            self.peers.send, self.pump, self._writer.all_synced, self.leader_name
+        )
         self._reads = Reads()
         self._changes = memberchanges.Changes(self)
-        self._wake_writer = anyio.Event()
-        self._wake_proposer = anyio.Event()
         self._wake_applier = anyio.Event()
-        self._synced = anyio.Event()
         self._logged_leader: str | None = None
         self._logged_group = NO_GROUP
 
@@ -172,12 +131,12 @@
         await anyio.to_thread.run_sync(self._open)
         async with anyio.create_task_group() as group:
             group.start_soon(self.peers.run)
-            group.start_soon(self._write_forever)
-            group.start_soon(self._propose_forever)
+            group.start_soon(self._writer.run, self._journal)
+            group.start_soon(self.proposer.run, self.node)
             group.start_soon(self._apply_forever)
             group.start_soon(self._tick_forever)
             group.start_soon(self._changes.run)
-            group.start_soon(self._form_group)
+            group.start_soon(memberchanges.form_group, self)
             await anyio.lowlevel.checkpoint()
             self.pump()
             task_status.started()
@@ -208,30 +167,9 @@
         """Returns the handlers to mount on the process's rpc server."""
         return [rpc.Handler(peers.SERVICE, {peers.METHOD: self._serve})]
 
-    async def propose(self, command: bytes, timeout_ms: int) -> ProposeOutcome:
+    async def propose(self, command: bytes, timeout_ms: int) -> proposer.ProposeOutcome:
         """Has a command committed, through the leader if another member leads."""
-        done = anyio.Event()
-        ends: list[tuple[int, bytes] | None] = []
-
-        def finish(end: tuple[int, bytes] | None) -> None:
-            ends.append(end)
-            done.set()
-
-        proposal = Proposal(command, finish)
-        if not self._waiting.add(proposal):
-            return NotAccepted(self.leader_name())
-        self._wake_proposer.set()
-        try:
-            with anyio.move_on_after(timeout_ms / 1000):
-                await done.wait()
-        finally:
-            proposal.is_abandoned = True
-        if ends:
-            end = ends[0]
-            return NotAccepted(self.leader_name()) if end is None else Committed(*end)
-        return (
-            Uncertain() if proposal.is_handed_over else NotAccepted(self.leader_name())
-        )
+        return await self.proposer.propose(command, timeout_ms)
 
     async def read_index(self, timeout_ms: int) -> ReadOutcome:
         """Returns once this member has applied all that was committed before."""
@@ -328,9 +266,9 @@
         if node is None or target != node.own_id:
             return
         if isinstance(message, ForwardAsk):
-            self._on_forward_ask(sender, message)
+            self.proposer.on_forward_ask(sender, message)
         elif isinstance(message, ForwardAnswer):
-            self._on_forward_answer(message)
+            self.proposer.on_forward_answer(node, message)
         elif isinstance(message, (ChangeAsk, ChangeAnswer)):
             self._changes.receive(sender, message)
         else:
@@ -346,11 +284,10 @@
         if token is not None:
             reads.ask(node, token, now_ms())
         if node.writes:
-            self._unsynced.extend(node.writes)
+            self._writer.add(node.writes)
             node.writes = []
-            self._wake_writer.set()
         for send in node.sends:
-            if send.after <= self._synced_number:
+            if send.after <= self._writer.synced_number:
                 self.peers.send(send.target, send.message)
             else:
                 self._held.append(send)
@@ -379,7 +316,15 @@
             self._logged_leader = node.leader_id
             name = self.leader_name()
             events.log(events.Event.LEADER_CHANGED, leader=name, term=node.term)
-            self._wake_proposer.set()
+            self.proposer.wake()
+
+    def _on_synced(self, number: int) -> None:
+        assert self.node is not None
+        consensus.synced(self.node, number, now_ms())
+        # Held messages go first, so that they stay in order.
+        self.node.sends[:0] = self._held
+        self._held = []
+        self.pump()
 
     # Tasks.
 
@@ -388,124 +333,9 @@
         while True:
             await anyio.sleep(TICK_MS / 1000)
             consensus.tick(self.node, now_ms())
-            while self._retry and self._waiting.add(self._retry[-1]):
-                self._retry.pop()
-            if len(self._waiting) > 0:
-                self._wake_proposer.set()
-            self.pump()
-
-    async def _write_forever(self) -> None:
-        assert self.node is not None
-        while True:
-            await self._wake_writer.wait()
-            self._wake_writer = anyio.Event()
-            batch, self._unsynced = self._unsynced, []
-            if not batch:
-                continue
-            try:
-                await anyio.to_thread.run_sync(self._write_batch, batch)
-            except StorageError as error:
-                events.log(events.Event.STORAGE_FAILED, reason=str(error))
-                raise
-            self._synced_number += len(batch)
-            consensus.synced(self.node, self._synced_number, now_ms())
-            held, self._held = self._held, []
-            self.node.sends[:0] = held
-            synced, self._synced = self._synced, anyio.Event()
-            synced.set()
+            self.proposer.tick()
             self.pump()
 
-    def _write_batch(self, batch: list[Write]) -> None:
-        assert self._journal is not None
-        self._journal.write(batch)
-        self._journal.sync()
-
-    async def _propose_forever(self) -> None:
-        assert self.node is not None
-        while True:
-            await self._wake_proposer.wait()
-            self._wake_proposer = anyio.Event()
-            while len(self._waiting) > 0 and self._hand_over(self.node):
-                # What arrives during a sync goes into the next write as one batch.
-                while self._synced_number < self.node.write_number:
-                    await self._synced.wait()
-                await anyio.lowlevel.checkpoint()
-
-    def _hand_over(self, node: Node) -> bool:
-        batch = self._waiting.take()
-        if node.leadership is not None:
-            return self._append(node, batch)
-        own = [one for one in batch if not one.forwarded]
-        for proposal in batch:
-            if proposal.forwarded:
-                proposal.finish(None)
-        self._send_replies()
-        if not self._forward(node, own):
-            self._waiting.give_back(own)
-            return False
-        return True
-
-    def _append(self, node: Node, batch: list[Proposal]) -> bool:
-        commands = [one.command for one in batch]
-        first = consensus.propose(node, commands, now_ms()) if batch else None
-        if first is None:
-            self._waiting.give_back(batch)
-            return False
-        for proposal in batch:
-            proposal.is_handed_over = True
-        self.appended.add(first, node.term, batch)
-        self.pump()
-        return True
-
-    def _forward(self, node: Node, batch: list[Proposal]) -> bool:
-        if not batch:
-            return True
-        if node.leader_id is None:
-            return False
-        items = []
-        for proposal in batch:
-            self._forward_number += 1
-            items.append(ForwardItem(self._forward_number, proposal.command))
-        if not self.peers.send(node.leader_id, ForwardAsk(node.life, tuple(items))):
-            return False
-        for item, proposal in zip(items, batch, strict=True):
-            proposal.is_handed_over = True
-            self._forwarded[item.sequence] = proposal
-        return True
-
-    def _on_forward_ask(self, sender: str, ask: ForwardAsk) -> None:
-        for item in ask.items:
-
-            def finish(
-                end: tuple[int, bytes] | None, sequence: int = item.sequence
-            ) -> None:
-                self._replies.add(sender, ask.life, sequence, end)
-
-            proposal = Proposal(item.command, finish, forwarded=True)
-            if not self._waiting.add(proposal):
-                finish(None)
-        self._send_replies()
-        self._wake_proposer.set()
-
-    def _on_forward_answer(self, answer: ForwardAnswer) -> None:
-        assert self.node is not None
-        if answer.life != self.node.life:
-            return
-        for result in answer.results:
-            proposal = self._forwarded.pop(result.sequence, None)
-            if proposal is None:
-                continue
-            if result.index is not None:
-                proposal.finish((result.index, result.result))
-            elif not proposal.is_abandoned:
-                # Certainly not applied, so that it may go to the next leader.
-                proposal.is_handed_over = False
-                self._retry.append(proposal)
-
-    def _send_replies(self) -> None:
-        for sender, life, results in self._replies.take():
-            self.peers.send(sender, ForwardAnswer(life, results))
-
     async def _apply_forever(self) -> None:
         assert self.node is not None
         while True:
@@ -518,7 +348,7 @@
         todo = consensus.take_applicable(node, APPLY_BATCH_COUNT)
         if isinstance(todo, consensus.Restore):
             self._machine.restore(todo.snapshot.data)
-            self.appended.forget_to(todo.snapshot.index)
+            self.proposer.forget_to(todo.snapshot.index)
             self._snapshot_index = todo.snapshot.index
             index = todo.snapshot.index
             events.log(events.Event.SNAPSHOT_INSTALLED, index=index)
@@ -529,7 +359,7 @@
             return False
         self._on_applied(node.applied_index)
         self._reads.applied(node.applied_index)
-        self._send_replies()
+        self.proposer.send_replies()
         self._take_snapshot(node)
         return True
 
@@ -537,7 +367,7 @@
         result = b""
         if entry.kind is EntryKind.COMMAND:
             result = self._machine.apply(entry.index, entry.time_ms, entry.data)
-        self.appended.applied(entry.index, entry.term, result)
+        self.proposer.applied(entry, result)
 
     def _take_snapshot(self, node: Node) -> None:
         count = node.applied_index - self._snapshot_index
@@ -549,6 +379,3 @@
         snapshots.take(node, self._machine.snapshot(), retained_count)
         events.log(events.Event.SNAPSHOT_TAKEN, index=node.applied_index)
         self.pump()
-
-    async def _form_group(self) -> None:
-        await memberchanges.form_group(self)
--- a/cassiapitch/memberchanges.py
+++ b/cassiapitch/memberchanges.py
@@ -9,7 +9,7 @@
 import anyio.abc
 
 from cassiapitch import changes, consensus, events
-from cassiapitch.proposals import Committed, NotAccepted, Proposal, Uncertain
+from cassiapitch.proposals import Committed, NotAccepted, Uncertain
 from cassiapitch.quorum import ChangeRefused
 from cassiapitch.raftmessages import (
     ChangeAnswer,
@@ -159,7 +159,7 @@
             ends.append(end)
             done.set()
 
-        self._member.appended.add(index, node.term, [Proposal(b"", finish)])
+        self._member.proposer.note_appended(index, node.term, finish)
         self._member.pump()
         with anyio.move_on_after((deadline_ms - now_ms()) / 1000):
             await done.wait()
--- a/tests/log_member.py
+++ b/tests/log_member.py
@@ -46,7 +46,15 @@
     )
     own = Address("127.0.0.1", ports[name])
     return ControlSettings(
-        name, "zone", "test", str(folder), own, own, peers, (), changes.get("form", True)
+        name,
+        "zone",
+        "test",
+        str(folder),
+        own,
+        own,
+        peers,
+        (),
+        changes.get("form", True),
     )
 
 
@@ -71,8 +79,7 @@
         try:
             await self.member.run(task_status=task_status)
         finally:
-            with anyio.CancelScope(shield=True):
-                server.server.close()
+            server.server.close()
 
     async def do(self, operation, *arguments):
         member = self.member
