--- /dev/null
+++ b/tests/consensus_model.py
@@ -0,0 +1,295 @@
+"""Simulated control group with a network, disks and an oracle, for the fuzzer.
+
+The oracle knows only what the group promises: acknowledged commands stay where they
+are, no command is applied twice, a confirmed read covers everything acknowledged
+before it was asked, and at most one member holds a lease.
+"""
+
+import codecs
+import heapq
+import itertools
+import json
+import random
+
+from cassiapitch import (
+    changes,
+    consensus,
+    journal,
+    quorum,
+    reads,
+    replication,
+    snapshots,
+)
+from cassiapitch.node import Node
+from cassiapitch.raftmessages import ChangeKind, EntryKind, Group, GroupMember
+from tests.memory_disk import MemoryDisk
+
+STEP_MS = 10
+RETAINED_COUNT = 3
+SEGMENT_BYTES = 600
+
+
+class Oracle:
+    """History of what callers were told."""
+
+    def __init__(self):
+        self.applied = {}
+        self.index_of = {}
+        self.acknowledged = {}
+        self.highest = 0
+
+    def on_applied(self, index, term, data):
+        known = self.applied.setdefault(index, (term, data))
+        assert known == (term, data), f"index {index} was {known}, now {term, data}"
+        if data:
+            first = self.index_of.setdefault(data, index)
+            assert first == index, f"{data} was applied at {first} and {index}"
+
+    def on_acknowledged(self, index, data):
+        self.acknowledged[index] = data
+        self.highest = max(self.highest, index)
+
+    def on_state(self, index, commands):
+        """A state as of `index` holds exactly the acknowledged commands before it."""
+        for acked_index, data in self.acknowledged.items():
+            if acked_index <= index:
+                found = commands.get(acked_index)
+                assert found == data, f"{data} at {acked_index} is lost, found {found}"
+
+
+class SimulatedMember:
+    """A process with a disk; `start` after a crash begins a new run."""
+
+    def __init__(self, cluster, name, disk_id):
+        self.cluster = cluster
+        self.name = name
+        self.disk_id = disk_id
+        self.disk = MemoryDisk()
+        self.offset_ms = cluster.source.randrange(1_000_000)
+        self.node = None
+        self.is_frozen = False
+
+    def now_ms(self):
+        return self.cluster.time_ms + self.offset_ms
+
+    def start(self):
+        self.journal, recovered = journal.open_journal(self.disk.files)
+        seed = self.cluster.source.getrandbits(32)
+        self.node = Node(self.disk_id, recovered, random.Random(seed), self.now_ms())
+        self.queued, self.held = [], []
+        self.synced_number = 0
+        self.commands = {}
+        self.proposed = {}
+        self.asked = {}
+        self.token = 0
+        self.pump()
+
+    def crash(self, mid_write):
+        if self.node is not None and mid_write and self.queued:
+            self.journal.write(self.queued)
+        self.node = None
+        self.is_frozen = False
+        self.disk.crash(self.cluster.source)
+
+    @property
+    def is_running(self):
+        return self.node is not None and not self.is_frozen
+
+    def pump(self):
+        node = self.node
+        self.queued += node.writes
+        node.writes = []
+        sends, node.sends = self.held + node.sends, []
+        self.held = []
+        for send in sends:
+            if send.after <= self.synced_number:
+                self.cluster.transmit(self.disk_id, send.target, send.message)
+            else:
+                self.held.append(send)
+        for done in node.reads:
+            if done.index is not None:
+                for token in [one for one in self.asked if one <= done.token]:
+                    needed = self.asked.pop(token)
+                    assert done.index >= needed, f"read {done.index} < {needed}"
+        node.reads = []
+        while todo := consensus.take_applicable(node, 64):
+            self.apply(todo)
+
+    def apply(self, todo):
+        oracle = self.cluster.oracle
+        if isinstance(todo, consensus.Restore):
+            found = json.loads(todo.snapshot.data)
+            self.commands = {int(index): text.encode() for index, text in found.items()}
+            oracle.on_state(todo.snapshot.index, self.commands)
+            return
+        for entry in todo:
+            is_command = entry.kind is EntryKind.COMMAND
+            oracle.on_applied(
+                entry.index, entry.term, entry.data if is_command else b""
+            )
+            if is_command:
+                self.commands[entry.index] = entry.data
+            if self.proposed.pop(entry.index, None) == entry.term and is_command:
+                oracle.on_acknowledged(entry.index, entry.data)
+
+    def write_and_sync(self):
+        if self.queued:
+            batch, self.queued = self.queued, []
+            self.journal.write(batch)
+            self.journal.sync()
+            self.synced_number += len(batch)
+            consensus.synced(self.node, self.synced_number, self.now_ms())
+            self.pump()
+
+    def propose(self, data):
+        first = consensus.propose(self.node, [data], self.now_ms())
+        if first is not None:
+            self.proposed[first] = self.node.term
+        self.pump()
+
+    def read(self):
+        self.token += 1
+        self.asked[self.token] = self.cluster.oracle.highest
+        reads.ask(self.node, self.token, self.now_ms())
+        self.pump()
+
+    def take_snapshot(self):
+        if self.node.applied_index > self.node.log.base_index:
+            texts = {index: data.decode() for index, data in self.commands.items()}
+            snapshots.take(self.node, json.dumps(texts).encode(), RETAINED_COUNT)
+            self.pump()
+
+
+class Cluster:
+    """Members by name, the network between them and the time."""
+
+    def __init__(self, seed, voter_count, spare_count):
+        self.source = random.Random(seed)
+        self.oracle = Oracle()
+        self.time_ms = 1_000_000
+        self.network = []
+        self.numbers = itertools.count()
+        self.loss = self.duplicates = 0.0
+        self.delay_ms = 5
+        self.cut = set()
+        self.members = {}
+        names = [f"m{number}" for number in range(voter_count + spare_count)]
+        for name in names:
+            self.members[name] = SimulatedMember(self, name, f"{name}-0")
+            self.members[name].start()
+        voters = [self.group_member(name, voter=True) for name in names[:voter_count]]
+        first = self.members[names[0]]
+        consensus.form(first.node, Group(tuple(voters)), first.now_ms())
+        first.pump()
+
+    def group_member(self, name, voter):
+        return GroupMember(name, self.members[name].disk_id, "z", "::1", 1, voter)
+
+    def transmit(self, sender, target, message):
+        for _ in range(2 if self.source.random() < self.duplicates else 1):
+            if self.source.random() >= self.loss:
+                due_ms = self.time_ms + self.source.randint(1, self.delay_ms)
+                item = (due_ms, next(self.numbers), sender, target, message)
+                heapq.heappush(self.network, item)
+
+    def by_disk(self, disk_id):
+        found = [one for one in self.members.values() if one.disk_id == disk_id]
+        return found[0] if found else None
+
+    def deliver(self):
+        while self.network and self.network[0][0] <= self.time_ms:
+            due_ms, _, sender, target, message = heapq.heappop(self.network)
+            source, member = self.by_disk(sender), self.by_disk(target)
+            if member is None or member.node is None:
+                continue
+            names = {member.name, source.name if source else None}
+            if names & self.cut:
+                continue
+            if member.is_frozen:
+                # The operating system keeps what arrives for a frozen process.
+                late = (self.time_ms + 1_000, next(self.numbers))
+                if self.time_ms - due_ms < 20_000:
+                    item = (*late, sender, target, message)
+                    heapq.heappush(self.network, item)
+                continue
+            now_ms = member.now_ms()
+            consensus.receive(member.node, sender, target, message, now_ms)
+            member.pump()
+
+    def run(self, duration_ms, sync_rate=0.7):
+        for _ in range(0, duration_ms, STEP_MS):
+            self.time_ms += STEP_MS
+            self.deliver()
+            for member in self.members.values():
+                if member.is_running:
+                    consensus.tick(member.node, member.now_ms())
+                    member.pump()
+                    if self.source.random() < sync_rate:
+                        member.write_and_sync()
+            self.check_leases()
+
+    def check_leases(self):
+        holders = [
+            member.disk_id
+            for member in self.members.values()
+            if member.is_running and replication.has_lease(member.node, member.now_ms())
+        ]
+        assert len(holders) <= 1, f"{holders} hold a lease at the same time"
+
+    def leaders(self):
+        running = [one for one in self.members.values() if one.is_running]
+        return [one for one in running if consensus.is_leader(one.node)]
+
+    def propose(self, count=1):
+        for leader in self.leaders():
+            for _ in range(count):
+                text = f"command-{next(self.numbers)}"
+                leader.propose(codecs.encode(text, "ascii"))
+
+    def change(self, kind, name):
+        learner = None
+        if kind is ChangeKind.ADD_LEARNER:
+            learner = self.group_member(name, voter=False)
+        for leader in self.leaders():
+            now_ms = leader.now_ms()
+            changes.change(leader.node, kind, name, learner, now_ms)
+            leader.pump()
+
+    def wipe(self, name):
+        """The member comes back with an empty disk under its old name."""
+        member = self.members[name]
+        number = int(member.disk_id.rpartition("-")[2]) + 1
+        self.members[name] = SimulatedMember(self, name, f"{name}-{number}")
+        self.members[name].start()
+
+    def groups(self):
+        running = [one for one in self.members.values() if one.node is not None]
+        return [one.node.group for one in running if one.node.group.members]
+
+    def has_quorum(self, without=None):
+        """Whether every group that a member may act on has a quorum of its disks."""
+        disks = [one.disk_id for one in self.members.values() if one.name != without]
+        return all(quorum.is_quorum(group, disks) for group in self.groups())
+
+    def heal(self):
+        self.loss = self.duplicates = 0.0
+        self.delay_ms = 5
+        self.cut = set()
+        for member in self.members.values():
+            member.is_frozen = False
+            if member.node is None:
+                member.start()
+
+    def settle(self):
+        """Heals everything; the group must come back and hold all that it promised."""
+        self.heal()
+        if not self.has_quorum():
+            return
+        before = self.oracle.highest
+        for _ in range(40):
+            self.run(500)
+            self.propose()
+        assert self.oracle.highest > before, "the healed group makes no progress"
+        for leader in self.leaders():
+            leader_index = leader.node.applied_index
+            self.oracle.on_state(leader_index, leader.commands)
--- /dev/null
+++ b/tests/memory_disk.py
@@ -0,0 +1,71 @@
+"""A disk in memory that forgets what was not synced when it crashes."""
+
+import errno
+
+from cassiapitch.files import Files
+
+
+class _Content:
+    def __init__(self):
+        self.live = bytearray()
+        self.durable = b""
+
+
+class MemoryDisk:
+    """Names and contents become durable separately, as on a real file system."""
+
+    def __init__(self):
+        self.names = {}
+        self.durable_names = {}
+        self.is_full = False
+        self.sync_fails = False
+        self.files = Files(
+            list_names=lambda: sorted(self.names),
+            read=lambda name: bytes(self.names[name].live),
+            append=self._append,
+            sync=self._sync,
+            replace=self._replace,
+            truncate=self._truncate,
+            remove=lambda name: self.names.pop(name),
+            sync_folder=self._sync_folder,
+        )
+
+    def _append(self, name, data):
+        if self.is_full:
+            # A full disk takes a part of the data before it refuses the rest.
+            self.names.setdefault(name, _Content()).live += data[: len(data) // 2]
+            raise OSError(errno.ENOSPC, "No space left on device")
+        self.names.setdefault(name, _Content()).live += data
+
+    def _sync(self, name):
+        if self.sync_fails:
+            raise OSError(errno.EIO, "Input/output error")
+        content = self.names[name]
+        content.durable = bytes(content.live)
+
+    def _replace(self, source, target):
+        self.names[target] = self.names.pop(source)
+
+    def _truncate(self, name, length):
+        del self.names[name].live[length:]
+
+    def _sync_folder(self):
+        self.durable_names = dict(self.names)
+
+    def crash(self, source):
+        """Keeps what is durable, and by chance parts of what is not."""
+        names = {}
+        for name in sorted({*self.names, *self.durable_names}):
+            state = source.choice((self.names, self.durable_names))
+            if name in state:
+                names[name] = state[name]
+        for content in {id(one): one for one in names.values()}.values():
+            durable_count = len(content.durable)
+            if bytes(content.live[:durable_count]) == content.durable:
+                kept_count = source.randint(durable_count, len(content.live))
+                content.live = content.live[:kept_count]
+            else:
+                content.live = bytearray(content.durable)
+            content.durable = bytes(content.live)
+        self.names = names
+        self.durable_names = dict(names)
--- /dev/null
+++ b/tests/test_consensus_fuzz.py
@@ -0,0 +1,183 @@
+"""Stateful fuzzing of the control group's decisions with lost writes and messages."""
+
+import os
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from cassiapitch import changes, journal
+from cassiapitch.raftmessages import ChangeKind
+from tests.consensus_model import SEGMENT_BYTES, Cluster
+
+IS_LONG = "CASSIAPITCH_FUZZ" in os.environ
+NAMES = st.integers(0, 4).map("m{}".format)
+DURATIONS_MS = st.sampled_from([20, 50, 150, 400, 1_000, 2_500])
+
+
+class ControlGroup(RuleBasedStateMachine):
+    """Kills, lost writes, empty disks, partitions, freezes and changes at random.
+
+    Guards against lost, reverted or repeated commands, stale reads and two leases.
+    """
+
+    @initialize(seed=st.integers(0, 2**32), voter_count=st.integers(3, 5))
+    def form(self, seed, voter_count):
+        self.cluster = Cluster(seed, voter_count, 5 - voter_count)
+        self.cluster.run(1_500)
+        self.cluster.propose(3)
+
+    def member(self, name):
+        return self.cluster.members[name]
+
+    @rule(duration_ms=DURATIONS_MS, sync_rate=st.sampled_from([0.05, 0.4, 1.0]))
+    def run_on(self, duration_ms, sync_rate):
+        self.cluster.run(duration_ms, sync_rate)
+
+    @rule(count=st.integers(1, 5), duration_ms=DURATIONS_MS)
+    def propose(self, count, duration_ms):
+        self.cluster.propose(count)
+        self.cluster.run(duration_ms)
+
+    @rule(name=NAMES, duration_ms=DURATIONS_MS)
+    def read(self, name, duration_ms):
+        if self.member(name).is_running:
+            self.member(name).read()
+        self.cluster.run(duration_ms)
+
+    @rule()
+    def read_and_propose_everywhere(self):
+        for member in self.cluster.members.values():
+            if member.is_running:
+                member.read()
+        self.cluster.propose()
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.1, 0.4]),
+        duplicates=st.sampled_from([0.0, 0.3]),
+        delay_ms=st.sampled_from([2, 40, 300, 1_500]),
+    )
+    def change_network(self, loss, duplicates, delay_ms):
+        self.cluster.loss = loss
+        self.cluster.duplicates = duplicates
+        self.cluster.delay_ms = delay_ms
+
+    @rule(name=NAMES, mid_write=st.booleans())
+    def kill(self, name, mid_write):
+        self.member(name).crash(mid_write)
+
+    @rule(name=NAMES)
+    def restart(self, name):
+        if self.member(name).node is None:
+            self.member(name).start()
+
+    @rule(name=NAMES, mid_write=st.booleans(), duration_ms=DURATIONS_MS)
+    def kill_and_restart(self, name, mid_write, duration_ms):
+        self.member(name).crash(mid_write)
+        self.member(name).start()
+        self.cluster.run(duration_ms)
+
+    @rule(mid_write=st.booleans())
+    def kill_leaders(self, mid_write):
+        for leader in self.cluster.leaders():
+            leader.crash(mid_write)
+
+    @rule(name=NAMES, duration_ms=DURATIONS_MS)
+    def lose_disk(self, name, duration_ms):
+        self.cluster.wipe(name)
+        self.cluster.run(duration_ms)
+
+    @rule(duration_ms=DURATIONS_MS)
+    def isolate_leaders(self, duration_ms):
+        self.cluster.cut = {leader.name for leader in self.cluster.leaders()}
+        self.cluster.run(duration_ms)
+
+    @rule(names=st.sets(NAMES, max_size=2))
+    def isolate(self, names):
+        self.cluster.cut = names
+
+    @rule(name=NAMES, duration_ms=DURATIONS_MS)
+    def freeze(self, name, duration_ms):
+        self.member(name).is_frozen = True
+        self.cluster.run(duration_ms)
+
+    @rule(duration_ms=DURATIONS_MS)
+    def freeze_leaders(self, duration_ms):
+        for leader in self.cluster.leaders():
+            leader.is_frozen = True
+        self.cluster.run(duration_ms)
+
+    @rule(name=NAMES)
+    def wake(self, name):
+        self.member(name).is_frozen = False
+        self.cluster.check_leases()
+
+    @rule(name=NAMES)
+    def wake_and_read(self, name):
+        if self.member(name).node is not None:
+            self.member(name).is_frozen = False
+            self.member(name).read()
+
+    @rule(name=NAMES, kind=st.sampled_from(list(ChangeKind)[:3]))
+    def change(self, name, kind):
+        self.cluster.change(kind, name)
+
+    @precondition(lambda self: self.cluster.has_quorum())
+    @rule(name=NAMES, second=NAMES)
+    def repair_and_lose_second(self, name, second):
+        """Another member is lost right after a lost disk was replaced."""
+        if not self.cluster.has_quorum(without=name):
+            return
+        self.cluster.heal()
+        self.cluster.wipe(name)
+        self.cluster.run(1_500)
+        for kind in (ChangeKind.REMOVE, ChangeKind.ADD_LEARNER, ChangeKind.PROMOTE):
+            self.cluster.change(kind, name)
+            self.cluster.propose()
+            self.cluster.run(300)
+        self.cluster.wipe(second)
+        self.cluster.run(1_500)
+
+    @rule(name=NAMES)
+    def snapshot(self, name):
+        if self.member(name).is_running:
+            self.member(name).take_snapshot()
+
+    @rule(name=st.none() | NAMES, duration_ms=DURATIONS_MS)
+    def transfer(self, name, duration_ms):
+        for leader in self.cluster.leaders():
+            changes.start_transfer(leader.node, name, leader.now_ms())
+            leader.pump()
+        self.cluster.run(duration_ms)
+
+    @rule()
+    def heal(self):
+        self.cluster.heal()
+        self.cluster.run(1_500)
+
+    def teardown(self):
+        if hasattr(self, "cluster"):
+            self.cluster.settle()
+
+
+@pytest.fixture(autouse=True)
+def _small_segments(monkeypatch):
+    monkeypatch.setattr(journal, "SEGMENT_BYTES", SEGMENT_BYTES)
+
+
+TestControlGroupFuzz = ControlGroup.TestCase
+TestControlGroupFuzz.settings = settings(
+    derandomize=not IS_LONG,
+    deadline=None,
+    database=None,
+    max_examples=5_000 if IS_LONG else 150,
+    stateful_step_count=50 if IS_LONG else 30,
+    suppress_health_check=list(HealthCheck),
+    print_blob=True,
+)
