--- /dev/null
+++ b/cassiapitch/backends.py
@@ -0,0 +1,133 @@
+"""Life cycle of backend servers, by the chart `backend_server`."""
+
+import dataclasses
+
+from cassiapitch import statechart
+from cassiapitch.messages import Announcement
+from cassiapitch.orders import Ledger, adapter_key, model_key
+from cassiapitch.types import BackendName, LifeId
+
+_CHART = statechart.load_chart("backend_server")
+
+SERVING = "serving"
+SUSPECTED = "suspected"
+LEAVING = "leaving"
+DOWN = "down"
+ANNOUNCED = "announced"
+GONE = "gone"
+
+# Four announcements missed in a row, and the time of section 8 after which an
+# engine's models are replaced.
+SUSPECT_AFTER_MS = 2_000
+DOWN_AFTER_MS = 10_000
+
+# A backend server that stays away for a day is taken off the list. Its life id is
+# remembered, so that it can't come back with an empty ledger.
+FORGET_AFTER_MS = 24 * 3_600 * 1_000
+
+
+@dataclasses.dataclass(slots=True)
+class Life:
+    """One run of a backend server.
+
+    Attributes:
+        name: Its name, which a later life may take again.
+        life_id: Identity of this run.
+        role: Its role.
+        zone: Its availability zone.
+        ip: IP number of its HTTP port.
+        port: Its HTTP port.
+        memory_mib: Accelerator memory that it announced.
+        max_running_count: Requests that it runs at once.
+        state: State of the chart.
+        fencing: Whether it rejects orders with a stale fence.
+        sequence: Number of the last announcement that was recorded.
+        fence_term: First part of the highest fence it reported.
+        fence_number: Second part of the highest fence it reported.
+        ledger: What it may hold.
+        charged_mib: Sum of the ledger's charges.
+    """
+
+    name: BackendName
+    life_id: LifeId
+    role: str = ""
+    zone: str = ""
+    ip: str = ""
+    port: int = 0
+    memory_mib: int = 0
+    max_running_count: int = 0
+    state: str = _CHART.initial
+    fencing: bool = False
+    sequence: int = 0
+    fence_term: int = 0
+    fence_number: int = 0
+    ledger: Ledger = dataclasses.field(default_factory=Ledger)
+    charged_mib: int = 0
+
+    def allows(self, event: str) -> bool:
+        """Tells whether the chart has a transition for an event."""
+        return _CHART.allows(self.state, event)
+
+    def advance(self, event: str) -> None:
+        """Moves along the chart."""
+        self.state = _CHART.next_state(self.state, event)
+
+    def fence(self) -> tuple[int, int]:
+        """Returns the highest fence that it reported."""
+        return (self.fence_term, self.fence_number)
+
+
+def reported_items(announcement: Announcement) -> dict[str, int]:
+    """Returns the ledger keys of what is loaded, with the reported memory."""
+    items = {model_key(item.model): item.memory_mib for item in announcement.loaded}
+    items.update({adapter_key(name): 0 for name in announcement.adapters})
+    return items
+
+
+def take_announcement(
+    life: Life, announcement: Announcement, *, is_role_known: bool
+) -> bool:
+    """Applies an announcement of this life; returns whether it was a new one.
+
+    The caller updates the ledger. An announcement without a sequence counts as
+    new, for backend servers that don't number theirs.
+    """
+    if announcement.sequence and announcement.sequence <= life.sequence:
+        return False
+    life.sequence = max(life.sequence, announcement.sequence)
+    life.role = announcement.role
+    life.zone = announcement.zone
+    life.ip = announcement.ip
+    life.port = announcement.port
+    life.memory_mib = announcement.memory_mib
+    life.max_running_count = announcement.max_running_count
+    fence = (announcement.fence_term, announcement.fence_number)
+    life.fence_term, life.fence_number = max(life.fence(), fence)
+    event = announcement_event(
+        life.state, leaving=announcement.leaving, is_role_known=is_role_known
+    )
+    if event is not None:
+        life.advance(event)
+    return True
+
+
+def announcement_event(state: str, *, leaving: bool, is_role_known: bool) -> str | None:
+    """Returns the chart's event that an announcement means in a state."""
+    if leaving:
+        return "leave" if _CHART.allows(state, "leave") else None
+    if state == LEAVING:
+        return "stay"
+    if state == ANNOUNCED:
+        return "accept" if is_role_known else None
+    return "heard" if _CHART.allows(state, "heard") else None
+
+
+def silence_event(state: str, silent_ms: int) -> str | None:
+    """Returns the chart's event that a silence of this length means."""
+    if silent_ms >= DOWN_AFTER_MS and _CHART.allows(state, "expired"):
+        return "expired"
+    if silent_ms >= SUSPECT_AFTER_MS and _CHART.allows(state, "silent"):
+        return "silent"
+    if silent_ms >= FORGET_AFTER_MS and _CHART.allows(state, "forgotten"):
+        return "forgotten"
+    return None
--- /dev/null
+++ b/cassiapitch/controller.py
@@ -0,0 +1,147 @@
+"""Task on the leader that runs the life cycle, placement and orders."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from cassiapitch import dispatch, events
+from cassiapitch.coordinator import Coordinator, SendOrder
+from cassiapitch.fleet import Fleet
+from cassiapitch.fleet_commands import BeginTerm, MarkBackends, RecordOrders
+from cassiapitch.messages import Announcement, DemandReport, LoadReports
+
+Propose = Callable[[Any, int], Awaitable[Any]]
+
+# Time between looks at what is due; announcements that matter wake it earlier.
+TICK_MS = 100
+PROPOSE_TIMEOUT_MS = 2_000
+
+
+class Controller:
+    """Runs on every control member and decides only while it leads."""
+
+    def __init__(
+        self,
+        propose: Propose,
+        fleet: Fleet,
+        is_leader: Callable[[], bool],
+        now_ms: Callable[[], int],
+        policy: str,
+        random: random.Random,
+    ) -> None:
+        """Makes a controller that is idle until it leads.
+
+        Args:
+            propose: `Member.propose` with a command data class and a timeout.
+            fleet: The replicated state of this member, read only.
+            is_leader: Tells whether this member leads and holds the lease.
+            now_ms: The clock.
+            policy: Placement policy, `demand` or `fixed`.
+            random: Source of the terms' tokens.
+        """
+        self._propose = propose
+        self._fleet = fleet
+        self._is_leader = is_leader
+        self._now_ms = now_ms
+        self._policy = policy
+        self._random = random
+        self._coordinator: Coordinator | None = None
+        self._token = ""
+        self._poked = anyio.Event()
+
+    def on_announcement(self, announcement: Announcement) -> None:
+        """Takes an announcement; ignored where this member doesn't lead."""
+        if self._coordinator is not None:
+            self._coordinator.on_announcement(announcement, self._now_ms())
+            if self._coordinator.has_reports():
+                self._poked.set()
+
+    def on_demand(self, report: DemandReport) -> None:
+        """Takes an entry's demand report."""
+        if self._coordinator is not None:
+            self._coordinator.on_demand(report, self._now_ms())
+
+    def load_reports(self) -> LoadReports:
+        """Returns the load reports since the last call, for the entries."""
+        if self._coordinator is None:
+            return LoadReports((), {})
+        return self._coordinator.load_reports(self._now_ms())
+
+    async def run(self) -> None:
+        """Decides while this member leads, until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._turn(group)
+                with anyio.move_on_after(TICK_MS / 1_000):
+                    await self._poked.wait()
+                self._poked = anyio.Event()
+
+    async def _turn(self, group: anyio.abc.TaskGroup) -> None:
+        if not self._is_leader():
+            self._coordinator = None
+            return
+        if self._coordinator is None or self._fleet.term_token != self._token:
+            await self._begin_term()
+        if self._coordinator is not None:
+            await self._decide(self._coordinator, group)
+
+    async def _begin_term(self) -> None:
+        self._coordinator = None
+        self._token = f"{self._random.getrandbits(64):016x}"
+        await self._commit(BeginTerm(self._token))
+        if self._fleet.term_token != self._token:
+            return
+        term = self._fleet.term
+        self._coordinator = Coordinator(self._fleet, self._policy, term, self._now_ms())
+        events.log(events.Event.TERM_BEGUN, term=term)
+
+    async def _decide(
+        self, coordinator: Coordinator, group: anyio.abc.TaskGroup
+    ) -> None:
+        for command in coordinator.commands(self._now_ms()):
+            if isinstance(command, MarkBackends):
+                for mark in command.marks:
+                    events.log(
+                        events.Event.BACKEND_EVENT, name=mark.name, event=mark.event
+                    )
+            if not await self._commit(command):
+                coordinator.on_proposal_failed()
+                return
+        orders = coordinator.round(self._now_ms())
+        if orders is not None:
+            await self._commit_orders(orders)
+        # What has been recorded meanwhile is of no use to a deposed leader.
+        if self._is_leader() and self._fleet.term == coordinator.term:
+            for send in coordinator.sends(self._now_ms()):
+                group.start_soon(self._send, coordinator, send)
+
+    async def _commit_orders(self, orders: RecordOrders) -> None:
+        events.log(events.Event.ORDERS_RECORDED, count=len(orders.orders))
+        await self._commit(orders)
+
+    async def _commit(self, command: Any) -> bool:
+        outcome = await self._propose(command, PROPOSE_TIMEOUT_MS)
+        # Of the outcomes of `Member.propose` only `Committed` has an index.
+        is_committed = hasattr(outcome, "index")
+        if not is_committed:
+            name = type(command).__name__
+            events.log(events.Event.PROPOSAL_FAILED, command=name)
+        return is_committed
+
+    async def _send(self, coordinator: Coordinator, send: SendOrder) -> None:
+        life = self._fleet.lives.get(send.order.backend)
+        fencing = life is not None and life.fencing
+        answer = await dispatch.send_order(send, fencing=fencing)
+        events.log(
+            events.Event.ORDER_ANSWERED,
+            order_id=send.order.order_id,
+            backend=send.order.backend,
+            kind=send.order.kind,
+            attempt=send.attempt,
+            answer=answer,
+        )
+        coordinator.on_response(send.order, send.attempt, answer)
+        self._poked.set()
--- /dev/null
+++ b/cassiapitch/coordinator.py
@@ -0,0 +1,325 @@
+"""Decisions of the leader's controller during one term: no socket, no clock.
+
+The coordinator turns announcements, demand, silences and responses into commands for
+the log, and says which recorded attempts are to be sent now.
+"""
+
+import dataclasses
+
+from cassiapitch import backends, placement, placement_state
+from cassiapitch.backends import Life
+from cassiapitch.fleet import Fleet
+from cassiapitch.fleet_commands import (
+    BackendMark,
+    MarkBackends,
+    OrderAnswer,
+    OrderAttempt,
+    RecordAnswers,
+    RecordAttempts,
+    RecordOrders,
+    ReportBackends,
+)
+from cassiapitch.messages import (
+    Announcement,
+    DemandReport,
+    LoadReport,
+    LoadReports,
+)
+from cassiapitch.orders import Order
+from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState
+
+ROUND_MS = 1_000
+
+# Announcements in one command, so that a command stays under a mebibyte.
+REPORTS_PER_COMMAND = 256
+
+# Reports of refused connections count together within this time.
+REFUSED_WINDOW_MS = 3_000
+REFUSED_ENTRIES_COUNT = 2
+
+# After refused connections an announcement counts as a sign of life only when it
+# comes later than those that may have been under way.
+REFUSED_HOLD_MS = 1_000
+
+# An attempt without a response is repeated after this time, then ever later. For
+# engines without fencing each attempt that stays unanswered reserves memory until
+# the life ends, so they get more time.
+RESEND_MS = 1_000
+RESEND_UNFENCED_MS = 4_000
+RESEND_LONGEST_MS = 8_000
+
+# An accepted order that isn't settled is repeated, since engines may lose it.
+REPEAT_ACCEPTED_MS = 15_000
+
+Command = ReportBackends | MarkBackends | RecordAnswers | RecordAttempts | RecordOrders
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendOrder:
+    """An attempt to be sent now."""
+
+    order: Order
+    attempt: int
+    ip: str
+    port: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What this term knows of an open order."""
+
+    seen_ms: int
+    sent_attempt: int = 0
+    sent_ms: int = 0
+    responded: bool = True
+
+
+class Coordinator:
+    """State of one controller term, in memory."""
+
+    def __init__(self, fleet: Fleet, policy: str, term: int, now_ms: int) -> None:
+        """Begins a term that is already in force in the fleet."""
+        self.term = term
+        self.placement = PlacementState(fleet, policy, now_ms)
+        self._fleet = fleet
+        self._begun_ms = now_ms
+        self._heard_ms: dict[str, int] = {}
+        self._sequences: dict[str, int] = {}
+        self._recorded: dict[str, Announcement] = {}
+        self._pending: dict[str, Announcement] = {}
+        self._refused: dict[str, dict[str, int]] = {}
+        self._hold_until_ms: dict[str, int] = {}
+        self._answers: list[OrderAnswer] = []
+        self._progress: dict[str, _Progress] = {}
+        self._loads: dict[str, LoadReport] = {}
+        self._next_round_ms = now_ms
+
+    def on_announcement(self, announcement: Announcement, now_ms: int) -> None:
+        """Takes an announcement that a member passed on."""
+        life_id = announcement.life_id
+        if self._fleet.is_ended(life_id):
+            return
+        known = self._sequences.get(life_id, 0)
+        if announcement.sequence and announcement.sequence <= known:
+            return
+        self._sequences[life_id] = announcement.sequence
+        if now_ms < self._hold_until_ms.get(life_id, 0):
+            return
+        self._heard_ms[life_id] = now_ms
+        counts = (announcement.running_count, announcement.waiting_count)
+        self.placement.requests[life_id] = counts
+        self._loads[announcement.name] = LoadReport(
+            announcement.name, life_id, *counts, announcement.cached_prefixes
+        )
+        durable = dataclasses.replace(
+            announcement, running_count=0, waiting_count=0, cached_prefixes=()
+        )
+        if self._is_change(durable):
+            self._pending[announcement.name] = durable
+
+    def has_reports(self) -> bool:
+        """Tells whether announcements wait that change the replicated state."""
+        return bool(self._pending)
+
+    def on_proposal_failed(self) -> None:
+        """Forgets what was proposed, so that later announcements bring it again."""
+        self._recorded = {}
+
+    def on_demand(self, report: DemandReport, now_ms: int) -> None:
+        """Takes an entry's demand and the connections that it was refused."""
+        catalog = self._fleet.catalog
+        adapters = {
+            item.model: catalog.adapters[item.model].model
+            for item in report.demands
+            if item.model in catalog.adapters
+        }
+        self.placement.demand.note(report, adapters, now_ms)
+        for life_id in report.refused_backends:
+            self._refused.setdefault(life_id, {})[report.entry] = now_ms
+
+    def on_response(self, order: Order, attempt: int, answer: str | None) -> None:
+        """Takes the end of an attempt; `answer` is None without a response."""
+        progress = self._progress.get(order.order_id)
+        if progress is not None and progress.sent_attempt == attempt:
+            progress.responded = True
+        if answer is not None:
+            self._answers.append(
+                OrderAnswer(order.backend, order.order_id, attempt, answer)
+            )
+
+    def load_reports(self, now_ms: int) -> LoadReports:
+        """Returns the load reports since the last call."""
+        reports = tuple(self._loads.values())
+        self._loads = {}
+        return LoadReports(reports, placement_state.expected_ms(self.placement, now_ms))
+
+    def commands(self, now_ms: int) -> list[Command]:
+        """Returns what to propose now; the caller proposes it in this order."""
+        commands: list[Command] = []
+        if self._answers:
+            commands.append(RecordAnswers(tuple(self._answers)))
+            self._answers = []
+        commands.extend(self._reports())
+        if marks := self._marks(now_ms):
+            commands.append(MarkBackends(self.term, tuple(marks)))
+        if attempts := self._attempts(now_ms):
+            commands.append(RecordAttempts(self.term, tuple(attempts)))
+        return commands
+
+    def round(self, now_ms: int) -> RecordOrders | None:
+        """Returns the orders of the placement round, if one is due.
+
+        Call it after the other commands are applied, so that the round sees them.
+        """
+        if now_ms < self._next_round_ms:
+            return None
+        self._next_round_ms = now_ms + ROUND_MS
+        self._forget_ended()
+        orders = placement.decide(self.placement, now_ms)
+        return RecordOrders(self.term, tuple(orders)) if orders else None
+
+    def sends(self, now_ms: int) -> list[SendOrder]:
+        """Returns the attempts that are recorded and not yet sent.
+
+        A fencing engine gets its next order only after it has answered the one
+        before, since it rejects an order that arrives after a higher fence.
+        """
+        self._forget_settled()
+        found = []
+        blocked: set[str] = set()
+        for order in self._fleet.open_orders.values():
+            life = self._fleet.lives[order.backend]
+            progress = self._progress.setdefault(order.order_id, _Progress(now_ms))
+            is_blocked = order.life_id in blocked
+            if life.fencing and not order.accepted:
+                blocked.add(order.life_id)
+            if is_blocked or not self._is_due(order, life, progress, now_ms):
+                continue
+            progress.sent_attempt = order.attempt_count
+            progress.sent_ms = now_ms
+            progress.responded = False
+            found.append(SendOrder(order, order.attempt_count, life.ip, life.port))
+        return found
+
+    def _is_due(
+        self, order: Order, life: Life, progress: _Progress, now_ms: int
+    ) -> bool:
+        if order.attempt_term != self.term:
+            return False
+        if progress.sent_attempt >= order.attempt_count:
+            return False
+        if life.state in (backends.DOWN, backends.SUSPECTED):
+            return False
+        # The recorded unload left the view at once; entries may be a moment behind.
+        return order.is_load() or now_ms - progress.seen_ms >= VIEW_DELAY_MS
+
+    def _forget_ended(self) -> None:
+        tables = (
+            self._heard_ms,
+            self._sequences,
+            self._recorded,
+            self._refused,
+            self._hold_until_ms,
+            self.placement.requests,
+        )
+        for table in tables:
+            for life_id in [key for key in table if self._fleet.is_ended(key)]:
+                del table[life_id]
+
+    def _forget_settled(self) -> None:
+        for order_id in self._progress.keys() - self._fleet.open_orders.keys():
+            del self._progress[order_id]
+
+    def _is_change(self, announcement: Announcement) -> bool:
+        """Tells whether an announcement would change the replicated state."""
+        life = self._fleet.lives.get(announcement.name)
+        if life is None or life.life_id != announcement.life_id:
+            return True
+        recorded = self._recorded.get(announcement.life_id)
+        open_ids = life.ledger.orders
+        if any(item.order_id in open_ids for item in announcement.settled):
+            return True
+        is_role_known = announcement.role in self._fleet.catalog.roles
+        event = backends.announcement_event(
+            life.state, leaving=announcement.leaving, is_role_known=is_role_known
+        )
+        return event is not None or _differs(announcement, recorded)
+
+    def _reports(self) -> list[ReportBackends]:
+        pending = []
+        for announcement in self._pending.values():
+            self._recorded[announcement.life_id] = announcement
+            life = self._fleet.lives.get(announcement.name)
+            open_ids = {} if life is None else life.ledger.orders
+            settled = [
+                item for item in announcement.settled if item.order_id in open_ids
+            ]
+            pending.append(dataclasses.replace(announcement, settled=tuple(settled)))
+        self._pending = {}
+        return [
+            ReportBackends(tuple(pending[start : start + REPORTS_PER_COMMAND]))
+            for start in range(0, len(pending), REPORTS_PER_COMMAND)
+        ]
+
+    def _marks(self, now_ms: int) -> list[BackendMark]:
+        marks = []
+        for life in self._fleet.lives.values():
+            heard_ms = self._heard_ms.setdefault(life.life_id, self._begun_ms)
+            event = backends.silence_event(life.state, now_ms - heard_ms)
+            if event is None and self._is_refused(life, now_ms):
+                event = "refused"
+                self._hold_until_ms[life.life_id] = now_ms + REFUSED_HOLD_MS
+            if event is not None:
+                marks.append(BackendMark(life.name, life.life_id, event))
+        return marks
+
+    def _is_refused(self, life: Life, now_ms: int) -> bool:
+        entries = self._refused.get(life.life_id)
+        if entries is None or not life.allows("refused"):
+            return False
+        recent = [
+            time_ms
+            for time_ms in entries.values()
+            if now_ms - time_ms <= REFUSED_WINDOW_MS
+        ]
+        if len(recent) >= REFUSED_ENTRIES_COUNT:
+            del self._refused[life.life_id]
+            return True
+        return False
+
+    def _attempts(self, now_ms: int) -> list[OrderAttempt]:
+        found = []
+        for order in self._fleet.open_orders.values():
+            progress = self._progress.get(order.order_id)
+            life = self._fleet.lives[order.backend]
+            if progress is None or life.state in (backends.DOWN, backends.SUSPECTED):
+                continue
+            if self._needs_attempt(order, life, progress, now_ms):
+                attempt = order.attempt_count + 1
+                found.append(OrderAttempt(order.order_id, attempt))
+        return found
+
+    def _needs_attempt(
+        self, order: Order, life: Life, progress: _Progress, now_ms: int
+    ) -> bool:
+        if progress.sent_attempt == 0:
+            # An attempt of an earlier term may be sent by its controller only.
+            return order.attempt_term != self.term
+        if progress.sent_attempt < order.attempt_count or not progress.responded:
+            return False
+        first_ms = RESEND_MS if life.fencing else RESEND_UNFENCED_MS
+        wait_ms = min(RESEND_LONGEST_MS, first_ms * 2 ** (order.attempt_count - 1))
+        if order.accepted:
+            load_ms = int(self.placement.load_ms)
+            wait_ms = max(REPEAT_ACCEPTED_MS, 3 * load_ms)
+        return now_ms - progress.sent_ms >= wait_ms
+
+
+def _differs(announcement: Announcement, recorded: Announcement | None) -> bool:
+    """Tells whether anything but sequence and settled orders differs."""
+    if recorded is None:
+        return True
+    same = dataclasses.replace(
+        announcement, sequence=recorded.sequence, settled=recorded.settled
+    )
+    return same != recorded
--- /dev/null
+++ b/cassiapitch/demand.py
@@ -0,0 +1,79 @@
+"""Demand for models and adapters, and the list of those that requests wait for."""
+
+import math
+
+from cassiapitch.messages import DemandReport
+from cassiapitch.orders import adapter_key, model_key
+
+# Time constant of the moving average: long enough to span bursts of a few seconds,
+# short against the 30 s that a copy stays resident.
+DECAY_MS = 20_000
+
+# A request that is reported without tokens, for instance one that waits, counts
+# as a short answer.
+REQUEST_TOKENS = 100
+
+# Below this rate a model counts as cold: about one request in two minutes.
+COLD_TOKENS_PER_S = 1.0
+
+
+class Demand:
+    """Exponentially decaying demand by ledger key, and the waiting list."""
+
+    def __init__(self) -> None:
+        self._levels: dict[str, tuple[float, int]] = {}
+        self._waiting: dict[str, int] = {}
+        self._entry_waits: dict[str, tuple[int, int]] = {}
+
+    def note(self, report: DemandReport, adapters: dict[str, str], now_ms: int) -> None:
+        """Takes an entry's report.
+
+        Args:
+            report: The report; its names may be of models or of adapters.
+            adapters: Maps each adapter to its model.
+            now_ms: The time of its arrival.
+        """
+        waiting_count = 0
+        for item in report.demands:
+            waiting_count += item.waiting_count
+            model = adapters.get(item.model)
+            keys = [model_key(item.model if model is None else model)]
+            if model is not None:
+                keys.append(adapter_key(item.model))
+            tokens = max(item.tokens, item.arrived_count * REQUEST_TOKENS)
+            for key in keys:
+                self._add(key, tokens, now_ms)
+                if item.arrived_count or item.waiting_count:
+                    asked_ms = now_ms - item.oldest_wait_ms
+                    self._waiting[key] = min(self._waiting.get(key, now_ms), asked_ms)
+        self._entry_waits[report.entry] = (waiting_count, now_ms)
+
+    def rate(self, key: str, now_ms: int) -> float:
+        """Returns tokens per second asked of a model or adapter."""
+        level, since_ms = self._levels.get(key, (0.0, now_ms))
+        return level * math.exp((since_ms - now_ms) / DECAY_MS) * 1_000 / DECAY_MS
+
+    def is_cold(self, key: str, now_ms: int) -> bool:
+        """Tells whether hardly anybody asks for a model or adapter."""
+        return self.rate(key, now_ms) < COLD_TOKENS_PER_S
+
+    def waiting(self) -> list[tuple[int, str]]:
+        """Returns (time of the first request, key), oldest first."""
+        return sorted((asked_ms, key) for key, asked_ms in self._waiting.items())
+
+    def served(self, key: str) -> None:
+        """Takes a key off the waiting list."""
+        self._waiting.pop(key, None)
+
+    def waiting_count(self, now_ms: int) -> int:
+        """Returns how many requests waited at the entries by their last reports."""
+        return sum(
+            count
+            for count, time_ms in self._entry_waits.values()
+            if time_ms + DECAY_MS > now_ms
+        )
+
+    def _add(self, key: str, tokens: int, now_ms: int) -> None:
+        level, since_ms = self._levels.get(key, (0.0, now_ms))
+        decayed = level * math.exp((since_ms - now_ms) / DECAY_MS)
+        self._levels[key] = (decayed + tokens, now_ms)
--- /dev/null
+++ b/cassiapitch/fleet.py
@@ -0,0 +1,398 @@
+"""Replicated state of backend servers and orders.
+
+`Fleet.apply` checks each order against the ledger, whoever proposed it, so that the
+memory rules don't depend on what a controller knew when it decided.
+"""
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from cassiapitch import backends
+from cassiapitch.backends import Life
+from cassiapitch.bundle import Bundle
+from cassiapitch.fleet_catalog import Catalog, from_bundle
+from cassiapitch.fleet_commands import (
+    FLEET_COMMANDS,
+    BackendMark,
+    BeginTerm,
+    FleetResult,
+    MarkBackends,
+    NewOrder,
+    OrderAnswer,
+    OrderAttempt,
+    RecordAnswers,
+    RecordOrders,
+    ReportBackends,
+)
+from cassiapitch.messages import Announcement, BackendItem
+from cassiapitch.orders import (
+    LOAD_KINDS,
+    UNLOAD_KINDS,
+    Order,
+    is_adapter_key,
+    model_key,
+    name_of,
+)
+from cassiapitch.types import ModelName, OrderKind, RoleKind
+
+__all__ = ["FLEET_COMMANDS", "Fleet"]
+
+# Lives that ended are remembered, so that their late announcements are ignored.
+ENDED_LIVES_COUNT = 8_192
+
+MARK_EVENTS = frozenset({"silent", "refused", "expired", "forgotten"})
+
+
+@dataclasses.dataclass(slots=True)
+class _State:
+    """What a snapshot holds."""
+
+    term: int = 0
+    term_token: str = ""
+    order_number: int = 0
+    lives: dict[str, Life] = dataclasses.field(default_factory=dict)
+    ended: dict[str, None] = dataclasses.field(default_factory=dict)
+    catalog: Catalog = dataclasses.field(default_factory=Catalog)
+
+
+class Fleet:
+    """Backend servers and orders; changed only by `apply` and `set_bundle`."""
+
+    def __init__(self) -> None:
+        self._state = _State()
+        self._items: dict[str, BackendItem] = {}
+        self._changes: dict[str, BackendItem | None] = {}
+        self._open: dict[str, Order] = {}
+
+    @property
+    def term(self) -> int:
+        """Controller term in force."""
+        return self._state.term
+
+    @property
+    def term_token(self) -> str:
+        """Token of the controller whose term is in force."""
+        return self._state.term_token
+
+    @property
+    def lives(self) -> dict[str, Life]:
+        """Current life of each backend server, by name."""
+        return self._state.lives
+
+    @property
+    def catalog(self) -> Catalog:
+        """What the bundle in force says."""
+        return self._state.catalog
+
+    @property
+    def open_orders(self) -> dict[str, Order]:
+        """Orders that are not settled, by id, in the order of their fences."""
+        return self._open
+
+    def is_ended(self, life_id: str) -> bool:
+        """Tells whether a life is known to be over."""
+        return life_id in self._state.ended
+
+    def credentials(self) -> dict[str, str]:
+        """Returns the digest of each role's credential."""
+        return {
+            name: role.credential_sha256 for name, role in self.catalog.roles.items()
+        }
+
+    def capacity_mib(self, life: Life) -> int:
+        """Returns the memory that may be used on a backend server."""
+        role = self.catalog.roles.get(life.role)
+        limit_mib = None if role is None else role.memory_limit_mib
+        return life.memory_mib if limit_mib is None else min(life.memory_mib, limit_mib)
+
+    def loads_in_flight_count(self, *, adapters: bool) -> int:
+        """Returns how many open loads count against the store's limit.
+
+        Those of a backend server that is down don't: it has not been heard of for
+        ten seconds, and a dead one would occupy the store for ever.
+        """
+        kind = OrderKind.LOAD_ADAPTER if adapters else OrderKind.LOAD
+        return sum(
+            order.kind == kind and self.lives[order.backend].state != backends.DOWN
+            for order in self._open.values()
+        )
+
+    def view_items(self) -> dict[str, BackendItem]:
+        """Returns the view's items of all backend servers, by item name."""
+        return dict(self._items)
+
+    def take_view_changes(self) -> dict[str, BackendItem | None]:
+        """Returns the items that changed since the last call; None for gone ones.
+
+        Saves the comparison of all items after each command.
+        """
+        changes, self._changes = self._changes, {}
+        return changes
+
+    def snapshot(self) -> bytes:
+        """Returns the whole state."""
+        return msgspec.msgpack.encode(self._state)
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by a snapshot."""
+        gone = self._items.keys()
+        self._state = msgspec.msgpack.decode(data, type=_State)
+        self._items = {}
+        self._changes = dict.fromkeys(gone)
+        for life in self.lives.values():
+            self._refresh(life)
+        orders = [
+            order
+            for life in self.lives.values()
+            for order in life.ledger.orders.values()
+        ]
+        orders.sort(key=lambda order: order.fence_number)
+        self._open = {order.order_id: order for order in orders}
+
+    def set_bundle(self, bundle: Bundle) -> None:
+        """Brings a bundle into force."""
+        self._state.catalog = from_bundle(bundle, self.catalog)
+        for life in self.lives.values():
+            self._set_fencing(life)
+            if life.state == backends.ANNOUNCED and self._is_role_known(life.role):
+                life.advance("accept")
+            self._refresh(life)
+
+    def apply(self, command: Any, index: int, time_ms: int) -> FleetResult:
+        """Applies one of `FLEET_COMMANDS`."""
+        refused: list[str] = []
+        if isinstance(command, BeginTerm):
+            self._begin_term(command)
+        elif isinstance(command, ReportBackends):
+            for announcement in command.announcements:
+                self._announce(announcement)
+        elif isinstance(command, RecordAnswers):
+            for answer in command.answers:
+                self._answer(answer)
+        elif command.term != self.term:
+            refused.append(f"term {command.term} is over")
+        elif isinstance(command, MarkBackends):
+            for mark in command.marks:
+                self._mark(mark)
+        elif isinstance(command, RecordOrders):
+            reasons = [self._record(order) for order in command.orders]
+            refused.extend(reason for reason in reasons if reason is not None)
+        else:
+            for attempt in command.attempts:
+                self._attempt(attempt)
+        return FleetResult(self.term, tuple(refused))
+
+    def _begin_term(self, command: BeginTerm) -> None:
+        if command.token != self._state.term_token:
+            self._state.term += 1
+            self._state.term_token = command.token
+
+    def _is_role_known(self, role: str) -> bool:
+        return role in self.catalog.roles
+
+    def _set_fencing(self, life: Life) -> None:
+        role = self.catalog.roles.get(life.role)
+        if role is not None:
+            life.fencing = role.fencing
+
+    def _announce(self, announcement: Announcement) -> None:
+        if self.is_ended(announcement.life_id):
+            return
+        life = self.lives.get(announcement.name)
+        if life is not None and life.life_id != announcement.life_id:
+            # A credential of one role must not displace another role's servers.
+            if life.role != announcement.role and life.state != backends.DOWN:
+                return
+            self._end_life(life, "replaced")
+            life = None
+        if life is None:
+            life = Life(announcement.name, announcement.life_id)
+            self.lives[announcement.name] = life
+        is_known = self._is_role_known(announcement.role)
+        if not backends.take_announcement(life, announcement, is_role_known=is_known):
+            return
+        self._set_fencing(life)
+        settled = {item.order_id: item.outcome for item in announcement.settled}
+        ended = life.ledger.take_report(
+            backends.reported_items(announcement),
+            settled,
+            life.fence(),
+            fencing=life.fencing,
+        )
+        for order in ended:
+            del self._open[order.order_id]
+        self._refresh(life)
+
+    def _end_life(self, life: Life, event: str) -> None:
+        life.advance(event)
+        for order in life.ledger.orders.values():
+            order.advance("life_ended")
+            del self._open[order.order_id]
+        del self.lives[life.name]
+        self._state.ended[life.life_id] = None
+        while len(self._state.ended) > ENDED_LIVES_COUNT:
+            del self._state.ended[next(iter(self._state.ended))]
+        item_name = f"backend/{life.name}"
+        self._items.pop(item_name, None)
+        self._changes[item_name] = None
+
+    def _mark(self, mark: BackendMark) -> None:
+        life = self.lives.get(mark.name)
+        if life is None or life.life_id != mark.life_id:
+            return
+        if mark.event not in MARK_EVENTS or not life.allows(mark.event):
+            return
+        if mark.event == "forgotten":
+            self._end_life(life, mark.event)
+            return
+        life.advance(mark.event)
+        self._refresh(life)
+
+    def _record(self, new: NewOrder) -> str | None:
+        """Records an order; returns why it is refused, or None."""
+        life = self.lives.get(new.backend)
+        if life is None or life.life_id != new.life_id:
+            return f"{new.backend}: the life is over"
+        if reason := self._fault(new, life):
+            return f"{new.backend}: {new.item}: {reason}"
+        self._state.order_number += 1
+        model = self.catalog.model_of(new.item)
+        is_adapter = is_adapter_key(new.item)
+        order = Order(
+            order_id=f"o{self._state.order_number}",
+            fence_term=self.term,
+            fence_number=self._state.order_number,
+            kind=new.kind,
+            backend=life.name,
+            life_id=life.life_id,
+            key=new.item,
+            model=model or ("" if is_adapter else name_of(new.item)),
+            version=self.catalog.model_versions.get(model or "", 0),
+            adapter=name_of(new.item) if is_adapter else "",
+            memory_mib=self.catalog.memory_mib(new.item) or 0,
+            attempt_term=self.term,
+        )
+        life.ledger.orders[order.order_id] = order
+        if order.is_load():
+            life.ledger.sizes[order.key] = order.memory_mib
+        self._open[order.order_id] = order
+        self._refresh(life)
+        return None
+
+    def _fault(self, new: NewOrder, life: Life) -> str | None:
+        """Returns why an order breaks a rule of the ledger, or None."""
+        if life.state != backends.SERVING:
+            return f"the backend server is {life.state}"
+        if life.ledger.open_order(new.item) is not None:
+            return "another order is open"
+        is_loaded = new.item in life.ledger.reported
+        if new.kind in UNLOAD_KINDS:
+            return None if is_loaded else "it is not loaded"
+        if new.kind not in LOAD_KINDS:
+            return f"the kind {new.kind} is not supported"
+        if is_loaded:
+            return "it is loaded already"
+        if self.catalog.role_of(new.item) != life.role:
+            return "it is not of this role"
+        return self._limit_fault(new, life)
+
+    def _limit_fault(self, new: NewOrder, life: Life) -> str | None:
+        is_adapter = is_adapter_key(new.item)
+        store = self.catalog.store
+        limit_count = (
+            store.adapters_in_flight_count
+            if is_adapter
+            else store.loads_in_flight_count
+        )
+        if self.loads_in_flight_count(adapters=is_adapter) >= limit_count:
+            return "the weight store's limit is reached"
+        if is_adapter and not self._is_usable(
+            life, model_key(self.catalog.model_of(new.item) or "")
+        ):
+            return "its model is not loaded"
+        needed_mib = self.catalog.memory_mib(new.item) or 0
+        grown_mib = max(0, needed_mib - life.ledger.late_mib(new.item))
+        if life.charged_mib + grown_mib > self.capacity_mib(life):
+            return "the memory doesn't suffice"
+        return None
+
+    def _attempt(self, attempt: OrderAttempt) -> None:
+        order = self._open.get(attempt.order_id)
+        if order is not None and attempt.attempt == order.attempt_count + 1:
+            order.attempt_count = attempt.attempt
+            order.attempt_term = self.term
+            order.unanswered.append(attempt.attempt)
+
+    def _answer(self, answer: OrderAnswer) -> None:
+        order = self._open.get(answer.order_id)
+        life = self.lives.get(answer.backend)
+        if life is None:
+            return
+        is_accepted = answer.answer == "accepted"
+        life.ledger.answer(answer.order_id, answer.attempt, accepted=is_accepted)
+        is_stale = answer.answer == "stale_fence" and life.fencing
+        if order is not None and is_stale and not order.accepted:
+            life.ledger.refuse(answer.order_id)
+            del self._open[answer.order_id]
+        self._refresh(life)
+
+    def _is_usable(self, life: Life, key: str) -> bool:
+        if key not in life.ledger.reported:
+            return False
+        order = life.ledger.open_order(key)
+        return order is None or order.is_load()
+
+    def _refresh(self, life: Life) -> None:
+        """Recomputes what is derived from a life."""
+        capacity_mib = self.capacity_mib(life)
+        life.charged_mib = sum(
+            life.ledger.charge_mib(key, self.catalog.memory_mib(key) or capacity_mib)
+            for key in life.ledger.charged_keys()
+        )
+        item_name = f"backend/{life.name}"
+        item = self._item(life)
+        if self._items.get(item_name) != item:
+            self._items[item_name] = item
+            self._changes[item_name] = item
+
+    def usable_keys(self, life: Life) -> list[str]:
+        """Returns what is loaded, stays loaded and belongs to the bundle."""
+        unloading = {
+            order.key for order in life.ledger.orders.values() if not order.is_load()
+        }
+        return [
+            key
+            for key in life.ledger.reported
+            if key not in unloading and self.catalog.role_of(key) == life.role
+        ]
+
+    def _item(self, life: Life) -> BackendItem:
+        usable = self.usable_keys(life)
+        models = {ModelName(name_of(key)) for key in usable if not is_adapter_key(key)}
+        adapters = {
+            name_of(key)
+            for key in usable
+            if is_adapter_key(key) and self.catalog.model_of(key) in models
+        }
+        role = self.catalog.roles.get(life.role)
+        limit = None if role is None else role.running_limit_count
+        count = life.max_running_count
+        return BackendItem(
+            name=life.name,
+            life_id=life.life_id,
+            role=life.role,
+            zone=life.zone,
+            ip=life.ip,
+            port=life.port,
+            state=life.state,
+            models=tuple(sorted(models)),
+            adapters=tuple(sorted(adapters)),
+            max_running_count=count if limit is None else min(count, limit),
+        )
+
+    def is_engine(self, life: Life) -> bool:
+        """Tells whether placement may load models on a backend server."""
+        role = self.catalog.roles.get(life.role)
+        return role is not None and role.kind == RoleKind.ENGINE
--- /dev/null
+++ b/cassiapitch/orders.py
@@ -0,0 +1,233 @@
+"""Orders to engines and the ledger of each engine's memory.
+
+The ledger charges everything that an engine may hold at any moment: what it
+reports, open loads, and loads whose late attempts may still arrive. An open unload
+frees nothing until the engine's own report settles it.
+"""
+
+import dataclasses
+
+from cassiapitch import statechart
+from cassiapitch.types import BackendName, LifeId, OrderKind, OrderOutcome
+
+LOAD_KINDS = frozenset({OrderKind.LOAD, OrderKind.LOAD_ADAPTER})
+UNLOAD_KINDS = frozenset({OrderKind.UNLOAD, OrderKind.UNLOAD_ADAPTER})
+
+_CHART = statechart.load_chart("order")
+
+
+def model_key(model: str) -> str:
+    """Returns the ledger's key of a model."""
+    return f"model/{model}"
+
+
+def adapter_key(adapter: str) -> str:
+    """Returns the ledger's key of an adapter."""
+    return f"adapter/{adapter}"
+
+
+def is_adapter_key(key: str) -> bool:
+    """Tells whether a ledger key is of an adapter."""
+    return key.startswith("adapter/")
+
+
+def name_of(key: str) -> str:
+    """Returns the name of the model or adapter of a ledger key."""
+    return key.split("/", 1)[1]
+
+
+@dataclasses.dataclass(slots=True)
+class Order:
+    """An order that is recorded and not yet settled.
+
+    Attributes:
+        order_id: Its identity, the same on every attempt.
+        fence_term: Controller term in which it was recorded.
+        fence_number: Number of the order over the whole fleet; increasing, so
+            that it also increases for each backend server.
+        kind: What the engine has to do.
+        backend: The backend server.
+        life_id: Its run.
+        key: Ledger key of the model or adapter.
+        model: The model, or the model that the adapter belongs to.
+        version: Version of the bundle that last changed the model.
+        adapter: The adapter, empty for models.
+        memory_mib: Memory of a load as the bundle said when it was recorded.
+        state: State of the chart `order`.
+        attempt_count: Attempts that may have been sent; each is recorded first.
+        attempt_term: Controller term that may send the last attempt.
+        unanswered: Attempts whose HTTP response was not received.
+        accepted: Whether the engine accepted an attempt.
+    """
+
+    order_id: str
+    fence_term: int
+    fence_number: int
+    kind: OrderKind
+    backend: BackendName
+    life_id: LifeId
+    key: str
+    model: str
+    version: int
+    adapter: str
+    memory_mib: int
+    state: str = _CHART.initial
+    attempt_count: int = 1
+    attempt_term: int = 0
+    unanswered: list[int] = dataclasses.field(default_factory=lambda: [1])
+    accepted: bool = False
+
+    def is_load(self) -> bool:
+        """Tells whether the order occupies memory."""
+        return self.kind in LOAD_KINDS
+
+    def advance(self, event: str) -> None:
+        """Moves along the chart."""
+        self.state = _CHART.next_state(self.state, event)
+
+
+@dataclasses.dataclass(slots=True)
+class LateLoad:
+    """Attempts of a settled load that may still arrive at the engine.
+
+    Attributes:
+        order_id: The settled order.
+        fence_term: First part of its fence.
+        fence_number: Second part of its fence.
+        memory_mib: What a late attempt would occupy.
+        unanswered: The attempts whose response was not received.
+    """
+
+    order_id: str
+    fence_term: int
+    fence_number: int
+    memory_mib: int
+    unanswered: list[int]
+
+
+@dataclasses.dataclass(slots=True)
+class Ledger:
+    """What one life of a backend server may hold.
+
+    Attributes:
+        reported: Memory of each model and adapter that the engine reports; 0
+            where it doesn't say.
+        sizes: Memory that the load orders of reported items were recorded with.
+        orders: Open orders by id.
+        late: Late loads by ledger key.
+    """
+
+    reported: dict[str, int] = dataclasses.field(default_factory=dict)
+    sizes: dict[str, int] = dataclasses.field(default_factory=dict)
+    orders: dict[str, Order] = dataclasses.field(default_factory=dict)
+    late: dict[str, list[LateLoad]] = dataclasses.field(default_factory=dict)
+
+    def open_order(self, key: str) -> Order | None:
+        """Returns the open order about a model or adapter."""
+        for order in self.orders.values():
+            if order.key == key:
+                return order
+        return None
+
+    def late_mib(self, key: str) -> int:
+        """Returns the memory that late attempts of settled loads may occupy."""
+        return max((load.memory_mib for load in self.late.get(key, ())), default=0)
+
+    def charge_mib(self, key: str, unknown_mib: int) -> int:
+        """Returns the memory charged for one model or adapter.
+
+        Args:
+            key: The ledger key.
+            unknown_mib: Memory of an item that is reported without a size and
+                without an order, for instance one loaded before this life was
+                known.
+        """
+        charge_mib = self.late_mib(key)
+        if key in self.reported:
+            known_mib = max(self.reported[key], self.sizes.get(key, 0))
+            charge_mib = max(charge_mib, known_mib or unknown_mib)
+        for order in self.orders.values():
+            if order.key == key and order.is_load():
+                charge_mib = max(charge_mib, order.memory_mib)
+        return charge_mib
+
+    def charged_keys(self) -> set[str]:
+        """Returns the key of everything that is charged."""
+        loading = {order.key for order in self.orders.values() if order.is_load()}
+        return self.reported.keys() | self.late.keys() | loading
+
+    def take_report(
+        self,
+        reported: dict[str, int],
+        settled: dict[str, OrderOutcome],
+        fence: tuple[int, int],
+        *,
+        fencing: bool,
+    ) -> list[Order]:
+        """Takes the engine's report; returns the orders that it settled."""
+        self.reported = reported
+        ended = [order for id_, order in self.orders.items() if id_ in settled]
+        for order in ended:
+            self._settle(order, settled[order.order_id])
+        if fencing:
+            self._drop_void(fence)
+        loading = {order.key for order in self.orders.values() if order.is_load()}
+        kept = reported.keys() | loading
+        self.sizes = {key: size for key, size in self.sizes.items() if key in kept}
+        return ended
+
+    def answer(self, order_id: str, attempt: int, *, accepted: bool) -> None:
+        """Records that the response to an attempt was received."""
+        order = self.orders.get(order_id)
+        if order is not None:
+            order.advance("sent")
+            order.accepted = order.accepted or accepted
+            _discard(order.unanswered, attempt)
+        for key, loads in list(self.late.items()):
+            for load in loads:
+                if load.order_id == order_id:
+                    _discard(load.unanswered, attempt)
+            self._keep_late(key, [load for load in loads if load.unanswered])
+
+    def refuse(self, order_id: str) -> None:
+        """Ends an order that a fencing engine rejected for its fence.
+
+        The engine accepts an order that it knows before it looks at the fence, so
+        a rejected one never ran, and its other attempts are void as well.
+        """
+        order = self.orders.pop(order_id)
+        order.advance("reported_failed")
+        if order.is_load() and order.key not in self.reported:
+            self.sizes.pop(order.key, None)
+
+    def _settle(self, order: Order, outcome: OrderOutcome) -> None:
+        is_done = outcome == OrderOutcome.DONE
+        order.advance("reported_done" if is_done else "reported_failed")
+        del self.orders[order.order_id]
+        if order.is_load() and order.unanswered:
+            load = LateLoad(
+                order.order_id,
+                order.fence_term,
+                order.fence_number,
+                order.memory_mib,
+                order.unanswered,
+            )
+            self.late.setdefault(order.key, []).append(load)
+
+    def _drop_void(self, fence: tuple[int, int]) -> None:
+        for key, loads in list(self.late.items()):
+            kept = [
+                load for load in loads if (load.fence_term, load.fence_number) >= fence
+            ]
+            self._keep_late(key, kept)
+
+    def _keep_late(self, key: str, loads: list[LateLoad]) -> None:
+        if loads:
+            self.late[key] = loads
+        else:
+            self.late.pop(key, None)
+
+
+def _discard(numbers: list[int], number: int) -> None:
+    if number in numbers:
+        numbers.remove(number)
--- /dev/null
+++ b/cassiapitch/placement.py
@@ -0,0 +1,328 @@
+"""Placement policy: which models and adapters are loaded where.
+
+`decide` runs once a second on the leader. It serves, in this order, what requests
+wait for (oldest first), minimum copies, and further copies by demand.
+"""
+
+from cassiapitch import placement_fixed, victims
+from cassiapitch.backends import Life
+from cassiapitch.fleet_commands import NewOrder
+from cassiapitch.orders import is_adapter_key, model_key
+from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState, Plan
+from cassiapitch.rooms import Room, Survey
+from cassiapitch.types import OrderKind
+
+# A change must be worth this much more than what it replaces (section 8).
+GAIN_RATIO = 1.3
+
+# Share of the slots that requests should take; the rest absorbs bursts.
+TARGET_USAGE = 0.6
+
+# Searches for room in a round; each one looks at every engine of a role.
+SEARCHES_PER_ROUND = 48
+
+# Searches for copies to unload in a round; each one looks at every copy of a role.
+FINDS_PER_ROUND = 12
+
+# Age on the waiting list from which an engine is held free of other loads.
+HOLD_AFTER_MS = 20_000
+
+
+def decide(state: PlacementState, now_ms: int) -> list[NewOrder]:
+    """Returns the orders to record in this round."""
+    survey = state.survey(now_ms)
+    choice = _Round(state, survey, now_ms)
+    choice.unload_strays()
+    if state.policy == "fixed":
+        for life, key in placement_fixed.missing(state.fleet, survey):
+            if choice.may_load(key) and survey.may_load(survey.rooms[life], key):
+                choice.load(survey.rooms[life], key)
+        return choice.orders
+    choice.place_waiting()
+    choice.place_minimums()
+    choice.place_gains()
+    choice.place_adapters()
+    return choice.orders
+
+
+class _Round:
+    """Decisions of one round; later ones see the earlier ones' effect."""
+
+    def __init__(self, state: PlacementState, survey: Survey, now_ms: int) -> None:
+        self.orders: list[NewOrder] = []
+        self._state = state
+        self._survey = survey
+        self._catalog = state.fleet.catalog
+        self._now_ms = now_ms
+        self._new_loads = {True: 0, False: 0}
+        self._search_count = 0
+        self._find_count = 0
+        self._roomiest_mib: dict[str, int] = {}
+        self._wanted = _wanted_copies(state, survey, now_ms)
+        self._victims = victims.Victims(state, survey, self._wanted, now_ms)
+
+    def may_load(self, key: str) -> bool:
+        """Tells whether the store has room for one more load."""
+        is_adapter = is_adapter_key(key)
+        store = self._catalog.store
+        limit_count = (
+            store.adapters_in_flight_count
+            if is_adapter
+            else store.loads_in_flight_count
+        )
+        in_flight_count = self._state.fleet.loads_in_flight_count(adapters=is_adapter)
+        if in_flight_count + self._new_loads[is_adapter] >= limit_count:
+            return False
+        return is_adapter or self._state.store_tokens >= 1
+
+    def load(self, room: Room, key: str) -> None:
+        """Decides a load."""
+        is_adapter = is_adapter_key(key)
+        room.free_mib -= self._survey.grown_mib(room, key)
+        self._new_loads[is_adapter] += 1
+        if not is_adapter:
+            self._state.store_tokens -= 1
+        kind = OrderKind.LOAD_ADAPTER if is_adapter else OrderKind.LOAD
+        self._order(kind, room.life, key)
+
+    def unload_strays(self) -> None:
+        """Unloads what the bundle no longer has, once no entry can ask for it."""
+        if self._now_ms - self._state.bundle_seen_ms < VIEW_DELAY_MS:
+            return
+        for life, key in self._survey.strays:
+            self._unload(life, key)
+
+    def place_waiting(self) -> None:
+        """Gives each model or adapter that requests wait for its first copy."""
+        for asked_ms, key in self._state.demand.waiting():
+            if self._survey.copy_count(key) == 0:
+                self._place_waiting(key, self._now_ms - asked_ms)
+
+    def place_minimums(self) -> None:
+        """Loads the copies that the bundle wants resident."""
+        for name, model in self._catalog.models.items():
+            key = model_key(name)
+            missing = model.minimum_copies - self._survey.copy_count(key)
+            if missing > 0 and not self._place(key):
+                self._plan(key, victims.SERVED_CLASS, self._rooms(key))
+
+    def place_gains(self) -> None:
+        """Adds copies of models whose demand exceeds what their copies serve."""
+        gains = [
+            (wanted / self._survey.copy_count(key), key)
+            for key, wanted in self._wanted.items()
+            if self._survey.copy_count(key) > 0
+        ]
+        for gain, key in sorted(gains, reverse=True):
+            if gain <= GAIN_RATIO or not self.may_load(key):
+                return
+            if key not in self._state.plans and not self._place(key):
+                self._plan(key, victims.SERVED_CLASS, self._rooms(key), gain)
+            elif key in self._state.plans:
+                self._use_plan(key)
+
+    def place_adapters(self) -> None:
+        """Loads adapters that have no copy next to one of their model's copies."""
+        for name in self._catalog.adapters:
+            key = f"adapter/{name}"
+            if not self.may_load(key) or self._search_count >= SEARCHES_PER_ROUND:
+                return
+            if self._survey.copy_count(key) == 0 and key not in self._state.plans:
+                self._place(key)
+
+    def _place_waiting(self, key: str, age_ms: int) -> None:
+        if key in self._state.plans:
+            self._use_plan(key)
+            return
+        rooms = self._rooms(key)
+        model = model_key(self._catalog.model_of(key) or "")
+        if is_adapter_key(key) and self._survey.copy_count(model) == 0:
+            return
+        if not self._fits_somewhere(key, rooms):
+            self._make_roomy_copy(key, model)
+            return
+        if self._place(key):
+            return
+        allowed = victims.class_allowed(age_ms)
+        if not self._plan(key, allowed, rooms) and age_ms >= HOLD_AFTER_MS:
+            self._hold(key, rooms)
+
+    def _make_roomy_copy(self, key: str, model: str) -> None:
+        """Loads a model where its adapter fits as well, if it fits nowhere now."""
+        if not is_adapter_key(key) or self._survey.coming.get(model):
+            return
+        extra_mib = self._catalog.memory_mib(key) or 0
+        rooms = [
+            room
+            for room in self._rooms(model)
+            if self._fits_ever(room, model, extra_mib)
+        ]
+        if model in self._state.plans:
+            self._use_plan(model)
+        elif not self._place(model, rooms):
+            self._plan(model, victims.SERVED_CLASS, rooms)
+
+    def _place(self, key: str, rooms: list[Room] | None = None) -> bool:
+        """Loads where there is room; returns whether there was."""
+        if key in self._state.plans:
+            return self._use_plan(key)
+        if self._search_count >= SEARCHES_PER_ROUND:
+            return True
+        self._search_count += 1
+        room = self._best_room(key, self._rooms(key) if rooms is None else rooms)
+        if room is None:
+            return False
+        if self.may_load(key):
+            self.load(room, key)
+        return True
+
+    def _use_plan(self, key: str) -> bool:
+        """Loads as planned once the engine has the room."""
+        plan = self._state.plans[key]
+        if plan.since_ms == self._now_ms:
+            return True
+        room = self._survey.rooms[plan.life_id]
+        if not self._survey.may_load(room, key):
+            del self._state.plans[key]
+            return True
+        # The survey took the plan's own memory off the room.
+        grown_mib = self._survey.grown_mib(room, key)
+        if room.free_mib >= 0 and self.may_load(key):
+            room.free_mib += grown_mib
+            del self._state.plans[key]
+            self.load(room, key)
+        elif room.free_mib < 0 and not self._has_open_unload(room.life):
+            # The room didn't come, for instance because late loads stay charged.
+            room.free_mib += grown_mib
+            del self._state.plans[key]
+        return True
+
+    def _has_open_unload(self, life: Life) -> bool:
+        return any(not order.is_load() for order in life.ledger.orders.values())
+
+    def _rooms(self, key: str) -> list[Room]:
+        """Returns the engines on which a model or adapter may be loaded."""
+        survey = self._survey
+        if not is_adapter_key(key):
+            return survey.by_role.get(self._catalog.role_of(key) or "", [])
+        lives = survey.copies.get(model_key(self._catalog.model_of(key) or ""), [])
+        return [survey.rooms[life.life_id] for life in lives]
+
+    def _best_room(self, key: str, rooms: list[Room]) -> Room | None:
+        survey = self._survey
+        zones = {life.zone for life in survey.copies.get(key, ())}
+        late = {id(room) for room in survey.late_rooms.get(key, ())}
+        held = self._held_life(key)
+        needed_mib = self._catalog.memory_mib(key) or 0
+        best: tuple[bool, bool, int] | None = None
+        chosen = None
+        for room in rooms:
+            is_reserved = id(room) in late
+            grown_mib = survey.grown_mib(room, key) if is_reserved else needed_mib
+            if room.free_mib < grown_mib or room.life.life_id == held:
+                continue
+            rank = (is_reserved, room.life.zone not in zones, room.free_mib)
+            if (best is None or rank > best) and survey.may_load(room, key):
+                best, chosen = rank, room
+        return chosen
+
+    def _held_life(self, key: str) -> str | None:
+        """Returns the engine of this role that is held for another key."""
+        hold = self._state.holds.get(self._catalog.role_of(key) or "")
+        return None if hold is None or hold[0] == key else hold[1].life_id
+
+    def _fits_somewhere(self, key: str, rooms: list[Room]) -> bool:
+        """Tells whether any of these engines could ever hold a key."""
+        if is_adapter_key(key):
+            return any(self._fits_ever(room, key) for room in rooms)
+        role = self._catalog.role_of(key) or ""
+        if role not in self._roomiest_mib:
+            self._roomiest_mib[role] = max(map(_roomy_mib, rooms), default=0)
+        if (self._catalog.memory_mib(key) or 0) <= self._roomiest_mib[role]:
+            return True
+        reserved = self._survey.late_rooms.get(key, [])
+        return any(self._fits_ever(room, key) for room in reserved)
+
+    def _fits_ever(self, room: Room, key: str, extra_mib: int = 0) -> bool:
+        """Tells whether an engine could hold a key with all else unloaded."""
+        ledger = room.life.ledger
+        kept = set(ledger.late) - {key}
+        if is_adapter_key(key):
+            kept.add(model_key(self._catalog.model_of(key) or ""))
+        kept_mib = sum(ledger.charge_mib(other, 0) for other in kept)
+        needed_mib = max(self._catalog.memory_mib(key) or 0, ledger.late_mib(key))
+        return kept_mib + needed_mib + extra_mib <= room.capacity_mib
+
+    def _plan(
+        self, key: str, allowed: int, rooms: list[Room], gain: float = 0.0
+    ) -> bool:
+        """Unloads others to make room; returns whether that is possible."""
+        if self._find_count >= FINDS_PER_ROUND:
+            return False
+        self._find_count += 1
+        held = self._held_life(key)
+        open_rooms = [room for room in rooms if room.life.life_id != held]
+        found = self._victims.find(key, allowed, open_rooms, gain)
+        if found is None:
+            return False
+        room, keys = found
+        for victim in keys:
+            self._unload(room.life, victim)
+        room.free_mib -= self._survey.grown_mib(room, key)
+        self._state.plans[key] = Plan(room.life.life_id, self._now_ms)
+        return True
+
+    def _hold(self, key: str, rooms: list[Room]) -> None:
+        """Keeps other loads off one engine until a large item has its room.
+
+        Otherwise a stream of small models could each stay resident for 30 s in
+        turn, so that an engine would never be empty enough for a large one.
+        """
+        role = self._catalog.role_of(key) or ""
+        fitting = [room for room in rooms if self._fits_ever(room, key)]
+        if role not in self._state.holds and fitting:
+            room = max(fitting, key=lambda item: item.free_mib)
+            self._state.holds[role] = (key, Plan(room.life.life_id, self._now_ms))
+
+    def _unload(self, life: Life, key: str) -> None:
+        kind = OrderKind.UNLOAD_ADAPTER if is_adapter_key(key) else OrderKind.UNLOAD
+        self._order(kind, life, key)
+        copies = self._survey.copies.get(key)
+        if copies and life in copies:
+            copies.remove(life)
+
+    def _order(self, kind: OrderKind, life: Life, key: str) -> None:
+        self.orders.append(NewOrder(kind, life.name, life.life_id, key))
+
+
+def _roomy_mib(room: Room) -> int:
+    ledger = room.life.ledger
+    return room.capacity_mib - sum(ledger.late_mib(key) for key in ledger.late)
+
+
+def _wanted_copies(
+    state: PlacementState, survey: Survey, now_ms: int
+) -> dict[str, float]:
+    """Returns how many copies each model's demand is worth.
+
+    A role's demand needs as many engines as its requests fill to the target; each
+    model gets its share of them by tokens asked for.
+    """
+    rates = {
+        name: state.demand.rate(model_key(name), now_ms)
+        for name in state.fleet.catalog.models
+    }
+    totals: dict[str, float] = {}
+    for name, model in state.fleet.catalog.models.items():
+        totals[model.role] = totals.get(model.role, 0.0) + rates[name]
+    waiting_count = state.demand.waiting_count(now_ms)
+    engines = {
+        role: len(survey.by_role.get(role, ()))
+        * min(1.0, survey.usage(role, waiting_count) / TARGET_USAGE)
+        for role in totals
+    }
+    return {
+        model_key(name): rates[name] / totals[model.role] * engines[model.role]
+        for name, model in state.fleet.catalog.models.items()
+        if totals[model.role] > 0
+    }
--- /dev/null
+++ b/cassiapitch/placement_state.py
@@ -0,0 +1,169 @@
+"""What placement remembers between rounds; the leader's memory only."""
+
+import dataclasses
+
+from cassiapitch.demand import Demand
+from cassiapitch.fleet import Fleet
+from cassiapitch.orders import model_key
+from cassiapitch.rooms import Survey
+
+# Hysteresis of section 8: a copy stays at least this long.
+RESIDENT_MS = 30_000
+
+# An open load that is older than this is no longer counted as a coming copy, so
+# that an engine that ignores its orders can't make a model unreachable.
+LOAD_PATIENCE_MS = 30_000
+
+# A plan whose engine hasn't made room by then is made anew.
+PLAN_LIFE_MS = 60_000
+
+# Entries may route by a view that is up to 1,800 ms old; an unload is sent later.
+VIEW_DELAY_MS = 2_000
+
+DEFAULT_LOAD_MS = 5_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """An engine that makes room for a model or adapter."""
+
+    life_id: str
+    since_ms: int
+
+
+class PlacementState:
+    """State of the placement policy on the leader."""
+
+    def __init__(self, fleet: Fleet, policy: str, now_ms: int) -> None:
+        """Starts a controller term: the store's bucket is empty.
+
+        Args:
+            fleet: The replicated state, read only.
+            policy: `demand` or `fixed`.
+            now_ms: Start of the term.
+        """
+        self.fleet = fleet
+        self.policy = policy
+        self.demand = Demand()
+        self.requests: dict[str, tuple[int, int]] = {}
+        self.store_tokens = 0.0
+        self.plans: dict[str, Plan] = {}
+        self.holds: dict[str, tuple[str, Plan]] = {}
+        self.load_ms = float(DEFAULT_LOAD_MS)
+        self.order_seen_ms: dict[str, int] = {}
+        self.bundle_seen_ms = now_ms
+        self._bundle_version = fleet.catalog.version
+        self._resident_ms: dict[tuple[str, str], int] | None = None
+        self._refilled_ms = now_ms
+        self._load_starts: dict[str, tuple[str, int]] = {}
+
+    def survey(self, now_ms: int) -> Survey:
+        """Begins a round: reads the fleet and ages what is remembered."""
+        self._refill(now_ms)
+        self._age_orders(now_ms)
+        if self.fleet.catalog.version != self._bundle_version:
+            self._bundle_version = self.fleet.catalog.version
+            self.bundle_seen_ms = now_ms
+        is_late = {
+            order_id: now_ms - seen_ms > LOAD_PATIENCE_MS + 2 * self.load_ms
+            for order_id, seen_ms in self.order_seen_ms.items()
+        }
+        survey = Survey(self.fleet, self.requests, is_late)
+        self._age_residents(survey, now_ms)
+        self._age_waiting(survey)
+        self._age_plans(survey, now_ms)
+        return survey
+
+    def resident_long(self, life_id: str, key: str, now_ms: int) -> bool:
+        """Tells whether a copy has been resident for the time of the hysteresis."""
+        since_ms = (self._resident_ms or {}).get((life_id, key), now_ms)
+        return now_ms - since_ms >= RESIDENT_MS
+
+    def may_load(self, *, adapter: bool) -> bool:
+        """Tells whether the store's limits allow one more load now.
+
+        The fleet counts what is recorded; the round adds what it decides.
+        """
+        in_flight_count = self.fleet.loads_in_flight_count(adapters=adapter)
+        store = self.fleet.catalog.store
+        if adapter:
+            return in_flight_count < store.adapters_in_flight_count
+        return in_flight_count < store.loads_in_flight_count and self.store_tokens >= 1
+
+    def _refill(self, now_ms: int) -> None:
+        rate = self.fleet.catalog.store.loads_per_s
+        grown = self.store_tokens + rate * (now_ms - self._refilled_ms) / 1_000
+        self.store_tokens = min(max(1.0, rate), grown)
+        self._refilled_ms = now_ms
+
+    def _age_orders(self, now_ms: int) -> None:
+        open_orders = self.fleet.open_orders
+        for order_id, seen_ms in list(self.order_seen_ms.items()):
+            if order_id not in open_orders:
+                del self.order_seen_ms[order_id]
+                if order_id in self._load_starts:
+                    del self._load_starts[order_id]
+                    self.load_ms += (now_ms - seen_ms - self.load_ms) / 8
+        for order in open_orders.values():
+            self.order_seen_ms.setdefault(order.order_id, now_ms)
+            if order.is_load() and not order.adapter:
+                self._load_starts.setdefault(order.order_id, (order.key, now_ms))
+
+    def _age_residents(self, survey: Survey, now_ms: int) -> None:
+        old = self._resident_ms
+        # What a new leader finds has been there for an unknown time.
+        first_ms = now_ms - RESIDENT_MS if old is None else now_ms
+        known = old or {}
+        self._resident_ms = {
+            (room.life.life_id, key): known.get((room.life.life_id, key), first_ms)
+            for room in survey.rooms.values()
+            for key in room.life.ledger.reported
+        }
+
+    def _age_waiting(self, survey: Survey) -> None:
+        for _, key in self.demand.waiting():
+            is_gone = self.fleet.catalog.memory_mib(key) is None
+            if is_gone or survey.is_served(key):
+                self.demand.served(key)
+                self.plans.pop(key, None)
+
+    def _age_plans(self, survey: Survey, now_ms: int) -> None:
+        for key, plan in list(self.plans.items()):
+            if not _is_alive(plan, survey, now_ms) or survey.coming.get(key):
+                del self.plans[key]
+        for role, (key, plan) in list(self.holds.items()):
+            is_done = survey.is_served(key) or survey.coming.get(key)
+            if is_done or not _is_alive(plan, survey, now_ms):
+                del self.holds[role]
+        for key, plan in self.plans.items():
+            room = survey.rooms[plan.life_id]
+            room.free_mib -= survey.grown_mib(room, key)
+
+
+def _is_alive(plan: Plan, survey: Survey, now_ms: int) -> bool:
+    return plan.life_id in survey.rooms and now_ms - plan.since_ms < PLAN_LIFE_MS
+
+
+def expected_ms(state: PlacementState, now_ms: int) -> dict[str, int]:
+    """Returns the time until a copy is expected, by model or adapter name.
+
+    Covers what is being loaded or waited for: the rest of a load under way, or the
+    place in the waiting list by the store's rate, and the unload that comes first.
+    """
+    expected: dict[str, int] = {}
+    catalog = state.fleet.catalog
+    for order in state.fleet.open_orders.values():
+        if order.is_load():
+            seen_ms = state.order_seen_ms.get(order.order_id, now_ms)
+            rest_ms = int(state.load_ms) - (now_ms - seen_ms)
+            expected[order.adapter or order.model] = max(200, rest_ms)
+    gap_ms = 1_000 / catalog.store.loads_per_s
+    rank = 0
+    for _, key in state.demand.waiting():
+        name = key.split("/", 1)[1]
+        if name in expected or catalog.memory_mib(key) is None:
+            continue
+        rank += key == model_key(name)
+        unload_ms = VIEW_DELAY_MS if key in state.plans else 0
+        expected[name] = int(rank * gap_ms + unload_ms + state.load_ms)
+    return expected
--- /dev/null
+++ b/cassiapitch/rooms.py
@@ -0,0 +1,110 @@
+"""What placement sees of the fleet in one round: engines, their room, copies.
+
+A survey reads each engine's ledger once, so that a round costs a step for each
+engine and each copy, and none for each pair of engine and model.
+"""
+
+import collections
+import dataclasses
+
+from cassiapitch import backends
+from cassiapitch.backends import Life
+from cassiapitch.fleet import Fleet
+from cassiapitch.orders import Order
+
+
+@dataclasses.dataclass(slots=True)
+class Room:
+    """An engine that may get orders.
+
+    Attributes:
+        life: The engine.
+        capacity_mib: Memory that may be used on it.
+        free_mib: Memory that neither the ledger nor a plan takes.
+        busy_ratio: Requests that it runs and that wait there, by its limit.
+    """
+
+    life: Life
+    capacity_mib: int
+    free_mib: int
+    busy_ratio: float
+
+
+class Survey:
+    """Engines, copies and open loads at the beginning of a round."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        requests: dict[str, tuple[int, int]],
+        is_late: dict[str, bool],
+    ) -> None:
+        """Reads the fleet.
+
+        Args:
+            fleet: The replicated state.
+            requests: Running and waiting requests by life id, as announced.
+            is_late: Tells for each open order whether it has been open for so
+                long that its engine is no longer counted on.
+        """
+        self.fleet = fleet
+        self.rooms: dict[str, Room] = {}
+        self.by_role: dict[str, list[Room]] = collections.defaultdict(list)
+        self.copies: dict[str, list[Life]] = collections.defaultdict(list)
+        self.coming: dict[str, list[Order]] = collections.defaultdict(list)
+        self.late_rooms: dict[str, list[Room]] = collections.defaultdict(list)
+        self.strays: list[tuple[Life, str]] = []
+        for life in fleet.lives.values():
+            if life.state == backends.SERVING and fleet.is_engine(life):
+                self._add(life, requests.get(life.life_id, (0, 0)))
+        for order in fleet.open_orders.values():
+            is_counted = order.life_id in self.rooms and not is_late[order.order_id]
+            if order.is_load() and is_counted:
+                self.coming[order.key].append(order)
+
+    def _add(self, life: Life, requests: tuple[int, int]) -> None:
+        capacity_mib = self.fleet.capacity_mib(life)
+        busy_ratio = sum(requests) / max(1, life.max_running_count)
+        room = Room(life, capacity_mib, capacity_mib - life.charged_mib, busy_ratio)
+        self.rooms[life.life_id] = room
+        self.by_role[life.role].append(room)
+        usable = self.fleet.usable_keys(life)
+        for key in usable:
+            self.copies[key].append(life)
+        for key in life.ledger.late:
+            self.late_rooms[key].append(room)
+        if len(usable) < len(life.ledger.reported):
+            self._find_strays(life)
+
+    def _find_strays(self, life: Life) -> None:
+        for key in life.ledger.reported:
+            is_of_role = self.fleet.catalog.role_of(key) == life.role
+            if not is_of_role and life.ledger.open_order(key) is None:
+                self.strays.append((life, key))
+
+    def copy_count(self, key: str) -> int:
+        """Returns the copies that serve or are being loaded."""
+        return len(self.copies.get(key, ())) + len(self.coming.get(key, ()))
+
+    def is_served(self, key: str) -> bool:
+        """Tells whether a copy serves."""
+        return bool(self.copies.get(key))
+
+    def grown_mib(self, room: Room, key: str) -> int:
+        """Returns what a load would add to an engine's charges."""
+        needed_mib = self.fleet.catalog.memory_mib(key) or 0
+        return max(0, needed_mib - room.life.ledger.late_mib(key))
+
+    def may_load(self, room: Room, key: str) -> bool:
+        """Tells whether an engine lacks a model or adapter and has no order on it."""
+        ledger = room.life.ledger
+        return key not in ledger.reported and ledger.open_order(key) is None
+
+    def usage(self, role: str, waiting_count: int) -> float:
+        """Returns the share of the role's slots that requests ask for."""
+        rooms = self.by_role.get(role, [])
+        slots = sum(room.life.max_running_count for room in rooms)
+        asked = sum(
+            room.busy_ratio * max(1, room.life.max_running_count) for room in rooms
+        )
+        return (asked + waiting_count) / max(1, slots)
--- /dev/null
+++ b/cassiapitch/victims.py
@@ -0,0 +1,158 @@
+"""Which copies give way when an engine must make room."""
+
+from cassiapitch.backends import Life
+from cassiapitch.orders import is_adapter_key, model_key
+from cassiapitch.placement_state import PlacementState
+from cassiapitch.rooms import Room, Survey
+
+# Classes of copies, from the one that gives way first.
+ORPHAN_CLASS = 0
+SURPLUS_CLASS = 1
+COLD_CLASS = 2
+SERVED_CLASS = 3
+HOT_CLASS = 4
+PINNED_CLASS = 5
+
+# Ages on the waiting list from which the only copy of a model in demand, and then
+# even a minimum copy, gives way: every model stays reachable.
+HOT_AFTER_MS = 10_000
+PINNED_AFTER_MS = 20_000
+
+GAIN_RATIO = 1.3
+
+
+def class_allowed(age_ms: int) -> int:
+    """Returns the last class that gives way for something that waits so long."""
+    if age_ms >= PINNED_AFTER_MS:
+        return PINNED_CLASS
+    return HOT_CLASS if age_ms >= HOT_AFTER_MS else SERVED_CLASS
+
+
+class Victims:
+    """Copies that may be unloaded in one round, by role and in order."""
+
+    def __init__(
+        self,
+        state: PlacementState,
+        survey: Survey,
+        wanted: dict[str, float],
+        now_ms: int,
+    ) -> None:
+        """Prepares nothing; the lists are made when they are first needed."""
+        self._state = state
+        self._survey = survey
+        self._wanted = wanted
+        self._now_ms = now_ms
+        self._lists: dict[str, list[tuple[int, float, str, str]]] = {}
+        self._waiting = {key for _, key in state.demand.waiting()}
+
+    def find(
+        self, key: str, allowed: int, rooms: list[Room], gain: float
+    ) -> tuple[Room, list[str]] | None:
+        """Returns an engine and what to unload there, or None.
+
+        Takes copies in the order of their classes until one engine has the room;
+        then leaves out those that turn out not to be needed.
+        """
+        catalog = self._state.fleet.catalog
+        role = catalog.role_of(key) or ""
+        needed = {
+            room.life.life_id: self._survey.grown_mib(room, key) - room.free_mib
+            for room in rooms
+            if self._survey.may_load(room, key)
+        }
+        base = model_key(catalog.model_of(key) or "") if is_adapter_key(key) else ""
+        taken: dict[str, list[tuple[str, int]]] = {}
+        is_first = self._survey.copy_count(key) == 0
+        for listed, _, life_id, victim in self._list(role):
+            # A copy's class only rises while a round unloads others.
+            if listed > allowed:
+                return None
+            if life_id not in needed or victim in (key, base):
+                continue
+            room = self._survey.rooms[life_id]
+            level = self._class(room.life, victim)
+            if level is None or level > allowed:
+                continue
+            if not is_first and self._outweighs(victim, gain):
+                continue
+            freed_mib = self._freed_mib(room.life, victim)
+            if freed_mib <= 0:
+                continue
+            taken.setdefault(life_id, []).append((victim, freed_mib))
+            needed[life_id] -= freed_mib
+            if needed[life_id] <= 0:
+                return room, _without_spare(taken[life_id], -needed[life_id])
+        return None
+
+    def _list(self, role: str) -> list[tuple[int, float, str, str]]:
+        if role not in self._lists:
+            found = []
+            for room in self._survey.by_role.get(role, []):
+                for key in room.life.ledger.reported:
+                    level = self._class(room.life, key)
+                    if level is not None:
+                        rate = self._state.demand.rate(key, self._now_ms)
+                        found.append((level, rate, room.life.life_id, key))
+            self._lists[role] = sorted(found)
+        return self._lists[role]
+
+    def _class(self, life: Life, key: str) -> int | None:
+        """Returns the class of a copy, or None if it may not be unloaded now."""
+        ledger = life.ledger
+        if ledger.orders and self._is_involved(life, key):
+            return None
+        if not self._state.resident_long(life.life_id, key, self._now_ms):
+            return None
+        catalog = self._state.fleet.catalog
+        if is_adapter_key(key):
+            model = model_key(catalog.model_of(key) or "")
+            if model not in ledger.reported:
+                return ORPHAN_CLASS
+            minimum = 0
+        else:
+            model_item = catalog.models.get(key.split("/", 1)[1])
+            minimum = 0 if model_item is None else model_item.minimum_copies
+        left_count = len(self._survey.copies.get(key, ())) - 1
+        if left_count < minimum:
+            return PINNED_CLASS
+        if left_count >= 1:
+            wanted = self._wanted.get(key, 0.0) * GAIN_RATIO
+            return SURPLUS_CLASS if left_count >= wanted else SERVED_CLASS
+        is_cold = self._state.demand.is_cold(key, self._now_ms)
+        return COLD_CLASS if is_cold and key not in self._waiting else HOT_CLASS
+
+    def _is_involved(self, life: Life, key: str) -> bool:
+        """Tells whether an open order is about a copy or an adapter on it."""
+        name = key.split("/", 1)[1]
+        return any(
+            order.key == key or order.model == name
+            for order in life.ledger.orders.values()
+        )
+
+    def _outweighs(self, victim: str, gain: float) -> bool:
+        """Tells whether a copy is worth more than a further copy of another model.
+
+        The only copy of a model gives way to a first copy alone.
+        """
+        copies_count = len(self._survey.copies.get(victim, ()))
+        if copies_count <= 1:
+            return True
+        own = self._wanted.get(victim, 0.0) / copies_count
+        return gain > 0 and gain <= GAIN_RATIO * own
+
+    def _freed_mib(self, life: Life, key: str) -> int:
+        ledger = life.ledger
+        unknown_mib = self._state.fleet.catalog.memory_mib(key) or 0
+        return ledger.charge_mib(key, unknown_mib) - ledger.late_mib(key)
+
+
+def _without_spare(taken: list[tuple[str, int]], spare_mib: int) -> list[str]:
+    kept = []
+    # The last ones are worth the most, so they are spared first.
+    for key, freed_mib in reversed(taken):
+        if freed_mib <= spare_mib:
+            spare_mib -= freed_mib
+        else:
+            kept.append(key)
+    return kept
