--- a/cassiapitch/experiment.py
+++ b/cassiapitch/experiment.py
@@ -200,6 +200,8 @@
         shifts: Changes of popularity.
         check_text: Whether answers are compared with the stand-in engine's text.
         faults: Marked in the plots; the load tool starts and stops nothing.
+        health_period_ms: Time between health checks of the entries; calls go only to
+            healthy ones, as by a balancer. 0 sends to all of them.
         drain_ms: Time for open calls after the load's end.
         open_calls_limit_count: More open calls than this are counted as unsent.
         calls_limit_count: The run ends after this many calls.
@@ -217,6 +219,7 @@
     shifts: tuple[Shift, ...] = ()
     check_text: bool = False
     faults: tuple[Fault, ...] = ()
+    health_period_ms: NaturalInt = 0
     drain_ms: NaturalInt = 30_000
     open_calls_limit_count: PositiveInt = 1_000
     calls_limit_count: PositiveInt = 1_000_000
--- a/cassiapitch/loadrun.py
+++ b/cassiapitch/loadrun.py
@@ -26,7 +26,7 @@
 
 START_DELAY_MS = 200
 PROGRESS_MS = 1_000
-DUMP_TIMEOUT_S = 10
+GET_TIMEOUT_S = 10
 # Longest time for one call beyond its deadline, so that late answers are still
 # seen and counted as late.
 LATE_ANSWER_MS = 30_000
@@ -50,12 +50,14 @@
         self.classes = {item.name: item for item in experiment.classes}
         self.keys = keys
         self.collector = Collector(experiment)
-        self.start_ms = timers.now_ms() + START_DELAY_MS
+        self.start_ms = timers.now_ms()
         self.oracle = text_oracle(experiment) if experiment.check_text else None
         self.idle: list[list[_Worker]] = [[] for _ in experiment.entries]
+        self.healthy = [True for _ in experiment.entries]
 
     async def dispatch(self, calls: Iterator[Call], group: anyio.abc.TaskGroup) -> None:
         """Hands each call to a worker at its intended time."""
+        self.start_ms = timers.now_ms() + START_DELAY_MS
         for call in calls:
             delay_ms = self.start_ms + call.at_ms - timers.now_ms()
             # A checkpoint even when late, so that the workers get their turn.
@@ -65,12 +67,28 @@
                 result = CallResult(ending=Ending.UNSENT, end_ms=call.at_ms)
                 self.collector.ended(call, self.classes[call.class_name], result)
                 continue
-            entry = call.number % len(self.experiment.entries)
+            entry = self._pick_entry(call.number)
             worker = self.idle[entry].pop() if self.idle[entry] else None
             if worker is None:
                 worker = self._start_worker(entry, group)
             worker.calls.send_nowait(call)
 
+    def _pick_entry(self, number: int) -> int:
+        chosen = [entry for entry, healthy in enumerate(self.healthy) if healthy]
+        candidates = chosen or range(len(self.healthy))
+        return candidates[number % len(candidates)]
+
+    async def check_health(self, entry: int) -> None:
+        """Asks an entry whether it takes calls."""
+        response = await _get(self.experiment.entries[entry], "/healthz")
+        self.healthy[entry] = response is not None and response.status == 200
+
+    async def watch_health(self, entry: int) -> None:
+        """Checks one entry's health until cancelled."""
+        while True:
+            await anyio.sleep(self.experiment.health_period_ms / 1000)
+            await self.check_health(entry)
+
     def _start_worker(self, entry: int, group: anyio.abc.TaskGroup) -> _Worker:
         send, receive = anyio.create_memory_object_stream[Call](1)
         address = self.experiment.entries[entry]
@@ -117,6 +135,10 @@
     state = _Run(experiment, keys)
     async with anyio.create_task_group() as group:
         group.start_soon(_report_progress, state, progress)
+        if experiment.health_period_ms:
+            for entry in range(len(experiment.entries)):
+                await state.check_health(entry)
+                group.start_soon(state.watch_health, entry)
         await state.dispatch(arrivals.calls(experiment), group)
         await state.drain()
         group.cancel_scope.cancel()
@@ -179,23 +201,26 @@
 
 
 async def _dump(address: Address) -> dict[str, Any] | None:
+    response = await _get(address, "/standin/dump")
+    # A stand-in that crashed during the experiment has no dump to give.
+    if response is None or response.status != 200:
+        return None
+    document: dict[str, Any] = json.loads(response.content)
+    return document
+
+
+async def _get(address: Address, path: str) -> httpcore.Response | None:
     host = f"[{address.ip}]" if ":" in address.ip else address.ip
-    url = f"http://{host}:{address.port}/standin/dump"
+    url = f"http://{host}:{address.port}{path}"
     names = ("connect", "read", "write", "pool")
-    timeout = dict.fromkeys(names, DUMP_TIMEOUT_S)
+    timeout = dict.fromkeys(names, GET_TIMEOUT_S)
     origin = httpcore.Origin(b"http", host.encode(), address.port)
     try:
         async with httpcore.AsyncHTTPConnection(origin=origin) as connection:
-            response = await connection.request(
-                "GET", url, extensions={"timeout": timeout}
-            )
-            document: dict[str, Any] = json.loads(response.content)
-            return document
+            return await connection.request("GET", url, extensions={"timeout": timeout})
     except (
         httpcore.NetworkError,
         httpcore.ProtocolError,
         httpcore.TimeoutException,
-        ValueError,
     ):
-        # A stand-in that crashed during the experiment has no dump to give.
         return None
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from cassiapitch.modeldemand import Demand
 from cassiapitch.fleet import Fleet
+from cassiapitch.modeldemand import Demand
 from cassiapitch.orders import model_key
 from cassiapitch.rooms import Survey
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -151,6 +151,34 @@
     assert account["endings"] == {"timed_out": account["offered_count"]}
 
 
+def test_unhealthy_entry_gets_no_calls():
+    """Guards against a planned stop whose refused connections count as failures."""
+
+    async def leaving(scope, receive, send):
+        await asgi.send_json(send, 503, {"path": scope["path"]})
+
+    async def app(scope, receive, send):
+        if scope["path"] == "/healthz":
+            await asgi.send_json(send, 200, {})
+        else:
+            await _entry(_stream(range(5), DONE))(scope, receive, send)
+
+    async def body():
+        address = Address("127.0.0.1", 0)
+        servers = [asgi.HttpServer(item, address) for item in (app, leaving)]
+        async with anyio.create_task_group() as group:
+            for server in servers:
+                group.start_soon(server.run)
+            entries = tuple(Address("127.0.0.1", server.port) for server in servers)
+            plan = dataclasses.replace(_plan(), entries=entries, health_period_ms=50)
+            document = await loadrun.run(plan, {"shop": "key"}, lambda *_: None)
+            group.cancel_scope.cancel()
+        return document
+
+    document = anyio.run(body, backend="asyncio")
+    assert set(document["accounts"]["shop"]["endings"]) == {"answered"}
+
+
 def test_unreachable_entry_is_reported_as_such():
     """Guards against connection failures that count as refusals."""
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cassiapitch import bundle, client, config, experiment, settings
+from cassiapitch import bundle, client, config, experiment, settings, standin_settings
 
 ROOT = pathlib.Path(__file__).parent.parent
 FILES = sorted((ROOT / "settings").rglob("*.jsonc"))
@@ -17,6 +17,7 @@
     "operator": client.ClientSettings,
     "bundle": bundle.Bundle,
     "load": experiment.Experiment,
+    "standin": standin_settings.StandinSettings,
 }
 
 
