--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(VENV)/bin/ruff check .
 
 demo: $(VENV)/.ready
-	$(VENV)/bin/python demo/run.py
+	$(VENV)/bin/python -m demo.run
 
 # Runs the stateful fuzzers longer and with a free seed.
 fuzz: $(VENV)/.ready
--- a/cassiapitch/control.py
+++ b/cassiapitch/control.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from cassiapitch import process, timers
+from cassiapitch import codec, process, timers
 from cassiapitch.announce import AnnounceRoute
 from cassiapitch.controller import Controller
 from cassiapitch.controlnode import ControlNode, Parts
@@ -22,7 +22,9 @@
         fleet=fleet,
         fleet_commands=FLEET_COMMANDS,
         make_placement=lambda member: Controller(
-            member.propose,
+            lambda command, timeout_ms: member.propose(
+                codec.encode(command), timeout_ms
+            ),
             fleet,
             lambda: member.has_lease(timers.now_ms()),
             timers.now_ms,
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -69,7 +69,7 @@
     BACKEND_EVENT = 508
 
 
-def log(event: Event, **fields: Any) -> None:
+def log(event: Event, /, **fields: Any) -> None:
     """Writes one event.
 
     Args:
