--- a/cassiapitch/view.py
+++ b/cassiapitch/view.py
@@ -81,7 +81,13 @@
 
 
 def has_changes(view: View, since: int) -> bool:
-    """Tells whether any item changed after index `since`."""
+    """Tells whether any item may have changed after index `since`.
+
+    Before the horizon nothing is known of single changes, for instance after a
+    snapshot was installed.
+    """
+    if since < view.horizon:
+        return True
     return bool(view.changes) and view.changes[-1][0] > since
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,61 +1,21 @@
 """In-memory stand-ins for the control group, for tests of what is built on it."""
 
-import dataclasses
-
 import anyio
 
 from cassiapitch import asgi, rpc
 from cassiapitch.controlnode import ControlNode, Parts
+from cassiapitch.member import MemberStatus
 from cassiapitch.messages import LoadReports
+from cassiapitch.proposals import (
+    Committed,
+    NotAccepted,
+    ReadConfirmed,
+    ReadUnavailable,
+)
+from cassiapitch.raftmessages import GroupMember
 from cassiapitch.settings import Address, ControlPeer, ControlSettings, Operator
 
 
-@dataclasses.dataclass(frozen=True)
-class Committed:
-    index: int
-    result: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class NotAccepted:
-    leader: str | None
-
-
-@dataclasses.dataclass(frozen=True)
-class Uncertain:
-    pass
-
-
-@dataclasses.dataclass(frozen=True)
-class ReadConfirmed:
-    index: int
-
-
-@dataclasses.dataclass(frozen=True)
-class ReadUnavailable:
-    pass
-
-
-@dataclasses.dataclass(frozen=True)
-class Peer:
-    name: str
-    zone: str
-    ip: str
-    port: int
-    voter: bool = True
-
-
-@dataclasses.dataclass(frozen=True)
-class Status:
-    name: str
-    role: str
-    term: int
-    leader: str | None
-    commit_index: int
-    applied_index: int
-    members: tuple
-
-
 class Log:
     """A log that all members apply at once; `time_ms` is its log time."""
 
@@ -107,10 +67,11 @@
     def status(self):
         role = "leader" if self.log.leader == self.name else "follower"
         members = tuple(
-            Peer(m.name, "z1", m.address.ip, m.address.port) for m in self.log.members
+            GroupMember(m.name, m.name, "z1", m.address.ip, m.address.port, True)
+            for m in self.log.members
         )
         index = self.log.index
-        return Status(
+        return MemberStatus(
             self.name, role, self.log.term, self.log.leader, index, index, members
         )
 
