--- a/cassiapitch/admin.py
+++ b/cassiapitch/admin.py
@@ -12,6 +12,9 @@
 from cassiapitch.events import Event
 from cassiapitch.exceptions import SettingsError
 from cassiapitch.group import Applied, Group, NoLeader
+from cassiapitch.member import ChangeOutcome
+from cassiapitch.proposals import Committed, NotAccepted, Uncertain
+from cassiapitch.quorum import ChangeRefused
 from cassiapitch.replicated import ReplicatedState
 from cassiapitch.settings import Address, IpNumber, Name, Operator, Sha256Hex
 from cassiapitch.types import AccountName
@@ -318,18 +321,17 @@
             return _unexpected(result)
 
 
-def _member_reply(outcome: Any) -> Reply:
-    match type(outcome).__name__:
-        case "Committed":
+def _member_reply(outcome: ChangeOutcome) -> Reply:
+    match outcome:
+        case Committed():
             return Reply(200, {"index": outcome.index})
-        case "NotAccepted":
+        case NotAccepted():
             message = "not applied; send it to the leader"
             return error_reply(503, "no_leader", message, leader=outcome.leader)
-        case "Uncertain":
+        case Uncertain():
             return error_reply(503, "uncertain", "may be applied; send it again")
-        case _:
-            reason = getattr(outcome, "reason", type(outcome).__name__)
-            return error_reply(409, "change_refused", str(reason))
+        case ChangeRefused():
+            return error_reply(409, "change_refused", outcome.reason)
 
 
 def _unexpected(result: Any) -> Reply:
