Prove claims, rates, queues, bad input and shutdown of the entry

Cause: these rules had no tests. They showed three faults: a grant that arrived during shutdown was kept, a call whose second backend server was gone got the status of an unavailable one although it may have run, and a key with bytes outside ASCII was searched for in one encoding only.

--- a/cassiapitch/api.py
+++ b/cassiapitch/api.py
@@ -80,7 +80,7 @@
         max_tokens=body.get("max_completion_tokens") or body.get("max_tokens"),
         priority=Priority.BATCH if batch else Priority.URGENT,
         prompt=prompt,
-        prompt_tokens=math.ceil(len(prompt.encode(errors="replace")) / 4),
+        prompt_tokens=math.ceil(len(prompt.encode()) / BYTES_PER_TOKEN),
         body=body,
         digest=RequestDigest(digest_of(path, content)),
     )
@@ -124,16 +124,10 @@
 
 
 def _prompt_text(path: str, body: dict[str, Any]) -> str:
+    """Returns the text of which tokens are estimated and prefixes are digested."""
     if path == COMPLETIONS_PATH:
         return body["prompt"]
-    parts: list[str] = []
-    for message in body["messages"]:
-        content = message.get("content")
-        if isinstance(content, str):
-            parts.append(content)
-        elif content is not None:
-            parts.append(msgspec.json.encode(content).decode())
-    return "\n".join(parts)
+    return msgspec.json.encode(body["messages"], order="sorted").decode()
 
 
 def engine_body(
--- a/cassiapitch/budget.py
+++ b/cassiapitch/budget.py
@@ -104,8 +104,14 @@
 
 
 def largest_cost(account: AccountItem) -> int:
-    """Returns the cost over which a call of the account can never be admitted."""
-    return account.burst_tokens
+    """Returns the cost over which a call of the account can never be admitted.
+
+    The granter's bucket holds less than the burst by what flows in during a
+    grant's life, since grants of one life before may still be in use.
+    """
+    rate, burst = account.rate_tokens_per_s, account.burst_tokens
+    life_ms = min(GRANT_LIFE_MS, burst * 500 // max(1, rate))
+    return burst - -(-rate * life_ms // 1000)
 
 
 class Budget:
@@ -118,6 +124,7 @@
         self._accounts: dict[AccountName, _AccountBudget] = {}
         self._asked: dict[int, _Asked] = {}
         self._refunds: dict[tuple[AccountName, int, int], int] = {}
+        self._is_closed = False
         self._decided: list[tuple[str, Decision]] = []
 
     def request(
@@ -196,6 +203,8 @@
         A periodic ask also closes a period of the average of admitted tokens.
         """
         asks: list[GrantAsk] = []
+        if self._is_closed:
+            return None
         for name, state in self._accounts.items():
             self._drop_expired(name, state, now_ms)
             if periodic:
@@ -213,7 +222,12 @@
         return self._message(tuple(asks))
 
     def return_all(self) -> RateAsk | None:
-        """Returns every unspent grant, for the end of the process."""
+        """Returns every unspent grant, for the end of the process.
+
+        Nothing more is asked for; grants that still arrive are returned by the next
+        call.
+        """
+        self._is_closed = True
         for name, state in self._accounts.items():
             for grant in state.grants:
                 self._refund(name, grant.tokens, grant.term, grant.granted_ms)
@@ -247,7 +261,9 @@
         expected = max(0, int(2 * state.average_tokens) - spare)
         if needed == 0 and expected == 0:
             return None
+        # Tokens held already don't have to be in the share for the largest call.
         largest = max((waiter.tokens for waiter in state.waiters), default=0)
+        largest = min(largest, needed)
         return GrantAsk(name, needed, expected, largest)
 
     def _uncovered(self, name: AccountName, state: _AccountBudget, now_ms: int) -> int:
--- a/cassiapitch/callers.py
+++ b/cassiapitch/callers.py
@@ -7,7 +7,13 @@
 
 from cassiapitch import api, asgi, events, timers
 from cassiapitch.asgi import Headers, Receive, Scope, Send
-from cassiapitch.callerstream import CallerStream, SlowCallerError
+from cassiapitch.callerstream import (
+    SLOW_CALLER_LIMIT_MS,
+    CallerConnection,
+    CallerStream,
+    SlowCallerError,
+)
+from cassiapitch.callerwatch import CallerGoneError, run_watched
 from cassiapitch.calls import (
     Call,
     CallEndedError,
@@ -17,8 +23,9 @@
 )
 from cassiapitch.catalog import Target
 from cassiapitch.crashes import Crashes
+from cassiapitch.engines import EngineRefusedError, Plan
 from cassiapitch.entrystate import EntryState
-from cassiapitch.generation import EngineRefusedError, Generation, Plan
+from cassiapitch.generation import Generation
 from cassiapitch.messages import RouteItem
 from cassiapitch.operators import bearer_token
 from cassiapitch.outcomes import ErrorKind, Refusal
@@ -38,10 +45,6 @@
 Work = Callable[[Call, Scope, Receive, Send], Awaitable[None]]
 
 
-class CallerGoneError(Exception):
-    """The caller closed its connection."""
-
-
 class CallerApplication:
     """Answers callers; one instance serves every connection of an entry."""
 
@@ -67,6 +70,15 @@
         except (CallEndedError, CallRefusedError) as error:
             self._step_last(call, "refuse")
             await self._refuse(call, send, refusal_for(error))
+        except Exception as error:
+            # The trace stays out of the log, since it may hold a request's content.
+            events.log(
+                events.Event.CALL_FAILED,
+                request_id=call.request_id,
+                reason=type(error).__name__,
+            )
+            self._step_last(call, "refuse")
+            await self._refuse(call, send, refusal_for(refused(ErrorKind.INTERNAL)))
         finally:
             self._state.authorization.leave(call)
 
@@ -201,7 +213,7 @@
             await self._run_generation(call, plan, generation)
 
         try:
-            await _run_watched(call, receive, work)
+            await run_watched(call, receive, work)
         except EngineRefusedError as error:
             await self._pass_on(call, send, error)
             return
@@ -228,7 +240,7 @@
                 stream.finish()
 
         try:
-            await _run_watched(call, receive, work)
+            await run_watched(call, receive, work)
         except EngineRefusedError as error:
             await self._pass_on(call, send, error)
         except SlowCallerError:
@@ -272,7 +284,7 @@
         async def work() -> None:
             answers.append(await service_call.run())
 
-        await _run_watched(call, receive, work)
+        await run_watched(call, receive, work)
         answer = answers[0]
         extra = [(b"idempotency-replayed", b"true")] if answer.replayed else []
         await self._answer(
@@ -295,7 +307,10 @@
         """Sends a whole answer if the call is still authorised."""
         if call.key_digest is not None and call.ended is None:
             await self._state.wait_fresh()
+        if not await CallerConnection(send).wait_writable(SLOW_CALLER_LIMIT_MS):
+            raise CallerGoneError
         self._state.authorization.check(call, timers.now_ms())
+        call.is_answering = True
         headers = [*self._headers(call), *(extra or [])]
         await asgi.send_response(send, status, body, content_type, headers)
 
@@ -319,6 +334,9 @@
         await asgi.send_json(send, 200, document, self._headers(call))
 
     async def _refuse(self, call: Call, send: Send, refusal: Refusal) -> None:
+        if call.is_answering:
+            CallerConnection(send).abort()
+            return
         may_have_left = call.course.may_have_left
         answer = api.refusal_answer(refusal, call.request_id, may_have_left)
         headers = [*answer.headers, *self._closing()]
@@ -351,41 +369,3 @@
     if target.adapter is None:
         return (target.model.name,)
     return (target.model.name, target.adapter)
-
-
-async def _run_watched(
-    call: Call, receive: Receive, work: Callable[[], Awaitable[None]]
-) -> None:
-    """Runs `work` until it ends, the call is ended, or the caller goes away."""
-    is_gone = False
-
-    async def watch() -> None:
-        nonlocal is_gone
-        while (await receive())["type"] != "http.disconnect":
-            pass
-        is_gone = True
-        scope.cancel()
-
-    scope = call.scope or anyio.CancelScope()
-    errors: list[Exception] = []
-    with scope:
-        async with anyio.create_task_group() as group:
-            group.start_soon(watch)
-            try:
-                await work()
-            except Exception as error:
-                errors.append(error)
-            group.cancel_scope.cancel()
-    if errors:
-        raise _first(errors[0])
-    if call.ended is not None and scope.cancelled_caught:
-        raise CallEndedError(call.ended)
-    if is_gone:
-        raise CallerGoneError
-
-
-def _first(error: BaseException) -> BaseException:
-    """Returns the first error that isn't a group."""
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
--- a/cassiapitch/callerstream.py
+++ b/cassiapitch/callerstream.py
@@ -138,6 +138,7 @@
         if self.is_started:
             return
         self.is_started = True
+        self._call.is_answering = True
         headers = [
             (b"content-type", b"text/event-stream; charset=utf-8"),
             (b"cache-control", b"no-cache"),
--- /dev/null
+++ b/cassiapitch/callerwatch.py
@@ -0,0 +1,50 @@
+"""Runs the work of a call until its caller goes away or it is ended."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from cassiapitch.asgi import Receive
+from cassiapitch.calls import Call, CallEndedError
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+async def run_watched(
+    call: Call, receive: Receive, work: Callable[[], Awaitable[None]]
+) -> None:
+    """Runs `work` until it ends, the call is ended, or the caller goes away."""
+    is_gone = False
+
+    async def watch() -> None:
+        nonlocal is_gone
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        is_gone = True
+        scope.cancel()
+
+    scope = call.scope or anyio.CancelScope()
+    errors: list[Exception] = []
+    with scope:
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            try:
+                await work()
+            except Exception as error:
+                errors.append(error)
+            group.cancel_scope.cancel()
+    if errors:
+        raise _first(errors[0])
+    if call.ended is not None and scope.cancelled_caught:
+        raise CallEndedError(call.ended)
+    if is_gone:
+        raise CallerGoneError
+
+
+def _first(error: BaseException) -> BaseException:
+    """Returns the first error that isn't a group."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/cassiapitch/calls.py
+++ b/cassiapitch/calls.py
@@ -34,6 +34,7 @@
         priority: Urgent or batch.
         deadline_ms: When it must have begun to be answered.
         ended: Why it was ended from outside.
+        is_answering: Whether the head of its answer was written.
         scope: Cancelled when it is ended, where it may be cut.
     """
 
@@ -46,6 +47,7 @@
     priority: Priority = Priority.URGENT
     deadline_ms: int = 0
     ended: ErrorKind | None = None
+    is_answering: bool = False
     scope: anyio.CancelScope | None = None
 
     def end(self, kind: ErrorKind) -> None:
--- a/cassiapitch/crashes.py
+++ b/cassiapitch/crashes.py
@@ -35,11 +35,12 @@
         crash must be recognised as its second, whoever retries it.
         """
         life_id = backend.life_id
-        digests = self._state.suspicion.crashed(life_id)
+        digests = self._state.suspicion.crashed(life_id, timers.now_ms())
         if digests is not None:
             self._reported[life_id] = (anyio.Event(), [])
             digests = digests if digest in digests else (*digests, digest)
             self._state.start_background(self._send, backend, digests)
+        # A report of this life that ended before is in the log already.
         done, recorded = self._reported[life_id]
         await done.wait()
         if not recorded:
--- /dev/null
+++ b/cassiapitch/engines.py
@@ -0,0 +1,104 @@
+"""What the entry and engines say to each other besides the streams themselves."""
+
+import dataclasses
+import enum
+
+import anyio
+import msgspec
+
+from cassiapitch import api
+from cassiapitch.catalog import Target
+from cassiapitch.entrystate import EntryState
+from cassiapitch.forward import (
+    LIFE_HEADER,
+    NotConnected,
+    Response,
+    exchange,
+    read_all,
+)
+from cassiapitch.messages import BackendItem
+
+CANCEL_LIMIT_MS = 2_000
+ERROR_BODY_LIMIT_BYTES = 64 * 1024
+
+
+class EngineRefusedError(Exception):
+    """The engine answered that the request is wrong; the answer is passed on."""
+
+    def __init__(self, status: int, content_type: str, body: bytes) -> None:
+        super().__init__(str(status))
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+
+class End(enum.Enum):
+    """How an attempt on one backend server ended."""
+
+    COMPLETE = "complete"
+    UNSENT = "unsent"
+    NOT_LOADED = "not_loaded"
+    OVERLOADED = "overloaded"
+    FAILED = "failed"
+    CRASHED = "crashed"
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What is to be generated.
+
+    Attributes:
+        request: The caller's request.
+        target: Model and adapter.
+        max_tokens: Longest answer.
+    """
+
+    request: api.GenerationRequest
+    target: Target
+    max_tokens: int
+
+    @property
+    def cost_tokens(self) -> int:
+        """Tokens that are admitted for the request."""
+        return self.request.prompt_tokens + self.max_tokens
+
+
+async def cancel_at_engine(
+    state: EntryState, backend: BackendItem, request_id: str
+) -> None:
+    """Tells an engine that nobody wants a stream any more."""
+    with anyio.move_on_after(CANCEL_LIMIT_MS / 1000):
+        connection = await state.connections.open(backend, fresh=False)
+        if isinstance(connection, NotConnected):
+            return
+        response = await exchange(
+            connection,
+            "DELETE",
+            f"/v1/streams/{request_id}",
+            [(b"X-Request-Id", request_id.encode())],
+            b"",
+            guard=None,
+            head_limit_ms=CANCEL_LIMIT_MS,
+            part_limit_ms=CANCEL_LIMIT_MS,
+        )
+        if isinstance(response, Response):
+            await read_all(response, ERROR_BODY_LIMIT_BYTES)
+            await response.close()
+            await state.connections.give_back(connection)
+
+
+def is_other_life(backend: BackendItem, response: Response) -> bool:
+    """Tells whether another life answered than the one that was chosen."""
+    life_id = response.header(LIFE_HEADER)
+    return life_id is not None and life_id != backend.life_id
+
+
+def error_code(body: bytes) -> str | None:
+    """Returns the code of an engine's error answer."""
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        return None
+    error = document.get("error") if isinstance(document, dict) else None
+    return error.get("code") if isinstance(error, dict) else None
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -12,6 +12,7 @@
 from cassiapitch.catalog import Gap, SnapshotParts
 from cassiapitch.crashes import Crashes
 from cassiapitch.entrystate import EntryState
+from cassiapitch.exceptions import CodecError
 from cassiapitch.link import Link, LinkHandlers, LinkPlan
 from cassiapitch.messages import (
     ClaimAnswer,
@@ -32,7 +33,7 @@
 TICK_MS = 100
 # A wake for a waiting call asks at once, but calls that come together ask together.
 RATE_ASK_SPACING_MS = 5
-RETURN_LIMIT_MS = 200
+RETURN_WAIT_MS = 100
 
 
 class EntryProcess:
@@ -122,24 +123,36 @@
         """Acts on a message; true if the link must be opened anew."""
         if isinstance(message, Confirmed):
             self.state.take_confirmation(message)
-        elif isinstance(message, ViewDelta):
-            outcome = self.state.catalog.apply_delta(message)
-            self.state.applied(outcome)
-            return isinstance(outcome, Gap)
-        elif isinstance(message, ViewSnapshot):
-            items = self._parts[slot].add(message)
-            if items is not None:
-                outcome = self.state.catalog.apply_snapshot(message.index, items)
-                self.state.applied(outcome)
-                events.log(events.Event.VIEW_APPLIED, index=self.state.catalog.index)
+        elif isinstance(message, ViewDelta | ViewSnapshot):
+            return self._apply(slot, message)
         elif isinstance(message, RateGrants):
             self.state.take_grants(message)
         elif isinstance(message, ClaimAnswer | CrashAnswer):
             self.state.asks.answered(message)
-        elif isinstance(message, LoadReports):
+        elif isinstance(message, LoadReports) and slot == PRIMARY:
+            # Both links bring the same reports; a second copy would pass for a
+            # later one when own requests are discounted.
             self.state.take_loads(message)
         return False
 
+    def _apply(self, slot: int, message: ViewDelta | ViewSnapshot) -> bool:
+        """Applies a change of the view; true if the link must be opened anew."""
+        try:
+            if isinstance(message, ViewDelta):
+                outcome = self.state.catalog.apply_delta(message)
+            elif (items := self._parts[slot].add(message)) is not None:
+                outcome = self.state.catalog.apply_snapshot(message.index, items)
+                events.log(events.Event.VIEW_APPLIED, index=message.index)
+            else:
+                return False
+        except CodecError as error:
+            events.log(
+                events.Event.VIEW_REFUSED, index=message.index, reason=str(error)
+            )
+            return True
+        self.state.applied(outcome)
+        return isinstance(outcome, Gap)
+
     async def _tick(self) -> None:
         """Ends what lasted too long."""
         while True:
@@ -201,11 +214,13 @@
         self.callers.close()
 
     async def _return_grants(self) -> None:
-        message = self.state.budget.return_all()
-        if message is not None and self._send_primary is not None:
-            self._send_primary(message)
-            # Lets the link's task write it before the link is closed.
-            await anyio.sleep(RETURN_LIMIT_MS / 1000)
+        # The second time returns what was granted meanwhile; the waits let the
+        # link's task write before the link is closed.
+        for _ in range(2):
+            message = self.state.budget.return_all()
+            if message is not None and self._send_primary is not None:
+                self._send_primary(message)
+            await anyio.sleep(RETURN_WAIT_MS / 1000)
 
 
 async def serve(settings: EntrySettings, stop: anyio.Event) -> None:
--- a/cassiapitch/fairness.py
+++ b/cassiapitch/fairness.py
@@ -4,7 +4,7 @@
 import heapq
 import itertools
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 
 from cassiapitch.types import AccountName, Priority
 
@@ -67,7 +67,7 @@
         key = float(ticket.number) if self._first_come else ticket.tag
         heapq.heappush(self._heap, (key, ticket.number, ticket))
 
-    def in_order(self) -> Iterator[Ticket]:
+    def in_order(self) -> Generator[Ticket, None, None]:
         """Yields tickets in order; those still waiting afterwards are kept."""
         seen: list[Ticket] = []
         try:
@@ -139,7 +139,7 @@
         ticket.waiting = True
         self._classes[ticket.priority].push(ticket)
 
-    def in_order(self, priority: Priority) -> Iterator[Ticket]:
+    def in_order(self, priority: Priority) -> Generator[Ticket, None, None]:
         """Yields waiting requests of one priority in the order to serve them."""
         return self._classes[priority].in_order()
 
--- a/cassiapitch/forward.py
+++ b/cassiapitch/forward.py
@@ -100,7 +100,7 @@
 
     def __init__(self) -> None:
         self._backend = httpcore.AnyIOBackend()
-        self._idle: dict[LifeId, list[Connection]] = {}
+        self._idle: dict[tuple[LifeId, str, int], list[Connection]] = {}
 
     async def open(
         self, backend: BackendItem, *, fresh: bool
@@ -110,7 +110,7 @@
         A kept connection may have been closed by the other side while a request
         is on its way, which leaves open whether the request was read.
         """
-        idle = self._idle.get(backend.life_id)
+        idle = self._idle.get((backend.life_id, backend.ip, backend.port))
         while idle and not fresh:
             connection = idle.pop()
             if connection.http.is_available() and not connection.http.has_expired():
@@ -140,7 +140,7 @@
     async def give_back(self, connection: Connection) -> None:
         """Keeps a connection if its last response was read to the end."""
         connection.stream.guard = None
-        idle = self._idle.setdefault(connection.life_id, [])
+        idle = self._idle.setdefault((connection.life_id, *connection.address), [])
         if connection.http.is_available() and len(idle) < IDLE_LIMIT_COUNT:
             idle.append(connection)
         else:
@@ -148,8 +148,8 @@
 
     async def forget_except(self, life_ids: set[LifeId]) -> None:
         """Closes connections to lives that the view no longer holds."""
-        for life_id in [key for key in self._idle if key not in life_ids]:
-            for connection in self._idle.pop(life_id):
+        for key in [key for key in self._idle if key[0] not in life_ids]:
+            for connection in self._idle.pop(key):
                 await _close(connection)
 
     async def close(self) -> None:
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -1,20 +1,24 @@
 """Runs one request for generated text on engines until its answer is complete."""
 
-import dataclasses
-import enum
 from collections.abc import Awaitable, Callable
 
 import anyio
 import httpcore
-import msgspec
 
 from cassiapitch import api, events, timers
 from cassiapitch.calls import Call, refused
-from cassiapitch.catalog import Target
 from cassiapitch.crashes import Crashes, Verdict
+from cassiapitch.engines import (
+    ERROR_BODY_LIMIT_BYTES,
+    End,
+    EngineRefusedError,
+    Plan,
+    cancel_at_engine,
+    error_code,
+    is_other_life,
+)
 from cassiapitch.entrystate import EntryState
 from cassiapitch.forward import (
-    LIFE_HEADER,
     Connection,
     ConnectionLost,
     NotConnected,
@@ -24,7 +28,7 @@
 )
 from cassiapitch.messages import BackendItem
 from cassiapitch.outcomes import ErrorKind
-from cassiapitch.routing import prefix_digests
+from cassiapitch.prefixes import prefix_digests
 from cassiapitch.scheduler import NoSlot, Slot, Wanted
 from cassiapitch.streams import (
     Answer,
@@ -39,58 +43,17 @@
 
 # Without a chunk for this long a stream is taken for broken and resumed. Engines
 # may set batch requests aside for urgent ones.
-STALL_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 60_000}
+STALL_LIMIT_MS = {Priority.URGENT: 3_000, Priority.BATCH: 60_000}
+# Before the first token an engine may read a long prompt.
+FIRST_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 120_000}
+RESUME_HEAD_LIMIT_MS = 1_000
 RESUMES_LIMIT_COUNT = 3
 RESUME_DELAY_MS = 50
-CANCEL_LIMIT_MS = 2_000
-ERROR_BODY_LIMIT_BYTES = 64 * 1024
 _PASSED_ON = (400, 404, 413, 422)
 
 PutChunk = Callable[[bytes], Awaitable[None]]
 
 
-class EngineRefusedError(Exception):
-    """The engine answered that the request is wrong; the answer is passed on."""
-
-    def __init__(self, status: int, content_type: str, body: bytes) -> None:
-        super().__init__(str(status))
-        self.status = status
-        self.content_type = content_type
-        self.body = body
-
-
-class _End(enum.Enum):
-    """How an attempt on one backend server ended."""
-
-    COMPLETE = "complete"
-    UNSENT = "unsent"
-    NOT_LOADED = "not_loaded"
-    OVERLOADED = "overloaded"
-    FAILED = "failed"
-    CRASHED = "crashed"
-    BROKEN = "broken"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """What is to be generated.
-
-    Attributes:
-        request: The caller's request.
-        target: Model and adapter.
-        max_tokens: Longest answer.
-    """
-
-    request: api.GenerationRequest
-    target: Target
-    max_tokens: int
-
-    @property
-    def cost_tokens(self) -> int:
-        """Tokens that are admitted for the request."""
-        return self.request.prompt_tokens + self.max_tokens
-
-
 class Generation:
     """One answer and the attempts that it takes."""
 
@@ -143,12 +106,12 @@
             if isinstance(slot, NoSlot):
                 raise self._no_slot(slot)
             self._call.course.step("route")
-            end = _End.FAILED
+            end = End.FAILED
             try:
                 end = await self._attempt(slot.backend)
             finally:
-                self._state.scheduler.release(slot, completed=end is _End.COMPLETE)
-            if end is not _End.COMPLETE:
+                self._state.scheduler.release(slot, completed=end is End.COMPLETE)
+            if end is not End.COMPLETE:
                 await self._prepare_retry(end, slot)
         self._call.course.step("complete")
         if self._wanted.suspect:
@@ -168,7 +131,7 @@
             cost=plan.cost_tokens,
             deadline_ms=call.deadline_ms,
             digest=plan.request.digest,
-            prefixes=prefix_digests(plan.request.prompt),
+            prefixes=tuple(prefix_digests(plan.target.model.name, plan.request.prompt)),
             suspect=self._crashes.crash_count(plan.request.digest) > 0,
             narrow=plan.target.adapter is not None,
         )
@@ -180,16 +143,18 @@
             self._state.demand.refused(name, self._call.priority)
         if self.answer.next_position:
             return refused(ErrorKind.STREAM_LOST)
+        if self._call.course.may_have_left:
+            return refused(ErrorKind.BACKEND_SERVER_FAILED)
         return refused(slot.kind, slot.retry_after_ms)
 
-    async def _prepare_retry(self, end: _End, slot: Slot) -> None:
+    async def _prepare_retry(self, end: End, slot: Slot) -> None:
         """Returns if another attempt may be made.
 
         Raises:
             CallRefusedError: It may not.
         """
         self._wanted.excluded.add(slot.backend.life_id)
-        if end is _End.CRASHED:
+        if end is End.CRASHED:
             await self._report_crash(slot.backend)
         course = self._call.course
         if course.allows("retry"):
@@ -199,9 +164,9 @@
         if self.answer.next_position:
             raise refused(ErrorKind.STREAM_LOST)
         kinds = {
-            _End.UNSENT: ErrorKind.NO_BACKEND_SERVER,
-            _End.NOT_LOADED: ErrorKind.MODEL_LOADING,
-            _End.OVERLOADED: ErrorKind.OVERLOADED,
+            End.UNSENT: ErrorKind.NO_BACKEND_SERVER,
+            End.NOT_LOADED: ErrorKind.MODEL_LOADING,
+            End.OVERLOADED: ErrorKind.OVERLOADED,
         }
         raise refused(kinds.get(end, ErrorKind.BACKEND_SERVER_FAILED))
 
@@ -215,22 +180,22 @@
             raise refused(lost if streamed else ErrorKind.BACKEND_SERVER_FAILED)
         self._wanted.suspect = True
 
-    async def _attempt(self, backend: BackendItem) -> _End:
+    async def _attempt(self, backend: BackendItem) -> End:
         connection = await self._state.connections.open(backend, fresh=False)
         if isinstance(connection, NotConnected):
             self._note_unreachable(backend, connection)
             self._call.course.not_sent()
-            return _End.UNSENT
-        end: _End | None = None
+            return End.UNSENT
+        end: End | None = None
         try:
             end = await self._send(backend, connection)
-            if end is _End.BROKEN:
+            if end is End.BROKEN:
                 end = await self._resume(backend)
             return end
         finally:
             # Whatever else ends the attempt leaves the engine generating.
             is_written = self._call.course.state not in ("sending", "queued")
-            if is_written and end in (None, _End.FAILED, _End.CRASHED):
+            if is_written and end in (None, End.FAILED, End.CRASHED):
                 self._cancel(backend)
 
     def _note_unreachable(self, backend: BackendItem, failure: NotConnected) -> None:
@@ -253,7 +218,7 @@
     def _check(self) -> None:
         self._state.authorization.check(self._call, timers.now_ms())
 
-    async def _send(self, backend: BackendItem, connection: Connection) -> _End:
+    async def _send(self, backend: BackendItem, connection: Connection) -> End:
         plan = self._plan
         if self.answer.next_position:
             events.log(
@@ -282,11 +247,11 @@
             body,
             guard=self._guard_first_send(),
             head_limit_ms=self._head_limit_ms(),
-            part_limit_ms=STALL_LIMIT_MS[self._call.priority],
+            part_limit_ms=self._part_limit_ms(),
         )
         if isinstance(response, ConnectionLost):
             self._refuse_late()
-            return _End.BROKEN
+            return End.BROKEN
         try:
             return await self._take_response(backend, response)
         finally:
@@ -295,34 +260,39 @@
 
     def _head_limit_ms(self) -> int:
         if self.answer.next_position:
-            return STALL_LIMIT_MS[self._call.priority]
+            return FIRST_LIMIT_MS[self._call.priority]
         return max(1, self._call.deadline_ms - timers.now_ms())
 
+    def _part_limit_ms(self) -> int:
+        if self.answer.next_position:
+            return STALL_LIMIT_MS[self._call.priority]
+        return FIRST_LIMIT_MS[self._call.priority]
+
     def _refuse_late(self) -> None:
         """Raises if the deadline passed before the first chunk."""
         is_late = timers.now_ms() >= self._call.deadline_ms
         if is_late and self.answer.next_position == 0:
             raise refused(ErrorKind.DEADLINE_EXCEEDED)
 
-    async def _take_response(self, backend: BackendItem, response: Response) -> _End:
-        if _is_other_life(backend, response):
-            return _End.CRASHED
+    async def _take_response(self, backend: BackendItem, response: Response) -> End:
+        if is_other_life(backend, response):
+            return End.CRASHED
         if response.status == 200:
             return await self._read(response)
         body = await read_all(response, ERROR_BODY_LIMIT_BYTES) or b""
-        code = _error_code(body)
+        code = error_code(body)
         if (response.status, code) == (409, "not_loaded"):
             self._call.course.declined()
-            return _End.NOT_LOADED
+            return End.NOT_LOADED
         if (response.status, code) == (503, "overloaded"):
             self._call.course.declined()
-            return _End.OVERLOADED
+            return End.OVERLOADED
         if response.status in _PASSED_ON and self.answer.next_position == 0:
             content_type = response.header(b"content-type") or "application/json"
             raise EngineRefusedError(response.status, content_type, body)
-        return _End.FAILED
+        return End.FAILED
 
-    async def _read(self, response: Response) -> _End:
+    async def _read(self, response: Response) -> End:
         """Reads a stream; returns COMPLETE or BROKEN."""
         splitter = EventSplitter()
         limit_s: float | None = None
@@ -333,7 +303,7 @@
                 async for part in response.parts:
                     for raw in splitter.feed(part):
                         if not await self._take_event(raw):
-                            return _End.BROKEN
+                            return End.BROKEN
                     if self.answer.next_position:
                         scope.deadline = float("inf")
         except (
@@ -344,7 +314,7 @@
         ):
             pass
         self._refuse_late()
-        return _End.COMPLETE if self.answer.is_complete else _End.BROKEN
+        return End.COMPLETE if self.answer.is_complete else End.BROKEN
 
     async def _take_event(self, raw: bytes) -> bool:
         """Takes one event; false if the stream must be resumed."""
@@ -364,7 +334,7 @@
             await self._put(raw)
         return True
 
-    async def _resume(self, backend: BackendItem) -> _End:
+    async def _resume(self, backend: BackendItem) -> End:
         """Goes on with the same stream on the same life of a backend server."""
         course = self._call.course
         for _ in range(RESUMES_LIMIT_COUNT):
@@ -372,17 +342,17 @@
                 course.step("resume")
             before = self.answer.next_position
             end = await self._resume_once(backend)
-            if end is not _End.BROKEN:
+            if end is not End.BROKEN:
                 return end
             if self.answer.next_position == before:
                 await anyio.sleep(RESUME_DELAY_MS / 1000)
-        return _End.FAILED
+        return End.FAILED
 
-    async def _resume_once(self, backend: BackendItem) -> _End:
+    async def _resume_once(self, backend: BackendItem) -> End:
         connection = await self._state.connections.open(backend, fresh=True)
         if isinstance(connection, NotConnected):
             self._note_unreachable(backend, connection)
-            return _End.CRASHED
+            return End.CRASHED
         request_id = self._call.request_id
         response = await exchange(
             connection,
@@ -391,17 +361,17 @@
             [(b"X-Request-Id", request_id.encode())],
             b"",
             guard=self._check,
-            head_limit_ms=self._head_limit_ms(),
-            part_limit_ms=STALL_LIMIT_MS[self._call.priority],
+            head_limit_ms=RESUME_HEAD_LIMIT_MS,
+            part_limit_ms=self._part_limit_ms(),
         )
         if isinstance(response, ConnectionLost):
             self._refuse_late()
-            return _End.BROKEN
+            return End.BROKEN
         try:
-            if _is_other_life(backend, response):
-                return _End.CRASHED
+            if is_other_life(backend, response):
+                return End.CRASHED
             if response.status != 200:
-                return _End.FAILED
+                return End.FAILED
             if self._call.course.state == "resuming":
                 self._call.course.step("resumed")
             events.log(
@@ -419,41 +389,3 @@
         self._state.start_background(
             cancel_at_engine, self._state, backend, self._call.request_id
         )
-
-
-async def cancel_at_engine(
-    state: EntryState, backend: BackendItem, request_id: str
-) -> None:
-    """Tells an engine that nobody wants a stream any more."""
-    with anyio.move_on_after(CANCEL_LIMIT_MS / 1000):
-        connection = await state.connections.open(backend, fresh=False)
-        if isinstance(connection, NotConnected):
-            return
-        response = await exchange(
-            connection,
-            "DELETE",
-            f"/v1/streams/{request_id}",
-            [(b"X-Request-Id", request_id.encode())],
-            b"",
-            guard=None,
-            head_limit_ms=CANCEL_LIMIT_MS,
-            part_limit_ms=CANCEL_LIMIT_MS,
-        )
-        if isinstance(response, Response):
-            await read_all(response, ERROR_BODY_LIMIT_BYTES)
-            await response.close()
-            await state.connections.give_back(connection)
-
-
-def _is_other_life(backend: BackendItem, response: Response) -> bool:
-    life_id = response.header(LIFE_HEADER)
-    return life_id is not None and life_id != backend.life_id
-
-
-def _error_code(body: bytes) -> str | None:
-    try:
-        document = msgspec.json.decode(body)
-    except msgspec.MsgspecError:
-        return None
-    error = document.get("error") if isinstance(document, dict) else None
-    return error.get("code") if isinstance(error, dict) else None
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -1,7 +1,6 @@
 """Decides which backend server gets a request."""
 
 import dataclasses
-import hashlib
 import random
 from collections.abc import Collection, Sequence
 
@@ -17,7 +16,6 @@
 # Batch requests leave this share of a backend server's slots free for urgent ones.
 BATCH_SHARE = 0.75
 UNREACHABLE_MS = 1_000
-PREFIX_BYTES = (256, 1_024, 4_096, 16_384)
 
 
 @dataclasses.dataclass(slots=True)
@@ -32,16 +30,6 @@
     avoid_until_ms: int = 0
 
 
-def prefix_digests(prompt: str) -> tuple[str, ...]:
-    """Returns digests of a prompt's prefixes, shortest first."""
-    data = prompt.encode()
-    return tuple(
-        hashlib.sha256(data[:size]).hexdigest()[:16]
-        for size in PREFIX_BYTES
-        if len(data) >= size
-    )
-
-
 class Router:
     """Requests in flight and lagging reports of each backend server's life."""
 
@@ -154,8 +142,7 @@
             return zone_cost
         credit = 0.0
         if prefixes:
-            cached = sum(1 for digest in prefixes if digest in load.prefixes)
-            credit = PREFIX_CREDIT * cached / len(prefixes)
+            credit = PREFIX_CREDIT * _cached_share(prefixes, load.prefixes)
         return load.own_count + self._others(load, now_ms) - credit + zone_cost
 
     def _others(self, load: _Load, now_ms: int) -> float:
@@ -167,3 +154,15 @@
         if load is None:
             load = self._loads[life_id] = _Load()
         return load
+
+
+def _cached_share(prefixes: Sequence[str], cached: frozenset[str]) -> float:
+    """Returns the share of a prompt's blocks that are cached from its start.
+
+    Cache events come with gaps, so the longest prefix that is known counts, and
+    not only an unbroken run of them.
+    """
+    for count in range(len(prefixes), 0, -1):
+        if prefixes[count - 1] in cached:
+            return count / len(prefixes)
+    return 0.0
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -1,5 +1,6 @@
 """Gives waiting requests a backend server, in the order of the fair queue."""
 
+import contextlib
 import dataclasses
 from collections.abc import Callable, Iterator
 
@@ -174,7 +175,13 @@
         return waiter.result or NoSlot(ErrorKind.INTERNAL)
 
     def _pump_queue(self, queue: FairQueue, priority: Priority, now_ms: int) -> None:
-        for ticket in queue.in_order(priority):
+        with contextlib.closing(queue.in_order(priority)) as tickets:
+            self._serve_in_order(queue, tickets, now_ms)
+
+    def _serve_in_order(
+        self, queue: FairQueue, tickets: Iterator[Ticket], now_ms: int
+    ) -> None:
+        for ticket in tickets:
             waiter = self._waiters.get(ticket)
             if waiter is None:
                 continue
@@ -196,7 +203,7 @@
         waiter.done.set()
 
     def _place(self, wanted: Wanted, now_ms: int) -> Slot | None:
-        candidates = list(self._allowed(wanted))
+        candidates = list(self._allowed(wanted, now_ms))
         backend = self._router.choose(
             candidates, wanted.priority, wanted.prefixes, now_ms
         )
@@ -206,11 +213,11 @@
         self._suspicion.started(backend.life_id, wanted.digest, wanted.suspect)
         return Slot(backend, wanted)
 
-    def _allowed(self, wanted: Wanted) -> Iterator[BackendItem]:
+    def _allowed(self, wanted: Wanted, now_ms: int) -> Iterator[BackendItem]:
         for backend in wanted.candidates():
             if backend.life_id in wanted.excluded:
                 continue
-            if self._suspicion.has_crashed(backend.life_id):
+            if self._suspicion.has_crashed(backend.life_id, now_ms):
                 continue
             if wanted.suspect and not self._suspicion.may_run_suspect(
                 backend.life_id, wanted.digest
@@ -224,7 +231,7 @@
             backend
             for backend in wanted.candidates()
             if backend.life_id not in wanted.excluded
-            and not self._suspicion.has_crashed(backend.life_id)
+            and not self._suspicion.has_crashed(backend.life_id, now_ms)
         ]
         if usable:
             return None
--- a/cassiapitch/scrubbing.py
+++ b/cassiapitch/scrubbing.py
@@ -75,4 +75,7 @@
 
 
 def _holds(key: str | None, data: bytes) -> bool:
-    return key is not None and key.encode() in data
+    if key is None:
+        return False
+    # Header values are read as latin-1, whereas other text is UTF-8.
+    return key.encode() in data or key.encode("latin-1", "replace") in data
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -176,6 +176,8 @@
         )
 
     def _no_slot(self, slot: NoSlot) -> Exception:
+        if self._call.course.may_have_left:
+            return refused(ErrorKind.BACKEND_SERVER_FAILED)
         if slot.kind is ErrorKind.MODEL_LOADING:
             return refused(ErrorKind.NO_BACKEND_SERVER)
         return refused(slot.kind, slot.retry_after_ms)
--- a/cassiapitch/suspicion.py
+++ b/cassiapitch/suspicion.py
@@ -7,6 +7,9 @@
 
 QUARANTINE_CRASHES_COUNT = 2
 FORGET_MS = 600_000
+# The control group takes a silent backend server out after this time. A life that
+# it still shows as serving then was cut off from here for a while, not ended.
+CRASHED_MS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,7 +25,7 @@
         self._in_flight: dict[LifeId, dict[RequestDigest, int]] = {}
         self._suspects_on: dict[LifeId, set[RequestDigest]] = {}
         self._known: dict[RequestDigest, _Known] = {}
-        self._crashed: set[LifeId] = set()
+        self._crashed: dict[LifeId, int] = {}
 
     def started(self, life_id: LifeId, digest: RequestDigest, suspect: bool) -> None:
         """Counts a request as running on a life of a backend server."""
@@ -43,16 +46,17 @@
             self._in_flight.pop(life_id, None)
             self._suspects_on.pop(life_id, None)
 
-    def crashed(self, life_id: LifeId) -> tuple[RequestDigest, ...] | None:
+    def crashed(self, life_id: LifeId, now_ms: int) -> tuple[RequestDigest, ...] | None:
         """Returns the digests to report for a crash, or None if it is known."""
-        if life_id in self._crashed:
+        if self.has_crashed(life_id, now_ms):
             return None
-        self._crashed.add(life_id)
+        self._crashed[life_id] = now_ms
         return tuple(self._in_flight.get(life_id, {}))
 
-    def has_crashed(self, life_id: LifeId) -> bool:
-        """Tells whether this entry saw the life end in a crash."""
-        return life_id in self._crashed
+    def has_crashed(self, life_id: LifeId, now_ms: int) -> bool:
+        """Tells whether this entry saw the life crash a short while ago."""
+        at_ms = self._crashed.get(life_id)
+        return at_ms is not None and now_ms - at_ms < CRASHED_MS
 
     def recorded(
         self,
@@ -88,4 +92,5 @@
 
     def forget_except(self, life_ids: Collection[LifeId]) -> None:
         """Forgets crashes of lives that the view no longer holds."""
-        self._crashed &= set(life_ids)
+        for life_id in [key for key in self._crashed if key not in life_ids]:
+            del self._crashed[life_id]
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -32,6 +32,7 @@
         self.received = []
         self.claims = {}
         self.crashes = {}
+        self.on_crash = lambda report: None
         self.confirming = True
         self.granting = True
         self.claiming = True
@@ -131,6 +132,7 @@
         return messages.ClaimAnswer(message.sequence, ClaimState.RUNNING)
 
     def crash(self, message):
+        self.on_crash(message)
         for digest in message.digests:
             self.crashes.setdefault(digest, set()).add(message.life_id)
         counts = tuple(len(self.crashes[digest]) for digest in message.digests)
@@ -351,7 +353,7 @@
 
     async def call(self, method, path, *, key=KEY, headers=(), body=None):
         """Returns status, headers and body of a whole answer."""
-        fields = [("Authorization", f"Bearer {key}")] if key else []
+        fields = [("Authorization", f"Bearer {key}".encode("latin-1"))] if key else []
         fields += list(headers)
         content = json.dumps(body).encode() if isinstance(body, dict) else body
         async with httpcore.AsyncConnectionPool() as pool:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -4,11 +4,14 @@
 
 import pytest
 
+from cassiapitch import codec, messages, timers
 from tests.entryfakes import (
+    KEY,
     FakeEngine,
     FakeService,
     error,
     expected_text,
+    key_digest,
     world,
 )
 
@@ -33,7 +36,7 @@
 @pytest.mark.anyio
 async def test_models_health_and_services():
     """Guards against routes that aren't there."""
-    async with world(FakeService("s1", "l1")) as w:
+    async with world(FakeService("s1", "s-life")) as w:
         status, _, body = await w.call("GET", "/v1/models")
         names = [item["id"] for item in json.loads(body)["data"]]
         assert (status, names) == (200, ["ad", "cold", "m"])
@@ -43,3 +46,180 @@
         assert error((await w.call("GET", "/stock", key=None))[2])[0] == "key_missing"
         assert (await w.call("POST", "/stock"))[0] == 405
         assert (await w.call("GET", "/nothing"))[0] == 404
+
+
+@pytest.mark.anyio
+async def test_key_reaches_no_backend_server():
+    """Guards against the key in headers, query or body of what is forwarded."""
+    engine, service = FakeEngine("n1", "l1"), FakeService("s1", "s-life")
+    escaped = "".join(f"\\u{ord(letter):04x}" for letter in KEY)
+    percent = "".join(f"%{ord(letter):02x}" for letter in KEY)
+    headers = [
+        ("X-Note", f"my key is {KEY}"),
+        ("Cookie", f"key={KEY}"),
+        ("Proxy-Authorization", f"Bearer {KEY}"),
+        ("Idempotency-Key", KEY),
+        ("X-Kept", "kept"),
+    ]
+    async with world(engine, service) as w:
+        assert (await w.chat(3, user=KEY[:5]))[0] == 200
+        path = f"/stock?a=1&key={KEY}&b={percent}&c=2"
+        assert (await w.call("GET", path, headers=headers))[0] == 200
+        assert (await w.call("POST", "/charge", headers=headers))[0] == 200
+        as_json = [("Content-Type", "application/json")]
+        for body in (KEY, f'{{"a":"{escaped}"}}', f"a={percent}"):
+            answer = await w.call(
+                "POST", "/charge", headers=as_json, body=body.encode()
+            )
+            assert error(answer[2]) == ("key_in_body", "not_run")
+        answer = await w.chat(3, note=KEY)
+        assert error(answer[2]) == ("key_in_body", "not_run")
+        prompt = f'{{"model":"m","prompt":"{escaped}"}}'.encode()
+        answer = await w.call("POST", "/v1/completions", body=prompt)
+        assert error(answer[2]) == ("key_in_body", "not_run")
+    assert len(engine.seen) == 1
+    assert len(service.seen) == 2
+    seen = engine.everything_seen() + service.everything_seen()
+    assert KEY.encode() not in seen
+    assert percent.encode() not in seen
+    assert b"a=1&c=2" in seen
+    assert b"kept" in seen
+
+
+@pytest.mark.anyio
+async def test_cut_stream_is_resumed_on_the_same_life():
+    """Guards against a gap or repeat when a connection breaks in mid-stream."""
+    engine = FakeEngine("n1", "l1")
+    async with world(engine) as w:
+        for cut_at in (0, 1, 4):
+            engine.cut_at = cut_at
+            assert await w.stream_chat(6) == (expected_text(6), True, None)
+        assert engine.resumed == [-1, 0, 3]
+        assert len(engine.streams) == 3
+
+
+@pytest.mark.anyio
+async def test_late_doubled_and_foreign_chunks_are_dropped():
+    """Guards against another request's text, and against doubled chunks."""
+    engine = FakeEngine("n1", "l1")
+    engine.noise = True
+    async with world(engine) as w:
+        assert await w.stream_chat(6) == (expected_text(6), True, None)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("die_at", [0, 3])
+@pytest.mark.parametrize("stream", [True, False])
+async def test_another_engine_continues_after_a_crash(die_at, stream):
+    """Guards against truncated answers when an engine dies, and against a retry
+    before the crash is reported."""
+    first, second = FakeEngine("n1", "l1"), FakeEngine("n2", "l2", zone="b")
+    first.die_at = second.die_at = die_at
+    async with world(first, second) as w:
+        survivors = []
+
+        def revive(report):
+            survivor = second if report.life_id == "l1" else first
+            survivors.append((survivor, len(survivor.seen)))
+            survivor.die_at = None
+
+        w.hub.on_crash = revive
+        if stream:
+            assert await w.stream_chat(6) == (expected_text(6), True, None)
+        else:
+            status, _, body = await w.chat(6)
+            content = json.loads(body)["choices"][0]["message"]["content"]
+            assert (status, content) == (200, expected_text(6))
+        [(survivor, seen_before_report)] = survivors
+        assert seen_before_report == 0
+        body = json.loads(survivor.seen[-1][1])
+        if die_at:
+            assert body["continue_position"] == die_at
+            assert body["continue_text"] == expected_text(die_at)
+        await w.until(lambda: w.hub.of(messages.SuspectCleared))
+
+
+@pytest.mark.anyio
+async def test_request_that_crashes_two_lives_is_not_run_on_a_third():
+    """Guards against one request that takes down every engine."""
+    engines = [FakeEngine(f"n{number}", f"l{number}") for number in range(3)]
+    for engine in engines:
+        engine.die_at = 2
+    async with world(*engines) as w:
+        _, is_done, code = await w.stream_chat(6)
+        assert (is_done, code) == (False, "request_quarantined")
+        assert sorted(len(engine.streams) for engine in engines) == [0, 1, 1]
+
+
+@pytest.mark.anyio
+async def test_caller_that_goes_away_cancels_at_the_engine():
+    """Guards against engines that generate for nobody."""
+    engine = FakeEngine("n1", "l1")
+    engine.hold_at = 3
+    async with world(engine) as w:
+        async with w.open_chat(6) as response:
+            request_id = dict(response.headers)[b"x-request-id"].decode()
+        await w.until(lambda: engine.deleted == [request_id])
+        await w.until(lambda: w.entry.state.router.in_flight("l1") == 0)
+
+
+@pytest.mark.anyio
+async def test_withdrawn_key_ends_its_running_stream():
+    """Guards against a connected caller who goes on after a withdrawal."""
+    engine = FakeEngine("n1", "l1")
+    engine.hold_at = 3
+    async with world(engine) as w:
+
+        async def withdraw():
+            await w.until(lambda: engine.streams)
+            await w.hub.change(deletes=[f"key/{key_digest(KEY)}"])
+
+        w.group.start_soon(withdraw)
+        text, is_done, code = await w.stream_chat(6)
+        assert (is_done, code) == (False, "key_withdrawn")
+        assert expected_text(3).startswith(text)
+        await w.until(lambda: engine.deleted)
+        answer = await w.chat(3)
+        assert (answer[0], error(answer[2])) == (401, ("key_unknown", "not_run"))
+        assert len(engine.streams) == 1
+
+
+@pytest.mark.anyio
+async def test_without_confirmation_keyed_calls_end_and_open_routes_go_on():
+    """Guards against an isolated entry that acts on an old view."""
+    engine, service = FakeEngine("n1", "l1"), FakeService("s1", "s-life")
+    engine.hold_at = 3
+    async with world(engine, service) as w:
+        w.hub.confirming = False
+        _, is_done, code = await w.stream_chat(6)
+        assert (is_done, code) == (False, "authorization_unconfirmed")
+        await w.until(lambda: engine.deleted)
+        count = len(engine.seen)
+        status, headers, body = await w.chat(3)
+        assert (status, error(body)) == (503, ("authorization_unconfirmed", "not_run"))
+        assert "retry-after" in headers
+        assert len(engine.seen) == count
+        assert (await w.call("GET", "/stock"))[0] == 503
+        assert (await w.call("GET", "/open", key=None))[0] == 200
+        w.hub.confirming = True
+        engine.hold_at = None
+        await w.until(lambda: w.entry.state.freshness.is_fresh(timers.now_ms()))
+        assert (await w.chat(3))[0] == 200
+
+
+@pytest.mark.anyio
+async def test_key_granted_a_moment_ago_works():
+    """Guards against a wrongful refusal while the grant's delta is on its way."""
+    async with world(FakeEngine("n1", "l1")) as w:
+        digest = key_digest("sk-new-key")
+        w.hub.index += 1
+        previous = w.hub.index - 1
+        item = codec.encode(messages.KeyItem("acme"))
+        delta = messages.ViewDelta(previous, w.hub.index, {f"key/{digest}": item}, ())
+
+        async def arrive():
+            await w.until(lambda: w.entry.state.requests_count == 1)
+            await w.hub.send(delta)
+
+        w.group.start_soon(arrive)
+        assert (await w.call("GET", "/v1/models", key="sk-new-key"))[0] == 200
