--- a/cassiapitch/budget.py
+++ b/cassiapitch/budget.py
@@ -241,6 +241,10 @@
         """Returns unspent tokens of each account."""
         return {name: state.held_tokens() for name, state in self._accounts.items()}
 
+    def unreturned_tokens(self) -> int:
+        """Returns the refunds that the next ask will carry."""
+        return sum(self._refunds.values())
+
     def _message(self, asks: tuple[GrantAsk, ...]) -> RateAsk:
         refunds = tuple(
             Refund(account, tokens, term, granted_ms)
--- /dev/null
+++ b/tests/test_streams_fuzz.py
@@ -0,0 +1,122 @@
+"""Fuzzes the answer against streams that break, cross, double and come late."""
+
+import json
+import os
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cassiapitch.streams import (
+    Answer,
+    Chunk,
+    EventSplitter,
+    Missing,
+    Taken,
+    parse_event,
+)
+
+TEXTS = [f"t{position} " for position in range(12)]
+
+
+def raw_chunk(request_id, position, *, closing):
+    is_last = position == len(TEXTS)
+    if is_last:
+        # Engines differ: the closing event has its own position, or the last token's.
+        number = position if closing else position - 1
+        choice = {"delta": {}, "finish_reason": "stop"}
+        usage = {"prompt_tokens": 3, "completion_tokens": len(TEXTS)}
+    else:
+        number, usage = position, None
+        choice = {"delta": {"content": TEXTS[position]}, "finish_reason": None}
+    data = {"id": request_id, "choices": [choice], "usage": usage}
+    return b"id: %d\ndata: %s\n\n" % (number, json.dumps(data).encode())
+
+
+class StreamMachine(RuleBasedStateMachine):
+    """Any number of engine streams of one request, and of another one."""
+
+    def __init__(self):
+        super().__init__()
+        self.answer = Answer("r1")
+        self.caller = b""
+        self.connections = {}
+        self.count = 0
+
+    def feed(self, data, splitter):
+        for raw in splitter.feed(data):
+            event = parse_event(raw)
+            if isinstance(event, Chunk):
+                before = self.answer.next_position
+                taken = self.answer.take(event)
+                if isinstance(taken, Taken):
+                    self.caller += event.text.encode()
+                elif isinstance(taken, Missing):
+                    assert event.position > before
+
+    @rule(closing=st.booleans(), back=st.integers(0, 3))
+    def open_stream(self, closing, back):
+        """A resumed or continued stream; an engine may begin too early."""
+        start = max(0, self.answer.next_position - back)
+        if start > len(TEXTS):
+            return
+        self.count += 1
+        self.connections[self.count] = (start, EventSplitter(), closing)
+
+    @rule(data=st.data(), size=st.integers(1, 4), crossed=st.booleans())
+    def deliver(self, data, size, crossed):
+        if not self.connections:
+            return
+        number = data.draw(st.sampled_from(sorted(self.connections)))
+        position, splitter, closing = self.connections[number]
+        parts = []
+        for _ in range(size):
+            if position <= len(TEXTS):
+                if crossed:
+                    parts.append(raw_chunk("other", position, closing=closing))
+                parts.append(raw_chunk("r1", position, closing=closing))
+                position += 1
+        stream = b"".join(parts)
+        cut = data.draw(st.integers(0, len(stream)))
+        self.feed(stream[:cut], splitter)
+        self.feed(stream[cut:], splitter)
+        self.connections[number] = (position, splitter, closing)
+
+    @rule(data=st.data(), skipped=st.integers(1, 3))
+    def lose(self, data, skipped):
+        """Chunks are lost although the connection stays."""
+        if self.connections:
+            number = data.draw(st.sampled_from(sorted(self.connections)))
+            position, splitter, closing = self.connections[number]
+            self.connections[number] = (position + skipped, splitter, closing)
+
+    @rule(data=st.data())
+    def break_connection(self, data):
+        if self.connections:
+            number = data.draw(st.sampled_from(sorted(self.connections)))
+            position, splitter, _ = self.connections.pop(number)
+            if position < len(TEXTS):
+                half = raw_chunk("r1", position, closing=True)[:-7]
+                self.feed(half, splitter)
+
+    @invariant()
+    def callers_text_is_the_engines_text(self):
+        whole = "".join(TEXTS)
+        assert whole.startswith(self.caller.decode())
+        assert self.answer.text == self.caller.decode()
+        if self.answer.is_complete:
+            assert self.answer.text == whole
+
+
+StreamMachine.TestCase.settings = (
+    settings(max_examples=3_000, stateful_step_count=60, deadline=None)
+    if os.environ.get("CASSIAPITCH_FUZZ")
+    else settings(
+        max_examples=200,
+        stateful_step_count=40,
+        derandomize=True,
+        deadline=None,
+        database=None,
+    )
+)
+TestStreamsFuzz = StreamMachine.TestCase
