Count each room for a refused call only once

Ruled out: a share of the burst as tolerance, which would hide real shortfalls. Conclusion: a wrongful refusal is charged as if it had been served, so the count is the number of calls that could have been served beside the others.

--- a/cassiapitch/referencebucket.py
+++ b/cassiapitch/referencebucket.py
@@ -92,11 +92,12 @@
 def refusals_with_room(
     bucket: ReferenceBucket, records: Iterable[RateRecord]
 ) -> set[int]:
-    """Returns the refused calls for which the admitted ones had left room.
+    """Returns the refused calls that could have been served beside the served ones.
 
     An account that sends more than its rate is refused something in any case, and
     which calls these are says nothing; it was refused too much only where what it
-    was served until then leaves room in its bucket.
+    was served until then leaves room in its bucket. A call that is found is charged
+    too, so that the same room is not found again for the next refusal.
     """
     # Of the same millisecond, refunds go first and calls in the order of sending.
     events: list[tuple[int, bool, int, RateRecord]] = []
@@ -114,4 +115,5 @@
             charges[number] = bucket.charge_anyway(time_ms, record.cost_tokens)
         elif bucket.has_room(time_ms, record.cost_tokens):
             found.add(number)
+            bucket.charge_anyway(time_ms, record.cost_tokens)
     return found
