Fuzz rates with late, repeated and lost messages

The oracle sums net admissions over every window. A machine of single messages alone was ruled out: on a scratch copy it stayed green with plain crediting of refunds, unkept floors and repeated refunds, so a second one drains, holds, gives back and changes leaders in larger steps.

--- /dev/null
+++ b/tests/rates_world.py
@@ -0,0 +1,169 @@
+"""Model of entries and granters on one log of floors, for the rate fuzzers."""
+
+from cassiapitch import floors, granter
+from cassiapitch.messages import GrantAsk, RateAsk, Refund
+
+ENTRIES = ("e0", "e1", "e2")
+ACCOUNTS = {"slow": (100, 200), "small": (1_000, 100), "wide": (50, 1_000)}
+LEASE_MS = 400
+
+
+class Entry:
+    """An honest entry: uses grants only until asked + life on its own clock."""
+
+    def __init__(self, name, offset_ms):
+        self.name, self.offset_ms = name, offset_ms
+        self.life, self.sequence = 0, 0
+        self.asked, self.grants, self.refunds = {}, [], []
+
+    def make_ask(self, now_ms, items):
+        self.sequence += 1
+        self.asked[self.sequence] = now_ms + self.offset_ms
+        refunds, self.refunds = tuple(self.refunds), []
+        life_id = f"{self.name}-{self.life}"
+        return RateAsk(self.name, life_id, self.sequence, items, refunds)
+
+    def receive(self, life_id, answer):
+        if life_id != f"{self.name}-{self.life}" or answer.sequence not in self.asked:
+            return
+        asked_ms = self.asked.pop(answer.sequence)
+        self.grants += [[g, g.tokens, asked_ms + g.life_ms] for g in answer.grants]
+
+    def refund(self, grant, tokens):
+        item = Refund(grant.account, tokens, grant.term, grant.granted_ms)
+        self.refunds.append(item)
+
+    def return_unspent(self):
+        for grant, tokens, _ in self.grants:
+            if tokens:
+                self.refund(grant, tokens)
+        self.grants = []
+
+    def restart(self):
+        self.life += 1
+        self.sequence = 0
+        self.asked, self.grants, self.refunds = {}, [], []
+
+
+class World:
+    """One account, several entries, one granter for each term."""
+
+    def __init__(self, account):
+        self.now_ms = 1_000_000
+        self.account = account
+        self.log = floors.Floors(0, 0, {})
+        self.entries = {n: Entry(n, 7_777 * i) for i, n in enumerate(ENTRIES)}
+        self.granters, self.lease_ms = [], 0
+        self.is_connected = True
+        self.late_records = []
+        self.admitted = []
+        self.elect()
+
+    @property
+    def granter_ms(self):
+        """Time on the granter's clock; each granter's runs behind the last one's."""
+        return self.now_ms - 50_000 * len(self.granters)
+
+    def elect(self):
+        """A new leader; possible only once every earlier lease is over."""
+        if self.now_ms < self.lease_ms:
+            return
+        term = len(self.granters) + 1
+        result = floors.record(self.log, granter.takeover_record(term))
+        self.granters.append(None)
+        limits = {self.account: ACCOUNTS[self.account]}
+        self.granters[-1] = granter.start(term, result.floors, limits, self.granter_ms)
+        self.is_connected, self.lease_ms = True, self.now_ms + LEASE_MS
+
+    def wait(self, ms):
+        self.now_ms += ms
+        if self.is_connected:
+            self.lease_ms = self.now_ms + LEASE_MS
+        elif self.now_ms >= self.lease_ms:
+            self.elect()
+
+    def change_leader(self):
+        self.is_connected = False
+        self.wait(max(0, self.lease_ms - self.now_ms))
+
+    def make_ask(self, name, needed, expected=0, largest=1):
+        item = GrantAsk(self.account, needed, expected, largest if needed else 0)
+        return self.entries[name].make_ask(self.now_ms, (item,))
+
+    def answer(self, asks):
+        """What the granter answers; nothing without a lease."""
+        if self.now_ms >= self.lease_ms:
+            return []
+        return granter.answer(self.granters[-1], asks, self.granter_ms)
+
+    def exchange(self, ask, copies=1):
+        """Delivers an ask and its answers at once."""
+        for _ in range(copies):
+            for answered, answer in self.answer([ask]):
+                self.entries[answered.entry].receive(answered.life_id, answer)
+
+    def record(self, how, acknowledged=True):
+        current = self.granters[-1]
+        if self.now_ms >= self.lease_ms:
+            return
+        record = granter.next_record(current, self.granter_ms)
+        if record is None:
+            return
+        if how == "late":
+            self.late_records.append(record)
+        elif how == "now":
+            result = floors.record(self.log, record)
+            if acknowledged and result.accepted:
+                granter.record_committed(current, record)
+
+    def take(self, name, share, how="now"):
+        """Asks until nothing is left, with records in between."""
+        for _ in range(3):
+            tokens = max(1, ACCOUNTS[self.account][1] * share // 100)
+            self.exchange(self.make_ask(name, tokens))
+            self.wait(21)
+            self.record(how)
+
+    def fill(self):
+        """A quiet time after which the bucket is full and the floors are current."""
+        for _ in range(8):
+            self.wait(3_000)
+            self.record("now")
+
+    def hold_until_expiry(self):
+        """Time passes until the first held grant is in its last millisecond."""
+        ends = [
+            until_ms - entry.offset_ms
+            for entry in self.entries.values()
+            for _, tokens, until_ms in entry.grants
+            if tokens and until_ms - entry.offset_ms > self.now_ms
+        ]
+        if ends:
+            self.wait(min(ends) - self.now_ms)
+
+    def admit(self, names, share):
+        for name in sorted(names):
+            entry = self.entries[name]
+            for held in entry.grants:
+                grant, tokens, until_ms = held
+                used = tokens * share // 100
+                if used and self.now_ms + entry.offset_ms <= until_ms:
+                    held[1] -= used
+                    self.admitted.append([self.now_ms, used, grant, name, entry.life])
+
+    def return_part(self, use, share):
+        """A call that ran generated less than it was admitted for."""
+        entry = self.entries[use[3]]
+        tokens = use[1] * share // 100
+        if tokens and entry.life == use[4]:
+            use[1] -= tokens
+            entry.refund(use[2], tokens)
+
+    def check(self):
+        """Over every window T at most burst + rate x T, net of refunds."""
+        rate, burst = ACCOUNTS[self.account]
+        debt, last_ms = 0, 0
+        for time_ms, tokens, *_ in self.admitted:
+            debt = max(0, debt - rate * (time_ms - last_ms)) + tokens * 1000
+            last_ms = time_ms
+            assert debt <= burst * 1000, (self.account, debt)
--- /dev/null
+++ b/tests/test_rates_fuzz.py
@@ -0,0 +1,181 @@
+"""Stateful fuzzing of rates: granters that change, freeze and lose leases.
+
+The oracle (`World.check`) knows only the rule: over every window T all entries
+together admit, net of refunds, at most burst + rate x T of a client account.
+"""
+
+import os
+
+import hypothesis
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from cassiapitch import commands, floors
+from tests.rates_world import ACCOUNTS, ENTRIES, World
+
+IS_LONG = bool(os.environ.get("CASSIAPITCH_FUZZ"))
+NAMES = st.sampled_from(ENTRIES)
+PAIR = st.sampled_from(ENTRIES[:2])
+WAITS_MS = st.sampled_from((0, 1, 10, 50, 200, 399, 500, 900, 1_000, 3_000))
+
+
+class Rates(RuleBasedStateMachine):
+    """Messages late, lost and repeated, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = None
+        self.asks, self.answers = [], []
+
+    @initialize(account=st.sampled_from(sorted(ACCOUNTS)))
+    def start(self, account):
+        self.world = World(account)
+        self.world.wait(3_000)
+
+    @rule(ms=WAITS_MS)
+    def wait(self, ms):
+        self.world.wait(ms)
+
+    @rule(ms=st.sampled_from((0, 100, 399)))
+    def isolate_leader(self, ms):
+        """The leader goes on with what is left of its lease."""
+        self.world.is_connected = False
+        self.world.wait(ms)
+
+    @rule()
+    def change_leader(self):
+        self.world.change_leader()
+
+    @rule(name=NAMES, needed=st.sampled_from((0, 10, 100)), expected=st.integers(0, 60))
+    def ask(self, name, needed, expected):
+        burst = ACCOUNTS[self.world.account][1]
+        tokens = burst * needed // 100
+        ask = self.world.make_ask(name, tokens, burst * expected // 100, tokens // 2)
+        self.asks.append(ask)
+
+    @rule(
+        picks=st.lists(st.integers(0, 20), min_size=1, max_size=3), keep=st.booleans()
+    )
+    def deliver_asks(self, picks, keep):
+        chosen = [self.asks[n % len(self.asks)] for n in picks if self.asks]
+        self.answers += self.world.answer(chosen)
+        if not keep:
+            self.asks = [ask for ask in self.asks if ask not in chosen]
+
+    @rule(pick=st.integers(0, 20), keep=st.booleans())
+    def deliver_answer(self, pick, keep):
+        if self.answers:
+            position = pick % len(self.answers)
+            ask, answer = self.answers[position]
+            self.world.entries[ask.entry].receive(ask.life_id, answer)
+            if not keep:
+                del self.answers[position]
+
+    @rule(name=NAMES, share=st.sampled_from((30, 100)))
+    def take(self, name, share):
+        self.world.take(name, share)
+
+    @rule(how=st.sampled_from(("now", "late", "lost")), acknowledged=st.booleans())
+    def record(self, how, acknowledged):
+        self.world.record(how, acknowledged)
+
+    @rule(pick=st.integers(0, 20))
+    def commit_late_record(self, pick):
+        late = self.world.late_records
+        if late:
+            floors.record(self.world.log, late.pop(pick % len(late)))
+
+    @rule(names=st.sets(NAMES, min_size=1), share=st.sampled_from((50, 100)))
+    def admit(self, names, share):
+        self.world.admit(names, share)
+
+    @rule(pick=st.integers(0, 50), share=st.sampled_from((50, 100)))
+    def return_unused_part(self, pick, share):
+        uses = self.world.admitted
+        if uses:
+            self.world.return_part(uses[pick % len(uses)], share)
+
+    @rule(name=NAMES)
+    def return_unspent(self, name):
+        self.world.entries[name].return_unspent()
+
+    @rule(name=NAMES)
+    def restart_entry(self, name):
+        self.world.entries[name].restart()
+
+    @invariant()
+    def no_window_exceeds_the_rate(self):
+        if self.world is not None:
+            self.world.check()
+
+
+class RateAttacks(RuleBasedStateMachine):
+    """Few, larger steps that come near the limit.
+
+    Full buckets are drained, grants are held until they expire, given back late
+    and granted again under the next leader.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.world = None
+
+    @initialize(account=st.sampled_from(sorted(ACCOUNTS)))
+    def start(self, account):
+        self.world = World(account)
+        self.world.fill()
+
+    @rule(name=PAIR, share=st.sampled_from((100, 30)), fill=st.booleans())
+    def take(self, name, share, fill):
+        if fill:
+            self.world.fill()
+        self.world.take(name, share)
+
+    @rule(name=PAIR)
+    def take_without_a_committed_record(self, name):
+        self.world.take(name, 100, how="lost")
+        self.world.change_leader()
+
+    @rule()
+    def change_leader(self):
+        self.world.change_leader()
+
+    @rule(name=PAIR, copies=st.sampled_from((1, 2)))
+    def give_back_and_take(self, name, copies):
+        self.world.entries[name].return_unspent()
+        self.world.exchange(self.world.make_ask(name, 1), copies)
+        self.world.take(name, 100)
+
+    @rule()
+    def squeeze(self):
+        """Everything is held, then taken once more, then admitted at once."""
+        self.world.hold_until_expiry()
+        for name in ENTRIES:
+            ask = self.world.make_ask(name, ACCOUNTS[self.world.account][1])
+            self.world.exchange(ask)
+        self.world.admit(ENTRIES, 100)
+        self.world.check()
+
+
+SETTINGS = {
+    "derandomize": not IS_LONG,
+    "deadline": None,
+    "database": None,
+    "suppress_health_check": list(hypothesis.HealthCheck),
+}
+TestRatesFuzz = Rates.TestCase
+TestRatesFuzz.settings = hypothesis.settings(
+    max_examples=3_000 if IS_LONG else 200, stateful_step_count=50, **SETTINGS
+)
+TestRateAttacksFuzz = RateAttacks.TestCase
+TestRateAttacksFuzz.settings = hypothesis.settings(
+    max_examples=10_000 if IS_LONG else 2_000, stateful_step_count=12, **SETTINGS
+)
+
+
+def test_record_of_an_older_term_is_without_effect():
+    """Guards against floors that a deposed granter raises behind its successor."""
+    log = floors.Floors(2, 1, {"acme": 5})
+    old = commands.RecordFloors(1, 9, {"acme": 90})
+    assert not floors.record(log, old).accepted
+    assert log.floors == {"acme": 5}
