--- a/cassiapitch/group.py
+++ b/cassiapitch/group.py
@@ -4,33 +4,38 @@
 from typing import Any, Protocol
 
 from cassiapitch import codec
+from cassiapitch.member import ChangeOutcome, MemberStatus, ProposeOutcome, ReadOutcome
+from cassiapitch.proposals import Committed, NotAccepted, ReadConfirmed
+from cassiapitch.settings import Address
 
 
 class Group(Protocol):
     """The part of `member.Member` that the hub and the administration API use."""
 
-    async def propose(self, command: bytes, timeout_ms: int) -> Any:
+    async def propose(self, command: bytes, timeout_ms: int) -> ProposeOutcome:
         """Proposes a command; returns how that ended."""
 
-    async def read_index(self, timeout_ms: int) -> Any:
+    async def read_index(self, timeout_ms: int) -> ReadOutcome:
         """Returns once this member has applied what a quorum confirmed."""
 
-    def status(self) -> Any:
+    def status(self) -> MemberStatus:
         """Returns name, role, term, leader, indices and members."""
 
-    def has_lease(self, now_ms: int) -> bool:
+    def has_lease(self, time_ms: int) -> bool:
         """Tells whether this member leads and holds the quorum lease."""
 
-    async def add_learner(self, name: str, address: Any) -> Any:
+    async def add_learner(
+        self, name: str, address: Address, zone: str = ""
+    ) -> ChangeOutcome:
         """Adds a member without a vote."""
 
-    async def promote(self, name: str) -> Any:
+    async def promote(self, name: str) -> ChangeOutcome:
         """Gives a learner its vote."""
 
-    async def remove(self, name: str) -> Any:
+    async def remove(self, name: str) -> ChangeOutcome:
         """Removes a member."""
 
-    async def transfer_leadership(self, to: str | None) -> Any:
+    async def transfer_leadership(self, to: str | None) -> ChangeOutcome:
         """Makes another member the leader."""
 
 
@@ -52,16 +57,16 @@
     """A command may be applied or not."""
 
 
-ProposeOutcome = Applied | NoLeader | Unresolved
+Outcome = Applied | NoLeader | Unresolved
 
 
-async def propose(group: Group, command: Any, timeout_ms: int) -> ProposeOutcome:
+async def propose(group: Group, command: Any, timeout_ms: int) -> Outcome:
     """Proposes a command data class and decodes its result."""
     outcome = await group.propose(codec.encode(command), timeout_ms)
-    match type(outcome).__name__:
-        case "Committed":
+    match outcome:
+        case Committed():
             return Applied(outcome.index, codec.decode(outcome.result))
-        case "NotAccepted":
+        case NotAccepted():
             return NoLeader()
         case _:
             return Unresolved()
@@ -70,7 +75,7 @@
 async def read_index(group: Group, timeout_ms: int) -> int | None:
     """Returns an index that was confirmed after the call, or None."""
     outcome = await group.read_index(timeout_ms)
-    return getattr(outcome, "index", None)
+    return outcome.index if isinstance(outcome, ReadConfirmed) else None
 
 
 def is_leader(group: Group) -> bool:
