Simulate the fleet against engines with real memory

Trials with a random driver showed three faults in placement: an orphaned adapter counted as a copy, an adapter's model that was evicted before the adapter had its copy, and late loads of a fencing engine that reserved memory for ever. An unload of a late load now raises the fence above it. The stand-in settled a repeated load as failed while it left, although the load was under way; it joins it now.

--- a/cassiapitch/backends.py
+++ b/cassiapitch/backends.py
@@ -72,6 +72,13 @@
         """Moves along the chart."""
         self.state = _CHART.next_state(self.state, event)
 
+    def reserved_mib(self, key: str) -> int:
+        """Returns what stays charged for a key after an unload of it.
+
+        With fencing an unload raises the fence above every earlier load.
+        """
+        return 0 if self.fencing else self.ledger.late_mib(key)
+
     def fence(self) -> tuple[int, int]:
         """Returns the highest fence that it reported."""
         return (self.fence_term, self.fence_number)
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -289,7 +289,9 @@
             return "another order is open"
         is_loaded = new.item in life.ledger.reported
         if new.kind in UNLOAD_KINDS:
-            return None if is_loaded else "it is not loaded"
+            # The unload of a load that may arrive late raises the fence above it.
+            is_void = life.fencing and new.item in life.ledger.late
+            return None if is_loaded or is_void else "it is not loaded"
         if new.kind not in LOAD_KINDS:
             return f"the kind {new.kind} is not supported"
         if is_loaded:
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -102,9 +102,11 @@
         """Loads the copies that the bundle wants resident."""
         for name, model in self._catalog.models.items():
             key = model_key(name)
-            missing = model.minimum_copies - self._survey.copy_count(key)
-            if missing > 0 and not self._place(key):
-                self._plan(key, victims.SERVED_CLASS, self._rooms(key))
+            copy_count = self._survey.copy_count(key)
+            if copy_count < model.minimum_copies and not self._place(key):
+                is_first = copy_count == 0
+                rooms = self._rooms(key)
+                self._plan(key, victims.SERVED_CLASS, rooms, is_first=is_first)
 
     def place_gains(self) -> None:
         """Adds copies of models whose demand exceeds what their copies serve."""
@@ -135,32 +137,35 @@
             self._use_plan(key)
             return
         rooms = self._rooms(key)
-        model = model_key(self._catalog.model_of(key) or "")
-        if is_adapter_key(key) and self._survey.copy_count(model) == 0:
+        if self._fits_somewhere(key, rooms):
+            self._place_or_plan(key, rooms, age_ms)
+        elif is_adapter_key(key):
+            self._place_model_for(key, age_ms)
+
+    def _place_model_for(self, adapter: str, age_ms: int) -> None:
+        """Loads an adapter's model where both fit, if no copy is on such an engine."""
+        model = model_key(self._catalog.model_of(adapter) or "")
+        extra_mib = self._catalog.memory_mib(adapter) or 0
+        if self._survey.coming.get(model):
             return
-        if not self._fits_somewhere(key, rooms):
-            self._make_roomy_copy(key, model)
-            return
-        if self._place(key):
-            return
-        allowed = victims.class_allowed(age_ms)
-        if not self._plan(key, allowed, rooms) and age_ms >= HOLD_AFTER_MS:
-            self._hold(key, rooms)
-
-    def _make_roomy_copy(self, key: str, model: str) -> None:
-        """Loads a model where its adapter fits as well, if it fits nowhere now."""
-        if not is_adapter_key(key) or self._survey.coming.get(model):
+        if model in self._state.plans:
+            self._use_plan(model)
             return
-        extra_mib = self._catalog.memory_mib(key) or 0
         rooms = [
             room
             for room in self._rooms(model)
             if self._fits_ever(room, model, extra_mib)
         ]
-        if model in self._state.plans:
-            self._use_plan(model)
-        elif not self._place(model, rooms):
-            self._plan(model, victims.SERVED_CLASS, rooms)
+        if rooms:
+            self._place_or_plan(model, rooms, age_ms)
+
+    def _place_or_plan(self, key: str, rooms: list[Room], age_ms: int) -> None:
+        if self._place(key, rooms):
+            return
+        allowed = victims.class_allowed(age_ms)
+        is_planned = self._plan(key, allowed, rooms, is_first=True)
+        if not is_planned and age_ms >= HOLD_AFTER_MS:
+            self._hold(key, rooms)
 
     def _place(self, key: str, rooms: list[Room] | None = None) -> bool:
         """Loads where there is room; returns whether there was."""
@@ -246,15 +251,23 @@
     def _fits_ever(self, room: Room, key: str, extra_mib: int = 0) -> bool:
         """Tells whether an engine could hold a key with all else unloaded."""
         ledger = room.life.ledger
-        kept = set(ledger.late) - {key}
+        kept_mib = sum(
+            room.life.reserved_mib(other) for other in set(ledger.late) - {key}
+        )
         if is_adapter_key(key):
-            kept.add(model_key(self._catalog.model_of(key) or ""))
-        kept_mib = sum(ledger.charge_mib(other, 0) for other in kept)
+            model = model_key(self._catalog.model_of(key) or "")
+            kept_mib += ledger.charge_mib(model, 0) - room.life.reserved_mib(model)
         needed_mib = max(self._catalog.memory_mib(key) or 0, ledger.late_mib(key))
         return kept_mib + needed_mib + extra_mib <= room.capacity_mib
 
     def _plan(
-        self, key: str, allowed: int, rooms: list[Room], gain: float = 0.0
+        self,
+        key: str,
+        allowed: int,
+        rooms: list[Room],
+        gain: float = 0.0,
+        *,
+        is_first: bool = False,
     ) -> bool:
         """Unloads others to make room; returns whether that is possible."""
         if self._find_count >= FINDS_PER_ROUND:
@@ -262,7 +275,7 @@
         self._find_count += 1
         held = self._held_life(key)
         open_rooms = [room for room in rooms if room.life.life_id != held]
-        found = self._victims.find(key, allowed, open_rooms, gain)
+        found = self._victims.find(key, allowed, open_rooms, gain, is_first=is_first)
         if found is None:
             return False
         room, keys = found
@@ -297,7 +310,7 @@
 
 def _roomy_mib(room: Room) -> int:
     ledger = room.life.ledger
-    return room.capacity_mib - sum(ledger.late_mib(key) for key in ledger.late)
+    return room.capacity_mib - sum(room.life.reserved_mib(key) for key in ledger.late)
 
 
 def _wanted_copies(
--- a/cassiapitch/rooms.py
+++ b/cassiapitch/rooms.py
@@ -10,7 +10,7 @@
 from cassiapitch import backends
 from cassiapitch.backends import Life
 from cassiapitch.fleet import Fleet
-from cassiapitch.orders import Order
+from cassiapitch.orders import Order, is_adapter_key, model_key
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,12 +70,16 @@
         self.by_role[life.role].append(room)
         usable = self.fleet.usable_keys(life)
         for key in usable:
-            self.copies[key].append(life)
+            if not is_adapter_key(key) or self._has_model(key, usable):
+                self.copies[key].append(life)
         for key in life.ledger.late:
             self.late_rooms[key].append(room)
         if len(usable) < len(life.ledger.reported):
             self._find_strays(life)
 
+    def _has_model(self, key: str, usable: list[str]) -> bool:
+        return model_key(self.fleet.catalog.model_of(key) or "") in usable
+
     def _find_strays(self, life: Life) -> None:
         for key in life.ledger.reported:
             is_of_role = self.fleet.catalog.role_of(key) == life.role
--- a/cassiapitch/standin_memory.py
+++ b/cassiapitch/standin_memory.py
@@ -195,7 +195,7 @@
         resident = self.residents.get((name, is_adapter))
         if order.kind in UNLOAD_KINDS:
             self._unload(order, resident, now_ms)
-        elif self.leaving:
+        elif resident is None and self.leaving:
             self._settle(order, OrderOutcome.FAILED)
         elif resident is None:
             self._start_load(order, name, is_adapter, now_ms)
--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -44,10 +44,19 @@
         self._wanted = wanted
         self._now_ms = now_ms
         self._lists: dict[str, list[tuple[int, float, str, str]]] = {}
-        self._waiting = {key for _, key in state.demand.waiting()}
+        # An adapter that is waited for needs its model as well.
+        waiting = [key for _, key in state.demand.waiting()]
+        models = [state.fleet.catalog.model_of(key) or "" for key in waiting]
+        self._waiting = {*waiting, *map(model_key, models)}
 
     def find(
-        self, key: str, allowed: int, rooms: list[Room], gain: float
+        self,
+        key: str,
+        allowed: int,
+        rooms: list[Room],
+        gain: float,
+        *,
+        is_first: bool,
     ) -> tuple[Room, list[str]] | None:
         """Returns an engine and what to unload there, or None.
 
@@ -63,7 +72,6 @@
         }
         base = model_key(catalog.model_of(key) or "") if is_adapter_key(key) else ""
         taken: dict[str, list[tuple[str, int]]] = {}
-        is_first = self._survey.copy_count(key) == 0
         for listed, _, life_id, victim in self._list(role):
             # A copy's class only rises while a round unloads others.
             if listed > allowed:
@@ -89,7 +97,8 @@
         if role not in self._lists:
             found = []
             for room in self._survey.by_role.get(role, []):
-                for key in room.life.ledger.reported:
+                ledger = room.life.ledger
+                for key in ledger.reported.keys() | ledger.late.keys():
                     level = self._class(room.life, key)
                     if level is not None:
                         rate = self._state.demand.rate(key, self._now_ms)
@@ -102,6 +111,8 @@
         ledger = life.ledger
         if ledger.orders and self._is_involved(life, key):
             return None
+        if key not in ledger.reported:
+            return ORPHAN_CLASS if life.fencing else None
         if not self._state.resident_long(life.life_id, key, self._now_ms):
             return None
         catalog = self._state.fleet.catalog
@@ -144,7 +155,7 @@
     def _freed_mib(self, life: Life, key: str) -> int:
         ledger = life.ledger
         unknown_mib = self._state.fleet.catalog.memory_mib(key) or 0
-        return ledger.charge_mib(key, unknown_mib) - ledger.late_mib(key)
+        return ledger.charge_mib(key, unknown_mib) - life.reserved_mib(key)
 
 
 def _without_spare(taken: list[tuple[str, int]], spare_mib: int) -> list[str]:
--- /dev/null
+++ b/tests/fleet_world.py
@@ -0,0 +1,299 @@
+"""A simulated fleet for the fuzzers: engines, network, log and controllers."""
+
+import heapq
+import itertools
+import random
+
+from cassiapitch.bundle import Adapter, Bundle, Model, Role, Store
+from cassiapitch.coordinator import Coordinator
+from cassiapitch.fleet import Fleet
+from cassiapitch.fleet_commands import BeginTerm
+from cassiapitch.messages import Announcement, DemandReport, ModelDemand
+from cassiapitch.orders import adapter_key, model_key
+from cassiapitch.standin_memory import EngineMemory, OrderRequest, Phase
+
+TICK_MS = 100
+ANNOUNCE_MS = 500
+RESPONSE_TIMEOUT_MS = 2_000
+STORE = Store(loads_per_s=2.0, loads_in_flight_count=2, adapters_in_flight_count=3)
+LATEST_MS = 40_000
+
+
+class SimEngine:
+    """One engine; `memory` is the same model that the stand-in runs on."""
+
+    def __init__(self, name, zone, memory_mib, fencing):
+        self.name, self.zone = name, zone
+        self.memory_mib, self.fencing = memory_mib, fencing
+        self.lives = itertools.count(1)
+        self.is_silent = False
+        self.start()
+
+    def start(self):
+        self.life_id = f"{self.name}-{next(self.lives)}"
+        self.alive, self.sequence = True, 0
+        self.memory = EngineMemory(
+            self.life_id,
+            self.memory_mib,
+            fencing=self.fencing,
+            load_time_ms=lambda order: 50 if order.adapter else 1_500,
+        )
+
+    def announcement(self):
+        self.sequence += 1
+        return Announcement(
+            name=self.name,
+            life_id=self.life_id,
+            role="r",
+            zone=self.zone,
+            ip="127.0.0.1",
+            port=1,
+            memory_mib=self.memory_mib,
+            max_running_count=8,
+            loaded=self.memory.loaded(),
+            adapters=self.memory.adapters(),
+            settled=self.memory.settled_report(),
+            fence_term=self.memory.fence[0],
+            fence_number=self.memory.fence[1],
+            leaving=self.memory.leaving,
+            sequence=self.sequence,
+        )
+
+
+class World:
+    """All parts and the oracle, on a simulated clock."""
+
+    def __init__(self, *, fencing, seed, sizes=(100, 100, 70)):
+        self.now_ms, self.index = 0, 0
+        self.random = random.Random(seed)
+        self.fencing = fencing
+        self.fleet, self.replica = Fleet(), Fleet()
+        self.engines = [
+            SimEngine(f"e{number}", f"z{number % 2}", size, fencing)
+            for number, size in enumerate(sizes)
+        ]
+        self.network, self.tie = [], itertools.count()
+        self.order_faults = []
+        self.announcement_faults = 0
+        self.lost_proposals = 0
+        self.hot = {}
+        self.served = set()
+        self.terms = itertools.count(1)
+        self.roll(
+            {"a": 40, "b": 40, "c": 60, "d": 30, "e": 30, "f": 70},
+            {"a-x": 10, "d-x": 5},
+        )
+        self.change_leader()
+
+    # What faults and operators do.
+
+    def roll(self, models, adapters, minimum=None):
+        role = Role("r", "engine", "0" * 64, fencing=self.fencing)
+        items = tuple(
+            Model(name, "r", size, int(name == minimum))
+            for name, size in models.items()
+        )
+        parts = tuple(
+            Adapter(name, name[0], size)
+            for name, size in adapters.items()
+            if name[0] in models
+        )
+        version = self.fleet.catalog.version + 1
+        for fleet in (self.fleet, self.replica):
+            fleet.set_bundle(Bundle(version, (role,), items, parts, store=STORE))
+
+    def change_leader(self):
+        # The deposed leader's last decisions reach the log in the new term.
+        late = [] if self.index == 0 else [self.coordinator.round(self.now_ms + 10_000)]
+        self.apply(BeginTerm(f"t{next(self.terms)}"))
+        self.coordinator = Coordinator(
+            self.fleet, "demand", self.fleet.term, self.now_ms
+        )
+        for command in late:
+            if command is not None:
+                orders = dict(self.fleet.open_orders)
+                self.apply(command)
+                assert orders == self.fleet.open_orders
+
+    def restore_replica(self):
+        data = self.replica.snapshot()
+        self.replica = Fleet()
+        self.replica.restore(data)
+
+    def ask(self, name, count):
+        demand = ModelDemand(name, "urgent", count, count, 0, count * 100)
+        self.coordinator.on_demand(DemandReport("n", (demand,), ()), self.now_ms)
+
+    # The simulation.
+
+    def run(self, duration_ms):
+        for _ in range(duration_ms // TICK_MS):
+            self.tick()
+
+    def tick(self):
+        self.now_ms += TICK_MS
+        while self.network and self.network[0][0] <= self.now_ms:
+            heapq.heappop(self.network)[2]()
+        for engine in self.engines:
+            engine.memory.tick(self.now_ms)
+            if engine.alive and not engine.is_silent and self.now_ms % ANNOUNCE_MS == 0:
+                self._announce(engine)
+        if self.now_ms % 1_000 == 0:
+            for name, count in self.hot.items():
+                self.ask(name, count)
+        for command in self.coordinator.commands(self.now_ms):
+            if self.lost_proposals > 0:
+                self.lost_proposals -= 1
+                self.coordinator.on_proposal_failed()
+                break
+            self.apply(command)
+        orders = self.coordinator.round(self.now_ms)
+        if orders is not None:
+            self.apply(orders)
+        for send in self.coordinator.sends(self.now_ms):
+            self._send(send)
+        self.check()
+
+    def apply(self, command):
+        self.index += 1
+        items, known = self.fleet.view_items(), set(self.fleet.open_orders)
+        for fleet in (self.fleet, self.replica):
+            fleet.apply(command, self.index, self.now_ms)
+        for order_id in self.fleet.open_orders.keys() - known:
+            order = self.fleet.open_orders[order_id]
+            # A backend server that isn't serving, for instance a leaving one, gets none.
+            assert items[f"backend/{order.backend}"].state == "serving"
+
+    def _later(self, delay_ms, action):
+        heapq.heappush(self.network, (self.now_ms + delay_ms, next(self.tie), action))
+
+    def _announce(self, engine):
+        announcement = engine.announcement()
+        delay_ms = 20
+        if self.announcement_faults > 0:
+            self.announcement_faults -= 1
+            delay_ms = self.random.choice([700, 1_600, 6_000, None])
+        if delay_ms is not None:
+            self._later(
+                delay_ms,
+                lambda: self.coordinator.on_announcement(announcement, self.now_ms),
+            )
+
+    def _send(self, send):
+        engine = next(item for item in self.engines if item.name == send.order.backend)
+        coordinator, order, attempt = self.coordinator, send.order, send.attempt
+        request = OrderRequest(
+            order.order_id,
+            order.fence_term,
+            order.fence_number,
+            order.life_id,
+            order.kind,
+            order.model,
+            order.version,
+            order.adapter,
+            order.memory_mib,
+        )
+
+        def respond(answer):
+            coordinator.on_response(order, attempt, answer)
+
+        def arrive(*, is_answered):
+            if engine.alive:
+                answer = str(engine.memory.receive(request, self.now_ms))
+                if is_answered:
+                    self._later(20, lambda: respond(answer))
+
+        fault = self.order_faults.pop() if self.order_faults else "none"
+        if not engine.alive:
+            self._later(20, lambda: respond("not_sent"))
+            return
+        late_ms = self.random.randrange(3_000, LATEST_MS)
+        if fault == "none":
+            self._later(20, lambda: arrive(is_answered=True))
+        else:
+            self._later(RESPONSE_TIMEOUT_MS, lambda: respond(None))
+        if fault in ("unanswered", "doubled"):
+            self._later(20, lambda: arrive(is_answered=False))
+        if fault in ("late", "doubled"):
+            self._later(late_ms, lambda: arrive(is_answered=False))
+
+    # The oracle.
+
+    def check(self):
+        in_flight = {True: 0, False: 0}
+        for engine in self.engines:
+            if not engine.alive:
+                continue
+            used_mib = engine.memory.used_mib()
+            assert used_mib <= engine.memory_mib, (engine.name, engine.memory.residents)
+            life = self.fleet.lives.get(engine.name)
+            if life is None or life.life_id != engine.life_id:
+                assert used_mib == 0
+                continue
+            assert used_mib <= life.charged_mib, (engine.name, life)
+            for item in engine.memory.residents.values():
+                # A late attempt of a settled load and a server that is down are not
+                # the store's limit to count: nothing can hold them back any more.
+                is_open = any(
+                    order.order_id in life.ledger.orders for order in item.loads
+                )
+                if item.phase == Phase.LOADING and is_open and life.state != "down":
+                    in_flight[item.is_adapter] += 1
+        assert in_flight[False] <= STORE.loads_in_flight_count
+        assert in_flight[True] <= STORE.adapters_in_flight_count
+        for item in self.fleet.view_items().values():
+            if item.state == "serving":
+                self.served.update(item.models, item.adapters)
+
+    def possible(self):
+        """Returns what fits on an engine next to the late loads reserved there."""
+        catalog = self.fleet.catalog
+        names = {}
+        for name, model in catalog.models.items():
+            names[name] = [(model_key(name), model.memory_mib)]
+        for name, adapter in catalog.adapters.items():
+            names[name] = [
+                *names[adapter.model],
+                (adapter_key(name), adapter.memory_mib),
+            ]
+        return {
+            name
+            for name, parts in names.items()
+            if any(map(self._fitting(parts), self.fleet.lives.values()))
+        }
+
+    def _fitting(self, parts):
+        def fits(life):
+            ledger = life.ledger
+            keys = {key for key, _ in parts}
+            reserved = sum(
+                ledger.late_mib(key) for key in ledger.late if key not in keys
+            )
+            needed = sum(max(size, life.reserved_mib(key)) for key, size in parts)
+            return reserved + needed <= life.memory_mib
+
+        return fits
+
+    def settle(self):
+        """Ends all faults; then everything that is asked for must be served."""
+        self.order_faults, self.announcement_faults, self.lost_proposals = [], 0, 0
+        for engine in self.engines:
+            engine.memory.leaving = engine.is_silent = False
+            if not engine.alive:
+                engine.start()
+        self.run(LATEST_MS + 15_000)
+        for life in self.fleet.lives.values():
+            assert life.state == "serving"
+        names = self.possible()
+        if self.fencing:
+            assert names == {*self.fleet.catalog.models, *self.fleet.catalog.adapters}
+        self.served = set()
+        for name in names:
+            self.ask(name, 1)
+        # Hold 20 s, residence 30 s, plan and load: 60 s for each that is older.
+        for _ in range(60 * len(names)):
+            if names <= self.served:
+                break
+            self.run(1_000)
+        assert names <= self.served, names - self.served
+        assert self.fleet.snapshot() == self.replica.snapshot()
--- /dev/null
+++ b/tests/test_fleet_fuzz.py
@@ -0,0 +1,121 @@
+"""Fuzzers of placement and orders against engines with real memory."""
+
+import os
+
+import hypothesis
+import hypothesis.stateful
+import hypothesis.strategies as st
+
+from tests.fleet_world import World
+
+hypothesis.settings.register_profile(
+    "fleet_fixed",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=25,
+    stateful_step_count=25,
+)
+hypothesis.settings.register_profile(
+    "fleet_free",
+    derandomize=False,
+    deadline=None,
+    database=None,
+    max_examples=300,
+    stateful_step_count=40,
+)
+SETTINGS = hypothesis.settings.get_profile(
+    "fleet_free" if os.environ.get("CASSIAPITCH_FUZZ") else "fleet_fixed"
+)
+FAULTS = st.lists(
+    st.sampled_from(["lost", "late", "doubled", "unanswered", "none"]), max_size=6
+)
+NAMES = ["a", "b", "c", "d", "e", "f", "a-x", "d-x"]
+ENGINES = st.integers(0, 2)
+
+
+class FleetMachine(hypothesis.stateful.RuleBasedStateMachine):
+    """Guards against overcommit, unreachable models and orders to leaving servers."""
+
+    fencing = True
+
+    @hypothesis.stateful.initialize(seed=st.integers(0, 1_000))
+    def begin(self, seed):
+        self.world = World(fencing=self.fencing, seed=seed)
+        self.world.run(1_500)
+
+    @hypothesis.stateful.rule(seconds=st.integers(1, 12))
+    def wait(self, seconds):
+        self.world.run(seconds * 1_000)
+
+    @hypothesis.stateful.rule(
+        name=st.sampled_from(NAMES), count=st.sampled_from([0, 1, 10, 100])
+    )
+    def demand(self, name, count):
+        self.world.hot[name] = count
+        self.world.ask(name, 1)
+        self.world.run(1_000)
+
+    @hypothesis.stateful.rule(faults=FAULTS)
+    def order_faults(self, faults):
+        self.world.order_faults = faults
+
+    @hypothesis.stateful.rule(count=st.integers(1, 6))
+    def announcement_faults(self, count):
+        self.world.announcement_faults = count
+
+    @hypothesis.stateful.rule()
+    def lose_proposals(self):
+        self.world.lost_proposals = 2
+
+    @hypothesis.stateful.rule(number=ENGINES, seconds=st.integers(0, 14))
+    def restart_engine(self, number, seconds):
+        self.world.engines[number].alive = False
+        self.world.run(seconds * 1_000)
+        self.world.engines[number].start()
+
+    @hypothesis.stateful.rule(number=ENGINES)
+    def toggle_leaving(self, number):
+        memory = self.world.engines[number].memory
+        memory.leaving = not memory.leaving
+
+    @hypothesis.stateful.rule(number=ENGINES)
+    def toggle_silent(self, number):
+        engine = self.world.engines[number]
+        engine.is_silent = not engine.is_silent
+
+    @hypothesis.stateful.rule()
+    def change_leader(self):
+        self.world.change_leader()
+
+    @hypothesis.stateful.rule()
+    def restore_replica(self):
+        self.world.restore_replica()
+
+    @hypothesis.stateful.rule(
+        models=st.dictionaries(
+            st.sampled_from("abcdef"), st.sampled_from([20, 45, 70]), min_size=2
+        ),
+        adapters=st.dictionaries(
+            st.sampled_from(["a-x", "d-x"]), st.sampled_from([5, 20])
+        ),
+        minimum=st.sampled_from([None, "a", "c"]),
+    )
+    def roll(self, models, adapters, minimum):
+        self.world.roll(models, adapters, minimum)
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.settle()
+
+
+class UnfencedFleetMachine(FleetMachine):
+    """The same without fencing: late doubles run."""
+
+    fencing = False
+
+
+TestFencedFleetFuzz = FleetMachine.TestCase
+TestFencedFleetFuzz.settings = SETTINGS
+TestUnfencedFleetFuzz = UnfencedFleetMachine.TestCase
+TestUnfencedFleetFuzz.settings = SETTINGS
