--- a/cassiapitch/elections.py
+++ b/cassiapitch/elections.py
@@ -142,7 +142,8 @@
     It may hold the only log that is recent enough, for instance if the leader of a
     group of two removed itself and restarted before the other one heard of it.
     """
-    for group in (node.group, node.group_at(node.commit_index)):
-        if node.own_id in quorum.voter_ids(group):
-            return True
-    return False
+    groups = [group for _, group in node.groups[-1:]]
+    if node.group_index > node.commit_index:
+        # At most one change is uncommitted, so that no older group matters.
+        groups += [group for _, group in node.groups[-2:-1]]
+    return any(node.own_id in quorum.voter_ids(group) for group in groups)
--- a/cassiapitch/journal.py
+++ b/cassiapitch/journal.py
@@ -144,11 +144,11 @@
             self._files.append(_segment_name(self._number), data)
             self._size_bytes += len(data)
 
-    def start_segment(self, number: int) -> None:
+    def start_segment(self, number: int, reset: tuple[int, int] | None = None) -> None:
         """Begins a new segment, durable under its name before it is used."""
         if self._number > 0:
             self._highest[self._number] = self._current_highest
-        data = frame(_encoder.encode([_Record(vote=self._vote)]))
+        data = frame(_encoder.encode([_Record(vote=self._vote, reset=reset)]))
         name = _segment_name(number)
         self._files.append(name, data)
         self._files.sync(name)
@@ -161,7 +161,10 @@
         for number in sorted(self._highest):
             if self._highest[number] > self._obsolete_index:
                 break
+            # Synced one by one: a segment that came back after a crash without its
+            # successor would bring back entries that the successor replaced.
             self._files.remove(_segment_name(number))
+            self._files.sync_folder()
             del self._highest[number]
         if self._obsolete_index > 0:
             for name in self._files.list_names():
@@ -181,15 +184,16 @@
         numbers = sorted(_segment_numbers(names))
         for number in numbers:
             self._load_segment(number, number == numbers[-1], replay)
-        self._vote = replay.vote
-        self._continue(numbers)
         entries = replay.after(snapshot)
-        return Recovered(replay.vote[0], replay.vote[1], snapshot, entries)
-
-    def _continue(self, numbers: list[int]) -> None:
+        reset = None
+        if snapshot is not None and replay.entries and not entries:
+            # Old entries that the snapshot replaces must not be replayed together
+            # with those that follow it from now on.
+            reset = (snapshot.index, snapshot.term)
+        self._vote = replay.vote
         # A new segment for each run keeps a truncated one from growing again.
-        self._number = 0
-        self.start_segment(numbers[-1] + 1 if numbers else 1)
+        self.start_segment(numbers[-1] + 1 if numbers else 1, reset)
+        return Recovered(replay.vote[0], replay.vote[1], snapshot, entries)
 
     def _load_segment(self, number: int, is_last: bool, replay: "_Replay") -> None:
         name = _segment_name(number)
@@ -205,7 +209,7 @@
             except msgspec.MsgspecError as error:
                 raise StorageError(f"{name} holds no log records: {error}") from None
             for record in records:
-                replay.apply(record)
+                replay.apply(name, record)
                 if record.entries:
                     highest = max(highest, record.entries[-1].index)
         self._highest[number] = highest
@@ -229,23 +233,20 @@
         self.vote: tuple[int, str | None] = (0, None)
         self.entries: list[Entry] = []
 
-    def apply(self, record: _Record) -> None:
+    def apply(self, name: str, record: _Record) -> None:
         if record.vote is not None:
             self.vote = record.vote
         if record.reset is not None:
             self.entries = []
         if record.entries:
-            self._add(record.entries)
+            self._add(name, record.entries)
 
-    def _add(self, entries: tuple[Entry, ...]) -> None:
+    def _add(self, name: str, entries: tuple[Entry, ...]) -> None:
         first = entries[0].index
         if self.entries:
             kept_count = first - self.entries[0].index
             if kept_count > len(self.entries):
-                # The deletion of an obsolete segment isn't synced, so that a crash
-                # may bring one back without its successor. `after` checks that the
-                # snapshot covers the gap.
-                kept_count = 0
+                raise StorageError(f"{name}: entries before {first} are missing")
             del self.entries[max(0, kept_count) :]
         self.entries.extend(entries)
 
--- a/tests/consensus_model.py
+++ b/tests/consensus_model.py
@@ -67,6 +67,7 @@
         self.disk = MemoryDisk()
         self.offset_ms = cluster.source.randrange(1_000_000)
         self.node = None
+        self.group = Group(())
         self.is_frozen = False
 
     def now_ms(self):
@@ -97,6 +98,7 @@
 
     def pump(self):
         node = self.node
+        self.group = node.group
         self.queued += node.writes
         node.writes = []
         sends, node.sends = self.held + node.sends, []
@@ -266,13 +268,14 @@
         self.members[name].start()
 
     def groups(self):
-        running = [one for one in self.members.values() if one.node is not None]
-        return [one.node.group for one in running if one.node.group.members]
+        groups = [one.group for one in self.members.values()]
+        return [group for group in groups if group.members]
 
     def has_quorum(self, without=None):
         """Whether every group that a member may act on has a quorum of its disks."""
         disks = [one.disk_id for one in self.members.values() if one.name != without]
-        return all(quorum.is_quorum(group, disks) for group in self.groups())
+        groups = self.groups()
+        return bool(groups) and all(quorum.is_quorum(one, disks) for one in groups)
 
     def heal(self):
         self.loss = self.duplicates = 0.0
