Fuzz bundles, keys, claims and suspects

Two replicas apply racing, late and repeated commands; one is snapshotted and restored at any point. Random holders alone were ruled out for outcomes: with them a second outcome that replaced the first stayed green on a scratch copy, so a rule finishes claims that exist. Conclusion: one winner per version, one holder per claim, withdrawn for ever.

--- /dev/null
+++ b/tests/test_state_fuzz.py
@@ -0,0 +1,345 @@
+"""Stateful fuzzing of bundles, keys, claims and suspects as replicated state.
+
+Operators race and send again, entries and leaders die between a command and its
+answer, a second replica is snapshotted and restored at any point. The oracle
+follows the rules of the design page and looks only at commands and answers.
+"""
+
+import os
+
+import hypothesis
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from cassiapitch import bundle, claims, codec, commands, view
+from cassiapitch.replicated import ReplicatedState
+from cassiapitch.types import ClaimState
+from tests.standins import StandinFleet
+
+IS_LONG = bool(os.environ.get("CASSIAPITCH_FUZZ"))
+KEYS = tuple(f"{n:064x}" for n in range(4))
+ACCOUNTS = ("acme", "bolt")
+PICKS = st.integers(0, 30)
+CLAIMS_LIMIT_COUNT = 3
+
+
+def make_put(version, accounts, keys, author):
+    listed = [bundle.Key(k, accounts[n % len(accounts)]) for n, k in enumerate(keys)]
+    new = bundle.Bundle(
+        version,
+        client_accounts=tuple(bundle.ClientAccount(a, 10, 100) for a in accounts),
+        keys=tuple(listed),
+    )
+    return commands.PutBundle(new, repr(new), "", author, author)
+
+
+class Replicated(RuleBasedStateMachine):
+    """One log, two replicas, commands that are applied late or twice."""
+
+    def __init__(self):
+        super().__init__()
+        self.limit_count = claims.CLAIMS_LIMIT_COUNT
+        claims.CLAIMS_LIMIT_COUNT = CLAIMS_LIMIT_COUNT
+        self.replicas = [ReplicatedState(StandinFleet(), ()) for _ in range(2)]
+        self.index, self.time_ms = 0, 0
+        self.sent = []
+        self.winners, self.in_force = {}, 0
+        self.withdrawn = set()
+        self.holders, self.created, self.deadlines, self.outcomes = {}, {}, {}, {}
+        self.requests, self.released = {}, {}
+        self.crashes, self.quarantine_ends = {}, {}
+        self.known = {}
+
+    def teardown(self):
+        claims.CLAIMS_LIMIT_COUNT = self.limit_count
+
+    @initialize()
+    def first_bundle(self):
+        self.apply(make_put(1, ACCOUNTS, KEYS[:1], "ann"))
+
+    def apply(self, command):
+        """Applies a command on both replicas and checks the answer."""
+        self.index += 1
+        self.time_ms += 1
+        data = codec.encode(command)
+        results = [r.apply(self.index, self.time_ms, data) for r in self.replicas]
+        assert results[0] == results[1]
+        result = codec.decode(results[0])
+        self.check(command, result)
+        return result
+
+    def send(self, command, fate):
+        """A command is applied now, or is in flight and applied later or never."""
+        self.sent.append(command)
+        if fate != "in_flight":
+            self.apply(command)
+
+    @rule(
+        version=st.integers(1, 8),
+        accounts=st.sampled_from((ACCOUNTS, ACCOUNTS[:1], ACCOUNTS[::-1])),
+        keys=st.sets(st.sampled_from(KEYS)),
+        author=st.sampled_from(("ann", "bob")),
+        fate=st.sampled_from(("applied", "in_flight")),
+    )
+    def put_bundle(self, version, accounts, keys, author, fate):
+        self.send(make_put(version, accounts, sorted(keys), author), fate)
+
+    @rule(key=st.sampled_from(KEYS), account=st.sampled_from((*ACCOUNTS, "none")))
+    def grant_key(self, key, account):
+        self.send(commands.GrantKey(key, account, "ann"), "applied")
+
+    @rule(key=st.sampled_from(KEYS), fate=st.sampled_from(("applied", "in_flight")))
+    def withdraw_key(self, key, fate):
+        self.send(commands.WithdrawKey(key, "bob"), fate)
+
+    @rule(
+        name=st.sampled_from("pqrs"),
+        request=st.sampled_from(("r", "r", "r", "other")),
+        holder=st.integers(0, 2),
+        lifetime_ms=st.sampled_from((10, 10_000)),
+        fate=st.sampled_from(("applied", "applied", "in_flight")),
+    )
+    def claim(self, name, request, holder, lifetime_ms, fate):
+        command = commands.ClaimKey(
+            "acme", name, request, f"{name}{holder}", lifetime_ms
+        )
+        self.send(command, fate)
+
+    @rule(
+        name=st.sampled_from("pqrs"),
+        holder=st.integers(0, 2),
+        status=st.sampled_from((200, 500)),
+        size=st.sampled_from((0, 3, claims.BODY_LIMIT_BYTES + 1)),
+    )
+    def finish(self, name, holder, status, size):
+        command = commands.FinishClaim(
+            "acme", name, f"{name}{holder}", status, "text/plain", b"x" * size
+        )
+        self.send(command, "applied")
+
+    @rule(pick=PICKS, status=st.sampled_from((200, 500)), size=st.sampled_from((0, 3)))
+    def finish_by_holder(self, pick, status, size):
+        if self.holders:
+            name = sorted(self.holders)[pick % len(self.holders)]
+            command = commands.FinishClaim(
+                "acme", name, self.holders[name], status, "text/plain", b"y" * size
+            )
+            self.send(command, "applied")
+
+    @rule(name=st.sampled_from("pqrs"), holder=st.integers(0, 2))
+    def release(self, name, holder):
+        """Released holders don't come back; their late claims may."""
+        self.send(commands.ReleaseClaim("acme", name, f"{name}{holder}"), "applied")
+
+    @rule(life=st.sampled_from("ABC"), digests=st.sets(st.sampled_from("xy")))
+    def report_crash(self, life, digests):
+        self.send(commands.ReportCrash(life, tuple(sorted(digests))), "applied")
+
+    @rule(digest=st.sampled_from("xy"))
+    def clear_suspect(self, digest):
+        self.send(commands.ClearSuspect(digest), "applied")
+
+    @rule(pick=PICKS)
+    def apply_again_or_late(self, pick):
+        """A resend, a late command, or one whose answer was lost."""
+        if self.sent:
+            self.apply(self.sent[pick % len(self.sent)])
+
+    @rule(picks=st.lists(PICKS, min_size=1, max_size=4))
+    def apply_batch(self, picks):
+        if not self.sent:
+            return
+        chosen = [self.sent[pick % len(self.sent)] for pick in picks]
+        batch = commands.CommandBatch(tuple(codec.encode(c) for c in chosen))
+        self.index += 1
+        self.time_ms += 1
+        data = codec.encode(batch)
+        results = [r.apply(self.index, self.time_ms, data) for r in self.replicas]
+        assert results[0] == results[1]
+        for command, result in zip(
+            chosen, codec.decode(results[0]).results, strict=True
+        ):
+            self.check(command, codec.decode(result))
+
+    @rule(ms=st.sampled_from((5, 20_000, 599_000, 24 * 3_600_000)))
+    def wait(self, ms):
+        self.time_ms += ms
+        self.apply(commands.ExpireRecords())
+
+    @rule(swap=st.booleans())
+    def restart_replica(self, swap):
+        """A snapshot is restored, in place or into an empty process."""
+        data = self.replicas[1].snapshot()
+        fresh = ReplicatedState(StandinFleet(), ()) if swap else self.replicas[1]
+        fresh.restore(data)
+        assert fresh.snapshot() == data
+        self.replicas[1] = fresh
+
+    # The oracle.
+
+    def check(self, command, result):
+        match command:
+            case commands.PutBundle():
+                self.check_bundle(command, result)
+            case commands.WithdrawKey():
+                self.withdrawn.add(command.sha256)
+            case commands.GrantKey():
+                if command.sha256 in self.withdrawn:
+                    assert result.code == "key_withdrawn"
+            case commands.ClaimKey() | commands.FinishClaim() | commands.ReleaseClaim():
+                self.check_claim(command, result)
+            case commands.ReportCrash() | commands.ClearSuspect():
+                self.check_suspects(command, result)
+
+    def check_bundle(self, command, result):
+        version = command.bundle.version
+        digest = bundle.digest(command.content.encode())
+        winner = self.winners.get(version)
+        if winner is not None and winner.digest == digest:
+            assert result == winner
+        elif winner is not None:
+            assert result == commands.VersionConflict(
+                version, winner.digest, winner.author
+            )
+        elif version <= self.in_force:
+            assert isinstance(result, commands.VersionSuperseded)
+        elif isinstance(result, commands.BundleAccepted):
+            assert (result.version, result.digest) == (version, digest)
+            assert (result.author, result.index) == (command.author, self.index)
+            self.winners[version] = result
+            self.in_force = version
+        else:
+            assert isinstance(result, commands.BundleRefused)
+
+    def check_claim(self, command, result):
+        name = command.key_digest
+        self.forget_old_claims()
+        if name in self.outcomes and not isinstance(command, commands.ReleaseClaim):
+            is_other = getattr(command, "request_digest", "r") != self.requests[name]
+            is_claim = isinstance(command, commands.ClaimKey)
+            if is_claim and is_other:
+                assert result.state is ClaimState.MISMATCH
+            else:
+                assert result == self.outcomes[name]
+            return
+        match command:
+            case commands.ClaimKey():
+                self.check_new_claim(command, result)
+            case commands.FinishClaim():
+                if self.holders.get(name) == command.holder:
+                    body = command.body
+                    kept = body if len(body) <= claims.BODY_LIMIT_BYTES else None
+                    assert result == commands.ClaimResult(
+                        ClaimState.FINISHED, command.status, "text/plain", kept
+                    )
+                    self.outcomes[name] = result
+                else:
+                    assert result.state is not ClaimState.FINISHED
+            case commands.ReleaseClaim():
+                self.released.setdefault(command.holder, self.time_ms)
+                if self.holders.get(name) == command.holder:
+                    if name in self.outcomes:
+                        assert result == self.outcomes[name]
+                    else:
+                        self.drop_claim(name)
+
+    def check_new_claim(self, command, result):
+        name, holder = command.key_digest, self.holders.get(command.key_digest)
+        if holder is None:
+            if result.state is ClaimState.GRANTED:
+                assert len(self.holders) < CLAIMS_LIMIT_COUNT, "a young claim was lost"
+                released_ms = self.released.pop(command.holder, -60_000)
+                assert self.time_ms >= released_ms + 60_000
+                self.holders[name] = command.holder
+                self.requests[name] = command.request_digest
+                self.created[name] = self.time_ms
+                self.deadlines[name] = self.time_ms + command.lifetime_ms
+            elif result.state is ClaimState.FULL:
+                assert len(self.holders) >= CLAIMS_LIMIT_COUNT
+            else:
+                # A late command of a holder that gave its claim back.
+                assert result.state is ClaimState.RUNNING
+                assert command.holder in self.released
+        elif command.request_digest != self.requests[name]:
+            assert result.state is ClaimState.MISMATCH
+        elif self.time_ms >= self.deadlines[name]:
+            assert result.state is ClaimState.UNKNOWN
+        elif holder == command.holder:
+            assert result.state is ClaimState.GRANTED
+        else:
+            assert result.state is ClaimState.RUNNING
+
+    def forget_old_claims(self):
+        for name, created_ms in list(self.created.items()):
+            if self.time_ms >= created_ms + 24 * 3_600_000:
+                self.drop_claim(name)
+
+    def drop_claim(self, name):
+        for table in (self.holders, self.requests, self.created, self.deadlines):
+            del table[name]
+        self.outcomes.pop(name, None)
+
+    def check_suspects(self, command, result):
+        self.end_quarantines()
+        if isinstance(command, commands.ReportCrash):
+            for digest, count in zip(command.digests, result.crash_counts, strict=True):
+                lives = self.crashes.setdefault(digest, set())
+                if command.life_id not in lives:
+                    lives.add(command.life_id)
+                    self.quarantine_ends[digest] = self.time_ms + 600_000
+                assert count == len(lives)
+        elif len(self.crashes.get(command.digest, ())) < 2:
+            self.crashes.pop(command.digest, None)
+
+    def end_quarantines(self):
+        for digest in list(self.crashes):
+            if self.time_ms >= self.quarantine_ends[digest]:
+                del self.crashes[digest]
+
+    @invariant()
+    def replicas_are_equal(self):
+        first, second = self.replicas
+        assert first.snapshot() == second.snapshot()
+        assert first.view.items == second.view.items
+
+    @invariant()
+    def view_follows_the_rules(self):
+        items = self.replicas[0].view.items
+        for sha256 in self.withdrawn:
+            assert f"key/{sha256}" not in items
+        if self.in_force:
+            assert codec.decode(items["bundle"]).version == self.in_force
+        self.end_quarantines()
+        quarantined = {
+            name
+            for name in items
+            if name.startswith("suspect/") and codec.decode(items[name]).quarantined
+        }
+        expected = {
+            f"suspect/{d}" for d, lives in self.crashes.items() if len(lives) > 1
+        }
+        assert quarantined == expected
+
+    @invariant()
+    def increments_give_the_present_view(self):
+        state = self.replicas[0].view
+        for index, items in self.known.items():
+            if view.can_increment(state, index):
+                delta = view.delta_since(state, index)
+                after = {**items, **delta.upserts}
+                for name in delta.deletes:
+                    after.pop(name, None)
+                assert after == state.items
+        if self.index % 5 == 0:
+            self.known[self.index] = dict(state.items)
+
+
+TestReplicatedFuzz = Replicated.TestCase
+TestReplicatedFuzz.settings = hypothesis.settings(
+    max_examples=3_000 if IS_LONG else 250,
+    stateful_step_count=50,
+    derandomize=not IS_LONG,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
