Test whole members over sockets and as processes; notice ended streams

A member that only wrote to a stream didn't notice that its receiver had ended it on a live connection: a restarted member got nothing for over 30 s in a test. The sender now reads the stream, and the receiver shows once a second that it is there.

--- a/cassiapitch/peers.py
+++ b/cassiapitch/peers.py
@@ -1,7 +1,8 @@
 """Streams to the other control members.
 
-Each member opens one stream to every other one and only sends on it; answers come
-back on the other one's stream. Messages may be lost: consensus repeats what matters.
+Each member opens one stream to every other one and sends on it; messages back come
+on the other one's stream, apart from an empty batch once a second, which shows that
+this stream is alive. Messages may be lost: consensus repeats what matters.
 """
 
 import collections
@@ -29,14 +30,17 @@
 CONNECT_TIMEOUT_S = 1.0
 SEND_TIMEOUT_S = 3.0
 # A connection to an isolated instance looks intact until TCP gives up, which takes
-# minutes. Whoever is sent messages answers within milliseconds.
+# minutes. The receiver of messages shows once a second that it is there.
 SILENCE_LIMIT_MS = 3_000
+ALIVE_MS = 1_000
 BACKOFF_FIRST_S = 0.05
 BACKOFF_LAST_S = 1.0
 
-LOST = (OSError, TimeoutError, grpclib.exceptions.GRPCError, CodecError)
-LOST_STREAM = (
-    *LOST,
+LOST = (
+    OSError,
+    TimeoutError,
+    CodecError,
+    grpclib.exceptions.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
 )
@@ -134,22 +138,25 @@
         with link.scope:
             while True:
                 started_ms = now_ms()
-                try:
-                    await self._connect(link)
-                except PeerRefusedError as error:
-                    fields = {"target": link.target, "reason": str(error)}
-                    events.log(events.Event.PEER_REFUSED, **fields)
-                except LOST_STREAM as error:
-                    fields = {"target": link.target, "reason": repr(error)}
-                    events.log(events.Event.PEER_LOST, **fields)
+                reason = await self._connect_and_send(link)
+                fields = {"target": link.target, "reason": reason}
+                events.log(events.Event.PEER_LOST, **fields)
                 # What waited is old by now; its senders repeat what still matters.
                 link.waiting.clear()
                 link.size_bytes = 0
-                if now_ms() - started_ms > 10_000:
+                if now_ms() - started_ms > 1_000:
                     delay_s = BACKOFF_FIRST_S
                 await anyio.sleep(delay_s)
                 delay_s = min(BACKOFF_LAST_S, delay_s * 2)
 
+    async def _connect_and_send(self, link: _Link) -> str:
+        reasons: list[str] = []
+        try:
+            await self._connect(link)
+        except* (*LOST, PeerRefusedError) as group:
+            reasons = [repr(error) for error in group.exceptions]
+        return ", ".join(reasons)
+
     async def _connect(self, link: _Link) -> None:
         channel = rpc.open_channel(link.address, self._tls)
         try:
@@ -160,10 +167,20 @@
                 fields = {"name": hello.name, "target": link.target}
                 events.log(events.Event.PEER_CONNECTED, **fields)
                 link.unanswered_ms = None
-                await self._send_all(link, stream)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._watch, link, stream)
+                    await self._send_all(link, stream)
         finally:
             channel.close()
 
+    async def _watch(
+        self, link: _Link, stream: grpclib.client.Stream[Any, Any]
+    ) -> None:
+        # Without reading, the end of a stream on a live connection goes unnoticed.
+        while await stream.recv_message() is not None:
+            link.unanswered_ms = None
+        raise TimeoutError("the member ended the stream")
+
     async def _exchange(self, stream: grpclib.client.Stream[Any, Any]) -> PeerHello:
         own = self._hello()
         with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -208,7 +225,7 @@
                     hello = await self._exchange(stream)
                     await stream.end()
             return hello
-        except (*LOST_STREAM, PeerRefusedError):
+        except (*LOST, PeerRefusedError):
             return None
         finally:
             channel.close()
@@ -234,11 +251,12 @@
     async def _receive(
         self, sender: str, stream: grpclib.server.Stream[Any, Any]
     ) -> None:
+        alive_ms = now_ms()
         async for batch in stream:
             if not isinstance(batch, PeerBatch):
                 return
-            link = self._links.get(sender)
-            if link is not None:
-                link.unanswered_ms = None
+            if now_ms() - alive_ms >= ALIVE_MS:
+                alive_ms = now_ms()
+                await stream.send_message(PeerBatch(sender, ()))
             for item in batch.items:
                 self._on_message(sender, batch.target, codec.decode(item))
--- /dev/null
+++ b/tests/member_group.py
@@ -0,0 +1,125 @@
+"""Starts groups of members for tests: as tasks, or as processes on loopback."""
+
+import contextlib
+import itertools
+import json
+import pathlib
+import socket
+import sys
+
+import anyio
+import anyio.streams.text
+
+from tests.log_member import Server, make_settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+LIMIT_S = 30
+
+
+def free_ports(names):
+    with contextlib.ExitStack() as stack:
+        ports = {}
+        for name in names:
+            opened = stack.enter_context(socket.socket())
+            opened.bind(("127.0.0.1", 0))
+            ports[name] = opened.getsockname()[1]
+        return ports
+
+
+async def until(condition):
+    """Polls a condition that a running group reaches at some time."""
+    with anyio.fail_after(LIMIT_S):
+        while True:
+            found = condition()
+            if found:
+                return found
+            await anyio.sleep(0.02)
+
+
+class TaskGroupOfMembers:
+    """Members as tasks of this process, over real sockets."""
+
+    def __init__(self, tasks, folder, names="abc", **options):
+        self.tasks = tasks
+        self.folder = folder
+        self.ports = free_ports(names)
+        self.options = options
+        self.servers = {}
+        self.scopes = {}
+        self.ended = {}
+
+    async def start(self, name, **options):
+        settings = make_settings(name, self.ports, self.folder / name)
+        server = Server(settings, **self.options, **options)
+        self.scopes[name] = anyio.CancelScope()
+        self.ended[name] = anyio.Event()
+        await self.tasks.start(self._run, name, server)
+        self.servers[name] = server
+        return server
+
+    async def start_all(self):
+        for name in self.ports:
+            await self.start(name)
+        return await self.leader()
+
+    async def _run(self, name, server, *, task_status):
+        try:
+            with self.scopes[name]:
+                await server.run(task_status=task_status)
+        except* Exception as group:
+            server.failure = group
+        finally:
+            self.ended[name].set()
+
+    async def stop(self, name):
+        self.scopes[name].cancel()
+        await self.ended[name].wait()
+        del self.servers[name]
+
+    async def leader(self, among=None):
+        return await until(lambda: self._find_leader(among or self.servers))
+
+    def _find_leader(self, among):
+        for name in among:
+            if self.servers[name].member.status().role == "leader":
+                return name
+        return None
+
+
+class ProcessMember:
+    """A member as a process; `do` returns its answer, None if the process ended."""
+
+    def __init__(self, name, ports, folder):
+        self.name = name
+        self.options = {"name": name, "ports": ports, "folder": str(folder / name)}
+        self.numbers = itertools.count()
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        command = [sys.executable, "-m", "tests.log_member", json.dumps(self.options)]
+        self.answers, self.waiting = {}, {}
+        async with await anyio.open_process(command, cwd=ROOT, stderr=None) as process:
+            self.process = process
+            text = ""
+            async for part in anyio.streams.text.TextReceiveStream(process.stdout):
+                *lines, text = (text + part).split("\n")
+                for line in lines:
+                    self._receive(json.loads(line), task_status)
+        for done in self.waiting.values():
+            done.set()
+
+    def _receive(self, message, task_status):
+        if message == "ready":
+            task_status.started()
+            return
+        number, answer = message
+        self.answers[number] = answer
+        self.waiting.pop(number).set()
+
+    async def do(self, *operation):
+        number = next(self.numbers)
+        done = self.waiting[number] = anyio.Event()
+        line = json.dumps([number, *operation]) + "\n"
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await self.process.stdin.send(line.encode())
+            await done.wait()
+        return self.answers.pop(number, None)
--- /dev/null
+++ b/tests/test_member.py
@@ -0,0 +1,256 @@
+"""Tests of whole members: three tasks over sockets, and three processes."""
+
+import signal
+
+import anyio
+import pytest
+
+from cassiapitch import files
+from cassiapitch.exceptions import StorageError
+from cassiapitch.raftmessages import ForwardAnswer
+from cassiapitch.timers import now_ms
+from tests.member_group import (
+    ProcessMember,
+    TaskGroupOfMembers,
+    free_ports,
+    until,
+)
+from tests.memory_disk import MemoryDisk
+
+
+def run_group(body, folder, **options):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            await body(TaskGroupOfMembers(tasks, folder, **options))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def committed(server, *commands):
+    for command in commands:
+        answer = await server.do("propose", command, 10_000)
+        assert answer["outcome"] == "Committed", answer
+
+
+def others(group, name):
+    return sorted(set(group.servers) - {name})
+
+
+def test_every_member_proposes_and_reads(tmp_path):
+    """Guards against a follower that can't propose or reads what is out of date."""
+
+    async def body(group):
+        leader = await group.start_all()
+        for number, server in enumerate(group.servers.values()):
+            await committed(server, f"command-{number}")
+            for reader in group.servers.values():
+                answer = await reader.do("read", 5_000)
+                assert answer["outcome"] == "ReadConfirmed"
+                assert len(reader.machine.commands) == number + 1
+        leases = [one.member.has_lease(now_ms()) for one in group.servers.values()]
+        names = list(group.servers)
+        assert [name for name, held in zip(names, leases, strict=True) if held] == [
+            leader
+        ]
+
+    run_group(body, tmp_path)
+
+
+def test_concurrent_proposals_share_writes(tmp_path):
+    """Guards against one sync for each of many proposals."""
+
+    async def body(group):
+        leader = group.servers[await group.start_all()]
+        batches = []
+        write = leader.member._journal.write
+        leader.member._journal.write = lambda batch: batches.append(write(batch))
+        async with anyio.create_task_group() as proposals:
+            for number in range(200):
+                proposals.start_soon(committed, leader, f"command-{number}")
+        assert len(leader.machine.commands) == 200
+        assert len(batches) <= 20
+
+    run_group(body, tmp_path)
+
+
+def test_without_a_quorum_nothing_is_accepted(tmp_path):
+    """Guards against an answer `uncertain` where nothing can have been applied."""
+
+    async def body(group):
+        alone = await group.start("b")
+        answer = await alone.do("propose", "x", 300)
+        assert answer == {"outcome": "NotAccepted", "leader": None}
+        assert (await alone.do("read", 300))["outcome"] == "ReadUnavailable"
+        assert alone.member.status().role == "waiting"
+
+    run_group(body, tmp_path)
+
+
+def test_lost_answer_is_uncertain(tmp_path):
+    """Guards against `NotAccepted`, and so a repetition, of an applied command."""
+
+    async def body(group):
+        leader = await group.start_all()
+        follower = group.servers[others(group, leader)[0]]
+        peers = group.servers[leader].member.peers
+        send = peers.send
+
+        def lose_answers(target, message):
+            return isinstance(message, ForwardAnswer) or send(target, message)
+
+        group.servers[leader].member.proposer._send = lose_answers
+        answer = await follower.do("propose", "x", 500)
+        assert answer == {"outcome": "Uncertain"}
+        await until(lambda: follower.machine.commands == ["x"])
+
+    run_group(body, tmp_path)
+
+
+def test_member_with_an_empty_disk_waits_for_admission(tmp_path):
+    """Guards against a vote of a lost disk, and against a second group.
+
+    `a` is the member that formed the group, so that it would form another one if it
+    didn't ask its peers. Afterwards the repaired group survives a second loss.
+    """
+
+    async def body(group):
+        await group.start_all()
+        await committed(group.servers["b"], "one", "two")
+        await group.stop("a")
+        (tmp_path / "a").rename(tmp_path / "lost")
+        await group.leader()
+        empty = await group.start("a")
+        await committed(group.servers["b"], "three")
+        assert empty.member.status().role == "waiting"
+        assert empty.machine.commands == []
+        admin = group.servers["c"]
+        port = group.ports["a"]
+        refused = await admin.do("add", "a", port)
+        assert refused["reason"] == "a is a member; remove it first"
+        for change in (("remove", "a"), ("add", "a", port), ("promote", "a")):
+            assert (await admin.do(*change))["outcome"] == "Committed"
+        await group.stop("b")
+        await committed(admin, "four")
+        await until(lambda: empty.machine.commands == ["one", "two", "three", "four"])
+
+    run_group(body, tmp_path)
+
+
+def test_lagging_member_gets_a_snapshot(tmp_path, monkeypatch):
+    """Guards against a member that can't return once the log is compacted."""
+    monkeypatch.setattr("cassiapitch.snapshots.CHUNK_BYTES", 300)
+
+    async def body(group):
+        leader = await group.start_all()
+        lagging = others(group, leader)[0]
+        await group.stop(lagging)
+        commands = [f"command-{number}" for number in range(100)]
+        await committed(group.servers[leader], *commands)
+        back = await group.start(lagging)
+        await until(lambda: back.machine.commands == commands)
+        assert back.member.node.log.base_index > 50
+        await group.stop(lagging)
+        again = await group.start(lagging)
+        await until(lambda: again.machine.commands == commands)
+
+    run_group(body, tmp_path, snapshot_count=20, retained_count=5)
+
+
+def test_transfer_and_removal_of_the_leader(tmp_path):
+    """Guards against a planned stop that leaves the group without a leader."""
+
+    async def body(group):
+        leader = await group.start_all()
+        target, admin = others(group, leader)
+        answer = await group.servers[admin].do("transfer_leadership", target)
+        assert answer["outcome"] == "Committed"
+        assert group.servers[target].member.status().role == "leader"
+        answer = await group.servers[admin].do("remove", target)
+        assert answer["outcome"] == "Committed"
+        await group.leader([leader, admin])
+        await committed(group.servers[admin], "after")
+
+    run_group(body, tmp_path)
+
+
+def test_full_disk_stops_the_member_and_not_the_group(tmp_path):
+    """Guards against answers of a member that can't store what it promises."""
+
+    async def body(group):
+        disk = MemoryDisk()
+        for name in "ab":
+            await group.start(name)
+        full = await group.start("c", folder=disk.files)
+        await group.leader()
+        await committed(full, "one")
+        disk.is_full = True
+        await committed(group.servers["a"], "two")
+        with anyio.fail_after(30):
+            await group.ended["c"].wait()
+        assert full.failure.subgroup(StorageError) is not None
+        assert "No space left" in str(full.failure.subgroup(StorageError).exceptions)
+        del group.servers["c"]
+        await committed(group.servers["a"], "three")
+
+    run_group(body, tmp_path)
+
+
+def test_folder_of_another_member_is_refused(tmp_path):
+    """Guards against a disk that is mounted at the wrong instance."""
+
+    async def body(group):
+        folder = files.open_folder(str(tmp_path / "b"))
+        first = await group.start("a", folder=folder)
+        await group.stop("a")
+        assert first.member.status().role == "waiting"
+        with pytest.raises(RuntimeError, match="task_status"):
+            await group.start("b")
+        assert group.ended["b"].is_set()
+
+    run_group(body, tmp_path)
+
+
+def test_killed_leader_loses_nothing_acknowledged(tmp_path):
+    """Guards against lost commands when processes are killed without warning."""
+    ports = free_ports("abc")
+    members = {name: ProcessMember(name, ports, tmp_path) for name in ports}
+    acknowledged = []
+
+    async def propose(member, first):
+        for number in range(first, first + 150):
+            answer = await member.do("propose", f"command-{number}", 5_000)
+            if answer is not None and answer["outcome"] == "Committed":
+                acknowledged.append(f"command-{number}")
+
+    async def leader_among(names):
+        with anyio.fail_after(30):
+            while True:
+                for name in names:
+                    if (await members[name].do("status"))["role"] == "leader":
+                        return name
+                await anyio.sleep(0.05)
+
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            for member in members.values():
+                await tasks.start(member.run)
+            killed = await leader_among(members)
+            rest = sorted(set(members) - {killed})
+            async with anyio.create_task_group() as proposals:
+                for number, name in enumerate([killed, *rest]):
+                    proposals.start_soon(propose, members[name], number * 1_000)
+                await until(lambda: len(acknowledged) >= 60)
+                members[killed].process.send_signal(signal.SIGKILL)
+            await leader_among(rest)
+            await tasks.start(members[killed].run)
+            for member in members.values():
+                assert (await member.do("read", 20_000))["outcome"] == "ReadConfirmed"
+                commands = await member.do("commands")
+                assert len(commands) == len(set(commands))
+                assert set(acknowledged) <= set(commands)
+            assert len(acknowledged) > 200
+            for member in members.values():
+                await member.process.stdin.aclose()
+
+    anyio.run(main)
