--- a/tests/consensus_chaos.py
+++ b/tests/consensus_chaos.py
@@ -33,6 +33,9 @@
     loss: float = 0.0
     duplicates: float = 0.0
     sync_rate: float = 0.7
+    slow_rates: tuple = (0.0,)
+    longest_down_ms: int = 1_500
+    cuts: tuple = ("heal", "one", "one", "halves", "links", "links")
 
 
 PROFILES = {
@@ -41,8 +44,16 @@
     "restarts": Profile(kill_ms=450, cut_ms=600, sync_rate=0.5),
     "frozen": Profile(freeze_ms=600, kill_ms=2_000, transfer_ms=2_000, read_ms=15),
     "cuts": Profile(cut_ms=350, kill_ms=1_500, read_ms=15, sync_rate=0.3),
+    "one_way": Profile(cut_ms=1_500, cuts=("links",), sync_rate=1.0),
+    "one_way_restarts": Profile(
+        cut_ms=1_500, cuts=("links",), sync_rate=1.0, kill_ms=300, longest_down_ms=60
+    ),
     "slow_disks": Profile(sync_rate=0.04, cut_ms=1_500, transfer_ms=900, read_ms=10),
     "late": Profile(delay_ms=600, cut_ms=1_500, read_ms=15, kill_ms=2_500),
+    "slow_links": Profile(cut_ms=1_500, cuts=("heal", "one"), slow_rates=(0.2, 0.4)),
+    "slow_disk_kills": Profile(
+        sync_rate=0.06, kill_ms=900, cut_ms=800, longest_down_ms=200
+    ),
     "late_transfers": Profile(delay_ms=300, transfer_ms=300, duplicates=0.3),
     "lossy": Profile(loss=0.3, duplicates=0.3, delay_ms=60, snapshot_ms=200),
     "changes": Profile(change_ms=60, kill_ms=700, cut_ms=400, snapshot_ms=300),
@@ -74,6 +85,7 @@
 
     def run(self, profile, duration_ms):
         cluster = self.cluster
+        self.profile = profile
         cluster.loss, cluster.duplicates = profile.loss, profile.duplicates
         cluster.delay_ms = profile.delay_ms
         faults = (
@@ -116,7 +128,7 @@
         member = member or self.pick()
         if member is not None:
             member.crash(mid_write=self.source.random() < 0.5)
-            self.later(1_500, lambda: self.start(member.name))
+            self.later(self.profile.longest_down_ms, lambda: self.start(member.name))
 
     def start(self, name):
         if self.cluster.members[name].node is None:
@@ -141,7 +153,7 @@
 
     def cut(self):
         names = list(self.cluster.members)
-        kind = self.source.choice(["heal", "one", "one", "halves", "links", "links"])
+        kind = self.source.choice(self.profile.cuts)
         pairs = list(itertools.permutations(names, 2))
         if kind == "heal":
             cut = set()
@@ -155,6 +167,8 @@
                 side |= set(self.source.sample(names, len(names) // 2))
             cut = {pair for pair in pairs if (pair[0] in side) != (pair[1] in side)}
         self.cluster.cut = cut
+        rate = self.source.choice(self.profile.slow_rates)
+        self.cluster.slow = {pair for pair in pairs if self.source.random() < rate}
 
     def change(self):
         name = self.source.choice(list(self.cluster.members))
--- a/tests/consensus_model.py
+++ b/tests/consensus_model.py
@@ -26,7 +26,14 @@
 
 STEP_MS = 10
 RETAINED_COUNT = 3
-SEGMENT_BYTES = 600
+# Small limits, so that segments, messages and chunks end where a fault can hit.
+LIMITS = (
+    (journal, "SEGMENT_BYTES", 600),
+    (replication, "MESSAGE_BYTES", 60),
+    (replication, "PIPELINE_COUNT", 4),
+    (snapshots, "CHUNK_BYTES", 400),
+)
+SLOW_MS = 900
 
 
 class Oracle:
@@ -174,6 +181,7 @@
         self.loss = self.duplicates = 0.0
         self.delay_ms = 5
         self.cut = set()
+        self.slow = set()
         self.members = {}
         names = [f"m{number}" for number in range(voter_count + spare_count)]
         for name in names:
@@ -190,7 +198,9 @@
     def transmit(self, sender, target, message):
         for _ in range(2 if self.source.random() < self.duplicates else 1):
             if self.source.random() >= self.loss:
-                due_ms = self.time_ms + self.source.randint(1, self.delay_ms)
+                pair = (sender.rpartition("-")[0], target.rpartition("-")[0])
+                longest_ms = SLOW_MS if pair in self.slow else self.delay_ms
+                due_ms = self.time_ms + self.source.randint(1, longest_ms)
                 item = (due_ms, next(self.numbers), sender, target, message)
                 heapq.heappush(self.network, item)
 
@@ -230,12 +240,17 @@
             self.check_leases()
 
     def check_leases(self):
+        """At most one lease, at a member that knows all that was acknowledged."""
         holders = [
-            member.disk_id
+            member
             for member in self.members.values()
             if member.is_running and replication.has_lease(member.node, member.now_ms())
         ]
-        assert len(holders) <= 1, f"{holders} hold a lease at the same time"
+        names = [holder.disk_id for holder in holders]
+        assert len(holders) <= 1, f"{names} hold a lease at the same time"
+        for holder in holders:
+            known = holder.node.commit_index
+            assert known >= self.oracle.highest, f"{names} has a lease but lags"
 
     def isolate(self, names):
         pairs = itertools.permutations(self.members, 2)
@@ -281,6 +296,7 @@
         self.loss = self.duplicates = 0.0
         self.delay_ms = 5
         self.cut = set()
+        self.slow = set()
         for member in self.members.values():
             member.is_frozen = False
             if member.node is None:
--- a/tests/memory_disk.py
+++ b/tests/memory_disk.py
@@ -64,8 +64,17 @@
             if bytes(content.live[:durable_count]) == content.durable:
                 kept_count = source.randint(durable_count, len(content.live))
                 content.live = content.live[:kept_count]
+                self._lose_middle(content.live, durable_count, source)
             else:
                 content.live = bytearray(content.durable)
             content.durable = bytes(content.live)
         self.names = names
         self.durable_names = dict(names)
+
+    @staticmethod
+    def _lose_middle(live, durable_count, source):
+        """Blocks are written back in any order: one before the end may be missing."""
+        if source.random() < 0.3 and len(live) > durable_count:
+            start = source.randrange(durable_count, len(live))
+            stop = min(len(live), start + source.randint(1, 50))
+            live[start:stop] = bytes(stop - start)
--- a/tests/test_consensus_fuzz.py
+++ b/tests/test_consensus_fuzz.py
@@ -12,10 +12,10 @@
     rule,
 )
 
-from cassiapitch import changes, journal
+from cassiapitch import changes
 from cassiapitch.raftmessages import ChangeKind
 from tests.consensus_chaos import PROFILES, Chaos
-from tests.consensus_model import SEGMENT_BYTES, Cluster
+from tests.consensus_model import LIMITS, Cluster
 
 IS_LONG = "CASSIAPITCH_FUZZ" in os.environ
 NAMES = st.integers(0, 4).map("m{}".format)
@@ -165,8 +165,9 @@
 
 
 @pytest.fixture(autouse=True)
-def _small_segments(monkeypatch):
-    monkeypatch.setattr(journal, "SEGMENT_BYTES", SEGMENT_BYTES)
+def _small_limits(monkeypatch):
+    for module, name, value in LIMITS:
+        monkeypatch.setattr(module, name, value)
 
 
 TestControlGroupFuzz = ControlGroup.TestCase
