Let a leader with a stuck disk step down; bound open proposals and reads

A leader whose sync hangs kept its leadership by heartbeats but applied nothing, so that every proposal timed out. It steps down after 1 s now, and its next vote waits for the disk.

--- a/cassiapitch/consensus.py
+++ b/cassiapitch/consensus.py
@@ -111,6 +111,12 @@
     _advance(node, now_ms)
 
 
+def step_down(node: Node, now_ms: int) -> None:
+    """Stops leading, for instance since this member's disk doesn't answer."""
+    if node.leadership is not None:
+        node.become_follower(node.term, None, now_ms)
+
+
 def synced(node: Node, write_number: int, now_ms: int) -> None:
     """Notes that all writes up to a number are synced."""
     node.synced(write_number)
--- a/cassiapitch/diskwriter.py
+++ b/cassiapitch/diskwriter.py
@@ -9,6 +9,9 @@
 from cassiapitch.exceptions import StorageError
 from cassiapitch.journal import Journal
 from cassiapitch.node import Write
+from cassiapitch.timers import now_ms
+
+STUCK_MS = 1_000
 
 
 class DiskWriter:
@@ -24,6 +27,7 @@
         self._waiting: list[Write] = []
         self._added_number = 0
         self.synced_number = 0
+        self._started_ms: int | None = None
         self._wake = anyio.Event()
         self._synced = anyio.Event()
 
@@ -44,16 +48,23 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             batch, self._waiting = self._waiting, []
+            self._started_ms = now_ms()
             try:
                 await anyio.to_thread.run_sync(_write, journal, batch)
             except StorageError as error:
                 events.log(events.Event.STORAGE_FAILED, reason=str(error))
                 raise
+            self._started_ms = None
             self.synced_number += len(batch)
             synced, self._synced = self._synced, anyio.Event()
             synced.set()
             self._on_synced(self.synced_number)
 
+    def is_stuck(self, time_ms: int) -> bool:
+        """Tells whether the disk has taken too long for the current batch."""
+        started_ms = self._started_ms
+        return started_ms is not None and time_ms - started_ms > STUCK_MS
+
     def all_synced(self) -> Awaitable[None]:
         """Waits until everything that is queued now is synced."""
         return self._wait_for(self._added_number)
--- a/cassiapitch/member.py
+++ b/cassiapitch/member.py
@@ -68,6 +68,7 @@
 APPLY_BATCH_COUNT = 256
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 SNAPSHOT_COUNT = 8_192
+READS_LIMIT_COUNT = 8_192
 
 ReadOutcome = ReadConfirmed | ReadUnavailable
 ChangeOutcome = Committed | ChangeRefused | NotAccepted | Uncertain
@@ -173,6 +174,8 @@
 
     async def read_index(self, timeout_ms: int) -> ReadOutcome:
         """Returns once this member has applied all that was committed before."""
+        if len(self._reads.waiting) >= READS_LIMIT_COUNT:
+            return ReadUnavailable()
         read = ReadWait(anyio.Event())
         self._reads.waiting.append(read)
         self.pump()
@@ -333,6 +336,10 @@
         while True:
             await anyio.sleep(TICK_MS / 1000)
             consensus.tick(self.node, now_ms())
+            if self._writer.is_stuck(now_ms()):
+                # It would go on as leader without ever applying anything. Its next
+                # election waits for the disk, since its vote has to be synced.
+                consensus.step_down(self.node, now_ms())
             self.proposer.tick()
             self.pump()
 
--- a/cassiapitch/node.py
+++ b/cassiapitch/node.py
@@ -94,6 +94,7 @@
         acked_round: The newest round that the member answered.
         snapshot: The encoded snapshot being sent, its index and term.
         snapshot_offset: What the member needs next of it.
+        snapshot_checksum: CRC-32 of all of it.
     """
 
     next_index: int
@@ -105,6 +106,7 @@
     acked_round: int = 0
     snapshot: SaveSnapshot | None = None
     snapshot_offset: int = 0
+    snapshot_checksum: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/proposer.py
+++ b/cassiapitch/proposer.py
@@ -20,6 +20,9 @@
 from cassiapitch.raftmessages import Entry, ForwardAnswer, ForwardAsk, ForwardItem
 from cassiapitch.timers import now_ms
 
+# Proposals of this member that are not ended, wherever they are.
+OPEN_LIMIT_COUNT = 16_384
+
 ProposeOutcome = Committed | NotAccepted | Uncertain
 
 
@@ -52,6 +55,7 @@
         self._forward_number = 0
         self._replies = Replies()
         self._wake = anyio.Event()
+        self._open_count = 0
 
     async def propose(self, command: bytes, timeout_ms: int) -> ProposeOutcome:
         """Queues a command and waits for its end."""
@@ -63,14 +67,17 @@
             done.set()
 
         proposal = Proposal(command, finish)
-        if not self._waiting.add(proposal):
+        is_full = self._open_count >= OPEN_LIMIT_COUNT
+        if is_full or not self._waiting.add(proposal):
             return NotAccepted(self._leader_name())
         self._wake.set()
+        self._open_count += 1
         try:
             with anyio.move_on_after(timeout_ms / 1000):
                 await done.wait()
         finally:
             proposal.is_abandoned = True
+            self._open_count -= 1
         if ends and ends[0] is not None:
             return Committed(*ends[0])
         if proposal.is_handed_over and not ends:
--- a/cassiapitch/snapshots.py
+++ b/cassiapitch/snapshots.py
@@ -25,8 +25,11 @@
 
 def start(node: Node, disk_id: str, progress: Progress, now_ms: int) -> None:
     """Begins to send the newest snapshot to a member."""
-    progress.snapshot = node.snapshot
+    saved = node.snapshot
+    assert saved is not None, "entries are removed only once a snapshot covers them"
+    progress.snapshot = saved
     progress.snapshot_offset = 0
+    progress.snapshot_checksum = zlib.crc32(saved.blob)
     progress.progress_ms = now_ms
     send_chunk(node, disk_id, progress)
 
@@ -42,7 +45,7 @@
         saved.term,
         offset,
         len(saved.blob),
-        zlib.crc32(saved.blob),
+        progress.snapshot_checksum,
         saved.blob[offset : offset + CHUNK_BYTES],
     )
     node.send(disk_id, message)
--- a/tests/consensus_model.py
+++ b/tests/consensus_model.py
@@ -90,6 +90,7 @@
         self.proposed = {}
         self.asked = {}
         self.token = 0
+        self.log_time_ms = 0
         self.pump()
 
     def crash(self, mid_write):
@@ -129,9 +130,12 @@
         if isinstance(todo, consensus.Restore):
             found = json.loads(todo.snapshot.data)
             self.commands = {int(index): text.encode() for index, text in found.items()}
+            self.log_time_ms = todo.snapshot.time_ms
             oracle.on_state(todo.snapshot.index, self.commands)
             return
         for entry in todo:
+            assert entry.time_ms >= self.log_time_ms, "log time went back"
+            self.log_time_ms = entry.time_ms
             is_command = entry.kind is EntryKind.COMMAND
             oracle.on_applied(
                 entry.index, entry.term, entry.data if is_command else b""
--- a/tests/log_member.py
+++ b/tests/log_member.py
@@ -13,7 +13,7 @@
 import anyio.to_thread
 
 from cassiapitch import events, rpc
-from cassiapitch.member import Member
+from cassiapitch.member import Committed, Member
 from cassiapitch.settings import Address, ControlPeer, ControlSettings
 
 
@@ -93,6 +93,8 @@
             return self.machine.commands
         elif operation == "cpu":
             return time.process_time_ns()
+        elif operation == "load":
+            return await self.load(*arguments)
         elif operation == "add":
             outcome = await member.add_learner(
                 arguments[0], Address("127.0.0.1", arguments[1])
@@ -101,6 +103,20 @@
             outcome = await getattr(member, operation)(*arguments)
         return describe(outcome)
 
+    async def load(self, proposers_count, each_count, size_bytes):
+        """Proposes from several tasks at once; returns how many were committed."""
+        command = b"x" * size_bytes
+        outcomes = []
+
+        async def propose_some():
+            for _ in range(each_count):
+                outcomes.append(await self.member.propose(command, 10_000))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(proposers_count):
+                group.start_soon(propose_some)
+        return sum(isinstance(outcome, Committed) for outcome in outcomes)
+
 
 async def serve_lines(server, group):
     async def handle(number, operation, arguments):
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -1,6 +1,8 @@
 """Tests of whole members: three tasks over sockets, and three processes."""
 
+import dataclasses
 import signal
+import threading
 
 import anyio
 import pytest
@@ -196,6 +198,40 @@
     run_group(body, tmp_path)
 
 
+def test_leader_with_a_stuck_disk_gives_way(tmp_path):
+    """Guards against a group that waits for a leader whose disk never answers."""
+    blocked, released = threading.Event(), threading.Event()
+
+    async def body(group):
+        disk = MemoryDisk()
+
+        def sync(name):
+            if blocked.is_set():
+                released.wait(30)
+            disk.files.sync(name)
+
+        stuck = dataclasses.replace(disk.files, sync=sync)
+        await group.start("a", folder=stuck)
+        for name in "bc":
+            await group.start(name)
+        assert await group.leader() in group.servers
+        answer = await group.servers["b"].do("transfer_leadership", "a")
+        assert answer["outcome"] in ("Committed", "ChangeRefused")
+        await group.leader("a")
+        blocked.set()
+        await group.servers["a"].do("propose", "one", 100)
+        await group.leader("bc")
+        await committed(group.servers["b"], "two")
+        released.set()
+        machine = group.servers["a"].machine
+        await until(lambda: machine.commands[-1:] == ["two"])
+
+    try:
+        run_group(body, tmp_path)
+    finally:
+        released.set()
+
+
 def test_folder_of_another_member_is_refused(tmp_path):
     """Guards against a disk that is mounted at the wrong instance."""
 
