--- a/tests/log_member.py
+++ b/tests/log_member.py
@@ -79,8 +79,7 @@
         try:
             await self.member.run(task_status=task_status)
         finally:
-            with anyio.CancelScope(shield=True):
-                server.server.close()
+            server.server.close()
 
     async def do(self, operation, *arguments):
         member = self.member
