--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -46,6 +46,13 @@
     SNAPSHOT_SENT = 310
     MEMBERSHIP_CHANGED = 311
 
+    STANDIN_LISTENING = 501
+    TERM_BEGUN = 502
+    ORDERS_RECORDED = 504
+    ORDER_ANSWERED = 505
+    PROPOSAL_FAILED = 507
+    BACKEND_EVENT = 508
+
 
 def log(event: Event, **fields: Any) -> None:
     """Writes one event.
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -106,6 +106,9 @@
     def view_items(self):
         return {}
 
+    def take_view_changes(self):
+        return {}
+
     def set_bundle(self, bundle):
         self.bundle = bundle
 
