--- a/cassiapitch/group.py
+++ b/cassiapitch/group.py
@@ -4,8 +4,10 @@
 from typing import Any, Protocol
 
 from cassiapitch import codec
-from cassiapitch.member import ChangeOutcome, MemberStatus, ProposeOutcome, ReadOutcome
+from cassiapitch.member import ChangeOutcome, ReadOutcome
+from cassiapitch.membertypes import MemberStatus
 from cassiapitch.proposals import Committed, NotAccepted, ReadConfirmed
+from cassiapitch.proposer import ProposeOutcome
 from cassiapitch.settings import Address
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -4,7 +4,7 @@
 
 from cassiapitch import asgi, rpc
 from cassiapitch.controlnode import ControlNode, Parts
-from cassiapitch.member import MemberStatus
+from cassiapitch.membertypes import MemberStatus
 from cassiapitch.messages import LoadReports
 from cassiapitch.proposals import (
     Committed,
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,201 @@
+"""Tests of real control members over loopback: log, state, hub and placement."""
+
+import hashlib
+import json
+import socket
+
+import anyio
+import httpcore
+import pytest
+
+from cassiapitch import codec, control, messages, rpc, signing
+from cassiapitch.controlnode import ControlNode
+from cassiapitch.settings import Address, ControlPeer, ControlSettings, Operator
+
+TOKEN = "operator token"
+PRIVATE = bytes(range(32))
+OPERATOR = Operator(
+    "ann", hashlib.sha256(TOKEN.encode()).hexdigest(), signing.public_key_hex(PRIVATE)
+)
+KEY = "ab" * 32
+WAIT_S = 30
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def make_settings(folder):
+    ports = free_ports(6)
+    peers = tuple(
+        ControlPeer(f"c{n}", f"z{n}", Address("127.0.0.1", ports[n])) for n in range(3)
+    )
+    return [
+        ControlSettings(
+            name=peer.name,
+            zone=peer.zone,
+            cluster="test",
+            data_path=str(folder / peer.name),
+            rpc_address=peer.address,
+            admin_address=Address("127.0.0.1", ports[3 + n]),
+            initial_members=peers,
+            operators=(OPERATOR,),
+        )
+        for n, peer in enumerate(peers)
+    ]
+
+
+async def call(settings, method, path, body=None):
+    url = f"http://{settings.admin_address}/admin/v1{path}"
+    headers = {"Authorization": f"Bearer {TOKEN}"}
+    async with httpcore.AsyncConnectionPool() as pool:
+        content = json.dumps(body or {}).encode()
+        response = await pool.request(method, url, headers=headers, content=content)
+    return response.status, json.loads(response.content)
+
+
+async def until(probe):
+    """Polls until `probe` returns something true."""
+    with anyio.fail_after(WAIT_S):
+        while True:
+            if found := await probe():
+                return found
+            await anyio.sleep(0.05)
+
+
+def bundle_body(version, rate=1000):
+    content = json.dumps(
+        {
+            "version": version,
+            "client_accounts": [
+                {"name": "acme", "rate_tokens_per_s": rate, "burst_tokens": 4000}
+            ],
+            "keys": [{"sha256": KEY, "client_account": "acme"}],
+        }
+    )
+    signature = signing.sign(PRIVATE, content.encode())
+    return {"content": content, "signature_hex": signature, "operator": "ann"}
+
+
+async def receive(stream, cls):
+    with anyio.fail_after(WAIT_S):
+        while not isinstance(message := await stream.recv_message(), cls):
+            assert message is not None, "the link ended"
+    return message
+
+
+async def confirmed_link(stream, index=0):
+    """Opens a link and returns the view's items once a confirmation covers them."""
+    items = {}
+    await stream.send_message(
+        messages.LinkHello("e1", "life", "test", "z1", index, True)
+    )
+    for sequence in range(1, 200):
+        await stream.send_message(messages.ConfirmAsk(sequence))
+        while True:
+            with anyio.move_on_after(0.5):
+                message = await stream.recv_message()
+                if isinstance(message, messages.ViewSnapshot):
+                    items.update(message.items)
+                elif isinstance(message, messages.ViewDelta):
+                    items.update(message.upserts)
+                    for name in message.deletes:
+                        items.pop(name, None)
+                elif isinstance(message, messages.Confirmed):
+                    return items
+                continue
+            break
+    raise AssertionError("never confirmed")
+
+
+@pytest.mark.anyio
+async def test_three_members_serve_an_operator_and_an_entry_through_a_leader_change(
+    tmp_path,
+):
+    """Guards against parts that fit their stand-ins and not one another."""
+    settings = make_settings(tmp_path)
+    stops = {one.name: anyio.Event() for one in settings}
+    async with anyio.create_task_group() as tasks:
+        for one in settings:
+            (tmp_path / one.name).mkdir()
+            node = ControlNode(one, control.make_parts(one), stops[one.name])
+            tasks.start_soon(node.run)
+
+        async def find_leader():
+            for one in settings:
+                if stops[one.name].is_set():
+                    continue
+                try:
+                    _, status = await call(one, "GET", "/status")
+                except httpcore.NetworkError:
+                    continue
+                if status["role"] == "leader" and status["has_lease"]:
+                    return one
+            return None
+
+        leader = await until(find_leader)
+        followers = [one for one in settings if one is not leader]
+        put = await call(followers[0], "POST", "/bundles", bundle_body(1))
+        assert put[0] == 200
+        assert (await call(leader, "POST", "/bundles", bundle_body(1))) == put
+        status, answer = await call(
+            followers[1], "POST", "/bundles", bundle_body(1, rate=500)
+        )
+        assert (status, answer["error"]["code"]) == (409, "version_conflict")
+        assert answer["error"]["digest"] == put[1]["digest"]
+
+        channel = rpc.open_channel(followers[0].rpc_address, None)
+        async with rpc.open_stream(channel, "Hub", "Link") as stream:
+            items = await confirmed_link(stream)
+            assert codec.decode(items[f"key/{KEY}"]).account == "acme"
+            granted = 0
+            for sequence in range(1, 200):
+                need = messages.GrantAsk("acme", 50, 0, 50)
+                ask = messages.RateAsk("e1", "life", sequence, (need,), ())
+                await stream.send_message(ask)
+                with anyio.move_on_after(0.2):
+                    grants = (await receive(stream, messages.RateGrants)).grants
+                    granted = max(granted, *(grant.tokens for grant in grants))
+                if granted == 50:
+                    break
+            assert granted == 50
+            withdrawn = await call(leader, "POST", "/keys/withdraw", {"sha256": KEY})
+            assert withdrawn[0] == 200
+            stops[leader.name].set()
+            items = await confirmed_link_again(stream, withdrawn[1]["index"])
+            assert f"key/{KEY}" in items
+            await stream.cancel()
+        channel.close()
+
+        await until(find_leader)
+        again = await call(followers[1], "POST", "/keys/withdraw", {"sha256": KEY})
+        assert again == withdrawn
+        for stop in stops.values():
+            stop.set()
+
+
+async def confirmed_link_again(stream, index):
+    """Returns the names that increments delete until a confirmation reaches index."""
+    deleted, sequence = set(), 1_000
+    while True:
+        sequence += 1
+        await stream.send_message(messages.ConfirmAsk(sequence))
+        with anyio.move_on_after(0.5):
+            while True:
+                message = await stream.recv_message()
+                if isinstance(message, messages.ViewDelta):
+                    deleted.update(message.deletes)
+                is_confirmed = isinstance(message, messages.Confirmed)
+                if is_confirmed and message.index >= index:
+                    return deleted
