--- /dev/null
+++ b/tests/test_bundle.py
@@ -0,0 +1,137 @@
+"""Tests of the bundle's schema and checks, and of signatures."""
+
+import json
+
+import pytest
+
+from cassiapitch import bundle, signing
+from cassiapitch.exceptions import SettingsError
+
+SHA = "ab" * 32
+
+
+def document():
+    return {
+        "version": 3,
+        "roles": [
+            {"name": "desk", "kind": "engine", "credential_sha256": SHA},
+            {"name": "cart", "kind": "service", "credential_sha256": SHA},
+        ],
+        "models": [{"name": "m1", "role": "desk", "memory_mib": 100}],
+        "adapters": [{"name": "a1", "model": "m1", "memory_mib": 1}],
+        "client_accounts": [
+            {"name": "acme", "rate_tokens_per_s": 100, "burst_tokens": 200}
+        ],
+        "keys": [{"sha256": SHA, "client_account": "acme"}],
+        "routes": [{"path": "/orders", "method": "POST", "role": "cart"}],
+    }
+
+
+def faults_of(text):
+    with pytest.raises(SettingsError) as caught:
+        bundle.parse(text)
+    return caught.value.faults
+
+
+def test_bundle_with_comments_is_read():
+    """Guards against a schema that refuses what operators write."""
+    parsed = bundle.parse("// rolled out by ann\n" + json.dumps(document()))
+    assert parsed.version == 3
+    assert parsed.store.loads_in_flight_count == 2
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"version": 0}, "$.version"),
+        ({"version": "3"}, "$.version"),
+        ({"colour": "red"}, "$.colour"),
+        (
+            {"models": [{"name": "m1", "role": "x", "memory_mib": 1}]},
+            "$.models[0].role",
+        ),
+        (
+            {"models": [{"name": "m1", "role": "cart", "memory_mib": 1}]},
+            "$.models[0].role",
+        ),
+        (
+            {"models": [{"name": "m1", "role": "desk", "memory_mib": 0}]},
+            "$.models[0].memory_mib",
+        ),
+        ({"models": [document()["models"][0]] * 2}, "$.models[1]"),
+        (
+            {"adapters": [{"name": "a", "model": "m9", "memory_mib": 1}]},
+            "$.adapters[0].model",
+        ),
+        (
+            {"adapters": [{"name": "m1", "model": "m1", "memory_mib": 1}]},
+            "$.adapters[0].name",
+        ),
+        (
+            {
+                "client_accounts": [
+                    {"name": "acme", "rate_tokens_per_s": 0, "burst_tokens": 1}
+                ]
+            },
+            "$.client_accounts[0].rate_tokens_per_s",
+        ),
+        (
+            {
+                "client_accounts": [
+                    {"name": "acme", "rate_tokens_per_s": 1000, "burst_tokens": 39}
+                ]
+            },
+            "$.client_accounts[0].burst_tokens",
+        ),
+        (
+            {"keys": [{"sha256": SHA, "client_account": "bolt"}]},
+            "$.keys[0].client_account",
+        ),
+        ({"keys": [{"sha256": "AB", "client_account": "acme"}]}, "$.keys[0].sha256"),
+        ({"keys": [document()["keys"][0]] * 2}, "$.keys[1]"),
+        (
+            {"routes": [{"path": "/v1/models", "method": "GET", "role": "cart"}]},
+            "$.routes[0].path",
+        ),
+        (
+            {"routes": [{"path": "/admin", "method": "GET", "role": "cart"}]},
+            "$.routes[0].path",
+        ),
+        (
+            {"routes": [{"path": "/x", "method": "GET", "role": "desk"}]},
+            "$.routes[0].role",
+        ),
+        ({"store": {"loads_per_s": 0}}, "$.store.loads_per_s"),
+    ],
+)
+def test_fault_is_reported_with_its_path(change, path):
+    """Guards against a faulty bundle in force, and against an unclear refusal."""
+    faults = faults_of(json.dumps({**document(), **change}))
+    assert any(fault.startswith(path + ":") for fault in faults), faults
+
+
+def test_all_faults_are_reported_at_once():
+    """Guards against one round trip for each fault."""
+    changed = {**document(), "roles": []}
+    paths = {fault.split(":")[0] for fault in faults_of(json.dumps(changed))}
+    assert paths == {"$.models[0].role", "$.routes[0].role"}
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{", "[" * 100_000, '{"version": 1e999}'])
+def test_malformed_text_is_refused(text):
+    """Guards against an exception that ends the administration API."""
+    assert faults_of(text)
+
+
+def test_signature_covers_the_bytes_and_the_domain():
+    """Guards against signatures that are valid for another content or purpose."""
+    key = bytes(range(32))
+    public = signing.public_key_hex(key)
+    signature = signing.sign(key, b"content")
+    assert signing.is_signed(public, b"content", signature)
+    assert not signing.is_signed(public, b"content ", signature)
+    assert not signing.is_signed(public, b"content", signature[:-2])
+    assert not signing.is_signed(public, b"content", "zz")
+    assert not signing.is_signed(public, signing.DOMAIN_TAG + b"content", signature)
+    other = signing.public_key_hex(bytes(32))
+    assert not signing.is_signed(other, b"content", signature)
--- /dev/null
+++ b/tests/test_granter.py
@@ -0,0 +1,169 @@
+"""Tests of the granter: division, large calls, refunds, floors, repeated asks."""
+
+import pytest
+
+from cassiapitch import bucket, division, equalsplit, floors, granter
+from cassiapitch.bucket import MICROTOKENS
+from cassiapitch.messages import GrantAsk, RateAsk, Refund
+
+# Life 1,000 ms, cap 1,000 tokens.
+LIMITS = {"acme": (1_000, 2_000)}
+
+
+def make_granter(level=1_000, limits=LIMITS):
+    """Returns a granter whose floor is at 0 and whose bucket holds `level`."""
+    new = granter.start(1, {}, limits, 0)
+    new.buckets["acme"].level = level * MICROTOKENS
+    return new
+
+
+def ask(entry, sequence, needed=0, expected=0, largest=None, refunds=()):
+    largest = min(needed, 1) if largest is None else largest
+    item = GrantAsk("acme", needed, expected, largest)
+    return RateAsk(entry, f"life of {entry}", sequence, (item,), refunds)
+
+
+def tokens(answers):
+    return [answer.grants[0].tokens for _, answer in answers]
+
+
+def test_needs_beyond_the_level_are_divided_evenly():
+    """Guards against the first of several asks taking everything."""
+    asks = [ask("a", 1, needed=900), ask("b", 1, needed=900), ask("c", 1, needed=100)]
+    assert tokens(granter.answer(make_granter(), asks, 0)) == [450, 450, 100]
+
+
+def test_expected_calls_leave_half_for_entries_that_ask_later():
+    """Guards against an entry that hoards for calls that may not come."""
+    first = granter.answer(make_granter(), [ask("a", 1, expected=1_000)], 0)
+    assert tokens(first) == [500]
+
+
+def test_large_call_gets_what_it_needs_among_small_ones():
+    """Guards against a call that waits for ever because small ones take each token."""
+    new = make_granter(level=0)
+    now_ms, served = 0, 0
+    for sequence in range(1, 60):
+        now_ms += 50
+        asks = [
+            ask("small", sequence, needed=50),
+            ask("large", sequence, needed=600, largest=600),
+        ]
+        served = max(served, tokens(granter.answer(new, asks, now_ms))[1])
+    assert served == 600
+
+
+def test_partial_share_is_not_given_to_a_call_that_can_not_use_it():
+    """Guards against tokens that expire at an entry that waits for more."""
+    asks = [
+        ask("a", 1, needed=700, largest=700),
+        ask("b", 1, needed=700, largest=700),
+    ]
+    assert sorted(tokens(granter.answer(make_granter(), asks, 0))) == [0, 700]
+
+
+def test_wait_is_the_time_until_the_missing_tokens_are_there():
+    """Guards against a Retry-After that is too early or far too late."""
+    new = make_granter(level=100)
+    ((_, answer),) = granter.answer(new, [ask("a", 1, needed=600, largest=600)], 0)
+    assert (answer.grants[0].tokens, answer.grants[0].wait_ms) == (0, 500)
+    ((_, answer),) = granter.answer(new, [ask("b", 1, needed=1_500, largest=1_500)], 0)
+    assert answer.grants[0].wait_ms == granter.NEVER_MS
+
+
+def test_repeated_ask_gets_its_first_answer_and_a_late_one_none():
+    """Guards against a duplicate that is charged or refunded twice."""
+    new = make_granter()
+    first = granter.answer(new, [ask("a", 5, needed=100)], 0)
+    assert granter.answer(new, [ask("a", 5, needed=100)], 0) == first
+    assert granter.answer(new, [ask("a", 4, needed=100)], 0) == []
+    assert new.buckets["acme"].level == 900 * MICROTOKENS
+
+
+def test_refund_is_limited_by_the_least_headroom_since_the_grant():
+    """Guards against budget that a full bucket had already replaced."""
+    new = make_granter()
+    ((_, answer),) = granter.answer(new, [ask("a", 1, needed=400)], 0)
+    grant = answer.grants[0]
+    refund = Refund("acme", 400, grant.term, grant.granted_ms)
+    granter.answer(new, [ask("b", 1, needed=200)], 400)
+    granter.answer(new, [ask("a", 2, refunds=(refund,))], 401)
+    assert new.buckets["acme"].level == 801 * MICROTOKENS
+
+
+def test_refund_without_overflow_is_credited_whole():
+    """Guards against wrongful refusals after calls that were shorter than planned."""
+    new = make_granter(level=500)
+    ((_, answer),) = granter.answer(new, [ask("a", 1, needed=400)], 0)
+    grant = answer.grants[0]
+    refund = Refund("acme", 300, grant.term, grant.granted_ms)
+    granter.answer(new, [ask("a", 2, refunds=(refund,))], 100)
+    assert new.buckets["acme"].level == 500 * MICROTOKENS
+
+
+def test_new_granter_spends_nothing_below_the_floor_without_a_record():
+    """Guards against a floor that two successors in a row hand out."""
+    new = granter.start(2, {"acme": 400 * MICROTOKENS}, LIMITS, 0)
+    assert tokens(granter.answer(new, [ask("a", 1, needed=100)], 0)) == [0]
+    record = granter.next_record(new, 20)
+    assert record.floors["acme"] < 400 * MICROTOKENS
+    # A proposed record may never be committed, so the first one still binds.
+    assert tokens(granter.answer(new, [ask("a", 2, needed=100)], 20)) == [20]
+    granter.record_committed(new, record)
+    assert tokens(granter.answer(new, [ask("a", 3, needed=100)], 20)) == [100]
+
+
+def test_lower_burst_counts_grants_that_are_in_use():
+    """Guards against a smaller burst on top of grants under the larger one."""
+    new = make_granter()
+    granter.answer(new, [ask("a", 1, needed=900)], 0)
+    granter.set_limits(new, {"acme": (100, 200)}, 10)
+    assert new.buckets["acme"].level == (200 - 900) * MICROTOKENS
+
+
+def test_floor_is_half_the_level_and_changes_are_recorded():
+    """Guards against a successor that starts from nothing."""
+    new = make_granter()
+    record = granter.next_record(new, 1_000)
+    assert record.floors == {"acme": 500 * MICROTOKENS}
+    # The same record again until it is known to be committed.
+    assert granter.next_record(new, 1_100) == record
+    assert granter.floor_in_force(new, "acme") == 500 * MICROTOKENS
+    log = floors.Floors(0, 0, {})
+    assert floors.record(log, record).accepted
+    granter.record_committed(new, record)
+    assert granter.next_record(new, 2_000) is None
+
+
+@pytest.mark.parametrize(
+    ("available", "wants", "shares"),
+    [
+        (10, [4, 4], [4, 4]),
+        (10, [2, 20, 20], [2, 4, 4]),
+        (0, [5], [0]),
+        (-5, [5], [0]),
+        (7, [], []),
+    ],
+)
+def test_fair_shares(available, wants, shares):
+    """Guards against a share that is larger while another's need is unmet."""
+    assert division.fair_shares(available, wants) == shares
+
+
+def test_equal_split_gives_each_entry_its_part_only():
+    """Guards against a baseline that gives more than the account's rate."""
+    split = equalsplit.EqualSplit(1, dict(LIMITS))
+    asks = [ask("a", 1), ask("b", 1)]
+    equalsplit.answer(split, asks, 0)
+    asks = [ask("a", 2, needed=5_000), ask("b", 2)]
+    answers = equalsplit.answer(split, asks, 5_000)
+    assert tokens(answers) == [500, 0]
+    assert equalsplit.answer(split, asks, 5_000) == []
+
+
+def test_short_grants_where_the_burst_is_small():
+    """Guards against a cap that leaves nothing of a small burst."""
+    assert bucket.grant_life_ms(1_000, 100) == 50
+    assert bucket.cap_tokens(1_000, 100) == 50
+    assert bucket.grant_life_ms(10, 1_000) == 1_000
+    assert bucket.cap_tokens(10, 1_000) == 990
--- /dev/null
+++ b/tests/test_linkstate.py
@@ -0,0 +1,86 @@
+"""Tests of the view's parts and of what a link sends."""
+
+from cassiapitch import linkstate, view
+from cassiapitch.messages import (
+    ConfirmAsk,
+    Confirmed,
+    KeyItem,
+    LinkHello,
+    ViewDelta,
+    ViewSnapshot,
+)
+
+
+def make_view(count, size=10):
+    state = view.View()
+    for number in range(count):
+        name = f"key/{number:0{size}d}"
+        view.apply_changes(state, number + 1, {name: KeyItem("acme")})
+    return state
+
+
+def open_link(applied):
+    return linkstate.open_link(LinkHello("e", "life", "test", "z", applied, True))
+
+
+def test_snapshot_is_sent_in_bounded_parts():
+    """Guards against a message that blocks a link for long."""
+    state = make_view(9_000, size=64)
+    parts = view.snapshot_parts(state)
+    assert len(parts) > 1
+    assert [part.first for part in parts] == [True] + [False] * (len(parts) - 1)
+    assert [part.last for part in parts] == [False] * (len(parts) - 1) + [True]
+    merged = {}
+    for part in parts:
+        size = sum(len(name) + len(value) for name, value in part.items.items())
+        assert size <= view.SNAPSHOT_PART_BYTES
+        merged.update(part.items)
+    assert merged == state.items
+
+
+def test_many_changes_are_merged_into_one_delta():
+    """Guards against a queue of deltas behind a slow link."""
+    state = make_view(3)
+    link = open_link(1)
+    view.apply_changes(state, 4, {"key/x": KeyItem("acme")})
+    view.apply_changes(state, 5, {"key/x": None, "key/y": KeyItem("acme")})
+    (delta,) = linkstate.take(link, state)
+    assert isinstance(delta, ViewDelta)
+    assert (delta.previous_index, delta.index) == (1, 5)
+    assert delta.deletes == ("key/x",)
+    assert linkstate.take(link, state) == []
+
+
+def test_entry_far_behind_gets_a_snapshot():
+    """Guards against an increment that lacks changes that are no longer kept."""
+    state = make_view(view.KEPT_CHANGES_COUNT + 2)
+    assert isinstance(linkstate.take(open_link(1), state)[0], ViewSnapshot)
+    assert isinstance(linkstate.take(open_link(2), state)[0], ViewDelta)
+
+
+def test_entry_ahead_of_a_member_gets_no_older_view():
+    """Guards against a view that goes back after a change of members."""
+    state = make_view(3)
+    link = open_link(7)
+    linkstate.confirm(link, 1, 6)
+    assert linkstate.take(link, state) == [Confirmed(1, 6)]
+
+
+def test_confirmation_follows_a_view_that_reaches_its_index():
+    """Guards against a confirmation that no index of the entry ever satisfies."""
+    state = make_view(3)
+    link = open_link(3)
+    linkstate.confirm(link, 4, 5)
+    view.advance(state, 5)
+    assert linkstate.take(link, state) == [ViewDelta(3, 5, {}, ()), Confirmed(4, 5)]
+
+
+def test_full_queue_closes_the_link():
+    """Guards against memory that grows with a slow entry's answers."""
+    link = open_link(0)
+    for number in range(linkstate.QUEUE_LIMIT_COUNT):
+        linkstate.push(link, ConfirmAsk(number))
+    assert not link.overflowed
+    linkstate.push(link, ConfirmAsk(0))
+    assert link.overflowed
+    assert len(link.queue) == linkstate.QUEUE_LIMIT_COUNT
--- /dev/null
+++ b/tests/test_replicated.py
@@ -0,0 +1,194 @@
+"""Tests of replicated state beyond the fuzzer: resends, limits, snapshots."""
+
+import pytest
+
+from cassiapitch import bundle, claims, codec, commands, suspects
+from cassiapitch.exceptions import StorageError
+from cassiapitch.fleet import FLEET_COMMANDS, Fleet
+from cassiapitch.replicated import ReplicatedState
+from cassiapitch.types import ClaimState
+from tests.standins import StandinFleet
+
+SHA = "ab" * 32
+DAY_MS = 24 * 3_600_000
+
+
+class Machine:
+    """A state with the next index and a log time."""
+
+    def __init__(self, fleet=None):
+        self.state = ReplicatedState(fleet or StandinFleet(), FLEET_COMMANDS)
+        self.index, self.time_ms = 0, 0
+
+    def apply(self, command):
+        self.index += 1
+        data = codec.encode(command)
+        return codec.decode(self.state.apply(self.index, self.time_ms, data))
+
+
+def make_put(version, accounts=("acme",), keys=(), note="", author="ann"):
+    new = bundle.Bundle(
+        version,
+        client_accounts=tuple(bundle.ClientAccount(a, 10, 100) for a in accounts),
+        keys=tuple(bundle.Key(sha, account) for sha, account in keys),
+    )
+    return commands.PutBundle(new, f"{version}{note}", "", author, author)
+
+
+def claim(name, holder, request="r", lifetime_ms=1_000):
+    return commands.ClaimKey("acme", name, request, holder, lifetime_ms)
+
+
+def test_resend_after_hundreds_of_changes_gets_the_first_answer():
+    """Guards against an operator's retry that is refused as superseded."""
+    machine = Machine()
+    first = machine.apply(make_put(1))
+    for version in range(2, 600):
+        machine.apply(make_put(version))
+    assert machine.apply(make_put(1)) == first
+    conflict = machine.apply(make_put(1, note="other", author="bob"))
+    assert conflict == commands.VersionConflict(1, first.digest, "ann")
+    assert machine.state.bundle.version == 599
+
+
+def test_version_that_was_skipped_is_superseded():
+    """Guards against a late bundle that takes the place of a newer one."""
+    machine = Machine()
+    machine.apply(make_put(5))
+    result = machine.apply(make_put(3))
+    assert isinstance(result, commands.VersionSuperseded)
+    assert result.version == 5
+
+
+def test_new_bundle_changes_only_what_differs():
+    """Guards against a whole view for each rollout."""
+    machine = Machine()
+    machine.apply(make_put(1, keys=((SHA, "acme"),)))
+    machine.apply(make_put(2, keys=((SHA, "acme"), ("cd" * 32, "acme"))))
+    assert machine.state.view.changes[-1] == (2, ("bundle", "key/" + "cd" * 32))
+
+
+def test_bundle_that_lists_a_withdrawn_key_is_accepted_with_a_warning():
+    """Guards against a withdrawn key that a later bundle brings back."""
+    machine = Machine()
+    machine.apply(make_put(1, keys=((SHA, "acme"),)))
+    withdrawn = machine.apply(commands.WithdrawKey(SHA, "bob"))
+    result = machine.apply(make_put(2, keys=((SHA, "acme"),)))
+    assert result.warnings[0].startswith("$.keys[0].sha256:")
+    assert f"key/{SHA}" not in machine.state.view.items
+    assert machine.apply(commands.WithdrawKey(SHA, "ann")) == withdrawn
+    refused = machine.apply(commands.GrantKey(SHA, "acme", "ann"))
+    assert refused.code == "key_withdrawn"
+
+
+def test_bundle_must_not_list_a_granted_key_for_another_account():
+    """Guards against a key that moves to another client account."""
+    machine = Machine()
+    machine.apply(make_put(1, accounts=("acme", "bolt")))
+    machine.apply(commands.GrantKey(SHA, "acme", "ann"))
+    put = make_put(2, accounts=("acme", "bolt"), keys=((SHA, "bolt"),))
+    assert "$.keys[0].client_account" in machine.apply(put).faults[0]
+    assert machine.apply(commands.GrantKey(SHA, "bolt", "ann")).code == "key_conflict"
+
+
+def test_grant_ends_with_its_account():
+    """Guards against a key that works again once an account's name is reused."""
+    machine = Machine()
+    machine.apply(make_put(1, accounts=("acme", "bolt")))
+    machine.apply(commands.GrantKey(SHA, "bolt", "ann"))
+    machine.apply(make_put(2))
+    machine.apply(make_put(3, accounts=("acme", "bolt")))
+    assert f"key/{SHA}" not in machine.state.view.items
+
+
+def test_full_table_refuses_and_keeps_young_claims():
+    """Guards against a second run of a call whose claim was evicted."""
+    machine = Machine()
+    for number in range(claims.CLAIMS_LIMIT_COUNT):
+        machine.apply(claim(f"k{number}", "h"))
+    assert machine.apply(claim("more", "h")).state is ClaimState.FULL
+    assert machine.apply(claim("k0", "other")).state is ClaimState.RUNNING
+    machine.time_ms = DAY_MS - 1
+    assert machine.apply(claim("more", "h")).state is ClaimState.FULL
+    machine.time_ms = DAY_MS
+    assert machine.apply(claim("more", "h")).state is ClaimState.GRANTED
+
+
+def test_claim_past_its_deadline_is_unknown_until_its_outcome_comes():
+    """Guards against a second run after an entry died in the middle of a call."""
+    machine = Machine()
+    machine.apply(claim("k", "h1"))
+    machine.time_ms = 1_000
+    assert machine.apply(claim("k", "h2")).state is ClaimState.UNKNOWN
+    finish = commands.FinishClaim("acme", "k", "h1", 201, "text/plain", b"done")
+    machine.apply(finish)
+    answer = machine.apply(claim("k", "h3"))
+    assert (answer.state, answer.status, answer.body) == (
+        ClaimState.FINISHED,
+        201,
+        b"done",
+    )
+    assert machine.apply(claim("k", "h3", "else")).state is ClaimState.MISMATCH
+
+
+def test_release_that_overtakes_its_claim_prevents_it():
+    """Guards against a claim that nobody holds and that reads as unknown later."""
+    machine = Machine()
+    machine.apply(commands.ReleaseClaim("acme", "k", "h1"))
+    assert machine.apply(claim("k", "h1")).state is ClaimState.RUNNING
+    assert machine.apply(claim("k", "h2")).state is ClaimState.GRANTED
+
+
+def test_stored_bodies_are_bounded():
+    """Guards against an account whose outcomes fill the members' memory."""
+    machine = Machine()
+    size = claims.BODY_LIMIT_BYTES
+    count = claims.BODIES_LIMIT_BYTES // size
+    for number in range(count + 1):
+        machine.apply(claim(f"k{number}", "h"))
+        body = b"x" * size
+        result = machine.apply(
+            commands.FinishClaim("acme", f"k{number}", "h", 200, "text/plain", body)
+        )
+        assert (result.body is None) == (number == count)
+
+
+def test_suspects_are_bounded_and_quarantined_ones_stay(monkeypatch):
+    """Guards against a poisonous request that others push out of quarantine."""
+    monkeypatch.setattr(suspects, "SUSPECTS_LIMIT_COUNT", 3)
+    machine = Machine()
+    machine.apply(commands.ReportCrash("life1", ("bad",)))
+    machine.apply(commands.ReportCrash("life2", ("bad",)))
+    machine.apply(commands.ReportCrash("life3", ("u", "v", "w", "x")))
+    assert len(machine.state.suspects.table) == 3
+    assert machine.state.suspects.table["bad"].is_quarantined
+    assert len(machine.state.view.items) == 3
+
+
+@pytest.mark.parametrize("data", [b"", b"\xc1", codec.encode(commands.Expired())])
+def test_malformed_command_changes_nothing(data):
+    """Guards against an entry of a newer version that ends every member."""
+    state = Machine().state
+    result = codec.decode(state.apply(1, 1, data))
+    assert isinstance(result, commands.CommandMalformed)
+    assert state.view.items == {}
+
+
+def test_snapshot_with_a_real_fleet_is_restored_byte_for_byte():
+    """Guards against members that differ after one of them got a snapshot."""
+    machine = Machine(Fleet())
+    machine.apply(make_put(1, keys=((SHA, "acme"),)))
+    machine.apply(claim("k", "h"))
+    machine.apply(commands.RecordFloors(1, 1, {"acme": 5}))
+    data = machine.state.snapshot()
+    other = ReplicatedState(Fleet(), FLEET_COMMANDS)
+    other.restore(data)
+    assert other.snapshot() == data
+    assert other.view.items == machine.state.view.items
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00", b"\x90"])
+def test_damaged_snapshot_is_refused(data):
+    """Guards against a member that goes on with half a state."""
+    with pytest.raises(StorageError):
+        Machine().state.restore(data)
