Close links that misbehave, and fill buckets from a bundle's start

Rates reached the granter only with the first ask, so that a new account's bucket was empty at its first call; they are taken over with the bundle now.

--- a/cassiapitch/dump.py
+++ b/cassiapitch/dump.py
@@ -7,7 +7,9 @@
 import collections
 from typing import Any
 
-from cassiapitch import __version__
+import msgspec
+
+from cassiapitch import __version__, codec
 from cassiapitch.group import Group
 from cassiapitch.hub import Hub
 from cassiapitch.leadership import RateDesk
@@ -54,6 +56,11 @@
         "view_items": dict(
             collections.Counter(name.split("/", 1)[0] for name in state.view.items)
         ),
+        "backend_servers": [
+            msgspec.to_builtins(codec.decode(value))
+            for name, value in state.view.items.items()
+            if name.startswith("backend/")
+        ],
         "links_by_zone": dict(hub.count_links()),
         "accepted_versions": [
             {
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -45,7 +45,15 @@
 LINKS_LIMIT_COUNT = 4_096
 
 Stream = grpclib.server.Stream[Any, Any]
-PRIMARY_ONLY = (RateAsk, ClaimAsk, ClaimFinish, ClaimRelease, CrashReport)
+PRIMARY_ONLY = (
+    RateAsk,
+    ClaimAsk,
+    ClaimFinish,
+    ClaimRelease,
+    CrashReport,
+    SuspectCleared,
+    DemandReport,
+)
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/cassiapitch/leadership.py
+++ b/cassiapitch/leadership.py
@@ -6,6 +6,7 @@
 import anyio
 
 from cassiapitch import equalsplit, events, granter, group
+from cassiapitch.bundle import Bundle
 from cassiapitch.commands import ExpireRecords, FloorsRecorded, RecordFloors
 from cassiapitch.equalsplit import EqualSplit
 from cassiapitch.events import Event
@@ -41,6 +42,7 @@
         self._asks: list[tuple[RateAsk, Reply]] = []
         self._asked = anyio.Event()
         self._granter: Granter | EqualSplit | None = None
+        self._bundle: Bundle | None = None
 
     def ask(self, ask: RateAsk, reply: Reply) -> None:
         """Queues an ask; without a granter or room for it, it is dropped."""
@@ -83,13 +85,16 @@
             return
         if self._granter is None:
             await self._start(status.term)
-        elif isinstance(self._granter, Granter):
+            return
+        self._take_limits()
+        if isinstance(self._granter, Granter):
             await self._record(self._granter)
 
     def _stop(self) -> None:
         if self._granter is not None:
             events.log(Event.GRANTER_STOPPED, term=self._granter.term)
         self._granter = None
+        self._bundle = None
         self._asks.clear()
 
     async def _start(self, term: int) -> None:
@@ -134,16 +139,25 @@
         if self._member.status().term != self._granter.term:
             return
         asks = [ask for ask, _ in waiting]
+        self._take_limits()
         if isinstance(self._granter, Granter):
-            granter.set_limits(self._granter, self._limits(), now_ms)
             answers = granter.answer(self._granter, asks, now_ms)
         else:
-            equalsplit.set_limits(self._granter, self._limits())
             answers = equalsplit.answer(self._granter, asks, now_ms)
         replies = {id(ask): reply for ask, reply in waiting}
         for ask, grants in answers:
             replies[id(ask)](RelayedGrants(ask.entry, ask.life_id, grants))
 
+    def _take_limits(self) -> None:
+        """Takes over a new bundle's rates at once: its buckets fill from then on."""
+        if self._state.bundle is self._bundle:
+            return
+        self._bundle = self._state.bundle
+        if isinstance(self._granter, Granter):
+            granter.set_limits(self._granter, self._limits(), self._now_ms())
+        elif self._granter is not None:
+            equalsplit.set_limits(self._granter, self._limits())
+
     def _limits(self) -> Limits:
         bundle = self._state.bundle
         accounts = () if bundle is None else bundle.client_accounts
--- /dev/null
+++ b/tests/test_hub.py
@@ -0,0 +1,175 @@
+"""Tests of the hub with links that misbehave, on an in-memory log."""
+
+import anyio
+import pytest
+
+from cassiapitch import hub as hubs
+from cassiapitch import messages
+from cassiapitch.batching import Proposals
+from cassiapitch.replicated import ReplicatedState
+from cassiapitch.settings import Address
+from cassiapitch.types import ClaimState
+from tests.standins import Log, StandinFleet, StandinMember
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Stream:
+    """The server's end of a link whose client may stop reading."""
+
+    def __init__(self, reads=True):
+        self.reads = reads
+        self.sent = []
+        self.put, self.incoming = anyio.create_memory_object_stream(10_000)
+        self.changed = anyio.Event()
+
+    async def recv_message(self):
+        return await self.incoming.receive()
+
+    async def send_message(self, message):
+        if not self.reads:
+            await anyio.sleep_forever()
+        self.sent.append(message)
+        self.changed.set()
+
+    async def wait_for(self, cls):
+        with anyio.fail_after(20):
+            while not any(isinstance(one, cls) for one in self.sent):
+                self.changed = anyio.Event()
+                await self.changed.wait()
+        return next(one for one in self.sent if isinstance(one, cls))
+
+
+def make_hub():
+    log, state, relayed = Log(), ReplicatedState(StandinFleet(), ()), []
+    address = Address("127.0.0.1", 1)
+    member = StandinMember(
+        "c1", log, state, lambda index: hub.on_applied(index), address
+    )
+    proposals = Proposals(member, lambda: 0)
+    hub = hubs.Hub("test", state, member, proposals, relayed.append)
+    return hub, proposals, member, relayed
+
+
+def hello(primary=True):
+    return messages.LinkHello("e1", "life", "test", "z1", 0, primary)
+
+
+@pytest.mark.anyio
+async def test_link_that_takes_no_message_is_closed(monkeypatch):
+    """Guards against a task and a queue kept for an entry that is gone."""
+    monkeypatch.setattr(hubs, "SEND_TIMEOUT_S", 0.02)
+    hub, *_ = make_hub()
+    stream = Stream(reads=False)
+    stream.put.send_nowait(hello())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(hub.serve_link, stream)
+        while not hub.describe():
+            await anyio.lowlevel.checkpoint()
+        hub.broadcast(messages.LoadReports((), {}))
+    assert hub.describe() == []
+
+
+@pytest.mark.anyio
+async def test_link_with_too_many_waiting_messages_is_closed():
+    """Guards against memory that grows with a slow link."""
+    hub, *_ = make_hub()
+    stream = Stream(reads=False)
+    stream.put.send_nowait(hello())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(hub.serve_link, stream)
+        while not hub.describe():
+            await anyio.lowlevel.checkpoint()
+        for _ in range(2_000):
+            hub.broadcast(messages.LoadReports((), {}))
+    assert hub.describe() == []
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "message",
+    [
+        messages.ClaimAsk(1, "acme", "k", "r", "h", 10),
+        messages.RateAsk("e1", "life", 1, (), ()),
+        messages.DemandReport("e1", (), ()),
+    ],
+)
+async def test_secondary_link_carries_no_asks(message):
+    """Guards against an ask that is charged over each of two links."""
+    hub, _, _, relayed = make_hub()
+    stream = Stream()
+    stream.put.send_nowait(hello(primary=False))
+    stream.put.send_nowait(message)
+    await hub.serve_link(stream)
+    assert relayed == []
+
+
+@pytest.mark.anyio
+async def test_first_message_must_be_a_hello():
+    """Guards against a link without an owner."""
+    hub, *_ = make_hub()
+    stream = Stream()
+    stream.put.send_nowait(messages.ConfirmAsk(1))
+    await hub.serve_link(stream)
+    assert isinstance(stream.sent[0], messages.LinkRefused)
+
+
+@pytest.mark.anyio
+async def test_claims_of_many_calls_share_log_entries():
+    """Guards against one synced log entry for each non-idempotent call."""
+    hub, proposals, member, _ = make_hub()
+    stream = Stream()
+    stream.put.send_nowait(hello())
+    for number in range(200):
+        ask = messages.ClaimAsk(number, "acme", f"k{number}", "r", "h", 1_000)
+        stream.put.send_nowait(ask)
+    stream.put.send_nowait(messages.CrashReport(500, "b1", "l1", ("d1", "d2")))
+    synced, propose = anyio.Event(), member.propose
+
+    async def propose_slowly(command, timeout_ms):
+        await synced.wait()
+        return await propose(command, timeout_ms)
+
+    member.propose = propose_slowly
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(hub.serve_link, stream)
+        tasks.start_soon(proposals.run)
+        # All asks arrive while the first log entries are being synced.
+        while stream.incoming.statistics().current_buffer_used:
+            await anyio.lowlevel.checkpoint()
+        synced.set()
+        crash = await stream.wait_for(messages.CrashAnswer)
+        assert (crash.recorded, crash.crash_counts) == (True, (1, 1))
+        answers = [one for one in stream.sent if isinstance(one, messages.ClaimAnswer)]
+        assert [one.sequence for one in answers] == list(range(200))
+        assert {one.state for one in answers} == {ClaimState.GRANTED}
+        assert member.log.index < 20
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_one_read_covers_the_asks_of_many_links():
+    """Guards against one quorum round for each entry's ask."""
+    hub, _, member, _ = make_hub()
+    streams = [Stream() for _ in range(50)]
+    reads = []
+    read_index = member.read_index
+
+    async def counted(timeout_ms):
+        reads.append(timeout_ms)
+        return await read_index(timeout_ms)
+
+    member.read_index = counted
+    async with anyio.create_task_group() as tasks:
+        for stream in streams:
+            stream.put.send_nowait(hello())
+            stream.put.send_nowait(messages.ConfirmAsk(3))
+            tasks.start_soon(hub.serve_link, stream)
+        tasks.start_soon(hub.run_confirmations)
+        for stream in streams:
+            assert (await stream.wait_for(messages.Confirmed)).sequence == 3
+        assert len(reads) < 10
+        tasks.cancel_scope.cancel()
