Disconnect entries whose view is of another control group

An entry ahead of a confirmed index can only come from a group that was set up anew; before, it waited silently for that index. Moving it back was ruled out, as an entry never goes to a lower index.

--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -268,9 +268,15 @@
                 await anyio.sleep(READ_RETRY_MS / 1000)
 
     def _confirm(self, link: Any, sequence: int, index: int | None) -> None:
-        if link in self._links and index is not None:
-            linkstate.confirm(link.state, sequence, index)
-            link.wake.set()
+        if link not in self._links or index is None:
+            return
+        if index < link.state.hello.applied_index:
+            # What an entry has applied was committed, so that a later read returns
+            # at least that index, unless the group was set up anew.
+            self._close(link, "the entry's view is of another control group")
+            return
+        linkstate.confirm(link.state, sequence, index)
+        link.wake.set()
 
     def count_links(self) -> collections.Counter[str]:
         """Returns the number of links by zone of the entry."""
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -107,6 +107,20 @@
     assert relayed == []
 
 
+@pytest.mark.anyio
+async def test_entry_of_an_earlier_control_group_is_disconnected():
+    """Guards against an entry that silently waits for an index of a lost group."""
+    hub, *_ = make_hub()
+    stream = Stream()
+    stream.put.send_nowait(messages.LinkHello("e1", "life", "test", "z1", 99, True))
+    stream.put.send_nowait(messages.ConfirmAsk(1))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(hub.run_confirmations)
+        await hub.serve_link(stream)
+        tasks.cancel_scope.cancel()
+    assert stream.sent == []
+
+
 @pytest.mark.anyio
 async def test_first_message_must_be_a_hello():
     """Guards against a link without an owner."""
