--- a/cassiapitch/replicated.py
+++ b/cassiapitch/replicated.py
@@ -40,6 +40,9 @@
     def view_items(self) -> dict[str, BackendItem]:
         """Returns the view's items of backend servers by item name."""
 
+    def take_view_changes(self) -> dict[str, BackendItem | None]:
+        """Returns the items that changed since the last call; None for gone ones."""
+
     def set_bundle(self, bundle: bundles.Bundle) -> None:
         """Takes over a bundle that came into force."""
 
@@ -71,7 +74,6 @@
     def __init__(self, fleet: FleetState, fleet_commands: tuple[type, ...]) -> None:
         self._fleet = fleet
         self._fleet_commands = fleet_commands
-        self._backend_items: dict[str, BackendItem] = {}
         self.index = 0
         self.time_ms = 0
         self.bundle: bundles.Bundle | None = None
@@ -144,7 +146,7 @@
                 return commands.Expired(), {}
         if isinstance(command, self._fleet_commands):
             result = self._fleet.apply(command, index, time_ms)
-            return result, self._fleet_changes()
+            return result, dict(self._fleet.take_view_changes())
         reason = f"{type(command).__name__} is not a command"
         return commands.CommandMalformed(reason), {}
 
@@ -191,7 +193,7 @@
         after = self._own_items()
         changes: view.Changes = dict.fromkeys(before.keys() - after.keys())
         changes.update(after)
-        changes.update(self._fleet_changes())
+        changes.update(self._fleet.take_view_changes())
         return changes
 
     def _own_items(self) -> dict[str, Any]:
@@ -202,16 +204,6 @@
             items.update(_bundle_items(self.bundle))
         return items
 
-    def _fleet_changes(self) -> view.Changes:
-        before = self._backend_items
-        after = self._fleet.view_items()
-        changes: view.Changes = dict.fromkeys(before.keys() - after.keys())
-        for name, item in after.items():
-            if before.get(name) != item:
-                changes[name] = item
-        self._backend_items = dict(after)
-        return changes
-
     def snapshot(self) -> bytes:
         """Returns the whole state; equal states give equal bytes."""
         return msgspec.msgpack.encode(
@@ -261,8 +253,9 @@
         if saved.bundle is not None:
             self._fleet.set_bundle(saved.bundle)
         self._fleet.restore(saved.fleet)
-        self._backend_items = dict(self._fleet.view_items())
-        view.reset(self.view, saved.index, {**self._own_items(), **self._backend_items})
+        self._fleet.take_view_changes()
+        items = {**self._own_items(), **self._fleet.view_items()}
+        view.reset(self.view, saved.index, items)
 
     def has_pending_expiry(self) -> bool:
         """Tells whether `ExpireRecords` may have something to end."""
