--- a/cassiapitch/announce.py
+++ b/cassiapitch/announce.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Annotated, Any
 
+import anyio
 import msgspec
 from msgspec import Meta
 
@@ -21,6 +22,9 @@
 BODY_LIMIT_BYTES = 256 * 1024
 BODY_TIMEOUT_MS = 5_000
 
+# A later one could be taken for that of a new life; see `Coordinator`.
+DELIVER_TIMEOUT_MS = 1_000
+
 Text = Annotated[str, Meta(max_length=128)]
 
 
@@ -151,11 +155,16 @@
             return
         if not is_authentic(announcement.role, authorization, self._credentials()):
             await _refuse(send, 401, "credential_mismatch")
-        elif await self._deliver(announcement):
+        elif await self._deliver_in_time(announcement):
             await asgi.send_json(send, 202, {})
         else:
             await _refuse(send, 503, "no_leader")
 
+    async def _deliver_in_time(self, announcement: Announcement) -> bool:
+        with anyio.move_on_after(DELIVER_TIMEOUT_MS / 1_000):
+            return await self._deliver(announcement)
+        return False
+
 
 async def _refuse(send: asgi.Send, status: int, code: str) -> None:
     await asgi.send_json(send, status, {"error": {"code": code}})
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -102,6 +102,8 @@
         known = self._sequences.get(life_id, 0)
         if announcement.sequence and announcement.sequence <= known:
             return
+        if self._is_displacing(announcement, now_ms):
+            return
         self._sequences[life_id] = announcement.sequence
         if now_ms < self._hold_until_ms.get(life_id, 0):
             return
@@ -230,6 +232,19 @@
         for order_id in self._progress.keys() - self._fleet.open_orders.keys():
             del self._progress[order_id]
 
+    def _is_displacing(self, announcement: Announcement, now_ms: int) -> bool:
+        """Tells whether an announcement names another life than one just heard.
+
+        A member passes an announcement on within a second or not at all. So while
+        the known life is heard, one of another life is late and of an earlier run,
+        and after two seconds of silence it must be of a later one.
+        """
+        life = self._fleet.lives.get(announcement.name)
+        if life is None or life.life_id == announcement.life_id:
+            return False
+        heard_ms = self._heard_ms.get(life.life_id, self._begun_ms)
+        return now_ms - heard_ms < backends.SUSPECT_AFTER_MS
+
     def _is_change(self, announcement: Announcement) -> bool:
         """Tells whether an announcement would change the replicated state."""
         life = self._fleet.lives.get(announcement.name)
@@ -257,7 +272,9 @@
             pending.append(dataclasses.replace(announcement, settled=tuple(settled)))
         self._pending = {}
         return [
-            ReportBackends(tuple(pending[start : start + REPORTS_PER_COMMAND]))
+            ReportBackends(
+                self.term, tuple(pending[start : start + REPORTS_PER_COMMAND])
+            )
             for start in range(0, len(pending), REPORTS_PER_COMMAND)
         ]
 
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -165,14 +165,14 @@
         refused: list[str] = []
         if isinstance(command, BeginTerm):
             self._begin_term(command)
-        elif isinstance(command, ReportBackends):
-            for announcement in command.announcements:
-                self._announce(announcement)
         elif isinstance(command, RecordAnswers):
             for answer in command.answers:
                 self._answer(answer)
         elif command.term != self.term:
             refused.append(f"term {command.term} is over")
+        elif isinstance(command, ReportBackends):
+            for announcement in command.announcements:
+                self._announce(announcement)
         elif isinstance(command, MarkBackends):
             for mark in command.marks:
                 self._mark(mark)
--- a/cassiapitch/fleet_commands.py
+++ b/cassiapitch/fleet_commands.py
@@ -18,6 +18,7 @@
 class ReportBackends:
     """Announcements that changed something; their load reports are left out."""
 
+    term: int
     announcements: tuple[Announcement, ...]
 
 
