Prove freezes, links, view order and routing of the entry

Cause: a freeze between a check and a send or a chunk, a second control member, and the smaller decisions had no tests. Ruled out: stopping a process in the test; the clock is moved instead, in the same turn of the event loop in which the queue or the chunk goes on.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,12 +2,15 @@
 
 import json
 
+import anyio
 import pytest
 
-from cassiapitch import codec, messages, timers
+from cassiapitch import codec, messages, settings, timers
+from cassiapitch.entry import EntryProcess
 from tests.entryfakes import (
     KEY,
     FakeEngine,
+    FakeHub,
     FakeService,
     error,
     expected_text,
@@ -223,3 +226,54 @@
 
         w.group.start_soon(arrive)
         assert (await w.call("GET", "/v1/models", key="sk-new-key"))[0] == 200
+
+
+@pytest.mark.anyio
+async def test_entry_resuming_from_a_freeze_sends_no_chunk(monkeypatch):
+    """Guards against a chunk that is forwarded before a timer notices the freeze."""
+    engine = FakeEngine("n1", "l1")
+    engine.hold_at = 3
+    async with world(engine) as w:
+
+        async def freeze():
+            await w.until(lambda: engine.streams)
+            await w.until(lambda: w.entry.state.router.in_flight("l1"))
+            w.hub.confirming = False
+            now_ms = timers.now_ms
+            # The clock jumps and the chunk arrives in the same turn of the loop.
+            engine.go_on.set()
+            monkeypatch.setattr(timers, "now_ms", lambda: now_ms() + 60_000)
+
+        w.group.start_soon(freeze)
+        text, is_done, code = await w.stream_chat(6)
+        assert (is_done, code) == (False, "authorization_unconfirmed")
+        assert expected_text(3).startswith(text)
+
+
+@pytest.mark.anyio
+async def test_refused_and_lost_links_move_to_the_next_member():
+    """Guards against an entry that stays with a member that can't serve it."""
+    async with world(FakeEngine("n1", "l1")) as w:
+        others = [FakeHub(), FakeHub()]
+        for hub in others:
+            hub.items, hub.index = w.hub.items, w.hub.index
+            await hub.start()
+        others[0].refuse = True
+        members = tuple(
+            settings.ControlPeer(f"c{number}", zone, hub.address)
+            for number, (zone, hub) in enumerate(
+                zip("abc", [others[0], w.hub, others[1]], strict=True)
+            )
+        )
+        second = EntryProcess(w.settings(members), anyio.Event())
+        w.group.start_soon(second.run)
+        await w.until(lambda: second.state.freshness.as_of_ms is not None)
+        await w.until(
+            lambda: {p.zone for p in second._plan.current().values()} >= {"b", "c"}
+        )
+        w.hub.confirming = False
+        others[0].refuse = False
+        await w.until(lambda: others[0].links and others[1].links)
+        await w.until(lambda: second.state.freshness.is_fresh(timers.now_ms()))
+        hellos = others[0].of(messages.LinkHello)
+        assert hellos[-1].applied_index == w.hub.index
--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -7,7 +7,7 @@
 import httpcore
 import pytest
 
-from cassiapitch import asgi, callers, callerstream, messages
+from cassiapitch import asgi, callers, callerstream, messages, timers
 from tests.entryfakes import (
     KEY,
     FakeEngine,
@@ -212,6 +212,34 @@
         assert len(engine.streams) == 1
 
 
+@pytest.mark.anyio
+async def test_nothing_is_sent_after_a_freeze_in_the_queue(monkeypatch):
+    """Guards against a send on an authorisation that ended while a call waited."""
+    engine = FakeEngine("n1", "l1")
+    engine.hold_at = 1
+    async with world() as w:
+        w.group.start_soon(engine.http.run)
+        await w.hub.change({"backend/n1": engine.item("engines", ["m"], limit=1)})
+        await w.until(lambda: w.entry.state.catalog.backends)
+        w.group.start_soon(w.stream_chat, 3)
+        await w.until(lambda: engine.streams)
+
+        async def freeze():
+            await w.until(lambda: w.entry.state.scheduler.waiting())
+            w.hub.confirming = False
+            now_ms = timers.now_ms
+            engine.go_on.set()
+            monkeypatch.setattr(timers, "now_ms", lambda: now_ms() + 2_500)
+
+        w.group.start_soon(freeze)
+        status, _, answer = await w.chat(3)
+        assert (status, error(answer)) == (
+            503,
+            ("authorization_unconfirmed", "not_run"),
+        )
+        assert len(engine.streams) == 1
+
+
 @pytest.mark.anyio
 async def test_bad_input_is_refused_and_reaches_no_engine(monkeypatch):
     """Guards against malformed, oversized and slow input."""
--- /dev/null
+++ b/tests/test_entry_decisions.py
@@ -0,0 +1,195 @@
+"""Tests of the entry's smaller decisions: view, freshness, links, routing."""
+
+import random
+
+import pytest
+
+from cassiapitch import codec, freshness
+from cassiapitch.catalog import Applied, Catalog, Gap, Ignored, SnapshotParts
+from cassiapitch.demand import Demand
+from cassiapitch.exceptions import CodecError
+from cassiapitch.link import LinkPlan
+from cassiapitch.messages import (
+    BackendItem,
+    Confirmed,
+    KeyItem,
+    LoadReport,
+    ViewDelta,
+    ViewSnapshot,
+)
+from cassiapitch.routing import Router
+from cassiapitch.settings import Address, ControlPeer
+from cassiapitch.suspicion import Suspicion
+from cassiapitch.types import Priority
+
+KEY = codec.encode(KeyItem("acme"))
+
+
+def test_view_never_goes_back_and_applies_deltas_as_a_whole():
+    """Guards against an old member's view, a gap, and a half applied delta."""
+    catalog = Catalog()
+    assert isinstance(catalog.apply_snapshot(10, {"key/a": KEY}), Applied)
+    assert catalog.apply_snapshot(9, {}) == Ignored()
+    assert catalog.apply_delta(ViewDelta(8, 10, {}, ("key/a",))) == Ignored()
+    assert catalog.apply_delta(ViewDelta(11, 12, {}, ("key/a",))) == Gap()
+    with pytest.raises(CodecError):
+        catalog.apply_delta(ViewDelta(10, 11, {"key/b": b"x"}, ("key/a",)))
+    assert set(catalog.keys) == {"a"}
+    outcome = catalog.apply_delta(ViewDelta(9, 11, {"key/b": KEY}, ("key/a",)))
+    assert outcome == Applied(11, frozenset({"a"}), False)
+    assert catalog.apply_snapshot(12, {}).removed_keys == frozenset({"b"})
+
+
+def test_snapshot_is_applied_with_its_last_part_only():
+    """Guards against a view that lacks items, or mixes two snapshots."""
+    parts = SnapshotParts()
+    assert parts.add(ViewSnapshot(5, {"a": b"1"}, True, False)) is None
+    assert parts.add(ViewSnapshot(6, {"b": b"2"}, False, True)) is None
+    assert parts.add(ViewSnapshot(7, {"c": b"3"}, True, False)) is None
+    assert parts.add(ViewSnapshot(7, {"d": b"4"}, False, True)) == {
+        "c": b"3",
+        "d": b"4",
+    }
+
+
+def test_freshness_counts_from_the_ask_and_needs_the_index():
+    """Guards against a late or early confirmation that lasts too long."""
+    state = freshness.Freshness()
+    assert not state.is_fresh(0)
+    first = state.ask(1_000)
+    state.confirmed(Confirmed(first.sequence, 7))
+    assert not state.is_fresh(1_001)
+    state.applied(7)
+    assert state.is_fresh(2_800)
+    assert not state.is_fresh(2_801)
+    second = state.ask(2_900)
+    state.confirmed(Confirmed(first.sequence, 7))
+    state.confirmed(Confirmed(99, 7))
+    assert not state.is_fresh(2_900)
+    state.confirmed(Confirmed(second.sequence, 7))
+    assert state.is_fresh(4_700)
+    old = state.ask(4_000)
+    state.ask(9_000)
+    state.confirmed(Confirmed(old.sequence, 7))
+    assert state.as_of_ms == 2_900
+
+
+def peers(*zones):
+    return tuple(
+        ControlPeer(f"c{number}", zone, Address("127.0.0.1", number))
+        for number, zone in enumerate(zones)
+    )
+
+
+def test_links_go_to_different_zones_and_back_off():
+    """Guards against two links that end with one zone, and against a busy loop."""
+    plan = LinkPlan(peers("a", "a", "b"), "a", "e1")
+    first, second = plan.choose(0, 0), plan.choose(1, 0)
+    assert (first.zone, second.zone) == ("a", "b")
+    plan.failed(0, 0)
+    third = plan.choose(0, 0)
+    assert third.name not in (first.name, second.name)
+    plan.failed(0, 0)
+    assert plan.choose(0, 50) is None
+    assert plan.choose(0, 100) is not None
+    plan.failed(0, 100)
+    plan.failed(1, 100)
+    delays = []
+    now_ms = 10_000
+    for _ in range(8):
+        chosen = plan.choose(0, now_ms)
+        plan.failed(0, now_ms)
+        start_ms = now_ms
+        while plan.choose(0, now_ms) != chosen:
+            now_ms += 50
+            plan._current.pop(0, None)
+        delays.append(now_ms - start_ms)
+        plan._current.pop(0, None)
+    assert max(delays) <= 2_050
+
+
+def backend(name, zone="a", limit=8):
+    return BackendItem(
+        name, f"life-{name}", "r", zone, "127.0.0.1", 1, "serving", ("m",), (), limit
+    )
+
+
+def choices(router, candidates, count=200, prefixes=()):
+    found = [
+        router.choose(candidates, Priority.URGENT, prefixes, 0) for _ in range(count)
+    ]
+    return {item.name: found.count(item) for item in found if item is not None}
+
+
+def test_routing_weighs_load_zone_and_prefix():
+    """Guards against work for the busy, the far, or the cold backend server."""
+    servers = [backend("n1"), backend("n2"), backend("far1", "b"), backend("far2", "b")]
+    router = Router("least_cost", "a", random.Random(1))
+    assert set(choices(router, servers)) == {"n1", "n2"}
+    for _ in range(3):
+        router.started("life-n1")
+    assert router.choose(servers[:2], Priority.URGENT, (), 0).name == "n2"
+    for _ in range(2):
+        # The first report may be older than the requests, the second is not.
+        router.report(LoadReport("n1", "life-n1", 3, 0, ("p2",)), 0)
+    assert router.score(servers[0], (), 0) == 3
+    assert router.score(servers[0], ("p1", "p2"), 0) == 0
+    router.report(LoadReport("n2", "life-n2", 4, 4, ()), 0)
+    assert not router.has_room(servers[1], Priority.BATCH, 0)
+    assert router.has_room(servers[1], Priority.URGENT, 0)
+    router.started("life-n2")
+    assert not router.has_room(servers[1], Priority.URGENT, 0)
+    assert router.has_room(servers[1], Priority.URGENT, 10_000)
+    router.unreachable("life-far1", 0)
+    assert not router.has_room(servers[2], Priority.URGENT, 999)
+    assert router.has_room(servers[2], Priority.URGENT, 1_000)
+
+
+def test_batch_leaves_room_for_urgent():
+    """Guards against batch requests that fill every slot."""
+    server = backend("n1", limit=8)
+    router = Router("least_cost", "a", random.Random(1))
+    for _ in range(6):
+        assert router.has_room(server, Priority.BATCH, 0)
+        router.started("life-n1")
+    assert not router.has_room(server, Priority.BATCH, 0)
+    assert router.has_room(server, Priority.URGENT, 0)
+
+
+def test_round_robin_is_the_baseline():
+    """Guards against a baseline that looks at load."""
+    servers = [backend("n1"), backend("n2", "b"), backend("n3", "c")]
+    router = Router("round_robin", "a", random.Random(1))
+    for _ in range(5):
+        router.started("life-n1")
+    assert choices(router, servers, 30) == {"n1": 10, "n2": 10, "n3": 10}
+
+
+def test_only_one_suspect_runs_on_a_backend_server():
+    """Guards against a harmless request that is quarantined with a harmful one."""
+    state = Suspicion()
+    state.started("l1", "d1", False)
+    state.started("l1", "d2", True)
+    assert state.may_run_suspect("l1", "d2")
+    assert not state.may_run_suspect("l1", "d3")
+    assert sorted(state.crashed("l1", 0)) == ["d1", "d2"]
+    assert state.crashed("l1", 1) is None
+    assert state.has_crashed("l1", 9_999)
+    assert not state.has_crashed("l1", 10_000)
+    state.ended("l1", "d2")
+    assert state.may_run_suspect("l1", "d3")
+    state.recorded(("d1",), (2,), 0)
+    assert state.crash_count("d1", 0, 1) == 2
+    assert state.crash_count("d1", 0, 600_000) == 0
+
+
+def test_demand_report_ends_with_one_empty_report():
+    """Guards against demand that never falls, and reports without an end."""
+    demand = Demand("e1")
+    demand.arrived("m", Priority.URGENT)
+    demand.used("m", Priority.URGENT, 12)
+    demand.refused("m", Priority.URGENT)
+    (item,) = demand.report({("m", Priority.URGENT): (2, 70)}).demands
+    assert (item.arrived_count, item.waiting_count, item.tokens) == (1, 3, 12)
+    assert demand.report({}).demands == ()
+    assert demand.report({}) is None
