Send responses without Nagle's delay and measure the entry's costs

Cause: asyncio sets TCP_NODELAY only on sockets created with the TCP protocol number, and asgi.py created its listening socket without it, so the body of every response waited for the acknowledgement of its head. Ruled out: the wait for a grant (calls without a key took as long). Conclusion: the fix is in the common module and helps every program that serves HTTP.

--- /dev/null
+++ b/bench/entry_cost.py
@@ -0,0 +1,235 @@
+"""Prints the processor time of an entry.
+
+One process holds the entry, another one the callers, the engine and the control
+group, so that the entry's own processor time can be read. Usage:
+
+    python bench/entry_cost.py [--requests 500] [--idle-s 5]
+"""
+
+import argparse
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import httpcore
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+from tests.entryfakes import (
+    KEY,
+    FakeEngine,
+    FakeHub,
+    FakeService,
+    World,
+    key_digest,
+)
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+TOKENS = 200
+
+
+class Entry:
+    """An entry in a process of its own."""
+
+    def __init__(self, port: int, hub: FakeHub) -> None:
+        control = {
+            "name": "c1",
+            "zone": "a",
+            "address": {"ip": "127.0.0.1", "port": hub.address.port},
+        }
+        operator = {
+            "name": "op",
+            "token_sha256": key_digest("operator-token"),
+            "public_key_hex": "0" * 64,
+        }
+        document = {
+            "name": "e1",
+            "zone": "a",
+            "cluster": "bench",
+            "caller_address": {"ip": "127.0.0.1", "port": port},
+            "admin_address": {"ip": "127.0.0.1", "port": 0},
+            "control": [control],
+            "operators": [operator],
+            "balancer_delay_ms": 0,
+            "log_path": os.devnull,
+        }
+        with tempfile.NamedTemporaryFile("w", suffix=".json", delete=False) as file:
+            json.dump(document, file)
+        self.path = file.name
+        root = pathlib.Path(__file__).resolve().parent.parent
+        command = [sys.executable, "-m", "cassiapitch.entry", "--settings", self.path]
+        self.process = subprocess.Popen(command, cwd=root)
+
+    def cpu_ms(self) -> float:
+        """Returns the processor time used so far."""
+        text = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text()
+        fields = text.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) * 1000 / TICKS_PER_S
+
+    def memory_mib(self) -> float:
+        """Returns the resident memory."""
+        text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        line = next(line for line in text.splitlines() if line.startswith("VmRSS"))
+        return int(line.split()[1]) / 1024
+
+    def stop(self) -> None:
+        """Ends the process gracefully."""
+        self.process.terminate()
+        self.process.wait(30)
+        pathlib.Path(self.path).unlink()
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def call(
+    connections: httpcore.AsyncConnectionPool,
+    port: int,
+    method: str,
+    path: str,
+    body: dict[str, Any] | None,
+) -> None:
+    response = await connections.request(
+        method,
+        f"http://127.0.0.1:{port}{path}",
+        headers=[("Authorization", f"Bearer {KEY}")],
+        content=json.dumps(body).encode() if body else None,
+    )
+    if response.status != 200:
+        raise RuntimeError(f"{path}: {response.status} {response.content!r}")
+
+
+async def repeat(
+    count: int,
+    callers: int,
+    port: int,
+    method: str,
+    path: str,
+    body: dict[str, Any] | None,
+) -> None:
+    """Makes `count` calls from several callers at once."""
+    left = list(range(count))
+
+    async def caller() -> None:
+        async with httpcore.AsyncConnectionPool() as connections:
+            while left:
+                left.pop()
+                await call(connections, port, method, path, body)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(callers):
+            group.start_soon(caller)
+
+
+class StepEngine(FakeEngine):
+    """Waits between tokens, so that each one is written alone."""
+
+    step_ms = 0
+
+    async def stream(self, send: Any, request_id: str, first: int, count: int) -> None:
+        """Sends tokens `first` to `count`."""
+        headers = [(b"x-life-id", self.life_id.encode())]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        for position in range(first, count):
+            data = self.event(request_id, position, count)
+            body = {"type": "http.response.body", "body": data, "more_body": True}
+            await send(body)
+            if self.step_ms:
+                await anyio.sleep(self.step_ms / 1000)
+        await send({"type": "http.response.body", "body": b"data: [DONE]\n\n"})
+
+
+async def measure(options: argparse.Namespace) -> None:
+    engine, service = StepEngine("n1", "l1"), FakeService("s1", "s-life")
+    async with anyio.create_task_group() as group:
+        world = World(group)
+        await world.prepare(engine, service)
+        port = free_port()
+        entry = Entry(port, world.hub)
+        try:
+            await run_all(options, entry, world, engine, port)
+        finally:
+            await anyio.to_thread.run_sync(entry.stop)
+        group.cancel_scope.cancel()
+
+
+async def timed(
+    entry: Entry, name: str, count: int, unit: str, work: Callable[[], Awaitable[None]]
+) -> float:
+    started_ms, started = entry.cpu_ms(), time.monotonic()
+    await work()
+    cpu_ms, wall_s = entry.cpu_ms() - started_ms, time.monotonic() - started
+    per_us = cpu_ms * 1000 / count
+    print(f"{name}: {per_us:.0f} us/{unit} ({count} in {wall_s:.1f} s)", flush=True)
+    return per_us
+
+
+async def run_all(
+    options: argparse.Namespace,
+    entry: Entry,
+    world: World,
+    engine: StepEngine,
+    port: int,
+) -> None:
+    chat = "/v1/chat/completions"
+    message = [{"role": "user", "content": "hello"}]
+    body = {"model": "m", "max_tokens": 1, "messages": message}
+    long = {**body, "max_tokens": TOKENS, "stream": True}
+    await world.until(lambda: world.hub.links, limit_s=20)
+    await repeat(50, 4, port, "POST", chat, body)
+    count = options.requests
+
+    async def idle() -> None:
+        await anyio.sleep(options.idle_s)
+
+    await timed(entry, "idle entry", options.idle_s, "s", idle)
+    await timed(
+        entry,
+        "service call",
+        count,
+        "call",
+        lambda: repeat(count, 4, port, "GET", "/stock", None),
+    )
+    whole_us = await timed(
+        entry,
+        "whole answer of one token",
+        count,
+        "request",
+        lambda: repeat(count, 4, port, "POST", chat, body),
+    )
+    for step_ms, streams in ((0, 40), (5, 40)):
+        engine.step_ms = step_ms
+        name = f"streamed answers, {step_ms} ms between tokens, 40 at once"
+        tokens = streams * TOKENS
+        per_us = await timed(
+            entry,
+            name,
+            tokens,
+            "token",
+            lambda: repeat(40, 40, port, "POST", chat, long),
+        )
+        rest_us = per_us - whole_us / TOKENS
+        print(f"  without the request itself: {rest_us:.0f} us/token")
+    print(f"memory: {entry.memory_mib():.0f} MiB")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--requests", type=int, default=500)
+    parser.add_argument("--idle-s", type=int, default=5)
+    anyio.run(measure, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
--- a/cassiapitch/asgi.py
+++ b/cassiapitch/asgi.py
@@ -120,7 +120,9 @@
     ) -> None:
         """Binds the address; port 0 takes a free one, see `port`."""
         family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
+        # asyncio turns off Nagle's algorithm only for sockets that name TCP. With it
+        # the body of a response waits for the acknowledgement of its head, 40 ms.
+        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((address.ip, address.port))
         self._socket.listen(LISTEN_BACKLOG)
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -294,6 +294,14 @@
         self.ended = anyio.Event()
 
     async def start(self, *servers):
+        await self.prepare(*servers)
+        peer = settings.ControlPeer("c1", "a", self.hub.address)
+        self.entry = EntryProcess(self.settings((peer,)), self.stop)
+        self.group.start_soon(self.run_entry)
+        await self.until(lambda: self.entry.state.freshness.as_of_ms is not None)
+
+    async def prepare(self, *servers):
+        """Starts the control group and the backend servers without an entry."""
         hub = self.hub
         hub.put(messages.RoleItem("engines", RoleKind.ENGINE, True), "role/engines")
         hub.put(messages.RoleItem("shop", RoleKind.SERVICE, False), "role/shop")
@@ -309,10 +317,6 @@
             self.group.start_soon(server.http.run)
             self.add(server)
         await hub.start()
-        peer = settings.ControlPeer("c1", "a", hub.address)
-        self.entry = EntryProcess(self.settings((peer,)), self.stop)
-        self.group.start_soon(self.run_entry)
-        await self.until(lambda: self.entry.state.freshness.as_of_ms is not None)
 
     def settings(self, control):
         values = {
--- a/tests/test_asgi.py
+++ b/tests/test_asgi.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP helpers."""
 
+import socket
+
 import anyio
 import httpcore
 import pytest
@@ -49,3 +51,23 @@
 
     outcome = await asgi.read_body(receive, limit_bytes=100, timeout_ms=10_000)
     assert outcome == asgi.BodyTooLarge()
+
+
+@pytest.mark.anyio
+async def test_responses_do_not_wait_for_acknowledgements():
+    """Guards against 40 ms for each response: head and body are written apart."""
+    options = []
+
+    async def app(scope, receive, send):
+        transport = send.__self__.transport
+        accepted = transport.get_extra_info("socket")
+        options.append(accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        await asgi.send_json(send, 200, {})
+
+    server = asgi.HttpServer(app, Address("127.0.0.1", 0))
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run)
+        async with httpcore.AsyncConnectionPool() as pool:
+            await pool.request("GET", f"http://127.0.0.1:{server.port}/")
+        server.close()
+    assert options[0] != 0
