--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -105,7 +105,7 @@
     def _opened(self, slot: int, send: Any) -> None:
         self._parts[slot] = SnapshotParts()
         events.log(
-            events.Event.LINK_OPENED,
+            events.Event.ENTRY_LINK_OPENED,
             link=slot,
             member=self._plan.current()[slot].name,
         )
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -463,15 +463,53 @@
     reason: str
 
 
+# Relay, between control members: a member passes on what only the leader handles.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayHello:
+    """First message of a relay stream, from a member to the leader."""
+
+    member: str
+    cluster: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayBatch:
+    """Encoded messages in one, in either direction.
+
+    To the leader: `RateAsk`, `DemandReport` and `Announcement`. From the leader:
+    `RelayedGrants` and `LoadReports`.
+    """
+
+    messages: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedGrants:
+    """The answer to a relayed `RateAsk`, to be passed on to the entry's link."""
+
+    entry: str
+    life_id: str
+    grants: RateGrants
+
+
 # Announcements of backend servers, passed from a member to the leader.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadedModel:
-    """A model that an engine holds."""
+    """A model that an engine holds.
+
+    Attributes:
+        model: The model.
+        version: Version of the bundle that defined it when it was loaded.
+        memory_mib: Memory that it occupies, 0 where the engine doesn't say.
+    """
 
     model: ModelName
     version: int
+    memory_mib: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -504,6 +542,8 @@
         waiting_count: Requests that wait.
         leaving: Whether it is about to stop.
         cached_prefixes: Digests of prompt prefixes in its cache, late and gapped.
+        sequence: Number of this announcement in its life. Members pass
+            announcements on concurrently, so that they may arrive out of order.
     """
 
     name: BackendName
@@ -523,6 +563,7 @@
     waiting_count: int = 0
     leaving: bool = False
     cached_prefixes: tuple[str, ...] = ()
+    sequence: int = 0
 
 
 ALL = (
@@ -552,6 +593,9 @@
     CrashAnswer,
     LoadReports,
     LinkRefused,
+    RelayHello,
+    RelayBatch,
+    RelayedGrants,
     Announcement,
 )
 codec.register(ALL)
