--- a/cassiapitch/loadreport.py
+++ b/cassiapitch/loadreport.py
@@ -104,6 +104,8 @@
     ):
         lines += ["", f"## {title}", "", *_group_table(document[section])]
     lines += ["", "## Refusals", "", *_refusal_table(document["accounts"])]
+    lines += ["", "## Wrongful refusals, cut and lost calls", ""]
+    lines += _listed_table(document["listed_calls"])
     for name, title in _TIMES:
         lines += ["", f"## {title}", "", *_time_table(document, name)]
     lines += ["", f"![Calls by second]({SERIES_PLOT_NAME})", ""]
@@ -139,6 +141,14 @@
     return lines
 
 
+def _listed_table(calls: list[dict[str, Any]]) -> list[str]:
+    heads = ["at_ms", "account", "class", "model", "ending", "code", "request_id"]
+    lines = ["| " + " | ".join(heads) + " |", "| --- " * len(heads) + "|"]
+    for call in calls:
+        lines.append("| " + " | ".join(str(call[head]) for head in heads) + " |")
+    return lines
+
+
 def _time_table(document: dict[str, Any], name: str) -> list[str]:
     heads = [*(f"p{percentile:g}" for percentile in PERCENTILES), "max"]
     lines = ["| calls | " + " | ".join(heads) + " |", "| --- " * 7 + "|"]
--- a/cassiapitch/loadresult.py
+++ b/cassiapitch/loadresult.py
@@ -17,6 +17,8 @@
 
 FORMAT_VERSION = 1
 LONGEST_MS = 3_600_000
+# Calls that are listed one by one, to be found in the logs of the processes.
+LISTED_COUNT = 500
 PERCENTILES = (50.0, 90.0, 95.0, 99.0, 99.9)
 
 
@@ -124,8 +126,9 @@
         self._records: dict[str, list[RateRecord]] = {
             item.name: [] for item in experiment.accounts
         }
-        # Each refused call, its code and whether the reference bucket admits it.
-        self._refusals: list[tuple[Call, str, bool]] = []
+        # Each refused call and whether the reference bucket admits it.
+        self._refusals: list[tuple[Call, CallResult, bool]] = []
+        self._listed: list[dict[str, Any]] = []
         self._series: dict[str, collections.Counter[int]] = {
             name: collections.Counter()
             for name in ("offered", "answered", "refused", "lost")
@@ -182,7 +185,9 @@
     ) -> None:
         is_refused = result.ending is Ending.REFUSED
         if is_refused:
-            self._refusals.append((call, result.code, within))
+            self._refusals.append((call, result, within))
+        elif result.ending is not Ending.ANSWERED or result.is_text_wrong:
+            self._list(call, result)
         if call.cost_tokens:
             record = RateRecord(
                 call.number,
@@ -200,13 +205,30 @@
         for account in self._experiment.accounts:
             bucket = ReferenceBucket(account.rate_tokens_per_s, account.burst_tokens)
             with_room |= refusals_with_room(bucket, self._records[account.name])
-        for call, code, within in self._refusals:
+        for call, result, within in self._refusals:
             is_wrongful = within and (call.number in with_room or not call.cost_tokens)
             for group in self._groups(call):
                 kinds = group.refused_within if is_wrongful else group.refused_beyond
-                kinds[code] += 1
+                kinds[result.code] += 1
+            if is_wrongful:
+                self._list(call, result)
         self._refusals.clear()
 
+    def _list(self, call: Call, result: CallResult) -> None:
+        if len(self._listed) < LISTED_COUNT:
+            entry = {
+                "at_ms": call.at_ms,
+                "end_ms": result.end_ms,
+                "account": call.account,
+                "class": call.class_name,
+                "model": call.model,
+                "ending": result.ending,
+                "code": result.code,
+                "tokens": result.tokens,
+                "request_id": result.request_id,
+            }
+            self._listed.append(entry)
+
     def _count_integrity(self, result: CallResult) -> None:
         self.integrity["cut_answers_count"] += result.ending is Ending.CUT
         self.integrity["broken_off_answers_count"] += result.ending is Ending.BROKEN_OFF
@@ -251,6 +273,7 @@
                 name: [counts[second] for second in range(self._seconds())]
                 for name, counts in self._series.items()
             },
+            "listed_calls": sorted(self._listed, key=lambda item: item["at_ms"]),
             "faults": [dataclasses.asdict(fault) for fault in experiment.faults],
             "shifts": [dataclasses.asdict(shift) for shift in experiment.shifts],
         }
--- a/demo/run.py
+++ b/demo/run.py
@@ -6,6 +6,7 @@
 
 import argparse
 import contextlib
+import json
 import pathlib
 import signal
 import sys
@@ -34,7 +35,9 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--keep", type=pathlib.Path, help="folder to keep files in")
+    parser.add_argument(
+        "--keep", type=pathlib.Path, help="folder for settings, logs and load.json"
+    )
     options = parser.parse_args()
     failures: list[str] = []
     with _folder(options.keep) as folder, ProcessGroup() as group:
@@ -111,6 +114,8 @@
         group.start_soon(load)
         found += await _disturb(deployment, dumps, keys)
     document = result[0]
+    path = deployment.folder / "load.json"
+    path.write_text(json.dumps(document, indent=2), encoding="utf-8")
     limited = document["accounts"][plan.LIMITED_ACCOUNT]
     _say(
         f"{plan.LIMITED_ACCOUNT} sent beyond its rate; served "
