--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,6 +1,7 @@
 """Focused tests of rules whose breach random faults seldom show."""
 
 import random
+import zlib
 
 import pytest
 
@@ -9,6 +10,7 @@
 from cassiapitch.raftmessages import (
     Append,
     AppendAnswer,
+    ChunkAnswer,
     Entry,
     EntryKind,
     Group,
@@ -16,6 +18,8 @@
     Heartbeat,
     HeartbeatAnswer,
     Snapshot,
+    SnapshotChunk,
+    StaleTerm,
     TimeoutNow,
     VoteAnswer,
     VoteAsk,
@@ -184,3 +188,37 @@
     assert alone.reason == "no quorum of the changed group is in contact"
     assert changes.change(node, kind, "c", None, 2_010) == 3
     assert changes.change(node, kind, "b", None, 2_010).is_temporary
+
+
+def test_answer_to_an_older_term_says_nothing_but_the_newer_term():
+    """Guards against a read round of an earlier term that confirms a later read."""
+    node = make_node(term=5)
+    for message in (Heartbeat(4, 86, 900, 0), Append(4, 86, 900, 1, 0, (), 0)):
+        consensus.receive(node, "b", "a", message, 1_000)
+    assert [one.message for one in node.sends] == [StaleTerm(5), StaleTerm(5)]
+    assert node.leader_id is None
+
+
+def test_snapshot_does_not_replace_entries_that_follow_it():
+    """Guards against losing synced entries that count in a quorum already.
+
+    A restarted member doesn't know its commit index, so that a leader whose log
+    begins after a snapshot may send it one that is older than its own log.
+    """
+    node = make_node([FIRST, *commands(2, 9, 1)], term=1)
+    blob = codec.encode(Snapshot(4, 1, 0, group("a", "b", "c"), b"state"))
+    chunk = SnapshotChunk(1, 4, 1, 0, len(blob), zlib.crc32(blob), blob)
+    consensus.receive(node, "b", "a", chunk, 1_000)
+    assert (node.log.last_index, node.durable_index) == (9, 9)
+    assert (node.commit_index, node.to_restore) == (4, None)
+    assert sent(node, ChunkAnswer) == [ChunkAnswer(1, 4, len(blob))]
+
+
+def test_damaged_snapshot_transfer_is_not_installed():
+    """Guards against a state that was put together from wrong chunks."""
+    node = make_node()
+    blob = codec.encode(Snapshot(4, 1, 0, group("a", "b", "c"), b"state"))
+    wrong = SnapshotChunk(1, 4, 1, 0, len(blob), zlib.crc32(blob) ^ 1, blob)
+    consensus.receive(node, "b", "a", wrong, 1_000)
+    assert (node.commit_index, node.to_restore) == (0, None)
+    assert sent(node, ChunkAnswer) == [ChunkAnswer(1, 4, 0)]
--- a/tests/test_consensus_fuzz.py
+++ b/tests/test_consensus_fuzz.py
@@ -1,6 +1,7 @@
 """Stateful fuzzing of the control group's decisions with lost writes and messages."""
 
 import os
+import random
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -75,6 +76,14 @@
     def chaos(self, profile, duration_ms):
         self.faults.run(PROFILES[profile], duration_ms)
 
+    @rule(
+        first=st.sampled_from(sorted(PROFILES)),
+        second=st.sampled_from(sorted(PROFILES)),
+    )
+    def chaos_twice(self, first, second):
+        self.faults.run(PROFILES[first], 3_000)
+        self.faults.run(PROFILES[second], 3_000)
+
     @rule(name=NAMES, mid_write=st.booleans(), duration_ms=DURATIONS_MS)
     def kill_and_restart(self, name, mid_write, duration_ms):
         self.member(name).crash(mid_write)
@@ -180,3 +189,19 @@
     suppress_health_check=list(HealthCheck),
     print_blob=True,
 )
+
+
+@pytest.mark.parametrize("profile", sorted(PROFILES))
+def test_faults_of_one_kind_fuzz(profile):
+    """Guards as above; long runs of one mix of faults find what short ones don't."""
+    source = random.SystemRandom()
+    seeds = [source.getrandbits(32) for _ in range(300)] if IS_LONG else range(5)
+    for seed in seeds:
+        cluster = Cluster(seed, 3 + seed % 3, 2 - seed % 3)
+        cluster.run(1_500)
+        try:
+            Chaos(cluster).run(PROFILES[profile], 20_000)
+            cluster.settle()
+        except Exception as error:
+            error.add_note(f"profile {profile}, seed {seed}")
+            raise
