--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -135,6 +135,13 @@
             for item in report.demands
             if item.model in catalog.adapters
         }
+        # An entry may be a bundle behind, or ahead.
+        known = tuple(
+            item
+            for item in report.demands
+            if item.model in catalog.models or item.model in adapters
+        )
+        report = dataclasses.replace(report, demands=known)
         self.placement.demand.note(report, adapters, now_ms)
         for life_id in report.refused_backends:
             self._refused.setdefault(life_id, {})[report.entry] = now_ms
--- a/cassiapitch/demand.py
+++ b/cassiapitch/demand.py
@@ -1,6 +1,7 @@
 """Demand for models and adapters, and the list of those that requests wait for."""
 
 import math
+from collections.abc import Callable
 
 from cassiapitch.messages import DemandReport
 from cassiapitch.orders import adapter_key, model_key
@@ -29,7 +30,7 @@
         """Takes an entry's report.
 
         Args:
-            report: The report; its names may be of models or of adapters.
+            report: The report; its names are of models or adapters of the bundle.
             adapters: Maps each adapter to its model.
             now_ms: The time of its arrival.
         """
@@ -65,6 +66,15 @@
         """Takes a key off the waiting list."""
         self._waiting.pop(key, None)
 
+    def keep(self, is_known: Callable[[str], bool]) -> None:
+        """Forgets everything but the keys that a new bundle knows."""
+        self._levels = {
+            key: value for key, value in self._levels.items() if is_known(key)
+        }
+        self._waiting = {
+            key: value for key, value in self._waiting.items() if is_known(key)
+        }
+
     def waiting_count(self, now_ms: int) -> int:
         """Returns how many requests waited at the entries by their last reports."""
         return sum(
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cassiapitch import backends
+from cassiapitch import backends, fleet_view
 from cassiapitch.backends import Life
 from cassiapitch.bundle import Bundle
 from cassiapitch.fleet_catalog import Catalog, from_bundle
@@ -35,7 +35,7 @@
     model_key,
     name_of,
 )
-from cassiapitch.types import ModelName, OrderKind, RoleKind
+from cassiapitch.types import OrderKind, RoleKind
 
 __all__ = ["FLEET_COMMANDS", "Fleet"]
 
@@ -354,45 +354,14 @@
             for key in life.ledger.charged_keys()
         )
         item_name = f"backend/{life.name}"
-        item = self._item(life)
+        item = fleet_view.backend_item(life, self.catalog)
         if self._items.get(item_name) != item:
             self._items[item_name] = item
             self._changes[item_name] = item
 
     def usable_keys(self, life: Life) -> list[str]:
         """Returns what is loaded, stays loaded and belongs to the bundle."""
-        unloading = {
-            order.key for order in life.ledger.orders.values() if not order.is_load()
-        }
-        return [
-            key
-            for key in life.ledger.reported
-            if key not in unloading and self.catalog.role_of(key) == life.role
-        ]
-
-    def _item(self, life: Life) -> BackendItem:
-        usable = self.usable_keys(life)
-        models = {ModelName(name_of(key)) for key in usable if not is_adapter_key(key)}
-        adapters = {
-            name_of(key)
-            for key in usable
-            if is_adapter_key(key) and self.catalog.model_of(key) in models
-        }
-        role = self.catalog.roles.get(life.role)
-        limit = None if role is None else role.running_limit_count
-        count = life.max_running_count
-        return BackendItem(
-            name=life.name,
-            life_id=life.life_id,
-            role=life.role,
-            zone=life.zone,
-            ip=life.ip,
-            port=life.port,
-            state=life.state,
-            models=tuple(sorted(models)),
-            adapters=tuple(sorted(adapters)),
-            max_running_count=count if limit is None else min(count, limit),
-        )
+        return fleet_view.usable_keys(life, self.catalog)
 
     def is_engine(self, life: Life) -> bool:
         """Tells whether placement may load models on a backend server."""
--- /dev/null
+++ b/cassiapitch/fleet_view.py
@@ -0,0 +1,45 @@
+"""What entries see of a backend server."""
+
+from cassiapitch.backends import Life
+from cassiapitch.fleet_catalog import Catalog
+from cassiapitch.messages import BackendItem
+from cassiapitch.orders import is_adapter_key, name_of
+from cassiapitch.types import ModelName
+
+
+def usable_keys(life: Life, catalog: Catalog) -> list[str]:
+    """Returns what is loaded, stays loaded and belongs to the bundle."""
+    unloading = {
+        order.key for order in life.ledger.orders.values() if not order.is_load()
+    }
+    return [
+        key
+        for key in life.ledger.reported
+        if key not in unloading and catalog.role_of(key) == life.role
+    ]
+
+
+def backend_item(life: Life, catalog: Catalog) -> BackendItem:
+    """Returns the view's item; an adapter shows only next to its model."""
+    usable = usable_keys(life, catalog)
+    models = {ModelName(name_of(key)) for key in usable if not is_adapter_key(key)}
+    adapters = {
+        name_of(key)
+        for key in usable
+        if is_adapter_key(key) and catalog.model_of(key) in models
+    }
+    role = catalog.roles.get(life.role)
+    limit = None if role is None else role.running_limit_count
+    count = life.max_running_count
+    return BackendItem(
+        name=life.name,
+        life_id=life.life_id,
+        role=life.role,
+        zone=life.zone,
+        ip=life.ip,
+        port=life.port,
+        state=life.state,
+        models=tuple(sorted(models)),
+        adapters=tuple(sorted(adapters)),
+        max_running_count=count if limit is None else min(count, limit),
+    )
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -55,7 +55,7 @@
         self._bundle_version = fleet.catalog.version
         self._resident_ms: dict[tuple[str, str], int] | None = None
         self._refilled_ms = now_ms
-        self._load_starts: dict[str, tuple[str, int]] = {}
+        self._loads: set[str] = set()
 
     def survey(self, now_ms: int) -> Survey:
         """Begins a round: reads the fleet and ages what is remembered."""
@@ -64,6 +64,7 @@
         if self.fleet.catalog.version != self._bundle_version:
             self._bundle_version = self.fleet.catalog.version
             self.bundle_seen_ms = now_ms
+            self.demand.keep(lambda key: self.fleet.catalog.role_of(key) is not None)
         is_late = {
             order_id: now_ms - seen_ms > LOAD_PATIENCE_MS + 2 * self.load_ms
             for order_id, seen_ms in self.order_seen_ms.items()
@@ -79,17 +80,6 @@
         since_ms = (self._resident_ms or {}).get((life_id, key), now_ms)
         return now_ms - since_ms >= RESIDENT_MS
 
-    def may_load(self, *, adapter: bool) -> bool:
-        """Tells whether the store's limits allow one more load now.
-
-        The fleet counts what is recorded; the round adds what it decides.
-        """
-        in_flight_count = self.fleet.loads_in_flight_count(adapters=adapter)
-        store = self.fleet.catalog.store
-        if adapter:
-            return in_flight_count < store.adapters_in_flight_count
-        return in_flight_count < store.loads_in_flight_count and self.store_tokens >= 1
-
     def _refill(self, now_ms: int) -> None:
         rate = self.fleet.catalog.store.loads_per_s
         grown = self.store_tokens + rate * (now_ms - self._refilled_ms) / 1_000
@@ -101,13 +91,13 @@
         for order_id, seen_ms in list(self.order_seen_ms.items()):
             if order_id not in open_orders:
                 del self.order_seen_ms[order_id]
-                if order_id in self._load_starts:
-                    del self._load_starts[order_id]
+                if order_id in self._loads:
+                    self._loads.remove(order_id)
                     self.load_ms += (now_ms - seen_ms - self.load_ms) / 8
         for order in open_orders.values():
             self.order_seen_ms.setdefault(order.order_id, now_ms)
             if order.is_load() and not order.adapter:
-                self._load_starts.setdefault(order.order_id, (order.key, now_ms))
+                self._loads.add(order.order_id)
 
     def _age_residents(self, survey: Survey, now_ms: int) -> None:
         old = self._resident_ms
@@ -122,14 +112,14 @@
 
     def _age_waiting(self, survey: Survey) -> None:
         for _, key in self.demand.waiting():
-            is_gone = self.fleet.catalog.memory_mib(key) is None
-            if is_gone or survey.is_served(key):
+            if survey.is_served(key):
                 self.demand.served(key)
                 self.plans.pop(key, None)
 
     def _age_plans(self, survey: Survey, now_ms: int) -> None:
         for key, plan in list(self.plans.items()):
-            if not _is_alive(plan, survey, now_ms) or survey.coming.get(key):
+            is_gone = self.fleet.catalog.role_of(key) is None
+            if is_gone or not _is_alive(plan, survey, now_ms) or survey.coming.get(key):
                 del self.plans[key]
         for role, (key, plan) in list(self.holds.items()):
             is_done = survey.is_served(key) or survey.coming.get(key)
@@ -161,7 +151,7 @@
     rank = 0
     for _, key in state.demand.waiting():
         name = key.split("/", 1)[1]
-        if name in expected or catalog.memory_mib(key) is None:
+        if name in expected:
             continue
         rank += key == model_key(name)
         unload_ms = VIEW_DELAY_MS if key in state.plans else 0
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -27,6 +27,7 @@
         self.memory_mib, self.fencing = memory_mib, fencing
         self.lives = itertools.count(1)
         self.is_silent = False
+        self.running_count = 0
         self.start()
 
     def start(self):
@@ -55,6 +56,7 @@
             settled=self.memory.settled_report(),
             fence_term=self.memory.fence[0],
             fence_number=self.memory.fence[1],
+            running_count=self.running_count,
             leaving=self.memory.leaving,
             sequence=self.sequence,
         )
--- /dev/null
+++ b/tests/test_coordinator.py
@@ -0,0 +1,130 @@
+"""Tests of one controller term's decisions."""
+
+import pytest
+
+from cassiapitch.messages import DemandReport
+from tests.fleet_world import World
+
+FLAT = {"a": 30, "b": 30, "c": 30}
+
+
+def make_world(sizes=(100,), models=FLAT, fencing=True):
+    world = World(fencing=fencing, seed=1, sizes=sizes)
+    world.roll(models, {})
+    world.run(2_000)
+    return world
+
+
+def state(world):
+    return world.fleet.view_items()["backend/e0"].state
+
+
+def refuse(world, entry):
+    report = DemandReport(entry, (), ("e0-1",))
+    world.coordinator.on_demand(report, world.now_ms)
+
+
+def test_silent_server_is_suspected_after_two_seconds_and_down_after_ten():
+    """Guards against work for a dead server, and against haste."""
+    world = make_world()
+    world.engines[0].is_silent = True
+    world.run(1_800)
+    assert state(world) == "serving"
+    world.run(400)
+    assert state(world) == "suspected"
+    world.run(8_000)
+    assert state(world) == "down"
+    world.engines[0].is_silent = False
+    world.run(700)
+    assert state(world) == "serving"
+
+
+def test_refused_connections_count_from_two_entries():
+    """Guards against one entry's broken network that takes a server away."""
+    world = make_world()
+    refuse(world, "n1")
+    refuse(world, "n1")
+    world.run(200)
+    assert state(world) == "serving"
+    refuse(world, "n2")
+    world.run(100)
+    assert state(world) == "suspected"
+    world.run(2_000)
+    assert state(world) == "serving"
+
+
+def test_next_life_follows_after_silence_and_late_announcements_do_nothing():
+    """Guards against a late announcement that displaces the current life."""
+    world = make_world()
+    engine = world.engines[0]
+    late = engine.announcement()
+    engine.start()
+    world.run(1_500)
+    assert world.fleet.lives["e0"].life_id == "e0-1"
+    world.run(1_500)
+    assert world.fleet.lives["e0"].life_id == "e0-2"
+    world.coordinator.on_announcement(late, world.now_ms)
+    world.run(1_000)
+    assert world.fleet.lives["e0"].life_id == "e0-2"
+
+
+def test_fencing_engine_gets_its_orders_one_after_the_other():
+    """Guards against an order that arrives after a higher fence and is stale."""
+    world = make_world()
+    world.order_faults = ["lost"]
+    for name in ("a", "b"):
+        world.ask(name, 1)
+    world.run(1_500)
+    assert len(world.fleet.open_orders) == 2
+    assert world.engines[0].memory.fence == (0, 0)
+    world.run(8_000)
+    assert world.fleet.view_items()["backend/e0"].models == ("a", "b")
+    assert list(world.engines[0].memory.settled) == ["o1", "o2"]
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+def test_unload_is_sent_after_the_entries_view(fencing):
+    """Guards against requests to a model that has just been unloaded."""
+    world = make_world((40,), fencing=fencing)
+    world.ask("a", 1)
+    world.run(35_000)
+    assert world.fleet.view_items()["backend/e0"].models == ("a",)
+    world.run(30_000)
+    world.ask("b", 1)
+    while world.fleet.view_items()["backend/e0"].models:
+        world.run(100)
+    gone_ms = world.now_ms
+    while world.engines[0].memory.residents:
+        world.run(100)
+    assert world.now_ms - gone_ms >= 2_000
+
+
+def test_expected_time_counts_down_and_covers_the_waiting_list():
+    """Guards against entries that don't know whether waiting makes sense."""
+    world = make_world()
+    world.coordinator.placement.store_tokens = -10.0
+    world.ask("a", 1)
+    world.run(100)
+    world.ask("b", 1)
+    expected = world.coordinator.load_reports(world.now_ms).expected_ms
+    assert 0 < expected["a"] < expected["b"]
+    assert "c" not in expected
+    world.run(10_000)
+    assert world.coordinator.load_reports(world.now_ms).expected_ms == {}
+
+
+def test_load_reports_are_given_once():
+    """Guards against entries that take an old report for a new one."""
+    world = make_world()
+    reports = world.coordinator.load_reports(world.now_ms).reports
+    assert [report.name for report in reports] == ["e0"]
+    assert world.coordinator.load_reports(world.now_ms).reports == ()
+
+
+def test_lost_proposals_are_decided_anew():
+    """Guards against a change that is thought recorded and isn't."""
+    world = make_world()
+    world.engines[0].memory.leaving = True
+    world.lost_proposals = 1
+    world.run(1_500)
+    assert state(world) == "leaving"
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -6,7 +6,8 @@
 import httpcore
 import pytest
 
-from cassiapitch import asgi
+from cassiapitch import asgi, standin
+from cassiapitch.announce import AnnounceRoute
 from cassiapitch.settings import Address
 from cassiapitch.standin_engine import Engine
 from cassiapitch.standin_service import Service
@@ -274,3 +275,42 @@
         dump = await standin.dump()
     assert dump["doubled"] == ["q"]
     assert "authorization: Bearer secret" in dump["headers"]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("kind", ["engine", "service"])
+async def test_program_announces_itself_and_leaves_gracefully(kind):
+    """Guards against a stop that entries hear of too late, or that cuts requests."""
+    delivered, stop = [], anyio.Event()
+
+    async def deliver(announcement):
+        delivered.append(announcement)
+        return True
+
+    digest = "2e7d2c03a9507ae265ecf5b5356885a53393a2029d241394997265a1a25aefc6"
+    route = AnnounceRoute(lambda: {"r": digest}, deliver)
+    member = asgi.HttpServer(route, Address("127.0.0.1", 0))
+    settings = StandinSettings(
+        name="b",
+        kind=kind,
+        role="r",
+        zone="z",
+        address=Address("127.0.0.1", 0),
+        credential="c",
+        # The first member is gone, so the second one is tried.
+        announce_addresses=(Address("127.0.0.1", 9), Address("127.0.0.1", member.port)),
+        announce_ms=60_000,
+        leave_ms=300,
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(member.run)
+        group.start_soon(standin.serve, settings, stop)
+        with anyio.fail_after(LIMIT_S):
+            while not delivered:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+            stop.set()
+            while len(delivered) < 2:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+        member.close()
+    assert [item.leaving for item in delivered] == [False, True]
+    assert [item.sequence for item in delivered] == [1, 2]
