Keep the testbed's ports reserved while processes start and restart

Cause: a demo run failed with "address already in use" in entry-3; between the release of its port and its start an outgoing connection had taken the port. Ruled out: ports below the ephemeral range, which other programs may hold, and a second try, which would hide a process that fails to start.

--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -14,7 +14,7 @@
 from cassiapitch.client import AdminPeer, Client, Done, Outcome
 from cassiapitch.settings import Address
 from testbed.catalogue import ENGINE_MEMORY_MIB, ROLES, SERVICE_ROLE, Catalogue
-from testbed.ports import LOOPBACK, free_ports
+from testbed.ports import LOOPBACK
 from testbed.processes import ROOT, ManagedProcess, ProcessGroup
 
 CLUSTER = "testbed"
@@ -94,7 +94,7 @@
 
     def _allocate_ports(self) -> dict[str, tuple[int, int]]:
         names = [*self.control, *self.entries, *self.engines, *self.services]
-        ports = iter(free_ports(2 * len(names)))
+        ports = iter(self.processes.reserve_ports(2 * len(names)))
         return {name: (next(ports), next(ports)) for name in names}
 
     def zone(self, name: str) -> str:
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 
+from testbed.ports import ReservedPorts
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KILL_WAIT_S = 10
 
@@ -94,10 +96,11 @@
 
 
 class ProcessGroup:
-    """Every process of a testbed; ends all of them on exit."""
+    """Every process of a testbed and its ports; ends all of them on exit."""
 
     def __init__(self) -> None:
         self._processes: dict[str, ManagedProcess] = {}
+        self._reserved: list[ReservedPorts] = []
 
     def __enter__(self) -> "ProcessGroup":
         return self
@@ -105,6 +108,8 @@
     def __exit__(self, *_: object) -> None:
         for process in self._processes.values():
             process.kill()
+        for reserved in self._reserved:
+            reserved.close()
 
     def __getitem__(self, name: str) -> ManagedProcess:
         return self._processes[name]
@@ -114,6 +119,12 @@
         self._processes[process.name] = process
         return process
 
+    def reserve_ports(self, count: int) -> list[int]:
+        """Returns ports that stay reserved until the group ends."""
+        reserved = ReservedPorts(count)
+        self._reserved.append(reserved)
+        return reserved.ports
+
     def running(self) -> list[ManagedProcess]:
         """Returns the processes that run."""
         return [item for item in self._processes.values() if item.is_running()]
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -2,18 +2,21 @@
 
 import contextlib
 import json
+import socket
 
-from testbed.ports import free_ports
+import pytest
+
+from testbed.ports import LOOPBACK, ReservedPorts
 from testbed.processes import ManagedProcess, ProcessGroup
 
 
-def _standin(folder, **changes):
+def _standin(folder, port=0, **changes):
     settings = {
         "name": "service-1",
         "kind": "service",
         "role": "order-desk",
         "zone": "zone-1",
-        "address": {"ip": "127.0.0.1", "port": free_ports(1)[0]},
+        "address": {"ip": "127.0.0.1", "port": port},
         **changes,
     }
     path = folder / "service-1.json"
@@ -21,9 +24,17 @@
     return ManagedProcess("service-1", "cassiapitch.standin", path, folder)
 
 
-def test_ports_differ():
-    """Guards against two processes with one port."""
-    assert len(set(free_ports(50))) == 50
+def test_reserved_ports_differ_and_only_their_processes_get_them():
+    """Guards against a process whose port an outgoing connection has taken."""
+    reserved = ReservedPorts(50)
+    assert len(set(reserved.ports)) == 50
+    with socket.socket() as stranger, pytest.raises(OSError):
+        stranger.bind((LOOPBACK, reserved.ports[0]))
+    with socket.socket() as server:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        server.bind((LOOPBACK, reserved.ports[0]))
+        server.listen()
+    reserved.close()
 
 
 def test_group_ends_its_processes_when_a_script_fails(tmp_path):
