Let a call outlast a change of granters

A new leader is elected 500 to 1,000 ms after a kill and then lowers its floors, but a waiting call was given up 800 ms after it came. A call without any answer waits up to 2,000 ms, one with an answer 800 ms as before; the longest election timeout is 800 ms.

--- a/cassiapitch/budget.py
+++ b/cassiapitch/budget.py
@@ -14,6 +14,13 @@
 
 ASK_PERIOD_MS = 200
 WAIT_LIMIT_MS = 800
+# A call that no granter has answered yet may wait longer: a new control leader is
+# elected and grants again within about 1,500 ms, and refusing calls that are within
+# their rate in the meantime would be wrong.
+UNANSWERED_LIMIT_MS = 2_000
+# After the first answer a call waits at least this long, so that a granter which
+# has just started can lower its floors.
+ANSWERED_WAIT_MS = 400
 GRANT_LIFE_MS = 1_000
 # An ask without an answer for this long is taken for lost, and its need is asked
 # for again. A late answer is still used.
@@ -82,6 +89,13 @@
     call: str
     tokens: int
     since_ms: int
+    answered_ms: int | None = None
+
+    def until_ms(self) -> int:
+        """Returns when the call is given up."""
+        if self.answered_ms is None:
+            return self.since_ms + UNANSWERED_LIMIT_MS
+        return max(self.since_ms + WAIT_LIMIT_MS, self.answered_ms + ANSWERED_WAIT_MS)
 
 
 @dataclasses.dataclass(slots=True)
@@ -97,7 +111,6 @@
     debt_tokens: int = 0
     period_tokens: int = 0
     average_tokens: float = 0.0
-    answered_ms: int | None = None
 
     def held_tokens(self) -> int:
         return sum(grant.tokens for grant in self.grants)
@@ -175,10 +188,10 @@
             self._drop_expired(name, state, now_ms)
             while state.waiters:
                 waiter = state.waiters[0]
-                if now_ms - waiter.since_ms < WAIT_LIMIT_MS:
+                if now_ms < waiter.until_ms():
                     break
                 state.waiters.pop(0)
-                self._decided.append((waiter.call, self._give_up(state, waiter)))
+                self._decided.append((waiter.call, _give_up(waiter)))
         self._asked = {
             sequence: asked
             for sequence, asked in self._asked.items()
@@ -283,7 +296,9 @@
 
     def _take_grant(self, grant: Grant, asked_ms: int, now_ms: int) -> None:
         state = self._accounts.setdefault(grant.account, _AccountBudget())
-        state.answered_ms = now_ms
+        for waiter in state.waiters:
+            if waiter.answered_ms is None and waiter.since_ms <= asked_ms:
+                waiter.answered_ms = now_ms
         expires_ms = asked_ms + grant.life_ms
         if grant.tokens > 0:
             state.grants.append(
@@ -314,7 +329,7 @@
         for waiter in state.waiters:
             short = max(0, running + waiter.tokens)
             expected_ms = wait_ms * short // missing
-            if now_ms + expected_ms > waiter.since_ms + WAIT_LIMIT_MS:
+            if now_ms + expected_ms > waiter.until_ms():
                 refusal = RateExceeded(max(1, expected_ms))
                 self._decided.append((waiter.call, refusal))
             else:
@@ -322,12 +337,6 @@
                 kept.append(waiter)
         state.waiters = kept
 
-    def _give_up(self, state: _AccountBudget, waiter: _Waiter) -> Decision:
-        answered = state.answered_ms is not None
-        if answered and state.answered_ms >= waiter.since_ms:
-            return RateExceeded(WAIT_LIMIT_MS)
-        return Unanswered()
-
     def _admit(self, name: AccountName, state: _AccountBudget, tokens: int) -> Admitted:
         if state.debt_tokens:
             _draw(state, state.debt_tokens)
@@ -352,6 +361,12 @@
             self._refunds[key] = self._refunds.get(key, 0) + tokens
 
 
+def _give_up(waiter: _Waiter) -> Decision:
+    if waiter.answered_ms is not None:
+        return RateExceeded(WAIT_LIMIT_MS)
+    return Unanswered()
+
+
 def _draw(state: _AccountBudget, tokens: int) -> list[Draw]:
     """Takes tokens from the grants that expire first."""
     state.grants.sort(key=lambda grant: grant.expires_ms)
--- a/cassiapitch/node.py
+++ b/cassiapitch/node.py
@@ -17,7 +17,7 @@
 
 HEARTBEAT_MS = 100
 ELECTION_MIN_MS = 500
-ELECTION_MAX_MS = 1_000
+ELECTION_MAX_MS = 800
 # Followers reject votes for 500 ms after a heartbeat. The lease ends 100 ms before
 # that, which allows for clocks that differ in speed by a fifth.
 LEASE_MS = 400
