--- a/cassiapitch/loadreport.py
+++ b/cassiapitch/loadreport.py
@@ -16,7 +16,7 @@
 LATENCY_PLOT_NAME = "latency.png"
 
 _MEASURE_TEXTS = {
-    "attainment": "calls within the rate that were answered within their deadlines",
+    "attainment": "answered whole and in time, as a share of the calls within the rate",
     "attained_per_s_and_accelerator": "such calls a second and accelerator",
     "model_moves_count": "models loaded during the run",
     "worst_served_account": "client account with the lowest attainment",
--- a/cassiapitch/loadresult.py
+++ b/cassiapitch/loadresult.py
@@ -33,7 +33,7 @@
     Attributes:
         offered: Calls that were sent.
         within_rate: Calls that the reference bucket admits.
-        attained: Of these, the ones answered within their deadlines.
+        attained: Calls that were answered whole within their deadlines.
         admissible_tokens: Tokens of the calls that the reference bucket admits.
         served_tokens: Tokens of the answered calls.
         endings: Calls by how they ended.
@@ -66,7 +66,7 @@
         """Adds one call."""
         self.offered += 1
         self.within_rate += within
-        self.attained += within and attained
+        self.attained += attained
         self.endings[result.ending] += 1
         if result.first_ms is not None:
             _record(self.first_token, result.first_ms - at_ms)
@@ -75,16 +75,27 @@
         if result.ending is Ending.ANSWERED:
             _record(self.whole, result.end_ms - at_ms)
 
+    def attained_within(self) -> int:
+        """Returns the attained calls, at most as many as the rate admits.
+
+        Of an account that sends more than its rate the system may serve other calls
+        than the reference bucket admits, so that only their number compares.
+        """
+        return min(self.attained, self.within_rate)
+
+    def attainment(self) -> float | None:
+        """Returns the share of admissible calls that were attained."""
+        return self.attained_within() / self.within_rate if self.within_rate else None
+
     def document(self) -> dict[str, Any]:
         """Returns the group for the result file."""
-        share = self.attained / self.within_rate if self.within_rate else None
         return {
             "offered_count": self.offered,
             "within_rate_count": self.within_rate,
             "attained_count": self.attained,
             "admissible_tokens": self.admissible_tokens,
             "served_tokens": self.served_tokens,
-            "attainment": share,
+            "attainment": self.attainment(),
             "endings": dict(self.endings),
             "refused_within_rate": dict(self.refused_within),
             "refused_beyond_rate": dict(self.refused_beyond),
@@ -285,12 +296,12 @@
     def _measures(self, standins: dict[str, int]) -> dict[str, Any]:
         groups = self._accounts
         within = sum(item.within_rate for item in groups.values())
-        attained = sum(item.attained for item in groups.values())
+        attained = sum(item.attained_within() for item in groups.values())
         refused = sum(item.refused_within.total() for item in groups.values())
         shares = {
-            name: item.attained / item.within_rate
+            name: share
             for name, item in groups.items()
-            if item.within_rate
+            if (share := item.attainment()) is not None
         }
         worst = min(shares, key=lambda name: shares[name], default=None)
         per_second = attained * 1000 / self._experiment.duration_ms
--- a/cassiapitch/referencebucket.py
+++ b/cassiapitch/referencebucket.py
@@ -92,11 +92,11 @@
 def refusals_with_room(
     bucket: ReferenceBucket, records: Iterable[RateRecord]
 ) -> set[int]:
-    """Returns the refused calls that could have been served beside the served ones.
+    """Returns the refused calls for which the calls served until then left room.
 
     An account that sends more than its rate is refused something in any case, and
-    which calls these are says nothing; it was refused too much only where what it
-    was served until then leaves room in its bucket. A call that is found is charged
+    which calls these are says nothing; it was refused too much only where its bucket,
+    charged with what it was served, had room. A call that is found is charged
     too, so that the same room is not found again for the next refusal.
     """
     # Of the same millisecond, refunds go first and calls in the order of sending.
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -206,6 +206,21 @@
     assert account["attained_count"] == 0
 
 
+def test_attainment_of_an_overloaded_account_counts_any_served_call():
+    """Guards against a well-served account that looks badly served."""
+    poor = dataclasses.replace(_plan().accounts[0], burst_tokens=10)
+    plan = dataclasses.replace(_plan(), accounts=(poor,))
+    collector = Collector(plan)
+    # The reference admits the first of two equal calls, the entry the second.
+    for number, ending in enumerate((Ending.REFUSED, Ending.ANSWERED)):
+        call = Call(number, 0, "shop", "chat", "a", "p", 5, 10)
+        collector.sent(call)
+        collector.ended(call, plan.classes[0], CallResult(ending=ending, end_ms=5))
+    document = collector.document({})
+    assert document["accounts"]["shop"]["within_rate_count"] == 1
+    assert document["measures"]["worst_served_attainment"] == 1.0
+
+
 def test_standins_show_doubled_runs_and_moves():
     """Guards against a doubled order that no caller notices."""
 
