Report demand by what is asked for, and limit the time for a request's head

Cause: placement adds an adapter's demand to its model's itself, so that naming both counted the model twice; waiting requests for an adapter were reported as the model's, which never asks for the adapter. And a caller that sent a head byte by byte held a connection for ever, since uvicorn limits idle connections only after their first response. Ruled out: a limit by limit_concurrency alone, which such callers would use up. Before: no limit. Conclusion: the limit is in the common module and covers every HTTP program.

--- a/cassiapitch/asgi.py
+++ b/cassiapitch/asgi.py
@@ -1,5 +1,6 @@
 """HTTP serving by `uvicorn`, and small helpers for ASGI applications."""
 
+import asyncio
 import contextlib
 import dataclasses
 import socket
@@ -7,8 +8,10 @@
 from typing import Any
 
 import anyio
+import h11
 import msgspec
 import uvicorn
+from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from cassiapitch.settings import Address
 
@@ -20,6 +23,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 KEEP_ALIVE_S = 75
+HEAD_LIMIT_S = 30
 LISTEN_BACKLOG = 1_024
 
 
@@ -99,6 +103,46 @@
     await send_response(send, status, msgspec.json.encode(document), headers=headers)
 
 
+class _Protocol(H11Protocol):
+    """`uvicorn`'s protocol with a limit on the time for a request's head.
+
+    `uvicorn` limits idle connections after their first response only, so that a
+    caller that sends a head byte by byte would hold its connection for ever.
+    """
+
+    _head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Starts the time for the first head."""
+        super().connection_made(transport)
+        self._watch_head()
+
+    def data_received(self, data: bytes) -> None:
+        """Starts the time if only a part of a head has arrived."""
+        super().data_received(data)
+        self._watch_head()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the time."""
+        self._stop_watch()
+        super().connection_lost(exc)
+
+    def _watch_head(self) -> None:
+        if self.conn.their_state is not h11.IDLE:
+            self._stop_watch()
+        elif self._head_timer is None:
+            self._head_timer = self.loop.call_later(HEAD_LIMIT_S, self._end)
+
+    def _stop_watch(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _end(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.close()
+
+
 class _Server(uvicorn.Server):
     """`uvicorn` without its signal handlers, which belong to `process`."""
 
@@ -136,7 +180,7 @@
                 interface="asgi3",
                 # Forwarding headers are not trusted, and cost time on each request.
                 proxy_headers=False,
-                http="h11",
+                http=_Protocol,
                 ws="none",
                 lifespan="off",
                 log_config=None,
--- a/cassiapitch/callers.py
+++ b/cassiapitch/callers.py
@@ -21,7 +21,6 @@
     refusal_for,
     refused,
 )
-from cassiapitch.catalog import Target
 from cassiapitch.crashes import Crashes
 from cassiapitch.engines import EngineRefusedError, Plan
 from cassiapitch.entrystate import EntryState
@@ -183,8 +182,7 @@
         if target is None:
             message = f"no model or adapter {request.model!r}"
             raise CallRefusedError(Refusal(ErrorKind.MODEL_UNKNOWN, message))
-        for name in _names(target):
-            self._state.demand.arrived(name, call.priority)
+        self._state.demand.arrived(target.name, call.priority)
         if self._crashes.is_quarantined(request.digest):
             raise refused(ErrorKind.REQUEST_QUARANTINED)
         wanted_tokens = request.max_tokens or api.DEFAULT_MAX_TOKENS
@@ -201,8 +199,7 @@
         finally:
             used_tokens = generation.used_tokens()
             self._state.budget.settle(admitted, used_tokens)
-            for name in _names(plan.target):
-                self._state.demand.used(name, call.priority, used_tokens)
+            self._state.demand.used(plan.target.name, call.priority, used_tokens)
 
     async def _generate_whole(
         self, call: Call, plan: Plan, receive: Receive, send: Send
@@ -363,9 +360,3 @@
     ErrorKind.BODY_TIMEOUT,
     ErrorKind.HEADERS_TOO_LARGE,
 )
-
-
-def _names(target: Target) -> tuple[str, ...]:
-    if target.adapter is None:
-        return (target.model.name,)
-    return (target.model.name, target.adapter)
--- a/cassiapitch/catalog.py
+++ b/cassiapitch/catalog.py
@@ -56,6 +56,11 @@
     model: ModelItem
     adapter: str | None
 
+    @property
+    def name(self) -> str:
+        """The adapter's name, or the model's if there is none."""
+        return self.adapter or self.model.name
+
 
 class Catalog:
     """Typed items of the view, by kind and name."""
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -194,11 +194,11 @@
             await anyio.sleep(demand.REPORT_PERIOD_MS / 1000)
             if self._send_primary is None:
                 continue
-            models = self.state.catalog.models
+            catalog = self.state.catalog
             waiting = {
                 key: value
                 for key, value in self.state.scheduler.waiting().items()
-                if key[0] in models
+                if catalog.target(key[0]) is not None
             }
             report = self.state.demand.report(waiting)
             if report is not None:
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -120,8 +120,9 @@
     def _make_wanted(self) -> Wanted:
         call, plan, state = self._call, self._plan, self._state
         account = call.account
-        name = plan.target.adapter or plan.target.model.name
+        name = plan.target.name
         return Wanted(
+            name=name,
             queue=plan.target.model.name,
             candidates=lambda: state.catalog.engines(plan.target),
             expected_ms=lambda: state.expected_ms(name),
@@ -139,8 +140,7 @@
     def _no_slot(self, slot: NoSlot) -> Exception:
         target = self._plan.target
         if slot.kind is ErrorKind.MODEL_LOADING:
-            name = target.adapter or target.model.name
-            self._state.demand.refused(name, self._call.priority)
+            self._state.demand.refused(target.name, self._call.priority)
         if self.answer.next_position:
             return refused(ErrorKind.STREAM_LOST)
         if self._call.course.may_have_left:
--- a/cassiapitch/operatorroutes.py
+++ b/cassiapitch/operatorroutes.py
@@ -79,7 +79,7 @@
         waits = state.scheduler.waiting()
         waiting = [
             {
-                "queue": name,
+                "name": name,
                 "priority": priority.value,
                 "waiting_count": count,
                 "oldest_wait_ms": oldest_ms,
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -20,6 +20,7 @@
     """What a request needs of a backend server.
 
     Attributes:
+        name: What it asks for: a model, an adapter, or a plain service's role.
         queue: Name of its queue: the model, or the role of a plain service.
         candidates: Returns the backend servers that may get it now.
         expected_ms: Returns the time until there is a candidate if there is none
@@ -36,6 +37,7 @@
         narrow: Whether not every backend server of its queue is a candidate.
     """
 
+    name: str
     queue: str
     candidates: Callable[[], list[BackendItem]]
     expected_ms: Callable[[], int | None]
@@ -134,14 +136,14 @@
         self.pump()
 
     def waiting(self) -> dict[tuple[str, Priority], tuple[int, int]]:
-        """Returns the waiting requests' number and longest wait by queue."""
+        """Returns the waiting requests' number and longest wait by what they need."""
         now_ms = timers.now_ms()
         found: dict[tuple[str, Priority], tuple[int, int]] = {}
-        for name, queue in self._queues.items():
-            for priority in Priority:
-                count, since_ms = queue.waiting(priority)
-                if count and since_ms is not None:
-                    found[(name, priority)] = (count, now_ms - since_ms)
+        for ticket, waiter in self._waiters.items():
+            key = (waiter.wanted.name, ticket.priority)
+            count, longest_ms = found.get(key, (0, 0))
+            wait_ms = max(longest_ms, now_ms - ticket.since_ms)
+            found[key] = (count + 1, wait_ms)
         return found
 
     async def _wait(
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -163,6 +163,7 @@
         account = self._call.account
         role = self._request.route.role
         return Wanted(
+            name=f"role/{role}",
             queue=f"role/{role}",
             candidates=lambda: self._state.catalog.services(role),
             expected_ms=lambda: None,
--- a/tests/test_asgi.py
+++ b/tests/test_asgi.py
@@ -71,3 +71,43 @@
             await pool.request("GET", f"http://127.0.0.1:{server.port}/")
         server.close()
     assert options[0] != 0
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("begin", [b"", b"GET / HTTP/1.1\r\nHost"])
+async def test_head_that_does_not_arrive_ends_the_connection(monkeypatch, begin):
+    """Guards against callers that hold connections by sending heads slowly."""
+    monkeypatch.setattr(asgi, "HEAD_LIMIT_S", 0.1)
+
+    async def app(scope, receive, send):
+        await asgi.send_json(send, 200, {})
+
+    server = asgi.HttpServer(app, Address("127.0.0.1", 0))
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run)
+        stream = await anyio.connect_tcp("127.0.0.1", server.port)
+        if begin:
+            await stream.send(begin)
+        with anyio.fail_after(10), pytest.raises(anyio.EndOfStream):
+            await stream.receive()
+        await stream.aclose()
+        server.close()
+
+
+@pytest.mark.anyio
+async def test_slow_response_is_not_cut_by_the_limit_for_heads(monkeypatch):
+    """Guards against a limit that goes on after the head has arrived."""
+    monkeypatch.setattr(asgi, "HEAD_LIMIT_S", 0.1)
+
+    async def app(scope, receive, send):
+        await anyio.sleep(0.3)
+        await asgi.send_json(send, 200, {})
+
+    server = asgi.HttpServer(app, Address("127.0.0.1", 0))
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run)
+        async with httpcore.AsyncConnectionPool() as pool:
+            for _ in range(2):
+                response = await pool.request("GET", f"http://127.0.0.1:{server.port}/")
+                assert response.status == 200
+        server.close()
--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -155,6 +155,8 @@
             reports = w.hub.of(messages.DemandReport)
             return [item for report in reports for item in report.demands]
 
+        assert (await w.chat(3, model="ad"))[0] == 503
+        await w.until(lambda: any(item.model == "ad" for item in demands()))
         await w.until(lambda: any(item.model == "cold" for item in demands()))
         assert demands()[0].waiting_count == 1
         await w.hub.send(messages.LoadReports((), {"cold": 60_000}))
