Check authorisation before the waiting chunks of a cut stream

Cause: when an answer was lost, chunks that still waited for a slow caller were sent without a check, so that a withdrawal in that moment would have been missed. Ruled out: dropping these chunks always, which would shorten a lost answer for callers whose key works. Before: no check. Conclusion: every chunk is checked where it is written.

--- a/cassiapitch/callers.py
+++ b/cassiapitch/callers.py
@@ -254,7 +254,7 @@
                 request_id=call.request_id,
                 reason=refusal.kind.value,
             )
-            await stream.cut(refusal, flush=isinstance(error, CallRefusedError))
+            await stream.cut(refusal)
 
     async def _call_service(
         self, call: Call, route: RouteItem, scope: Scope, receive: Receive, send: Send
--- a/cassiapitch/callerstream.py
+++ b/cassiapitch/callerstream.py
@@ -114,21 +114,19 @@
             if is_last:
                 return
 
-    async def cut(self, refusal: Refusal, *, flush: bool) -> None:
+    async def cut(self, refusal: Refusal) -> None:
         """Ends a started answer with an error event and without its last chunk.
 
         The caller sees that the answer is truncated, since the connection closes
-        before the end of the chunked response.
-
-        Args:
-            refusal: What went wrong.
-            flush: Whether chunks that still wait may be sent before it.
+        before the end of the chunked response. Chunks that still wait go first,
+        unless the call is no longer authorised.
         """
         if self.connection.is_blocked:
             self.connection.abort()
             return
         document = api.refusal_document(refusal, self._call.request_id, True)
-        data = b"".join(self._chunks) if flush else b""
+        fault = self._authorization.fault(self._call, timers.now_ms())
+        data = b"".join(self._chunks) if fault is None else b""
         data += b"data: " + msgspec.json.encode(document) + b"\n\n"
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
