Stop a member whose log contradicts the group; test a frozen leader

The failure arose in the task of a peer's stream, where grpclib logs it and goes on; the member raises StorageError from run now. A test that proposed through a member that still followed a stopped leader got the rightful outcome 'uncertain'; it waits until all members know the new leader now.

--- a/cassiapitch/member.py
+++ b/cassiapitch/member.py
@@ -20,14 +20,18 @@
     memberchanges,
     peers,
     proposer,
-    quorum,
     reads,
     replication,
     rpc,
     snapshots,
 )
 from cassiapitch.exceptions import StorageError
-from cassiapitch.membertypes import MemberStatus, StateMachine
+from cassiapitch.membertypes import (
+    MemberStatus,
+    StateMachine,
+    name_of_leader,
+    status_of,
+)
 from cassiapitch.node import NO_GROUP, Node, Send
 from cassiapitch.proposals import (
     Committed,
@@ -117,6 +121,8 @@
         self._reads = Reads()
         self._changes = memberchanges.Changes(self)
         self._wake_applier = anyio.Event()
+        self._failed = anyio.Event()
+        self._failures: list[Exception] = []
         self._logged_leader: str | None = None
         self._logged_group = NO_GROUP
 
@@ -137,6 +143,7 @@
             group.start_soon(self._apply_forever)
             group.start_soon(self._tick_forever)
             group.start_soon(self._changes.run)
+            group.start_soon(self._raise_failure)
             group.start_soon(memberchanges.form_group, self)
             await anyio.lowlevel.checkpoint()
             self.pump()
@@ -191,23 +198,7 @@
 
     def status(self) -> MemberStatus:
         """Returns what this member knows now."""
-        node = self.node
-        if node is None:
-            return MemberStatus(self.settings.name, "waiting", 0, None, 0, 0, ())
-        own = quorum.member_by_id(node.group, node.own_id)
-        if own is None:
-            role = "waiting"
-        else:
-            role = str(node.role) if own.voter else "learner"
-        return MemberStatus(
-            self.settings.name,
-            role,
-            node.term,
-            self.leader_name(),
-            node.commit_index,
-            node.applied_index,
-            node.group.members,
-        )
+        return status_of(self.settings.name, self.node)
 
     def has_lease(self, time_ms: int) -> bool:
         """Tells whether this member leads and holds the quorum's lease."""
@@ -240,11 +231,7 @@
 
     def leader_name(self) -> str | None:
         """Returns the leader's name, if it is known."""
-        node = self.node
-        if node is None or node.leader_id is None:
-            return None
-        found = quorum.member_by_id(node.group, node.leader_id)
-        return None if found is None else found.name
+        return None if self.node is None else name_of_leader(self.node)
 
     # Messages.
 
@@ -275,8 +262,18 @@
         elif isinstance(message, (ChangeAsk, ChangeAnswer)):
             self._changes.receive(sender, message)
         else:
+            self._receive(node, sender, target, message)
+
+    def _receive(self, node: Node, sender: str, target: str, message: Any) -> None:
+        if self._failures:
+            return
+        try:
             consensus.receive(node, sender, target, message, now_ms())
             self.pump()
+        except Exception as error:
+            # Raised in the stream's task, it would end only that stream.
+            self._failures.append(error)
+            self._failed.set()
 
     def pump(self) -> None:
         """Carries out what the decisions asked for; called after each input."""
@@ -331,6 +328,10 @@
 
     # Tasks.
 
+    async def _raise_failure(self) -> None:
+        await self._failed.wait()
+        raise self._failures[0]
+
     async def _tick_forever(self) -> None:
         assert self.node is not None
         while True:
@@ -378,7 +379,10 @@
 
     def _take_snapshot(self, node: Node) -> None:
         count = node.applied_index - self._snapshot_index
-        is_large = count > 1 and node.log.size_bytes > SNAPSHOT_BYTES
+        # A state larger than the limit would be written again and again.
+        state_bytes = 0 if node.snapshot is None else len(node.snapshot.blob)
+        limit_bytes = max(SNAPSHOT_BYTES, state_bytes)
+        is_large = count > 1 and node.log.size_bytes > limit_bytes
         if count < self._snapshot_count and not is_large:
             return
         self._snapshot_index = node.applied_index
--- a/cassiapitch/memberchanges.py
+++ b/cassiapitch/memberchanges.py
@@ -108,7 +108,8 @@
     async def _serve(self, sender: str, ask: ChangeAsk) -> None:
         address = Address(ask.ip, ask.port) if ask.ip else None
         outcome: ChangeOutcome = NotAccepted(None)
-        if self._member.status().role == "leader":
+        node = self._member.node
+        if node is not None and node.leadership is not None:
             deadline_ms = now_ms() + 5_000
             outcome = await self._make(
                 ask.kind, ask.name, ask.zone, address, deadline_ms
--- a/cassiapitch/membertypes.py
+++ b/cassiapitch/membertypes.py
@@ -3,6 +3,8 @@
 import dataclasses
 from typing import Protocol
 
+from cassiapitch import quorum
+from cassiapitch.node import Node
 from cassiapitch.raftmessages import GroupMember
 
 
@@ -44,3 +46,31 @@
     commit_index: int
     applied_index: int
     members: tuple[GroupMember, ...]
+
+
+def name_of_leader(node: Node) -> str | None:
+    """Returns the leader's name, if it is known."""
+    if node.leader_id is None:
+        return None
+    found = quorum.member_by_id(node.group, node.leader_id)
+    return None if found is None else found.name
+
+
+def status_of(name: str, node: Node | None) -> MemberStatus:
+    """Returns a member's status; `node` is None before its files are open."""
+    if node is None:
+        return MemberStatus(name, "waiting", 0, None, 0, 0, ())
+    own = quorum.member_by_id(node.group, node.own_id)
+    if own is None:
+        role = "waiting"
+    else:
+        role = str(node.role) if own.voter else "learner"
+    return MemberStatus(
+        name,
+        role,
+        node.term,
+        name_of_leader(node),
+        node.commit_index,
+        node.applied_index,
+        node.group.members,
+    )
--- a/cassiapitch/replication.py
+++ b/cassiapitch/replication.py
@@ -1,6 +1,7 @@
 """Replication: appends, heartbeats, commit, lease, and their answers."""
 
 from cassiapitch import codec, quorum, snapshots
+from cassiapitch.exceptions import StorageError
 from cassiapitch.node import (
     HEARTBEAT_MS,
     LEASE_MS,
@@ -200,7 +201,11 @@
         if held_term == entry.term:
             continue
         if held_term is not None:
-            assert entry.index > node.commit_index, "a committed entry would change"
+            if entry.index <= node.commit_index:
+                raise StorageError(
+                    f"the leader's entry {entry.index} differs from a committed one; "
+                    "this disk holds the log of another group"
+                )
             node.truncate_from(entry.index)
         node.append(entries[position:])
         return
--- a/tests/member_group.py
+++ b/tests/member_group.py
@@ -80,10 +80,12 @@
         return await until(lambda: self._find_leader(among or self.servers))
 
     def _find_leader(self, among):
-        for name in among:
-            if self.servers[name].member.status().role == "leader":
-                return name
-        return None
+        # A proposal through a member that still follows a stopped leader may rightly
+        # end as uncertain, so all of them have to know the new one.
+        states = [self.servers[name].member.status() for name in among]
+        leaders = {one.leader for one in states if one.role != "waiting"}
+        leading = {one.name for one in states if one.role == "leader"}
+        return leading.pop() if len(leading) == 1 and leading == leaders else None
 
 
 class ProcessMember:
@@ -93,6 +95,11 @@
         self.name = name
         self.options = {"name": name, "ports": ports, "folder": str(folder / name)}
         self.numbers = itertools.count()
+        self.ready = anyio.Event()
+
+    async def start(self, tasks):
+        await tasks.start(self.run)
+        self.ready.set()
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         command = [sys.executable, "-m", "tests.log_member", json.dumps(self.options)]
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -5,11 +5,12 @@
 import threading
 
 import anyio
+import anyio.lowlevel
 import pytest
 
 from cassiapitch import files
 from cassiapitch.exceptions import StorageError
-from cassiapitch.raftmessages import ForwardAnswer
+from cassiapitch.raftmessages import Append, Entry, EntryKind, ForwardAnswer
 from cassiapitch.timers import now_ms
 from tests.member_group import (
     ProcessMember,
@@ -133,6 +134,7 @@
         for change in (("remove", "a"), ("add", "a", port), ("promote", "a")):
             assert (await admin.do(*change))["outcome"] == "Committed"
         await group.stop("b")
+        await group.leader()
         await committed(admin, "four")
         await until(lambda: empty.machine.commands == ["one", "two", "three", "four"])
 
@@ -247,46 +249,110 @@
     run_group(body, tmp_path)
 
 
-def test_killed_leader_loses_nothing_acknowledged(tmp_path):
-    """Guards against lost commands when processes are killed without warning."""
-    ports = free_ports("abc")
-    members = {name: ProcessMember(name, ports, tmp_path) for name in ports}
-    acknowledged = []
+def test_log_of_another_group_stops_the_member(tmp_path):
+    """Guards against a member that goes on although its log contradicts the group's.
 
-    async def propose(member, first):
-        for number in range(first, first + 150):
-            answer = await member.do("propose", f"command-{number}", 5_000)
-            if answer is not None and answer["outcome"] == "Committed":
-                acknowledged.append(f"command-{number}")
+    The failure arises in the task of a peer's stream, which alone would end silently.
+    """
 
-    async def leader_among(names):
+    async def body(group):
+        await group.start_all()
+        await committed(group.servers["a"], "one")
+        await until(lambda: group.servers["c"].machine.commands == ["one"])
+        member = group.servers["c"].member
+        other = Entry(2, 9, 0, EntryKind.COMMAND, b"other")
+        message = Append(10, 0, 0, 1, 0, (other,), 2)
+        member._on_message("stranger", member.node.own_id, message)
         with anyio.fail_after(30):
-            while True:
-                for name in names:
-                    if (await members[name].do("status"))["role"] == "leader":
-                        return name
-                await anyio.sleep(0.05)
+            await group.ended["c"].wait()
+        failure = group.servers.pop("c").failure
+        assert "differs from a committed one" in repr(failure.subgroup(StorageError))
+        await committed(group.servers["a"], "two")
+
+    run_group(body, tmp_path)
+
+
+async def leader_among(members):
+    with anyio.fail_after(30):
+        while True:
+            for name, member in members.items():
+                if (await member.do("status"))["role"] == "leader":
+                    return name
+            await anyio.sleep(0.05)
+
 
+def run_processes(body, folder):
     async def main():
+        ports = free_ports("abc")
+        members = {name: ProcessMember(name, ports, folder) for name in ports}
         async with anyio.create_task_group() as tasks:
             for member in members.values():
-                await tasks.start(member.run)
-            killed = await leader_among(members)
-            rest = sorted(set(members) - {killed})
-            async with anyio.create_task_group() as proposals:
-                for number, name in enumerate([killed, *rest]):
-                    proposals.start_soon(propose, members[name], number * 1_000)
-                await until(lambda: len(acknowledged) >= 60)
-                members[killed].process.send_signal(signal.SIGKILL)
-            await leader_among(rest)
-            await tasks.start(members[killed].run)
+                tasks.start_soon(member.start, tasks)
             for member in members.values():
-                assert (await member.do("read", 20_000))["outcome"] == "ReadConfirmed"
-                commands = await member.do("commands")
-                assert len(commands) == len(set(commands))
-                assert set(acknowledged) <= set(commands)
-            assert len(acknowledged) > 200
+                await member.ready.wait()
+            await body(tasks, members)
             for member in members.values():
                 await member.process.stdin.aclose()
 
     anyio.run(main)
+
+
+def test_killed_leader_loses_nothing_acknowledged(tmp_path):
+    """Guards against lost commands when processes are killed without warning."""
+    acknowledged = []
+
+    async def propose(member, first):
+        for number in range(first, first + 150):
+            answer = await member.do("propose", f"command-{number}", 2_000)
+            if answer is not None and answer["outcome"] == "Committed":
+                acknowledged.append(f"command-{number}")
+
+    async def body(tasks, members):
+        killed = await leader_among(members)
+        rest = {name: one for name, one in members.items() if name != killed}
+        async with anyio.create_task_group() as proposals:
+            for number, name in enumerate([killed, *rest]):
+                proposals.start_soon(propose, members[name], number * 1_000)
+            await until(lambda: len(acknowledged) >= 60)
+            members[killed].process.send_signal(signal.SIGKILL)
+        await leader_among(rest)
+        await members[killed].start(tasks)
+        for member in members.values():
+            assert (await member.do("read", 20_000))["outcome"] == "ReadConfirmed"
+            commands = await member.do("commands")
+            assert len(commands) == len(set(commands))
+            assert set(acknowledged) <= set(commands)
+        assert len(acknowledged) > 200
+
+    run_processes(body, tmp_path)
+
+
+def test_frozen_leader_confirms_no_old_index(tmp_path):
+    """Guards against a stale read by a leader that wakes and thinks it still leads."""
+
+    async def body(tasks, members):
+        frozen = await leader_among(members)
+        rest = {name: one for name, one in members.items() if name != frozen}
+        first = await members[frozen].do("propose", "one", 5_000)
+        assert first["outcome"] == "Committed"
+        members[frozen].process.send_signal(signal.SIGSTOP)
+        await leader_among(rest)
+        other = next(iter(rest.values()))
+        with anyio.fail_after(30):
+            # The first attempt may still go to the frozen leader.
+            while (await other.do("propose", "two", 500))["outcome"] != "Committed":
+                pass
+        async with anyio.create_task_group() as reading:
+
+            async def read():
+                answer = await members[frozen].do("read", 10_000)
+                assert answer["outcome"] == "ReadConfirmed"
+                assert answer["index"] > first["index"]
+                assert "two" in await members[frozen].do("commands")
+
+            # The read waits in the frozen process's input when it wakes.
+            reading.start_soon(read)
+            await anyio.lowlevel.checkpoint()
+            members[frozen].process.send_signal(signal.SIGCONT)
+
+    run_processes(body, tmp_path)
