Sharpen the tests of gain, zones and the store's rate

Three hand-made faults (no gain ratio, a full bucket after a leader change, no zone preference) stayed unseen: the memory was full, the in-flight limit hid the rate, and the roomiest engine was in the other zone anyway. Each now turns a test red.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -57,14 +57,15 @@
 
 def test_second_copy_goes_to_another_zone():
     """Guards against both copies lost with one zone."""
-    world = make_world((90, 100, 100), {"a": 40})
+    world = make_world((100, 90, 100), {"a": 40})
     world.hot = {"a": 100}
     for engine in world.engines:
         engine.running_count = 8
-    world.run(30_000)
-    copies = [engine for engine in world.engines if engine.memory.residents]
-    times = {engine.zone: len(engine.memory.residents) for engine in copies}
-    assert set(times) == {"z0", "z1"}
+    copies = []
+    while len(copies) < 2 and world.now_ms < 60_000:
+        world.tick()
+        copies = [engine for engine in world.engines if engine.memory.residents]
+    assert {engine.zone for engine in copies} == {"z0", "z1"}
 
 
 def test_steady_demand_moves_nothing():
@@ -80,6 +81,20 @@
     assert sum(settled) == count
 
 
+def test_small_gain_adds_no_copy():
+    """Guards against moves that are worth less than the ratio of section 8."""
+    world = make_world((100, 100), {"a": 50, "b": 50})
+    for engine in world.engines:
+        engine.running_count = 8
+    world.hot = {"a": 50, "b": 30}
+    world.run(60_000)
+    assert [len(engine.memory.residents) for engine in world.engines] == [1, 1]
+    # Tenfold demand for one of them is worth a copy.
+    world.hot = {"a": 500, "b": 30}
+    world.run(60_000)
+    assert all(engine.memory.holds("a") for engine in world.engines)
+
+
 def test_rolled_bundle_replaces_models_within_the_memory():
     """Guards against overcommit and early unloads while two bundles meet."""
     world = make_world((100,), {"a": 60}, minimum="a")
@@ -131,18 +146,16 @@
 
 def test_store_rate_starts_empty_after_a_leader_change():
     """Guards against twice the store's rate when leaders change often."""
-    world = make_world((1_000,), {name: 10 for name in "abcdef"})
-    for name in "abcdef":
-        world.ask(name, 1)
-    started_ms = world.now_ms
-    for _ in range(40):
+    world = make_world((100,), {name: 10 for name in "abcdef"})
+    for _ in range(8):
         world.change_leader()
         for name in "abcdef":
             world.ask(name, 1)
+        # Less than one load's share of the rate passes in each term.
         world.run(300)
-    count = sum(len(engine.memory.started_count) for engine in world.engines)
-    elapsed_s = (world.now_ms - started_ms) / 1_000
-    assert count <= STORE.loads_per_s * elapsed_s + STORE.loads_per_s
+        assert not world.fleet.open_orders
+    world.run(2_000)
+    assert world.fleet.open_orders or world.served
 
 
 def test_round_of_a_deposed_leader_is_refused():
