Merge the control node's tests into those of the hub and of real members

The in-memory control node repeated what three real members show; its cases moved: no confirmation without a quorum, another deployment, relayed demand and load reports. Dropping the cases with the file was ruled out. Duplicates of each bundle section have a test now.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -2,18 +2,13 @@
 
 import anyio
 
-from cassiapitch import asgi, rpc
-from cassiapitch.controlnode import ControlNode, Parts
 from cassiapitch.membertypes import MemberStatus
-from cassiapitch.messages import LoadReports
 from cassiapitch.proposals import (
     Committed,
     NotAccepted,
     ReadConfirmed,
     ReadUnavailable,
 )
-from cassiapitch.raftmessages import GroupMember
-from cassiapitch.settings import Address, ControlPeer, ControlSettings, Operator
 
 
 class Log:
@@ -24,23 +19,18 @@
         self.index = 1
         self.time_ms = 0
         self.leader = None
-        self.term = 1
         self.available = True
 
 
 class StandinMember:
     """One member on a shared `Log`."""
 
-    def __init__(self, name, log, machine, on_applied, address):
+    def __init__(self, name, log, machine, on_applied):
         self.name, self.log, self.machine = name, log, machine
-        self.on_applied, self.address = on_applied, address
-        self.fail_next = None
+        self.on_applied, self.fail_next = on_applied, None
         log.members.append(self)
         log.leader = log.leader or name
 
-    async def run(self):
-        await anyio.sleep_forever()
-
     async def propose(self, command, timeout_ms):
         await anyio.lowlevel.checkpoint()
         if not self.log.available:
@@ -66,27 +56,12 @@
 
     def status(self):
         role = "leader" if self.log.leader == self.name else "follower"
-        members = tuple(
-            GroupMember(m.name, m.name, "z1", m.address.ip, m.address.port, True)
-            for m in self.log.members
-        )
         index = self.log.index
-        return MemberStatus(
-            self.name, role, self.log.term, self.log.leader, index, index, members
-        )
+        return MemberStatus(self.name, role, 1, self.log.leader, index, index, ())
 
     def has_lease(self, now_ms):
         return self.log.leader == self.name and self.log.available
 
-    async def transfer_leadership(self, to):
-        return Committed(self.log.index, b"")
-
-    async def remove(self, name):
-        return NotAccepted("other")
-
-    def serve_handlers(self):
-        return []
-
 
 class StandinFleet:
     """Fleet without backend servers."""
@@ -111,60 +86,3 @@
 
     def set_bundle(self, bundle):
         self.bundle = bundle
-
-
-class StandinPlacement:
-    def __init__(self):
-        self.demands, self.announcements = [], []
-
-    def on_announcement(self, announcement):
-        self.announcements.append(announcement)
-
-    def on_demand(self, report):
-        self.demands.append(report)
-
-    def load_reports(self):
-        return LoadReports((), {})
-
-    async def run(self):
-        await anyio.sleep_forever()
-
-
-async def refuse_announcement(scope, receive, send):
-    await asgi.send_json(send, 401, {})
-
-
-def make_node(name, log, rpc_port, operators, stop, rate_policy="demand"):
-    """Returns a control node whose administration port is free."""
-    address = Address("127.0.0.1", rpc_port)
-    settings = ControlSettings(
-        name=name,
-        zone="z1",
-        cluster="test",
-        data_path="unused",
-        rpc_address=address,
-        admin_address=Address("127.0.0.1", 0),
-        initial_members=(ControlPeer(name, "z1", address),),
-        operators=operators,
-        rate_policy=rate_policy,
-    )
-    placement = StandinPlacement()
-    parts = Parts(
-        make_member=lambda machine, on_applied: StandinMember(
-            name, log, machine, on_applied, address
-        ),
-        fleet=StandinFleet(),
-        fleet_commands=(),
-        make_placement=lambda member: placement,
-        make_announce_route=lambda deliver: refuse_announcement,
-    )
-    return ControlNode(settings, parts, stop), placement
-
-
-def operator(name, token_sha256, public_key):
-    return Operator(name, token_sha256, public_key)
-
-
-def open_link(port):
-    """Returns a channel to a member's rpc server."""
-    return rpc.open_channel(Address("127.0.0.1", port), None)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -52,8 +52,7 @@
     def __init__(self):
         self.log = Log()
         self.state = ReplicatedState(StandinFleet(), ())
-        address = Address("127.0.0.1", 1)
-        self.member = Group("c1", self.log, self.state, lambda index: None, address)
+        self.member = Group("c1", self.log, self.state, lambda index: None)
         self.drained = []
         self.app = admin.AdminApi(
             OPERATORS,
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -41,75 +41,50 @@
 
 
 @pytest.mark.parametrize(
-    ("change", "path"),
+    ("path", "value"),
     [
-        ({"version": 0}, "$.version"),
-        ({"version": "3"}, "$.version"),
-        ({"colour": "red"}, "$.colour"),
-        (
-            {"models": [{"name": "m1", "role": "x", "memory_mib": 1}]},
-            "$.models[0].role",
-        ),
-        (
-            {"models": [{"name": "m1", "role": "cart", "memory_mib": 1}]},
-            "$.models[0].role",
-        ),
-        (
-            {"models": [{"name": "m1", "role": "desk", "memory_mib": 0}]},
-            "$.models[0].memory_mib",
-        ),
-        ({"models": [document()["models"][0]] * 2}, "$.models[1]"),
-        (
-            {"adapters": [{"name": "a", "model": "m9", "memory_mib": 1}]},
-            "$.adapters[0].model",
-        ),
-        (
-            {"adapters": [{"name": "m1", "model": "m1", "memory_mib": 1}]},
-            "$.adapters[0].name",
-        ),
-        (
-            {
-                "client_accounts": [
-                    {"name": "acme", "rate_tokens_per_s": 0, "burst_tokens": 1}
-                ]
-            },
-            "$.client_accounts[0].rate_tokens_per_s",
-        ),
-        (
-            {
-                "client_accounts": [
-                    {"name": "acme", "rate_tokens_per_s": 1000, "burst_tokens": 39}
-                ]
-            },
-            "$.client_accounts[0].burst_tokens",
-        ),
-        (
-            {"keys": [{"sha256": SHA, "client_account": "bolt"}]},
-            "$.keys[0].client_account",
-        ),
-        ({"keys": [{"sha256": "AB", "client_account": "acme"}]}, "$.keys[0].sha256"),
-        ({"keys": [document()["keys"][0]] * 2}, "$.keys[1]"),
-        (
-            {"routes": [{"path": "/v1/models", "method": "GET", "role": "cart"}]},
-            "$.routes[0].path",
-        ),
-        (
-            {"routes": [{"path": "/admin", "method": "GET", "role": "cart"}]},
-            "$.routes[0].path",
-        ),
-        (
-            {"routes": [{"path": "/x", "method": "GET", "role": "desk"}]},
-            "$.routes[0].role",
-        ),
-        ({"store": {"loads_per_s": 0}}, "$.store.loads_per_s"),
+        ("$.version", 0),
+        ("$.version", "3"),
+        ("$.colour", "red"),
+        ("$.models[0].role", "none"),
+        ("$.models[0].role", "cart"),
+        ("$.models[0].memory_mib", 0),
+        ("$.adapters[0].model", "m9"),
+        ("$.adapters[0].name", "m1"),
+        ("$.client_accounts[0].rate_tokens_per_s", 0),
+        ("$.client_accounts[0].burst_tokens", 3),
+        ("$.keys[0].client_account", "bolt"),
+        ("$.keys[0].sha256", "AB"),
+        ("$.routes[0].path", "/v1/models"),
+        ("$.routes[0].path", "/admin"),
+        ("$.routes[0].role", "desk"),
+        ("$.store.loads_per_s", 0),
     ],
 )
-def test_fault_is_reported_with_its_path(change, path):
+def test_fault_is_reported_with_its_path(path, value):
     """Guards against a faulty bundle in force, and against an unclear refusal."""
-    faults = faults_of(json.dumps({**document(), **change}))
+    changed = {**document(), "store": {}}
+    target = changed
+    *parents, last = path[2:].replace("[0]", ".0").split(".")
+    for name in parents:
+        target = target[int(name) if name == "0" else name]
+    target[last] = value
+    faults = faults_of(json.dumps(changed))
     assert any(fault.startswith(path + ":") for fault in faults), faults
 
 
+@pytest.mark.parametrize(
+    "section", ["roles", "models", "adapters", "client_accounts", "keys", "routes"]
+)
+def test_duplicates_are_refused(section):
+    """Guards against an item whose second definition silently wins."""
+    changed = document()
+    changed[section].append(changed[section][0])
+    last = len(changed[section]) - 1
+    faults = faults_of(json.dumps(changed))
+    assert any(fault.startswith(f"$.{section}[{last}]: dup") for fault in faults)
+
+
 def test_all_faults_are_reported_at_once():
     """Guards against one round trip for each fault."""
     changed = {**document(), "roles": []}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,5 +1,6 @@
 """Tests of real control members over loopback: log, state, hub and placement."""
 
+import contextlib
 import hashlib
 import json
 import socket
@@ -27,13 +28,11 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
 
 
 def make_settings(folder):
@@ -95,28 +94,25 @@
     return message
 
 
-async def confirmed_link(stream, index=0):
-    """Opens a link and returns the view's items once a confirmation covers them."""
-    items = {}
-    await stream.send_message(
-        messages.LinkHello("e1", "life", "test", "z1", index, True)
-    )
-    for sequence in range(1, 200):
-        await stream.send_message(messages.ConfirmAsk(sequence))
+async def read_until_confirmed(stream, items, index=0):
+    """Applies what a link sends until a confirmation reaches `index`."""
+    sequence = max(1, index * 1_000)
+    with anyio.fail_after(WAIT_S):
         while True:
+            sequence += 1
+            await stream.send_message(messages.ConfirmAsk(sequence))
             with anyio.move_on_after(0.5):
-                message = await stream.recv_message()
-                if isinstance(message, messages.ViewSnapshot):
-                    items.update(message.items)
-                elif isinstance(message, messages.ViewDelta):
-                    items.update(message.upserts)
-                    for name in message.deletes:
-                        items.pop(name, None)
-                elif isinstance(message, messages.Confirmed):
-                    return items
-                continue
-            break
-    raise AssertionError("never confirmed")
+                while True:
+                    message = await stream.recv_message()
+                    if isinstance(message, messages.ViewSnapshot):
+                        items.update(message.items)
+                    elif isinstance(message, messages.ViewDelta):
+                        items.update(message.upserts)
+                        for name in message.deletes:
+                            items.pop(name, None)
+                    is_confirmed = isinstance(message, messages.Confirmed)
+                    if is_confirmed and message.index >= index:
+                        return
 
 
 @pytest.mark.anyio
@@ -127,9 +123,11 @@
     settings = make_settings(tmp_path)
     stops = {one.name: anyio.Event() for one in settings}
     async with anyio.create_task_group() as tasks:
+        demands = {one.name: [] for one in settings}
         for one in settings:
             (tmp_path / one.name).mkdir()
             node = ControlNode(one, control.make_parts(one), stops[one.name])
+            node._placement.on_demand = demands[one.name].append
             tasks.start_soon(node.run)
 
         async def find_leader():
@@ -157,24 +155,32 @@
 
         channel = rpc.open_channel(followers[0].rpc_address, None)
         async with rpc.open_stream(channel, "Hub", "Link") as stream:
-            items = await confirmed_link(stream)
+            items = {}
+            hello = messages.LinkHello("e1", "life", "test", "z1", 0, True)
+            await stream.send_message(hello)
+            await read_until_confirmed(stream, items)
             assert codec.decode(items[f"key/{KEY}"]).account == "acme"
+            report = messages.DemandReport("e1", (), ())
             granted = 0
             for sequence in range(1, 200):
                 need = messages.GrantAsk("acme", 50, 0, 50)
                 ask = messages.RateAsk("e1", "life", sequence, (need,), ())
                 await stream.send_message(ask)
+                await stream.send_message(report)
                 with anyio.move_on_after(0.2):
                     grants = (await receive(stream, messages.RateGrants)).grants
                     granted = max(granted, *(grant.tokens for grant in grants))
-                if granted == 50:
+                if granted == 50 and demands[leader.name]:
                     break
             assert granted == 50
+            assert demands[leader.name][0] == report
+            assert not any(demands[one.name] for one in followers)
+            await receive(stream, messages.LoadReports)
             withdrawn = await call(leader, "POST", "/keys/withdraw", {"sha256": KEY})
             assert withdrawn[0] == 200
             stops[leader.name].set()
-            items = await confirmed_link_again(stream, withdrawn[1]["index"])
-            assert f"key/{KEY}" in items
+            await read_until_confirmed(stream, items, withdrawn[1]["index"])
+            assert f"key/{KEY}" not in items
             await stream.cancel()
         channel.close()
 
@@ -183,19 +189,3 @@
         assert again == withdrawn
         for stop in stops.values():
             stop.set()
-
-
-async def confirmed_link_again(stream, index):
-    """Returns the names that increments delete until a confirmation reaches index."""
-    deleted, sequence = set(), 1_000
-    while True:
-        sequence += 1
-        await stream.send_message(messages.ConfirmAsk(sequence))
-        with anyio.move_on_after(0.5):
-            while True:
-                message = await stream.recv_message()
-                if isinstance(message, messages.ViewDelta):
-                    deleted.update(message.deletes)
-                is_confirmed = isinstance(message, messages.Confirmed)
-                if is_confirmed and message.index >= index:
-                    return deleted
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -7,7 +7,6 @@
 from cassiapitch import messages
 from cassiapitch.batching import Proposals
 from cassiapitch.replicated import ReplicatedState
-from cassiapitch.settings import Address
 from cassiapitch.types import ClaimState
 from tests.standins import Log, StandinFleet, StandinMember
 
@@ -43,13 +42,10 @@
         return next(one for one in self.sent if isinstance(one, cls))
 
 
-def make_hub():
+def make_hub(now_ms=lambda: 0):
     log, state, relayed = Log(), ReplicatedState(StandinFleet(), ()), []
-    address = Address("127.0.0.1", 1)
-    member = StandinMember(
-        "c1", log, state, lambda index: hub.on_applied(index), address
-    )
-    proposals = Proposals(member, lambda: 0)
+    member = StandinMember("c1", log, state, lambda index: hub.on_applied(index))
+    proposals = Proposals(member, now_ms)
     hub = hubs.Hub("test", state, member, proposals, relayed.append)
     return hub, proposals, member, relayed
 
@@ -122,11 +118,34 @@
 
 
 @pytest.mark.anyio
-async def test_first_message_must_be_a_hello():
-    """Guards against a link without an owner."""
-    hub, *_ = make_hub()
+async def test_no_confirmation_and_no_claim_without_a_quorum():
+    """Guards against an isolated member that confirms a stale view."""
+    hub, proposals, member, _ = make_hub(now_ms=iter(range(0, 10**6, 1_000)).__next__)
+    member.log.available = False
     stream = Stream()
+    stream.put.send_nowait(hello())
     stream.put.send_nowait(messages.ConfirmAsk(1))
+    stream.put.send_nowait(messages.ClaimAsk(1, "acme", "k", "r", "h", 50))
+    async with anyio.create_task_group() as tasks:
+        for task in (hub.run_confirmations, proposals.run):
+            tasks.start_soon(task)
+        tasks.start_soon(hub.serve_link, stream)
+        answer = await stream.wait_for(messages.ClaimAnswer)
+        assert answer == messages.ClaimAnswer(1, None)
+        assert stream.sent == [answer]
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "first",
+    [messages.ConfirmAsk(1), messages.LinkHello("e", "l", "other", "z", 0, True)],
+)
+async def test_link_without_a_hello_of_this_deployment_is_refused(first):
+    """Guards against an entry that applies another deployment's view."""
+    hub, *_ = make_hub()
+    stream = Stream()
+    stream.put.send_nowait(first)
     await hub.serve_link(stream)
     assert isinstance(stream.sent[0], messages.LinkRefused)
 
