--- /dev/null
+++ b/tests/fuzzing.py
@@ -0,0 +1,19 @@
+"""Settings that this project's state machines of hypothesis share."""
+
+import os
+
+import hypothesis
+
+IS_LONG = bool(os.environ.get("CASSIAPITCH_FUZZ"))
+
+
+def settings(examples_count, steps_count):
+    """A fixed seed in normal runs; longer and with a free seed on request."""
+    return hypothesis.settings(
+        max_examples=examples_count * (12 if IS_LONG else 1),
+        stateful_step_count=steps_count,
+        derandomize=not IS_LONG,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
