Count the zones of copies that are still being loaded

The second copy of a model could be ordered into the zone of the first one while that was loading, as only serving copies' zones were looked at.

--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -215,7 +215,7 @@
 
     def _best_room(self, key: str, rooms: list[Room]) -> Room | None:
         survey = self._survey
-        zones = {life.zone for life in survey.copies.get(key, ())}
+        zones = survey.zones(key)
         late = {id(room) for room in survey.late_rooms.get(key, ())}
         held = self._held_life(key)
         needed_mib = self._catalog.memory_mib(key) or 0
--- a/cassiapitch/rooms.py
+++ b/cassiapitch/rooms.py
@@ -90,6 +90,12 @@
         """Returns the copies that serve or are being loaded."""
         return len(self.copies.get(key, ())) + len(self.coming.get(key, ()))
 
+    def zones(self, key: str) -> set[str]:
+        """Returns the zones of the copies that serve or are being loaded."""
+        serving = {life.zone for life in self.copies.get(key, ())}
+        coming = self.coming.get(key, ())
+        return serving | {self.rooms[order.life_id].life.zone for order in coming}
+
     def is_served(self, key: str) -> bool:
         """Tells whether a copy serves."""
         return bool(self.copies.get(key))
