--- a/cassiapitch/streams.py
+++ b/cassiapitch/streams.py
@@ -149,7 +149,11 @@
 
 
 class Answer:
-    """One answer as it grows, over any number of engine streams."""
+    """One answer as it grows, over any number of engine streams.
+
+    Every event has a position of its own, also one that only ends the answer. If it
+    shared the last token's, a lost last token could not be told from it.
+    """
 
     def __init__(self, request_id: str) -> None:
         self.request_id = request_id
@@ -176,15 +180,9 @@
             return Dropped()
         if chunk.position > self.next_position:
             return Missing()
-        is_closing = (
-            chunk.finish_reason is not None
-            and not chunk.text
-            and chunk.position == self.next_position - 1
-        )
-        if chunk.position < self.next_position and not is_closing:
+        if chunk.position < self.next_position:
             return Dropped()
-        if not is_closing:
-            self.next_position += 1
+        self.next_position += 1
         if chunk.text:
             self._texts.append(chunk.text)
         self.model = self.model or chunk.model
--- a/tests/test_streams_fuzz.py
+++ b/tests/test_streams_fuzz.py
@@ -20,18 +20,17 @@
 
 
 def raw_chunk(request_id, position, *, closing):
-    is_last = position == len(TEXTS)
-    if is_last:
-        # Engines differ: the closing event has its own position, or the last token's.
-        number = position if closing else position - 1
-        choice = {"delta": {}, "finish_reason": "stop"}
-        usage = {"prompt_tokens": 3, "completion_tokens": len(TEXTS)}
-    else:
-        number, usage = position, None
+    """The last event ends the answer alone, or is the last token as well."""
+    last = len(TEXTS) if closing else len(TEXTS) - 1
+    text = ""
+    if position < len(TEXTS):
         text = TEXTS[position] if request_id == "r1" else "foreign "
-        choice = {"delta": {"content": text}, "finish_reason": None}
-    data = {"id": request_id, "choices": [choice], "usage": usage}
-    return b"id: %d\ndata: %s\n\n" % (number, json.dumps(data).encode())
+    choice = {"delta": {"content": text}, "finish_reason": None}
+    data = {"id": request_id, "choices": [choice]}
+    if position == last:
+        choice["finish_reason"] = "stop"
+        data["usage"] = {"prompt_tokens": 3, "completion_tokens": len(TEXTS)}
+    return b"id: %d\ndata: %s\n\n" % (position, json.dumps(data).encode())
 
 
 class StreamMachine(RuleBasedStateMachine):
@@ -59,8 +58,6 @@
     def open_stream(self, closing, back):
         """A resumed or continued stream; an engine may begin too early."""
         start = max(0, self.answer.next_position - back)
-        if start > len(TEXTS):
-            return
         self.count += 1
         self.connections[self.count] = (start, EventSplitter(), closing)
 
@@ -72,7 +69,7 @@
         position, splitter, closing = self.connections[number]
         parts = []
         for _ in range(size):
-            if position <= len(TEXTS):
+            if position < len(TEXTS) + closing:
                 if crossed:
                     parts.append(raw_chunk("other", position, closing=closing))
                 parts.append(raw_chunk("r1", position, closing=closing))
@@ -121,3 +118,13 @@
     )
 )
 TestStreamsFuzz = StreamMachine.TestCase
+
+
+def test_lost_last_token_is_not_taken_for_the_end():
+    """Guards against an answer that is complete but for its last token."""
+    answer = Answer("r1")
+    for position in (*range(len(TEXTS) - 1), len(TEXTS)):
+        event = parse_event(raw_chunk("r1", position, closing=True))
+        taken = answer.take(event)
+    assert isinstance(taken, Missing)
+    assert not answer.is_complete
