--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -14,6 +14,10 @@
 from cassiapitch.suspicion import Suspicion
 from cassiapitch.types import AccountName, LifeId, Priority, RequestDigest
 
+# How long a request waits to learn when its model is loaded. The demand report and
+# the answer to it each take up to a period of 500 ms and 1,000 ms.
+EXPECTATION_LIMIT_MS = 2_000
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Wanted:
@@ -35,6 +39,8 @@
         excluded: Lives that it must not go to.
         suspect: Whether a backend server crashed while it ran.
         narrow: Whether not every backend server of its queue is a candidate.
+        started: Whether the caller has part of the answer already.
+        asked_ms: When it was first asked for.
     """
 
     name: str
@@ -51,6 +57,8 @@
     excluded: set[LifeId] = dataclasses.field(default_factory=set)
     suspect: bool = False
     narrow: bool = False
+    started: bool = False
+    asked_ms: int | None = None
 
     @property
     def is_special(self) -> bool:
@@ -95,6 +103,8 @@
     async def acquire(self, wanted: Wanted) -> Slot | NoSlot:
         """Returns a slot as soon as it is the request's turn, or the reason."""
         now_ms = timers.now_ms()
+        if wanted.asked_ms is None:
+            wanted.asked_ms = now_ms
         queue = self._queues.get(wanted.queue)
         if queue is None:
             queue = self._queues[wanted.queue] = FairQueue(self._policy)
@@ -238,9 +248,14 @@
         if usable:
             return None
         expected_ms = wanted.expected_ms()
-        if expected_ms is not None and now_ms + expected_ms <= wanted.deadline_ms:
-            return None
-        return NoSlot(ErrorKind.MODEL_LOADING, expected_ms)
+        if expected_ms is not None:
+            is_late = now_ms + expected_ms > wanted.deadline_ms
+        elif wanted.started:
+            is_late = now_ms > wanted.deadline_ms
+        else:
+            asked_ms = now_ms if wanted.asked_ms is None else wanted.asked_ms
+            is_late = now_ms > asked_ms + EXPECTATION_LIMIT_MS
+        return NoSlot(ErrorKind.MODEL_LOADING, expected_ms) if is_late else None
 
     def _return_ms(self, queue: FairQueue) -> int | None:
         """Returns when a refused caller should come back."""
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -174,6 +174,8 @@
             deadline_ms=self._call.deadline_ms,
             digest=self.digest,
             suspect=self._crashes.crash_count(self.digest) > 0,
+            # No controller loads a plain service, so that there is nothing to wait for.
+            asked_ms=0,
         )
 
     def _no_slot(self, slot: NoSlot) -> Exception:
