Never start below the term of the own log

A crash in between left a member whose log had a higher term than its saved one, which could ask for votes in a term that is over. Links to members outside the group are closed when their streams end; a member restarted with new disks left one link behind each time.

--- a/cassiapitch/node.py
+++ b/cassiapitch/node.py
@@ -207,6 +207,10 @@
         self.log = RaftLog(base_index, base_term, list(recovered.entries))
         for entry in recovered.entries:
             self._note_group(entry)
+        if self.log.last_term > self.term:
+            # A snapshot is stored before the term that came with it. No vote in that
+            # term can have been answered, since votes wait for their write.
+            self.term, self.vote = self.log.last_term, None
         self.commit_index = base_index
         self.applied_index = 0 if recovered.snapshot else base_index
         self.durable_index = self.log.last_index
--- a/cassiapitch/peers.py
+++ b/cassiapitch/peers.py
@@ -102,6 +102,10 @@
         for target in self._links.keys() - wanted:
             self._links.pop(target).scope.cancel()
 
+    def _close_unless_member(self, target: str) -> None:
+        if target not in self._members and target in self._links:
+            self._links.pop(target).scope.cancel()
+
     def send(self, target: str, message: Any) -> bool:
         """Queues a message; returns False if it was dropped at once."""
         address = self._members.get(target) or self._connected.get(target)
@@ -247,6 +251,7 @@
         finally:
             if self._connected.get(hello.disk_id) is address:
                 del self._connected[hello.disk_id]
+                self._close_unless_member(hello.disk_id)
 
     async def _receive(
         self, sender: str, stream: grpclib.server.Stream[Any, Any]
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cassiapitch import changes, codec, consensus, quorum, replication, snapshots
-from cassiapitch.node import Node, Recovered, Role
+from cassiapitch.node import Node, Recovered, Role, SaveSnapshot
 from cassiapitch.raftmessages import (
     Append,
     AppendAnswer,
@@ -214,6 +214,14 @@
     assert sent(node, ChunkAnswer) == [ChunkAnswer(1, 4, len(blob))]
 
 
+def test_term_is_never_below_that_of_the_log():
+    """Guards against an election in a term that is over, after a crash in between."""
+    blob = codec.encode(Snapshot(4, 5, 0, group("a", "b", "c"), b"state"))
+    recovered = Recovered(3, "b", SaveSnapshot(4, 5, blob, False), ())
+    node = Node("a", recovered, random.Random(1), 0)
+    assert (node.term, node.vote) == (5, None)
+
+
 def test_damaged_snapshot_transfer_is_not_installed():
     """Guards against a state that was put together from wrong chunks."""
     node = make_node()
