--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cassiapitch import changes, codec, consensus, quorum, replication, snapshots
-from cassiapitch.node import Node, Recovered, Role, SaveSnapshot
+from cassiapitch.node import Node, Recovered, Role, SaveSnapshot, SaveVote
 from cassiapitch.raftmessages import (
     Append,
     AppendAnswer,
@@ -214,6 +214,15 @@
     assert sent(node, ChunkAnswer) == [ChunkAnswer(1, 4, len(blob))]
 
 
+def test_vote_waits_for_its_write():
+    """Guards against two votes in one term, with a restart in between."""
+    node = make_node()
+    consensus.receive(node, "b", "a", VoteAsk(5, False, False, 9, 4), 5_000)
+    assert node.writes[-1] == SaveVote(5, "b")
+    assert [one.message.granted for one in node.sends] == [True]
+    assert [one.after for one in node.sends] == [node.write_number]
+
+
 def test_term_is_never_below_that_of_the_log():
     """Guards against an election in a term that is over, after a crash in between."""
     blob = codec.encode(Snapshot(4, 5, 0, group("a", "b", "c"), b"state"))
