--- a/cassiapitch/member.py
+++ b/cassiapitch/member.py
@@ -353,15 +353,15 @@
                 await anyio.lowlevel.checkpoint()
 
     async def _apply_some(self, node: Node) -> bool:
-        todo = consensus.take_applicable(node, APPLY_BATCH_COUNT)
-        if isinstance(todo, consensus.Restore):
-            self._machine.restore(todo.snapshot.data)
-            self.proposer.forget_to(todo.snapshot.index)
-            self._snapshot_index = todo.snapshot.index
-            index = todo.snapshot.index
+        due = consensus.take_applicable(node, APPLY_BATCH_COUNT)
+        if isinstance(due, consensus.Restore):
+            self._machine.restore(due.snapshot.data)
+            self.proposer.forget_to(due.snapshot.index)
+            self._snapshot_index = due.snapshot.index
+            index = due.snapshot.index
             events.log(events.Event.SNAPSHOT_INSTALLED, index=index)
-        elif todo:
-            for entry in todo:
+        elif due:
+            for entry in due:
                 self._apply(entry)
         else:
             return False
--- a/tests/consensus_model.py
+++ b/tests/consensus_model.py
@@ -122,18 +122,18 @@
                     needed = self.asked.pop(token)
                     assert done.index >= needed, f"read {done.index} < {needed}"
         node.reads = []
-        while todo := consensus.take_applicable(node, 64):
-            self.apply(todo)
+        while due := consensus.take_applicable(node, 64):
+            self.apply(due)
 
-    def apply(self, todo):
+    def apply(self, due):
         oracle = self.cluster.oracle
-        if isinstance(todo, consensus.Restore):
-            found = json.loads(todo.snapshot.data)
+        if isinstance(due, consensus.Restore):
+            found = json.loads(due.snapshot.data)
             self.commands = {int(index): text.encode() for index, text in found.items()}
-            self.log_time_ms = todo.snapshot.time_ms
-            oracle.on_state(todo.snapshot.index, self.commands)
+            self.log_time_ms = due.snapshot.time_ms
+            oracle.on_state(due.snapshot.index, self.commands)
             return
-        for entry in todo:
+        for entry in due:
             assert entry.time_ms >= self.log_time_ms, "log time went back"
             self.log_time_ms = entry.time_ms
             is_command = entry.kind is EntryKind.COMMAND
