Refuse numbers and fields in bundles that would be lost or not encodable

Trials showed three faults: whole numbers above 64 bits passed the checks and then failed in the log's encoding, an infinite load rate was accepted, and of a field that occurs twice the last one silently won. Clamping was ruled out, since an operator would not see it. Conclusion: what is accepted can be encoded.

--- a/cassiapitch/bundle.py
+++ b/cassiapitch/bundle.py
@@ -1,15 +1,17 @@
 """The bundle: what operators configure as a whole, its schema and its checks."""
 
+import collections
 import dataclasses
 import hashlib
 from collections.abc import Iterable
-from typing import Annotated
+from typing import Annotated, Any
 
+import jsonc
 from msgspec import Meta
 
 from cassiapitch import config
 from cassiapitch.exceptions import SettingsError
-from cassiapitch.settings import Name, NaturalInt, PositiveInt, Sha256Hex
+from cassiapitch.settings import Name, Sha256Hex
 from cassiapitch.types import RoleKind
 
 # A burst below this share of the rate would leave grants that expire before they
@@ -21,7 +23,10 @@
 ItemName = Annotated[str, Meta(pattern=r"^[a-zA-Z0-9][a-zA-Z0-9._:/-]{0,127}$")]
 Method = Annotated[str, Meta(pattern=r"^(GET|POST|PUT|PATCH|DELETE)$")]
 RoutePath = Annotated[str, Meta(pattern=r"^/[a-zA-Z0-9._~/-]{0,255}$")]
-PositiveNumber = Annotated[float, Meta(gt=0)]
+LoadRate = Annotated[float, Meta(gt=0, le=1_000_000)]
+# Upper limits keep every number within what the log's encoding can hold.
+Count = Annotated[int, Meta(ge=1, le=10**9)]
+CountOrZero = Annotated[int, Meta(ge=0, le=10**9)]
 VersionNumber = Annotated[int, Meta(ge=1, le=2**53)]
 Tokens = Annotated[int, Meta(ge=1, le=10**12)]
 
@@ -48,8 +53,8 @@
     kind: RoleKind
     credential_sha256: Sha256Hex
     fencing: bool = False
-    memory_limit_mib: PositiveInt | None = None
-    running_limit_count: PositiveInt | None = None
+    memory_limit_mib: Count | None = None
+    running_limit_count: Count | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,9 +63,9 @@
 
     name: ItemName
     role: Name
-    memory_mib: PositiveInt
-    minimum_copies: NaturalInt = 0
-    context_tokens: PositiveInt = 8_192
+    memory_mib: Count
+    minimum_copies: CountOrZero = 0
+    context_tokens: Count = 8_192
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +74,7 @@
 
     name: ItemName
     model: ItemName
-    memory_mib: PositiveInt
+    memory_mib: Count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,16 +105,16 @@
     idempotent: bool = False
     open: bool = False
     timeout_ms: Annotated[int, Meta(ge=1, le=3_600_000)] = 30_000
-    cost_tokens: NaturalInt = 0
+    cost_tokens: CountOrZero = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Store:
     """Limits of the weight store."""
 
-    loads_per_s: PositiveNumber = 1.0
-    loads_in_flight_count: PositiveInt = 2
-    adapters_in_flight_count: PositiveInt = 16
+    loads_per_s: LoadRate = 1.0
+    loads_in_flight_count: Count = 2
+    adapters_in_flight_count: Count = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,14 +142,35 @@
     Raises:
         SettingsError: Lists each fault with its path.
     """
-    if len(text.encode()) > MAX_CONTENT_BYTES:
+    if len(text.encode(errors="replace")) > MAX_CONTENT_BYTES:
         raise SettingsError([f"$: larger than {MAX_CONTENT_BYTES} bytes"])
     bundle = config.parse(text, Bundle)
-    if faults := find_faults(bundle):
+    if faults := _repeated_fields(text) + find_faults(bundle):
         raise SettingsError(faults)
     return bundle
 
 
+def _repeated_fields(text: str) -> list[str]:
+    """Returns a fault for each field that an object has twice.
+
+    The reader keeps the last one, so that a second `keys` section would silently
+    replace the first.
+    """
+    faults = []
+
+    def check(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        counts = collections.Counter(name for name, _ in pairs)
+        faults.extend(
+            f"$: field {name!r} occurs {count} times in one object"
+            for name, count in counts.items()
+            if count > 1
+        )
+        return dict(pairs)
+
+    jsonc.loads(text, object_pairs_hook=check)
+    return faults
+
+
 def find_faults(bundle: Bundle) -> list[str]:
     """Returns every fault that the fields' own types can't express."""
     return [
--- a/tests/test_bundle.py
+++ b/tests/test_bundle.py
@@ -58,7 +58,10 @@
         ("$.routes[0].path", "/v1/models"),
         ("$.routes[0].path", "/admin"),
         ("$.routes[0].role", "desk"),
+        ("$.routes[0].cost_tokens", 2**64),
+        ("$.models[0].memory_mib", 10**30),
         ("$.store.loads_per_s", 0),
+        ("$.store.loads_per_s", float("inf")),
     ],
 )
 def test_fault_is_reported_with_its_path(path, value):
@@ -92,7 +95,16 @@
     assert paths == {"$.models[0].role", "$.routes[0].role"}
 
 
-@pytest.mark.parametrize("text", ["", "[]", "{", "[" * 100_000, '{"version": 1e999}'])
+def test_field_that_occurs_twice_is_refused():
+    """Guards against a second section that silently replaces the first."""
+    text = '{"version": 1, "keys": [], "store": {}, "keys": []}'
+    assert faults_of(text) == ["$: field 'keys' occurs 2 times in one object"]
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "[]", "{", "[" * 100_000, '{"version": 1e999}', '{"version": "\ud800"}'],
+)
 def test_malformed_text_is_refused(text):
     """Guards against an exception that ends the administration API."""
     assert faults_of(text)
