Keep the stand-in engine alive when its steps come late

On a busy machine a step could end after the next one was due, and anyio refuses a negative delay, so the engine's task ended with an error. Two tests also relied on speed (a stream of 0.4 s, one announcement a minute) and now don't.

--- a/cassiapitch/standin_engine.py
+++ b/cassiapitch/standin_engine.py
@@ -112,7 +112,7 @@
             stepped, self._stepped = self._stepped, anyio.Event()
             stepped.set()
             due_ms = max(due_ms + self.settings.step_ms, now_ms)
-            await anyio.sleep((due_ms - timers.now_ms()) / 1000)
+            await anyio.sleep(max(0, due_ms - timers.now_ms()) / 1000)
 
     def _step(self, now_ms: int) -> None:
         self.memory.leaving = self.leaving or self.faults.leaving
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -1,12 +1,14 @@
 """Tests of the stand-in engine and service over HTTP."""
 
+import itertools
 import json
 
 import anyio
+import anyio.lowlevel
 import httpcore
 import pytest
 
-from cassiapitch import asgi, standin
+from cassiapitch import asgi, standin, timers
 from cassiapitch.announce import AnnounceRoute
 from cassiapitch.settings import Address
 from cassiapitch.standin_engine import Engine
@@ -125,6 +127,18 @@
     } | fields
 
 
+@pytest.mark.anyio
+async def test_engine_goes_on_after_steps_that_came_late(monkeypatch):
+    """Guards against an engine that dies on a busy machine: no sleep is negative."""
+    clock = itertools.count(0, 1_000)
+    monkeypatch.setattr(timers, "now_ms", lambda: next(clock))
+    async with Run() as standin:
+        with anyio.fail_after(LIMIT_S):
+            while next(clock) < 100_000:
+                await anyio.lowlevel.checkpoint()
+        assert standin.backend.is_idle()
+
+
 @pytest.mark.anyio
 async def test_load_over_the_memory_is_recorded_as_overcommit():
     """Guards against placement errors that no run would show."""
@@ -243,14 +257,10 @@
     """Guards against an unload that cuts an answer."""
     async with Run() as standin:
         await standin.load()
-        results = []
 
         async def read():
-            results.append(
-                await standin.events(
-                    "POST", "/v1/completions", body(max_tokens=200), "q"
-                )
-            )
+            request = body(max_tokens=1_000_000)
+            await standin.events("POST", "/v1/completions", request, "q")
 
         async with anyio.create_task_group() as group:
             group.start_soon(read)
@@ -258,7 +268,10 @@
             await standin.order("u", "unload", "m", 2)
             status, answer = await standin.call("POST", "/v1/completions", body())
             assert (status, json.loads(answer)["error"]["code"]) == (409, "not_loaded")
-        assert results[0][1]
+            dump = await standin.dump()
+            assert dump["running"] == ["q"]
+            assert (dump["used_mib"], dump["settled"]) == (10, {"load-m": "done"})
+            await standin.call("DELETE", "/v1/streams/q")
         await standin.until(lambda dump: dump["used_mib"] == 0)
 
 
@@ -299,7 +312,7 @@
         credential="c",
         # The first member is gone, so the second one is tried.
         announce_addresses=(Address("127.0.0.1", 9), Address("127.0.0.1", member.port)),
-        announce_ms=60_000,
+        announce_ms=100,
         leave_ms=300,
     )
     async with anyio.create_task_group() as group:
@@ -308,9 +321,11 @@
         with anyio.fail_after(LIMIT_S):
             while not delivered:  # noqa: ASYNC110
                 await anyio.sleep(0.01)
+            assert not delivered[-1].leaving
             stop.set()
-            while len(delivered) < 2:  # noqa: ASYNC110
+            while not delivered[-1].leaving:  # noqa: ASYNC110
                 await anyio.sleep(0.01)
         member.close()
-    assert [item.leaving for item in delivered] == [False, True]
-    assert [item.sequence for item in delivered] == [1, 2]
+    numbers = [item.sequence for item in delivered]
+    assert numbers == sorted(set(numbers))
+    assert {item.life_id for item in delivered} == {delivered[0].life_id}
