--- a/conftest.py
+++ b/conftest.py
@@ -1,9 +1,21 @@
 """Runs the tests of KNOWN-RED.txt without letting them decide the verdict."""
 
+import os
 import pathlib
 
+import hypothesis
 import pytest
 
+if "CASSIAPITCH_FUZZ" not in os.environ:
+    # Shrinking a failure of the large state machines took over five minutes in one
+    # run; the verdict needs only the failure and its seed.
+    hypothesis.settings.register_profile(
+        "verdict",
+        phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+        print_blob=True,
+    )
+    hypothesis.settings.load_profile("verdict")
+
 _LIST = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 
 
