Show status as one column for each thing that operators compare

Cause: against a running deployment the table listed all values as text, three lines a process, and who lags or refuses calls could not be seen at a glance. Ruled out: showing every field; `--json` has them all. Conclusion: zone, state, bundle, applied index and how far it is behind, and notes such as a missing lease or an unconfirmed view; the title has the counts. A reader that closes the output early, such as head, no longer causes an error.

--- a/cassiapitch/cmdline.py
+++ b/cassiapitch/cmdline.py
@@ -1,6 +1,7 @@
 """The operators' program `cassiapitch`: its command line."""
 
 import argparse
+import os
 import pathlib
 import sys
 from collections.abc import Callable
@@ -36,6 +37,11 @@
         for fault in error.faults:
             print(f"cassiapitch: {fault}", file=sys.stderr)
         return EXIT_USAGE
+    except BrokenPipeError:
+        # The reader of the output has enough, for instance `head`; nothing may be
+        # written to it any more, also not at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_FAILED
     except (CassiapitchError, OSError) as error:
         print(f"cassiapitch: {error}", file=sys.stderr)
         return EXIT_FAILED
--- a/cassiapitch/statusview.py
+++ b/cassiapitch/statusview.py
@@ -3,25 +3,14 @@
 import dataclasses
 from typing import Any
 
+from rich import box
 from rich.console import Console
 from rich.table import Table
 from rich.text import Text
 
 from cassiapitch.client import Done, Outcome, Refused
 
-_SHOWN_FIRST = (
-    "zone",
-    "term",
-    "leader",
-    "bundle_version",
-    "bundle.version",
-    "applied_index",
-    "commit_index",
-    "fresh",
-)
-# Long or constant values, which `--json` shows.
-_HIDDEN = ("name", "role", "state", "program", "life_id", "program_version")
-_LONGEST_VALUE = 24
+_COUNTS = ("keys_working", "keys_withdrawn", "claims", "suspects", "backend_servers")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,77 +37,83 @@
 
 
 def print_status(console: Console, statuses: list[ProcessStatus]) -> None:
-    """Prints one table of processes, the ones that don't answer in red."""
-    table = Table(title=_title(statuses), title_justify="left")
-    table.add_column("process", no_wrap=True)
-    table.add_column("kind")
-    table.add_column("state")
-    table.add_column("details", overflow="fold")
+    """Prints a summary and one row for each process, in red where none answers."""
+    documents = {
+        status.name: status.outcome.document
+        for status in statuses
+        if isinstance(status.outcome, Done)
+        and isinstance(status.outcome.document, dict)
+    }
+    newest = max((_index(item) for item in documents.values()), default=0)
+    title = _title(statuses, documents)
+    table = Table(title=title, title_justify="left", box=box.SIMPLE)
+    for head in ("process", "kind", "zone", "state", "bundle", "index", "notes"):
+        table.add_column(head, overflow="fold")
     for status in statuses:
-        state, details = _cells(status)
-        table.add_row(status.name, status.kind, state, details)
+        document = documents.get(status.name)
+        if document is None:
+            state = Text("no answer", style="bold red")
+            cells = (status.kind, "", state, "", "", _reason(status.outcome))
+        else:
+            cells = (status.kind, *_cells(document, newest))
+        table.add_row(status.name, *cells)
     console.print(table)
 
 
-def _title(statuses: list[ProcessStatus]) -> str:
-    answered = [item for item in statuses if isinstance(item.outcome, Done)]
-    leaders = [item.name for item in answered if _is_leader(item.outcome)]
+def _title(statuses: list[ProcessStatus], documents: dict[str, Any]) -> str:
+    leaders = [name for name, item in documents.items() if item.get("role") == "leader"]
     leader = leaders[0] if len(leaders) == 1 else "none" if not leaders else "several"
-    return f"{len(answered)} of {len(statuses)} processes answer; leader: {leader}"
-
-
-def _is_leader(outcome: Outcome) -> bool:
-    if not isinstance(outcome, Done):
-        return False
-    return bool(flatten(outcome.document).get("role") == "leader")
-
-
-def _cells(status: ProcessStatus) -> tuple[Text, str]:
-    if not isinstance(status.outcome, Done):
-        return Text("no answer", style="bold red"), _reason(status.outcome)
-    values = flatten(status.outcome.document)
-    state = str(values.get("state", values.get("role", "up")))
-    style = "green" if state not in ("draining", "stopping") else "yellow"
-    first = [name for name in _SHOWN_FIRST if name in values]
-    others = [
-        name
-        for name in sorted(values.keys() - {*first, *_HIDDEN})
-        if len(str(values[name])) <= _LONGEST_VALUE
-    ]
-    details = "  ".join(f"{name}={values[name]}" for name in (*first, *others))
-    return Text(state, style=style), details
+    title = f"{len(documents)} of {len(statuses)} processes answer; leader: {leader}"
+    if len(leaders) == 1:
+        counts = documents[leader].get("counts", {})
+        known = [f"{name} {counts[name]}" for name in _COUNTS if name in counts]
+        title = "; ".join([title, *known]).replace("_", " ")
+    return title
+
+
+def _index(document: dict[str, Any]) -> int:
+    return int(document.get("applied_index") or 0)
+
+
+def _cells(document: dict[str, Any], newest: int) -> tuple[Any, ...]:
+    state = str(document.get("state", document.get("role", "up")))
+    is_well = state in ("leader", "follower", "running")
+    behind = newest - _index(document)
+    index = f"{_index(document)}" + (f" (-{behind})" if behind else "")
+    bundle = document.get("bundle") or {}
+    version = bundle.get("version", document.get("bundle_version"))
+    return (
+        str(document.get("zone", "")),
+        Text(state, style="green" if is_well else "yellow"),
+        "none" if version is None else str(version),
+        index,
+        ", ".join(_notes(document)),
+    )
+
+
+def _notes(document: dict[str, Any]) -> list[str]:
+    notes = []
+    if document.get("role") == "leader" and not document.get("has_lease", True):
+        notes.append("no lease")
+    if document.get("fresh") is False:
+        notes.append("view not confirmed, refuses keyed calls")
+    if "term" in document:
+        notes.append(f"term {document['term']}")
+    members = document.get("members")
+    if isinstance(members, list):
+        voters = sum(bool(item.get("voter")) for item in members)
+        notes.append(f"{voters} voters, {len(members) - voters} learners")
+    links = document.get("links")
+    if isinstance(links, list):
+        notes.append(f"{len(links)} links")
+    elif isinstance(links, dict):
+        notes.append("links " + " and ".join(str(item) for item in links.values()))
+    if "calls_count" in document:
+        notes.append(f"{document['calls_count']} calls")
+    return notes
 
 
 def _reason(outcome: Outcome) -> str:
     if isinstance(outcome, Refused):
         return f"{outcome.code}: {outcome.message}"
     return outcome.message if not isinstance(outcome, Done) else ""
-
-
-def flatten(document: Any) -> dict[str, Any]:
-    """Returns a status's simple values; lists and deeper objects as counts.
-
-    The object `member`, a control member's place in its group, is lifted to the
-    top, since its role and term are what an operator looks for first.
-    """
-    values: dict[str, Any] = {}
-    if not isinstance(document, dict):
-        return values
-    for name, value in document.items():
-        if name == "member" and isinstance(value, dict):
-            values.update(flatten(value))
-        elif isinstance(value, dict):
-            simple = {
-                key: item
-                for key, item in value.items()
-                if isinstance(item, str | int | float | None)
-            }
-            if len(simple) == len(value) <= 4:
-                values.update({f"{name}.{key}": item for key, item in value.items()})
-            else:
-                values[f"{name} (count)"] = len(value)
-        elif isinstance(value, list):
-            values[f"{name} (count)"] = len(value)
-        else:
-            values[name] = value
-    return values
