--- a/cassiapitch/load.py
+++ b/cassiapitch/load.py
@@ -45,8 +45,9 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     run.add_argument("experiment", type=pathlib.Path)
-    run.add_argument("--out", type=pathlib.Path, required=True, metavar="DIR")
-    run.add_argument("--check", action="store_true", help="only check the file")
+    action = run.add_mutually_exclusive_group(required=True)
+    action.add_argument("--out", type=pathlib.Path, metavar="DIR", help="result folder")
+    action.add_argument("--check", action="store_true", help="only check the file")
     run.set_defaults(run=_run)
     compare = commands.add_parser(
         "compare",
