Let a crashed request wait for the next copy of its model

Cause: in a trial run of the demo (real control group, stand-in engines) two streams were cut when the engine with their model's only copy was killed: no other copy existed and none was expected yet, so the continuation was refused at once. Ruled out: keeping the rule for new requests, which can come back later, whereas a begun answer is lost. A request that was running waits at most 20 s; its demand report makes placement load the model.

--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -46,6 +46,7 @@
 STALL_LIMIT_MS = {Priority.URGENT: 3_000, Priority.BATCH: 60_000}
 # Before the first token an engine may read a long prompt.
 FIRST_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 120_000}
+TAKEOVER_LIMIT_MS = 20_000
 RESUME_HEAD_LIMIT_MS = 1_000
 RESUMES_LIMIT_COUNT = 3
 RESUME_DELAY_MS = 50
@@ -157,6 +158,12 @@
         if end is End.CRASHED:
             await self._report_crash(slot.backend)
         course = self._call.course
+        if end in (End.CRASHED, End.FAILED):
+            # The only copy may have been there. The answer has begun or was about
+            # to, so it waits for the next copy, which placement now loads.
+            self._wanted.patient = True
+            limit_ms = timers.now_ms() + TAKEOVER_LIMIT_MS
+            self._wanted.deadline_ms = max(self._wanted.deadline_ms, limit_ms)
         if course.allows("retry"):
             course.step("retry")
         if course.may_retry(self._state.retries, timers.now_ms()):
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -35,6 +35,7 @@
         excluded: Lives that it must not go to.
         suspect: Whether a backend server crashed while it ran.
         narrow: Whether not every backend server of its queue is a candidate.
+        patient: Whether it waits for a candidate although none is expected yet.
     """
 
     name: str
@@ -51,6 +52,7 @@
     excluded: set[LifeId] = dataclasses.field(default_factory=set)
     suspect: bool = False
     narrow: bool = False
+    patient: bool = False
 
     @property
     def is_special(self) -> bool:
@@ -235,7 +237,7 @@
             if backend.life_id not in wanted.excluded
             and not self._suspicion.has_crashed(backend.life_id, now_ms)
         ]
-        if usable:
+        if usable or wanted.patient:
             return None
         expected_ms = wanted.expected_ms()
         if expected_ms is not None and now_ms + expected_ms <= wanted.deadline_ms:
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -292,6 +292,7 @@
         self.stop = anyio.Event()
         self.entry = None
         self.ended = anyio.Event()
+        self.received_bytes = 0
 
     async def start(self, *servers):
         await self.prepare(*servers)
@@ -407,6 +408,7 @@
             async with self.open_chat(tokens, **fields) as response:
                 async for part in response.aiter_stream():
                     raw += part
+                    self.received_bytes += len(part)
         return read_events(raw)
 
 
