--- a/Makefile
+++ b/Makefile
@@ -19,11 +19,11 @@
 	$(VENV)/bin/ruff check .
 
 demo: $(VENV)/.ready
-	$(VENV)/bin/python demo/run.py
+	$(VENV)/bin/python -m demo.run
 
 # Runs the stateful fuzzers longer and with a free seed.
 fuzz: $(VENV)/.ready
 	CASSIAPITCH_FUZZ=1 $(VENV)/bin/python -m pytest -n $(JOBS) -k fuzz
 
 bench: $(VENV)/.ready
-	$(VENV)/bin/python bench/run.py --short
+	$(VENV)/bin/python -m bench.run --short
--- a/cassiapitch/demand.py
+++ b/cassiapitch/demand.py
@@ -1,95 +1,77 @@
-"""Demand for models and adapters, and the list of those that requests wait for."""
+"""Counts the demand for each model between two reports."""
 
-import math
-from collections.abc import Callable
+import dataclasses
 
-from cassiapitch.messages import DemandReport
-from cassiapitch.orders import adapter_key, model_key
+from cassiapitch.messages import DemandReport, ModelDemand
+from cassiapitch.types import LifeId, ModelName, Priority
 
-# Time constant of the moving average: long enough to span bursts of a few seconds,
-# short against the 30 s that a copy stays resident.
-DECAY_MS = 20_000
+REPORT_PERIOD_MS = 500
 
-# A request that is reported without tokens, for instance one that waits, counts
-# as a short answer.
-REQUEST_TOKENS = 100
 
-# Below this rate a model counts as cold: about one request in two minutes.
-COLD_TOKENS_PER_S = 1.0
+@dataclasses.dataclass(slots=True)
+class _Count:
+    arrived_count: int = 0
+    tokens: int = 0
+    refused_count: int = 0
 
 
 class Demand:
-    """Exponentially decaying demand by ledger key, and the waiting list."""
+    """Arrivals, refusals and tokens since the last report."""
 
-    def __init__(self) -> None:
-        self._levels: dict[str, tuple[float, int]] = {}
-        self._waiting: dict[str, int] = {}
-        self._entry_waits: dict[str, tuple[int, int]] = {}
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._counts: dict[tuple[ModelName, Priority], _Count] = {}
+        self._refused_backends: set[LifeId] = set()
+        self._reported_something = False
 
-    def note(
-        self, report: DemandReport, adapters: dict[str, str], now_ms: int
-    ) -> set[str]:
-        """Takes an entry's report; returns the keys that are new on the list.
+    def arrived(self, model: ModelName, priority: Priority) -> None:
+        """Counts a request."""
+        self._count(model, priority).arrived_count += 1
 
-        Args:
-            report: The report; its names are of models or adapters of the bundle.
-            adapters: Maps each adapter to its model.
-            now_ms: The time of its arrival.
-        """
-        waiting_count = 0
-        new: set[str] = set()
-        for item in report.demands:
-            waiting_count += item.waiting_count
-            model = adapters.get(item.model)
-            keys = [model_key(item.model if model is None else model)]
-            if model is not None:
-                keys.append(adapter_key(item.model))
-            tokens = max(item.tokens, item.arrived_count * REQUEST_TOKENS)
-            for key in keys:
-                self._add(key, tokens, now_ms)
-                if item.arrived_count or item.waiting_count:
-                    if key not in self._waiting:
-                        new.add(key)
-                    asked_ms = now_ms - item.oldest_wait_ms
-                    self._waiting[key] = min(self._waiting.get(key, now_ms), asked_ms)
-        self._entry_waits[report.entry] = (waiting_count, now_ms)
-        return new
-
-    def rate(self, key: str, now_ms: int) -> float:
-        """Returns tokens per second asked of a model or adapter."""
-        level, since_ms = self._levels.get(key, (0.0, now_ms))
-        return level * math.exp((since_ms - now_ms) / DECAY_MS) * 1_000 / DECAY_MS
-
-    def is_cold(self, key: str, now_ms: int) -> bool:
-        """Tells whether hardly anybody asks for a model or adapter."""
-        return self.rate(key, now_ms) < COLD_TOKENS_PER_S
+    def used(self, model: ModelName, priority: Priority, tokens: int) -> None:
+        """Counts prompt and generated tokens."""
+        self._count(model, priority).tokens += tokens
 
-    def waiting(self) -> list[tuple[int, str]]:
-        """Returns (time of the first request, key), oldest first."""
-        return sorted((asked_ms, key) for key, asked_ms in self._waiting.items())
+    def refused(self, model: ModelName, priority: Priority) -> None:
+        """Counts a request that was refused since the model isn't loaded."""
+        self._count(model, priority).refused_count += 1
 
-    def served(self, key: str) -> None:
-        """Takes a key off the waiting list."""
-        self._waiting.pop(key, None)
+    def backend_refused(self, life_id: LifeId) -> None:
+        """Notes a backend server that refused a connection."""
+        self._refused_backends.add(life_id)
 
-    def keep(self, is_known: Callable[[str], bool]) -> None:
-        """Forgets everything but the keys that a new bundle knows."""
-        self._levels = {
-            key: value for key, value in self._levels.items() if is_known(key)
-        }
-        self._waiting = {
-            key: value for key, value in self._waiting.items() if is_known(key)
-        }
+    def report(
+        self, waiting: dict[tuple[ModelName, Priority], tuple[int, int]]
+    ) -> DemandReport | None:
+        """Returns the next report, or None where two in a row would be empty.
 
-    def waiting_count(self, now_ms: int) -> int:
-        """Returns how many requests waited at the entries by their last reports."""
-        return sum(
-            count
-            for count, time_ms in self._entry_waits.values()
-            if time_ms + DECAY_MS > now_ms
-        )
-
-    def _add(self, key: str, tokens: int, now_ms: int) -> None:
-        level, since_ms = self._levels.get(key, (0.0, now_ms))
-        decayed = level * math.exp((since_ms - now_ms) / DECAY_MS)
-        self._levels[key] = (decayed + tokens, now_ms)
+        Args:
+            waiting: Maps model and priority to the number of waiting requests and
+                the longest wait.
+        """
+        demands: list[ModelDemand] = []
+        for key in sorted(self._counts.keys() | waiting.keys()):
+            count = self._counts.get(key, _Count())
+            waiting_count, oldest_wait_ms = waiting.get(key, (0, 0))
+            # A refused request counts as waiting: its caller comes back, and a
+            # model without a copy is loaded only if somebody waits for it.
+            demand = ModelDemand(
+                model=key[0],
+                priority=key[1],
+                arrived_count=count.arrived_count,
+                waiting_count=waiting_count + count.refused_count,
+                oldest_wait_ms=oldest_wait_ms,
+                tokens=count.tokens,
+            )
+            demands.append(demand)
+        refused = tuple(sorted(self._refused_backends))
+        self._counts.clear()
+        self._refused_backends.clear()
+        is_empty = not demands and not refused
+        if is_empty and not self._reported_something:
+            return None
+        self._reported_something = not is_empty
+        return DemandReport(self._entry, tuple(demands), refused)
+
+    def _count(self, model: ModelName, priority: Priority) -> _Count:
+        return self._counts.setdefault((model, priority), _Count())
--- /dev/null
+++ b/cassiapitch/generation.py
@@ -0,0 +1,411 @@
+"""Runs one request for generated text on engines until its answer is complete."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import httpcore
+
+from cassiapitch import api, events, timers
+from cassiapitch.calls import Call, refused
+from cassiapitch.crashes import Crashes, Verdict
+from cassiapitch.engines import (
+    ERROR_BODY_LIMIT_BYTES,
+    End,
+    EngineRefusedError,
+    Plan,
+    cancel_at_engine,
+    error_code,
+    is_other_life,
+)
+from cassiapitch.entrystate import EntryState
+from cassiapitch.forward import (
+    Connection,
+    ConnectionLost,
+    NotConnected,
+    Response,
+    exchange,
+    read_all,
+)
+from cassiapitch.messages import BackendItem
+from cassiapitch.outcomes import ErrorKind
+from cassiapitch.prefixes import prefix_digests
+from cassiapitch.scheduler import NoSlot, Slot, Wanted
+from cassiapitch.streams import (
+    Answer,
+    Chunk,
+    EndMark,
+    EventSplitter,
+    Missing,
+    Taken,
+    parse_event,
+)
+from cassiapitch.types import Priority
+
+# Without a chunk for this long a stream is taken for broken and resumed. Engines
+# may set batch requests aside for urgent ones.
+STALL_LIMIT_MS = {Priority.URGENT: 3_000, Priority.BATCH: 60_000}
+# Before the first token an engine may read a long prompt.
+FIRST_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 120_000}
+RESUME_HEAD_LIMIT_MS = 1_000
+RESUMES_LIMIT_COUNT = 3
+RESUME_DELAY_MS = 50
+# An answer that has begun waits this long for another engine with its model, which
+# may first have to load it.
+TAKEOVER_LIMIT_MS = 30_000
+_PASSED_ON = (400, 404, 413, 422)
+
+PutChunk = Callable[[bytes], Awaitable[None]]
+
+
+class Generation:
+    """One answer and the attempts that it takes."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        crashes: Crashes,
+        call: Call,
+        plan: Plan,
+        put: PutChunk | None,
+    ) -> None:
+        """Prepares a run.
+
+        Args:
+            state: The entry's state.
+            crashes: Reports crashes.
+            call: The caller's call.
+            plan: What is to be generated.
+            put: Takes each chunk's bytes, or None if only the whole is wanted.
+        """
+        self.answer = Answer(call.request_id)
+        self._state = state
+        self._crashes = crashes
+        self._call = call
+        self._plan = plan
+        self._put = put
+        self._wanted = self._make_wanted()
+
+    def used_tokens(self) -> int:
+        """Returns what the request used of the account's rate."""
+        if not self._call.course.may_have_left:
+            return 0
+        usage = self.answer.usage
+        prompt_tokens = self._plan.request.prompt_tokens
+        if usage is not None and usage.prompt_tokens > 0:
+            prompt_tokens = usage.prompt_tokens
+        return prompt_tokens + api.answer_tokens(self.answer)
+
+    async def run(self) -> None:
+        """Returns once the answer is complete.
+
+        Raises:
+            CallRefusedError: It can't be completed.
+            CallEndedError: The call must not go on.
+            EngineRefusedError: The engine answered that the request is wrong.
+        """
+        self._call.course.step("admit")
+        while not self.answer.is_complete:
+            slot = await self._state.scheduler.acquire(self._wanted)
+            if isinstance(slot, NoSlot):
+                raise self._no_slot(slot)
+            self._call.course.step("route")
+            end = End.FAILED
+            try:
+                end = await self._attempt(slot.backend)
+            finally:
+                self._state.scheduler.release(slot, completed=end is End.COMPLETE)
+            if end is not End.COMPLETE:
+                await self._prepare_retry(end, slot)
+        self._call.course.step("complete")
+        if self._wanted.suspect:
+            self._crashes.ran_clean(self._plan.request.digest)
+
+    def _make_wanted(self) -> Wanted:
+        call, plan, state = self._call, self._plan, self._state
+        account = call.account
+        name = plan.target.name
+        return Wanted(
+            name=name,
+            queue=plan.target.model.name,
+            candidates=lambda: state.catalog.engines(plan.target),
+            expected_ms=lambda: state.expected_ms(name),
+            account="" if account is None else account.name,
+            weight=1 if account is None else account.weight,
+            priority=call.priority,
+            cost=plan.cost_tokens,
+            deadline_ms=call.deadline_ms,
+            digest=plan.request.digest,
+            prefixes=tuple(prefix_digests(plan.target.model.name, plan.request.prompt)),
+            suspect=self._crashes.crash_count(plan.request.digest) > 0,
+            narrow=plan.target.adapter is not None,
+        )
+
+    def _no_slot(self, slot: NoSlot) -> Exception:
+        target = self._plan.target
+        if slot.kind is ErrorKind.MODEL_LOADING:
+            self._state.demand.refused(target.name, self._call.priority)
+        if self.answer.next_position:
+            return refused(ErrorKind.STREAM_LOST)
+        if self._call.course.may_have_left:
+            return refused(ErrorKind.BACKEND_SERVER_FAILED)
+        return refused(slot.kind, slot.retry_after_ms)
+
+    async def _prepare_retry(self, end: End, slot: Slot) -> None:
+        """Returns if another attempt may be made.
+
+        Raises:
+            CallRefusedError: It may not.
+        """
+        self._wanted.excluded.add(slot.backend.life_id)
+        if end is End.CRASHED:
+            await self._report_crash(slot.backend)
+        course = self._call.course
+        if course.allows("retry"):
+            course.step("retry")
+        if course.failed() and await self._take_retry():
+            return
+        if self.answer.next_position:
+            raise refused(ErrorKind.STREAM_LOST)
+        kinds = {
+            End.UNSENT: ErrorKind.NO_BACKEND_SERVER,
+            End.NOT_LOADED: ErrorKind.MODEL_LOADING,
+            End.OVERLOADED: ErrorKind.OVERLOADED,
+        }
+        raise refused(kinds.get(end, ErrorKind.BACKEND_SERVER_FAILED))
+
+    async def _take_retry(self) -> bool:
+        """Takes a retry from the budget; an answer that has begun waits for it."""
+        budget = self._state.retries
+        now_ms = timers.now_ms()
+        if self.answer.next_position:
+            self._wanted.started = True
+            self._wanted.deadline_ms = max(
+                self._call.deadline_ms, now_ms + TAKEOVER_LIMIT_MS
+            )
+        while not budget.take(now_ms):
+            wait_ms = max(1, budget.free_ms(now_ms))
+            if not self._wanted.started or now_ms + wait_ms > self._wanted.deadline_ms:
+                return False
+            await anyio.sleep(wait_ms / 1000)
+            now_ms = timers.now_ms()
+        return True
+
+    async def _report_crash(self, backend: BackendItem) -> None:
+        verdict = await self._crashes.report(backend, self._plan.request.digest)
+        if verdict is Verdict.QUARANTINED:
+            raise refused(ErrorKind.REQUEST_QUARANTINED)
+        if verdict is Verdict.UNRECORDED:
+            streamed = self.answer.next_position > 0
+            lost = ErrorKind.STREAM_LOST
+            raise refused(lost if streamed else ErrorKind.BACKEND_SERVER_FAILED)
+        self._wanted.suspect = True
+
+    async def _attempt(self, backend: BackendItem) -> End:
+        connection = await self._state.connections.open(backend, fresh=False)
+        if isinstance(connection, NotConnected):
+            self._note_unreachable(backend, connection)
+            self._call.course.not_sent()
+            return End.UNSENT
+        end: End | None = None
+        try:
+            end = await self._send(backend, connection)
+            if end is End.BROKEN:
+                end = await self._resume(backend)
+            return end
+        finally:
+            # Whatever else ends the attempt leaves the engine generating.
+            is_written = self._call.course.state not in ("sending", "queued")
+            if is_written and end in (None, End.FAILED, End.CRASHED):
+                self._cancel(backend)
+
+    def _note_unreachable(self, backend: BackendItem, failure: NotConnected) -> None:
+        self._state.router.unreachable(backend.life_id, timers.now_ms())
+        if failure.refused:
+            self._state.demand.backend_refused(backend.life_id)
+
+    def _guard_first_send(self) -> Callable[[], None]:
+        is_first = True
+
+        def guard() -> None:
+            nonlocal is_first
+            self._check()
+            if is_first:
+                is_first = False
+                self._call.course.written()
+
+        return guard
+
+    def _check(self) -> None:
+        self._state.authorization.check(self._call, timers.now_ms())
+
+    async def _send(self, backend: BackendItem, connection: Connection) -> End:
+        plan = self._plan
+        if self.answer.next_position:
+            events.log(
+                events.Event.STREAM_CONTINUED,
+                request_id=self._call.request_id,
+                backend=backend.name,
+                position=self.answer.next_position,
+            )
+        body = api.engine_body(
+            plan.request,
+            plan.target.model.name,
+            plan.target.adapter,
+            plan.max_tokens,
+            self.answer,
+        )
+        headers = [
+            (b"Content-Type", b"application/json"),
+            (b"Accept", b"text/event-stream"),
+            (b"X-Request-Id", self._call.request_id.encode()),
+        ]
+        response = await exchange(
+            connection,
+            "POST",
+            plan.request.path,
+            headers,
+            body,
+            guard=self._guard_first_send(),
+            head_limit_ms=self._head_limit_ms(),
+            part_limit_ms=self._part_limit_ms(),
+        )
+        if isinstance(response, ConnectionLost):
+            self._refuse_late()
+            return End.BROKEN
+        try:
+            return await self._take_response(backend, response)
+        finally:
+            await response.close()
+            await self._state.connections.give_back(connection)
+
+    def _head_limit_ms(self) -> int:
+        if self.answer.next_position:
+            return FIRST_LIMIT_MS[self._call.priority]
+        return max(1, self._call.deadline_ms - timers.now_ms())
+
+    def _part_limit_ms(self) -> int:
+        if self.answer.next_position:
+            return STALL_LIMIT_MS[self._call.priority]
+        return FIRST_LIMIT_MS[self._call.priority]
+
+    def _refuse_late(self) -> None:
+        """Raises if the deadline passed before the first chunk."""
+        is_late = timers.now_ms() >= self._call.deadline_ms
+        if is_late and self.answer.next_position == 0:
+            raise refused(ErrorKind.DEADLINE_EXCEEDED)
+
+    async def _take_response(self, backend: BackendItem, response: Response) -> End:
+        if is_other_life(backend, response):
+            return End.CRASHED
+        if response.status == 200:
+            return await self._read(response)
+        body = await read_all(response, ERROR_BODY_LIMIT_BYTES) or b""
+        code = error_code(body)
+        if (response.status, code) == (409, "not_loaded"):
+            self._call.course.declined()
+            return End.NOT_LOADED
+        if (response.status, code) == (503, "overloaded"):
+            self._call.course.declined()
+            return End.OVERLOADED
+        if response.status in _PASSED_ON and self.answer.next_position == 0:
+            content_type = response.header(b"content-type") or "application/json"
+            raise EngineRefusedError(response.status, content_type, body)
+        return End.FAILED
+
+    async def _read(self, response: Response) -> End:
+        """Reads a stream; returns COMPLETE or BROKEN."""
+        splitter = EventSplitter()
+        limit_s: float | None = None
+        if self.answer.next_position == 0:
+            limit_s = max(0, self._call.deadline_ms - timers.now_ms()) / 1000
+        try:
+            with anyio.move_on_after(limit_s) as scope:
+                async for part in response.parts:
+                    for raw in splitter.feed(part):
+                        if not await self._take_event(raw):
+                            return End.BROKEN
+                    if self.answer.next_position:
+                        scope.deadline = float("inf")
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+            ValueError,
+        ):
+            pass
+        self._refuse_late()
+        return End.COMPLETE if self.answer.is_complete else End.BROKEN
+
+    async def _take_event(self, raw: bytes) -> bool:
+        """Takes one event; false if the stream must be resumed."""
+        event = parse_event(raw)
+        if isinstance(event, EndMark):
+            return self.answer.is_complete
+        if not isinstance(event, Chunk):
+            return True
+        taken = self.answer.take(event)
+        if isinstance(taken, Missing):
+            return False
+        if not isinstance(taken, Taken):
+            return True
+        if self._call.course.state == "running":
+            self._call.course.step("first_chunk")
+        if self._put is not None:
+            await self._put(raw)
+        return True
+
+    async def _resume(self, backend: BackendItem) -> End:
+        """Goes on with the same stream on the same life of a backend server."""
+        course = self._call.course
+        for _ in range(RESUMES_LIMIT_COUNT):
+            if course.state == "streaming":
+                course.step("resume")
+            before = self.answer.next_position
+            end = await self._resume_once(backend)
+            if end is not End.BROKEN:
+                return end
+            if self.answer.next_position == before:
+                await anyio.sleep(RESUME_DELAY_MS / 1000)
+        return End.FAILED
+
+    async def _resume_once(self, backend: BackendItem) -> End:
+        connection = await self._state.connections.open(backend, fresh=True)
+        if isinstance(connection, NotConnected):
+            self._note_unreachable(backend, connection)
+            return End.CRASHED
+        request_id = self._call.request_id
+        response = await exchange(
+            connection,
+            "GET",
+            f"/v1/streams/{request_id}?after={self.answer.next_position - 1}",
+            [(b"X-Request-Id", request_id.encode())],
+            b"",
+            guard=self._check,
+            head_limit_ms=RESUME_HEAD_LIMIT_MS,
+            part_limit_ms=self._part_limit_ms(),
+        )
+        if isinstance(response, ConnectionLost):
+            self._refuse_late()
+            return End.BROKEN
+        try:
+            if is_other_life(backend, response):
+                return End.CRASHED
+            if response.status != 200:
+                return End.FAILED
+            if self._call.course.state == "resuming":
+                self._call.course.step("resumed")
+            events.log(
+                events.Event.STREAM_RESUMED,
+                request_id=request_id,
+                backend=backend.name,
+                position=self.answer.next_position,
+            )
+            return await self._read(response)
+        finally:
+            await response.close()
+            await self._state.connections.give_back(connection)
+
+    def _cancel(self, backend: BackendItem) -> None:
+        self._state.start_background(
+            cancel_at_engine, self._state, backend, self._call.request_id
+        )
--- /dev/null
+++ b/cassiapitch/member.py
@@ -0,0 +1,392 @@
+"""A member of the control group: the task that owns its sockets and files."""
+
+import random
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+import anyio.to_thread
+
+from cassiapitch import (
+    consensus,
+    diskwriter,
+    events,
+    files,
+    identity,
+    journal,
+    memberchanges,
+    peers,
+    proposer,
+    reads,
+    replication,
+    rpc,
+    snapshots,
+)
+from cassiapitch.exceptions import StorageError
+from cassiapitch.membertypes import (
+    MemberStatus,
+    StateMachine,
+    name_of_leader,
+    status_of,
+)
+from cassiapitch.node import NO_GROUP, Node, Send
+from cassiapitch.proposals import (
+    Committed,
+    NotAccepted,
+    ReadConfirmed,
+    Reads,
+    ReadUnavailable,
+    ReadWait,
+    Uncertain,
+)
+from cassiapitch.quorum import ChangeRefused
+from cassiapitch.raftmessages import (
+    ChangeAnswer,
+    ChangeAsk,
+    ChangeKind,
+    Entry,
+    EntryKind,
+    ForwardAnswer,
+    ForwardAsk,
+    PeerHello,
+)
+from cassiapitch.settings import Address, ControlSettings
+from cassiapitch.timers import now_ms
+
+__all__ = [
+    "ChangeRefused",
+    "Committed",
+    "Member",
+    "MemberStatus",
+    "NotAccepted",
+    "ReadConfirmed",
+    "ReadUnavailable",
+    "StateMachine",
+    "Uncertain",
+]
+
+TICK_MS = 25
+APPLY_BATCH_COUNT = 256
+SNAPSHOT_BYTES = 8 * 1024 * 1024
+SNAPSHOT_COUNT = 8_192
+READS_LIMIT_COUNT = 8_192
+
+ReadOutcome = ReadConfirmed | ReadUnavailable
+ChangeOutcome = Committed | ChangeRefused | NotAccepted | Uncertain
+
+
+class Member:
+    """One member; `run` has to run for everything else to work."""
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        machine: StateMachine,
+        on_applied: Callable[[int], None],
+        *,
+        folder: files.Files | None = None,
+        snapshot_count: int = SNAPSHOT_COUNT,
+        retained_count: int = snapshots.RETAINED_COUNT,
+    ) -> None:
+        """Prepares a member.
+
+        Args:
+            settings: The process's settings.
+            machine: What commands are applied to.
+            on_applied: Called with the highest applied index after each batch, also
+                where the batch held no command or was a snapshot.
+            folder: File operations; the disk's by default.
+            snapshot_count: Applied entries after which a snapshot is taken.
+            retained_count: Entries kept in memory behind a snapshot.
+        """
+        self.settings = settings
+        self._machine = machine
+        self._on_applied = on_applied
+        self._files = folder
+        self._snapshot_count = snapshot_count
+        self._retained_count = retained_count
+        self._snapshot_index = 0
+        self.node: Node | None = None
+        self._journal: journal.Journal | None = None
+        self.peers = peers.Peers(self._hello, self._on_message, settings.tls)
+        self._identity: identity.Identity | None = None
+        self._writer = diskwriter.DiskWriter(self._on_synced)
+        self._held: list[Send] = []
+        self.proposer = proposer.Proposer(
+            self.peers.send, self.pump, self._writer.all_synced, self.leader_name
+        )
+        self._reads = Reads()
+        self._changes = memberchanges.Changes(self)
+        self._wake_applier = anyio.Event()
+        self._failed = anyio.Event()
+        self._failures: list[Exception] = []
+        self._logged_leader: str | None = None
+        self._logged_group = NO_GROUP
+
+    async def run(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Takes part in the group until cancelled.
+
+        Raises:
+            StorageError: The data folder is damaged or a write to it failed; the
+                member must not go on, since it can't keep what it promises.
+        """
+        await anyio.to_thread.run_sync(self._open)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.peers.run)
+            group.start_soon(self._writer.run, self._journal)
+            group.start_soon(self.proposer.run, self.node)
+            group.start_soon(self._apply_forever)
+            group.start_soon(self._tick_forever)
+            group.start_soon(self._changes.run)
+            group.start_soon(self._raise_failure)
+            group.start_soon(memberchanges.form_group, self)
+            await anyio.lowlevel.checkpoint()
+            self.pump()
+            task_status.started()
+
+    def _open(self) -> None:
+        settings = self.settings
+        try:
+            if self._files is None:
+                self._files = files.open_folder(settings.data_path)
+            self._identity = identity.load_or_create(
+                self._files, settings.cluster, settings.name, secrets.token_hex(16)
+            )
+        except OSError as error:
+            raise StorageError(f"data folder can't be opened: {error}") from error
+        self._journal, recovered = journal.open_journal(self._files)
+        source = random.Random(secrets.randbits(64))
+        self.node = Node(self._identity.disk_id, recovered, source, now_ms())
+        events.log(
+            events.Event.LOG_OPENED,
+            disk_id=self._identity.disk_id,
+            term=self.node.term,
+            last_index=self.node.log.last_index,
+        )
+
+    # The interface for the other parts of the process.
+
+    def serve_handlers(self) -> list[rpc.Handler]:
+        """Returns the handlers to mount on the process's rpc server."""
+        return [rpc.Handler(peers.SERVICE, {peers.METHOD: self._serve})]
+
+    async def propose(self, command: bytes, timeout_ms: int) -> proposer.ProposeOutcome:
+        """Has a command committed, through the leader if another member leads."""
+        return await self.proposer.propose(command, timeout_ms)
+
+    async def read_index(self, timeout_ms: int) -> ReadOutcome:
+        """Returns once this member has applied all that was committed before."""
+        if len(self._reads.waiting) >= READS_LIMIT_COUNT:
+            return ReadUnavailable()
+        read = ReadWait(anyio.Event())
+        self._reads.waiting.append(read)
+        self.pump()
+        try:
+            with anyio.move_on_after(timeout_ms / 1000):
+                await read.done.wait()
+        finally:
+            if not read.done.is_set():
+                self._reads.abandon(read)
+        if not read.done.is_set() or read.index is None:
+            return ReadUnavailable()
+        return ReadConfirmed(read.index)
+
+    def status(self) -> MemberStatus:
+        """Returns what this member knows now."""
+        return status_of(self.settings.name, self.node)
+
+    def has_lease(self, time_ms: int) -> bool:
+        """Tells whether this member leads and holds the quorum's lease."""
+        return self.node is not None and replication.has_lease(self.node, time_ms)
+
+    async def add_learner(
+        self, name: str, address: Address, zone: str = "", timeout_ms: int = 5_000
+    ) -> ChangeOutcome:
+        """Adds the empty or removed member that answers at an address."""
+        return await self._changes.request(
+            ChangeKind.ADD_LEARNER, name, zone, address, timeout_ms
+        )
+
+    async def promote(self, name: str, timeout_ms: int = 5_000) -> ChangeOutcome:
+        """Makes a learner a voter once it has caught up."""
+        kind = ChangeKind.PROMOTE
+        return await self._changes.request(kind, name, "", None, timeout_ms)
+
+    async def remove(self, name: str, timeout_ms: int = 5_000) -> ChangeOutcome:
+        """Removes a member."""
+        kind = ChangeKind.REMOVE
+        return await self._changes.request(kind, name, "", None, timeout_ms)
+
+    async def transfer_leadership(
+        self, to: str | None, timeout_ms: int = 5_000
+    ) -> ChangeOutcome:
+        """Hands the leadership to a voter, the most current one by default."""
+        kind = ChangeKind.TRANSFER
+        return await self._changes.request(kind, to or "", "", None, timeout_ms)
+
+    def leader_name(self) -> str | None:
+        """Returns the leader's name, if it is known."""
+        return None if self.node is None else name_of_leader(self.node)
+
+    # Messages.
+
+    def _hello(self) -> PeerHello:
+        assert self.node is not None
+        settings = self.settings
+        return PeerHello(
+            settings.cluster,
+            settings.name,
+            self.node.own_id,
+            settings.rpc_address.ip,
+            settings.rpc_address.port,
+            formed=bool(self.node.group.members),
+        )
+
+    async def _serve(self, stream: Any) -> None:
+        if self.node is not None:
+            await self.peers.serve(stream)
+
+    def _on_message(self, sender: str, target: str, message: Any) -> None:
+        node = self.node
+        if node is None or target != node.own_id:
+            return
+        if isinstance(message, ForwardAsk):
+            self.proposer.on_forward_ask(sender, message)
+        elif isinstance(message, ForwardAnswer):
+            self.proposer.on_forward_answer(node, message)
+        elif isinstance(message, (ChangeAsk, ChangeAnswer)):
+            self._changes.receive(sender, message)
+        else:
+            self._receive(node, sender, target, message)
+
+    def _receive(self, node: Node, sender: str, target: str, message: Any) -> None:
+        if self._failures:
+            return
+        try:
+            consensus.receive(node, sender, target, message, now_ms())
+            self.pump()
+        except Exception as error:
+            # Raised in the stream's task, it would end only that stream.
+            self._failures.append(error)
+            self._failed.set()
+
+    def pump(self) -> None:
+        """Carries out what the decisions asked for; called after each input."""
+        node = self.node
+        if node is None:
+            return
+        token = self._reads.next_token(now_ms())
+        if token is not None:
+            reads.ask(node, token, now_ms())
+        if node.writes:
+            self._writer.add(node.writes)
+            node.writes = []
+        for send in node.sends:
+            if send.after <= self._writer.synced_number:
+                self.peers.send(send.target, send.message)
+            else:
+                self._held.append(send)
+        node.sends.clear()
+        for done in node.reads:
+            self._reads.confirmed(done.token, done.index)
+        if node.reads:
+            node.reads.clear()
+            self._reads.applied(node.applied_index)
+        if node.to_restore or node.applied_index < node.commit_index:
+            self._wake_applier.set()
+        self._note_changes(node)
+
+    def _note_changes(self, node: Node) -> None:
+        if node.group is not self._logged_group:
+            self._logged_group = node.group
+            addresses = {
+                one.disk_id: Address(one.ip, one.port)
+                for one in node.group.members
+                if one.disk_id != node.own_id
+            }
+            self.peers.keep(addresses)
+            members = [f"{one.name}/{one.disk_id}" for one in node.group.members]
+            events.log(events.Event.GROUP_CHANGED, members=members)
+        if node.leader_id != self._logged_leader:
+            self._logged_leader = node.leader_id
+            name = self.leader_name()
+            events.log(events.Event.LEADER_CHANGED, leader=name, term=node.term)
+            self.proposer.wake()
+
+    def _on_synced(self, number: int) -> None:
+        assert self.node is not None
+        consensus.synced(self.node, number, now_ms())
+        # Held messages go first, so that they stay in order.
+        self.node.sends[:0] = self._held
+        self._held = []
+        self.pump()
+
+    # Tasks.
+
+    async def _raise_failure(self) -> None:
+        await self._failed.wait()
+        raise self._failures[0]
+
+    async def _tick_forever(self) -> None:
+        assert self.node is not None
+        while True:
+            await anyio.sleep(TICK_MS / 1000)
+            consensus.tick(self.node, now_ms())
+            if self._writer.is_stuck(now_ms()):
+                # It would go on as leader without ever applying anything. Its next
+                # election waits for the disk, since its vote has to be synced.
+                consensus.step_down(self.node, now_ms())
+            self.proposer.tick()
+            self.pump()
+
+    async def _apply_forever(self) -> None:
+        assert self.node is not None
+        while True:
+            await self._wake_applier.wait()
+            self._wake_applier = anyio.Event()
+            while await self._apply_some(self.node):
+                await anyio.lowlevel.checkpoint()
+
+    async def _apply_some(self, node: Node) -> bool:
+        due = consensus.take_applicable(node, APPLY_BATCH_COUNT)
+        if isinstance(due, consensus.Restore):
+            self._machine.restore(due.snapshot.data)
+            self.proposer.forget_to(due.snapshot.index)
+            self._snapshot_index = due.snapshot.index
+            index = due.snapshot.index
+            events.log(events.Event.SNAPSHOT_INSTALLED, index=index)
+        elif due:
+            for entry in due:
+                self._apply(entry)
+        else:
+            return False
+        self._on_applied(node.applied_index)
+        self._reads.applied(node.applied_index)
+        self.proposer.send_replies()
+        self._take_snapshot(node)
+        return True
+
+    def _apply(self, entry: Entry) -> None:
+        result = b""
+        if entry.kind is EntryKind.COMMAND:
+            result = self._machine.apply(entry.index, entry.time_ms, entry.data)
+        self.proposer.applied(entry, result)
+
+    def _take_snapshot(self, node: Node) -> None:
+        count = node.applied_index - self._snapshot_index
+        # A state larger than the limit would be written again and again.
+        state_bytes = 0 if node.snapshot is None else len(node.snapshot.blob)
+        limit_bytes = max(SNAPSHOT_BYTES, state_bytes)
+        is_large = count > 1 and node.log.size_bytes > limit_bytes
+        if count < self._snapshot_count and not is_large:
+            return
+        self._snapshot_index = node.applied_index
+        retained_count = 0 if is_large else self._retained_count
+        snapshots.take(node, self._machine.snapshot(), retained_count)
+        events.log(events.Event.SNAPSHOT_TAKEN, index=node.applied_index)
+        self.pump()
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,88 @@
+"""In-memory stand-ins for the control group, for tests of what is built on it."""
+
+import anyio
+
+from cassiapitch.membertypes import MemberStatus
+from cassiapitch.proposals import (
+    Committed,
+    NotAccepted,
+    ReadConfirmed,
+    ReadUnavailable,
+)
+
+
+class Log:
+    """A log that all members apply at once; `time_ms` is its log time."""
+
+    def __init__(self):
+        self.members = []
+        self.index = 1
+        self.time_ms = 0
+        self.leader = None
+        self.available = True
+
+
+class StandinMember:
+    """One member on a shared `Log`."""
+
+    def __init__(self, name, log, machine, on_applied):
+        self.name, self.log, self.machine = name, log, machine
+        self.on_applied, self.fail_next = on_applied, None
+        log.members.append(self)
+        log.leader = log.leader or name
+
+    async def propose(self, command, timeout_ms):
+        await anyio.lowlevel.checkpoint()
+        if not self.log.available:
+            return NotAccepted(None)
+        self.log.index += 1
+        self.log.time_ms += 1
+        results = {}
+        for member in self.log.members:
+            results[member.name] = member.machine.apply(
+                self.log.index, self.log.time_ms, command
+            )
+            member.on_applied(self.log.index)
+        if self.fail_next is not None:
+            failure, self.fail_next = self.fail_next, None
+            return failure
+        return Committed(self.log.index, results[self.name])
+
+    async def read_index(self, timeout_ms):
+        await anyio.lowlevel.checkpoint()
+        if not self.log.available:
+            return ReadUnavailable()
+        return ReadConfirmed(self.log.index)
+
+    def status(self):
+        role = "leader" if self.log.leader == self.name else "follower"
+        index = self.log.index
+        return MemberStatus(self.name, role, 1, self.log.leader, index, index, ())
+
+    def has_lease(self, now_ms):
+        return self.log.leader == self.name and self.log.available
+
+
+class StandinFleet:
+    """Fleet without backend servers."""
+
+    def __init__(self):
+        self.bundle = None
+
+    def apply(self, command, index, time_ms):
+        raise AssertionError(command)
+
+    def snapshot(self):
+        return b""
+
+    def restore(self, data):
+        pass
+
+    def view_items(self):
+        return {}
+
+    def take_view_changes(self):
+        return {}
+
+    def set_bundle(self, bundle):
+        self.bundle = bundle
--- /dev/null
+++ b/tests/test_testbed.py
@@ -0,0 +1,56 @@
+"""Tests of the processes that demo, bench and tests start."""
+
+import contextlib
+import json
+import socket
+
+import pytest
+
+from testbed.ports import LOOPBACK, ReservedPorts
+from testbed.processes import ManagedProcess, ProcessGroup
+
+
+def _standin(folder, port=0, **changes):
+    settings = {
+        "name": "service-1",
+        "kind": "service",
+        "role": "order-desk",
+        "zone": "zone-1",
+        "address": {"ip": "127.0.0.1", "port": port},
+        **changes,
+    }
+    path = folder / "service-1.json"
+    path.write_text(json.dumps(settings))
+    return ManagedProcess("service-1", "cassiapitch.standin", path, folder)
+
+
+def test_reserved_ports_differ_and_only_their_processes_get_them():
+    """Guards against a process whose port an outgoing connection has taken."""
+    reserved = ReservedPorts(50)
+    assert len(set(reserved.ports)) == 50
+    with socket.socket() as stranger, pytest.raises(OSError):
+        stranger.bind((LOOPBACK, reserved.ports[0]))
+    with socket.socket() as server:
+        server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        server.bind((LOOPBACK, reserved.ports[0]))
+        server.listen()
+    reserved.close()
+
+
+def test_group_ends_its_processes_when_a_script_fails(tmp_path):
+    """Guards against processes that outlive a failed demo or test."""
+    process = _standin(tmp_path)
+    with contextlib.suppress(RuntimeError), ProcessGroup() as group:
+        group.add(process).start()
+        assert process.is_running()
+        raise RuntimeError("script failed")
+    assert not process.is_running()
+    assert process.exit_code() == -9
+
+
+def test_output_of_a_process_that_ends_early_is_kept(tmp_path):
+    """Guards against a failed start without a reason."""
+    process = _standin(tmp_path, kind="none")
+    process.start()
+    assert process.wait(30) == 2
+    assert "$.kind: expected one of engine, service" in process.last_output()
