--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -46,10 +46,12 @@
 STALL_LIMIT_MS = {Priority.URGENT: 3_000, Priority.BATCH: 60_000}
 # Before the first token an engine may read a long prompt.
 FIRST_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 120_000}
-TAKEOVER_LIMIT_MS = 20_000
 RESUME_HEAD_LIMIT_MS = 1_000
 RESUMES_LIMIT_COUNT = 3
 RESUME_DELAY_MS = 50
+# An answer that has begun waits this long for another engine with its model, which
+# may first have to load it.
+TAKEOVER_LIMIT_MS = 30_000
 _PASSED_ON = (400, 404, 413, 422)
 
 PutChunk = Callable[[bytes], Awaitable[None]]
@@ -158,15 +160,9 @@
         if end is End.CRASHED:
             await self._report_crash(slot.backend)
         course = self._call.course
-        if end in (End.CRASHED, End.FAILED):
-            # The only copy may have been there. The answer has begun or was about
-            # to, so it waits for the next copy, which placement now loads.
-            self._wanted.patient = True
-            limit_ms = timers.now_ms() + TAKEOVER_LIMIT_MS
-            self._wanted.deadline_ms = max(self._wanted.deadline_ms, limit_ms)
         if course.allows("retry"):
             course.step("retry")
-        if course.may_retry(self._state.retries, timers.now_ms()):
+        if course.failed() and await self._take_retry():
             return
         if self.answer.next_position:
             raise refused(ErrorKind.STREAM_LOST)
@@ -177,6 +173,23 @@
         }
         raise refused(kinds.get(end, ErrorKind.BACKEND_SERVER_FAILED))
 
+    async def _take_retry(self) -> bool:
+        """Takes a retry from the budget; an answer that has begun waits for it."""
+        budget = self._state.retries
+        now_ms = timers.now_ms()
+        if self.answer.next_position:
+            self._wanted.started = True
+            self._wanted.deadline_ms = max(
+                self._call.deadline_ms, now_ms + TAKEOVER_LIMIT_MS
+            )
+        while not budget.take(now_ms):
+            wait_ms = max(1, budget.free_ms(now_ms))
+            if not self._wanted.started or now_ms + wait_ms > self._wanted.deadline_ms:
+                return False
+            await anyio.sleep(wait_ms / 1000)
+            now_ms = timers.now_ms()
+        return True
+
     async def _report_crash(self, backend: BackendItem) -> None:
         verdict = await self._crashes.report(backend, self._plan.request.digest)
         if verdict is Verdict.QUARANTINED:
