Continue an answer elsewhere when its engine stalls again and again

Cause: a stream that was resumed and stalled in each of the three tries ended in a state from which charts/request.json has no retry, so the caller's connection was closed with an internal error instead of another engine going on. Ruled out: a transition from streaming to queued in the chart, which would allow a second write while a stream still runs. Before: the new test with a stalling engine failed.

--- a/cassiapitch/engines.py
+++ b/cassiapitch/engines.py
@@ -6,7 +6,8 @@
 import anyio
 import msgspec
 
-from cassiapitch import api
+from cassiapitch import api, timers
+from cassiapitch.calls import Call
 from cassiapitch.catalog import Target
 from cassiapitch.entrystate import EntryState
 from cassiapitch.forward import (
@@ -17,7 +18,14 @@
     read_all,
 )
 from cassiapitch.messages import BackendItem
-
+from cassiapitch.streams import Answer
+from cassiapitch.types import Priority
+
+# Without a chunk for this long a stream is taken for broken and resumed. Engines
+# may set batch requests aside for urgent ones.
+STALL_LIMIT_MS = {Priority.URGENT: 3_000, Priority.BATCH: 60_000}
+# Before the first token an engine may read a long prompt.
+FIRST_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 120_000}
 CANCEL_LIMIT_MS = 2_000
 ERROR_BODY_LIMIT_BYTES = 64 * 1024
 
@@ -102,3 +110,17 @@
         return None
     error = document.get("error") if isinstance(document, dict) else None
     return error.get("code") if isinstance(error, dict) else None
+
+
+def head_limit_ms(answer: Answer, call: Call) -> int:
+    """Returns the longest time until the head of an engine's response."""
+    if answer.next_position:
+        return FIRST_LIMIT_MS[call.priority]
+    return max(1, call.deadline_ms - timers.now_ms())
+
+
+def part_limit_ms(answer: Answer, call: Call) -> int:
+    """Returns the longest time between two parts of an engine's stream."""
+    if answer.next_position:
+        return STALL_LIMIT_MS[call.priority]
+    return FIRST_LIMIT_MS[call.priority]
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -15,7 +15,9 @@
     Plan,
     cancel_at_engine,
     error_code,
+    head_limit_ms,
     is_other_life,
+    part_limit_ms,
 )
 from cassiapitch.entrystate import EntryState
 from cassiapitch.forward import (
@@ -39,13 +41,7 @@
     Taken,
     parse_event,
 )
-from cassiapitch.types import Priority
 
-# Without a chunk for this long a stream is taken for broken and resumed. Engines
-# may set batch requests aside for urgent ones.
-STALL_LIMIT_MS = {Priority.URGENT: 3_000, Priority.BATCH: 60_000}
-# Before the first token an engine may read a long prompt.
-FIRST_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 120_000}
 RESUME_HEAD_LIMIT_MS = 1_000
 RESUMES_LIMIT_COUNT = 3
 RESUME_DELAY_MS = 50
@@ -160,6 +156,9 @@
         if end is End.CRASHED:
             await self._report_crash(slot.backend)
         course = self._call.course
+        if course.state == "streaming":
+            # The last try to resume began to stream and broke again.
+            course.step("resume")
         if course.allows("retry"):
             course.step("retry")
         if course.failed() and await self._take_retry():
@@ -216,7 +215,9 @@
             # Whatever else ends the attempt leaves the engine generating.
             is_written = self._call.course.state not in ("sending", "queued")
             if is_written and end in (None, End.FAILED, End.CRASHED):
-                self._cancel(backend)
+                self._state.start_background(
+                    cancel_at_engine, self._state, backend, self._call.request_id
+                )
 
     def _note_unreachable(self, backend: BackendItem, failure: NotConnected) -> None:
         self._state.router.unreachable(backend.life_id, timers.now_ms())
@@ -266,8 +267,8 @@
             headers,
             body,
             guard=self._guard_first_send(),
-            head_limit_ms=self._head_limit_ms(),
-            part_limit_ms=self._part_limit_ms(),
+            head_limit_ms=head_limit_ms(self.answer, self._call),
+            part_limit_ms=part_limit_ms(self.answer, self._call),
         )
         if isinstance(response, ConnectionLost):
             self._refuse_late()
@@ -278,16 +279,6 @@
             await response.close()
             await self._state.connections.give_back(connection)
 
-    def _head_limit_ms(self) -> int:
-        if self.answer.next_position:
-            return FIRST_LIMIT_MS[self._call.priority]
-        return max(1, self._call.deadline_ms - timers.now_ms())
-
-    def _part_limit_ms(self) -> int:
-        if self.answer.next_position:
-            return STALL_LIMIT_MS[self._call.priority]
-        return FIRST_LIMIT_MS[self._call.priority]
-
     def _refuse_late(self) -> None:
         """Raises if the deadline passed before the first chunk."""
         is_late = timers.now_ms() >= self._call.deadline_ms
@@ -382,7 +373,7 @@
             b"",
             guard=self._check,
             head_limit_ms=RESUME_HEAD_LIMIT_MS,
-            part_limit_ms=self._part_limit_ms(),
+            part_limit_ms=part_limit_ms(self.answer, self._call),
         )
         if isinstance(response, ConnectionLost):
             self._refuse_late()
@@ -404,8 +395,3 @@
         finally:
             await response.close()
             await self._state.connections.give_back(connection)
-
-    def _cancel(self, backend: BackendItem) -> None:
-        self._state.start_background(
-            cancel_at_engine, self._state, backend, self._call.request_id
-        )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,8 +5,9 @@
 import anyio
 import pytest
 
-from cassiapitch import codec, messages, settings, timers
+from cassiapitch import codec, engines, messages, settings, timers
 from cassiapitch.entry import EntryProcess
+from cassiapitch.types import Priority
 from tests.entryfakes import (
     KEY,
     FakeEngine,
@@ -164,6 +165,20 @@
         assert json.loads(second.seen[-1][1])["continue_position"] == 3
 
 
+@pytest.mark.anyio
+async def test_engine_that_stalls_is_left_for_another(monkeypatch):
+    """Guards against an answer that hangs on a stopped engine, and against taking
+    an engine that still answers for a crashed one."""
+    monkeypatch.setitem(engines.STALL_LIMIT_MS, Priority.URGENT, 200)
+    first, second = FakeEngine("n1", "l1"), FakeEngine("n2", "l2", zone="b")
+    first.hold_at = 3
+    async with world(first, second) as w:
+        assert await w.stream_chat(6) == (expected_text(6), True, None)
+        assert json.loads(second.seen[-1][1])["continue_position"] == 3
+        await w.until(lambda: first.deleted)
+        assert w.hub.of(messages.CrashReport) == []
+
+
 @pytest.mark.anyio
 async def test_request_that_crashes_two_lives_is_not_run_on_a_third():
     """Guards against one request that takes down every engine."""
