--- a/bench/run.py
+++ b/bench/run.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import anyio
+from rich import box
 from rich.console import Console
 from rich.table import Table
 
@@ -31,7 +32,7 @@
 # Beyond the load: start, drain and end of one deployment.
 EXTRA_S = 120
 
-console = Console(width=110)
+console = Console(width=120)
 
 
 def main() -> int:
@@ -152,16 +153,29 @@
     }
 
 
+_COLUMNS = {
+    "attained": "attainment",
+    "per s and accelerator": "attained_per_s_and_accelerator",
+    "moves": "model_moves_count",
+    "refused in rate": "refused_within_rate_count",
+    "worst-served": "worst_served_account",
+    "its attainment": "worst_served_attainment",
+    "cut": "cut_answers_count",
+    "broken off": "broken_off_answers_count",
+    "doubled": "doubled_runs_count",
+    "overcommit": "overcommits_count",
+}
+
+
 def _print_summary(results: dict[str, dict[str, Any]]) -> None:
-    table = Table(title="Measures", title_justify="left")
-    table.add_column("measure")
-    for name in results:
-        table.add_column(name, justify="right", overflow="fold")
-    for section in ("measures", "integrity"):
-        rows = {key for document in results.values() for key in document[section]}
-        for row in sorted(rows):
-            values = (document[section].get(row) for document in results.values())
-            table.add_row(row, *(loadreport.format_value(value) for value in values))
+    table = Table(title="Measures", title_justify="left", box=box.SIMPLE)
+    table.add_column("variant")
+    for head in _COLUMNS:
+        table.add_column(head, justify="right", overflow="fold")
+    for name, document in results.items():
+        values = {**document["measures"], **document["integrity"]}
+        cells = (loadreport.format_value(values.get(key)) for key in _COLUMNS.values())
+        table.add_row(name, *cells)
     console.print(table)
 
 
--- a/cassiapitch/cmdline.py
+++ b/cassiapitch/cmdline.py
@@ -212,7 +212,7 @@
         commands,
         "dump",
         operations.dump,
-        "print one process's whole state as JSON; it holds no key",
+        "print the whole state of one process as JSON; it holds no key",
         "cassiapitch dump control-1 --out control-1.json",
     )
     dump.add_argument("process", help="its name in the operator file, or IP:PORT")
