--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -46,6 +46,8 @@
 STALL_LIMIT_MS = {Priority.URGENT: 3_000, Priority.BATCH: 60_000}
 # Before the first token an engine may read a long prompt.
 FIRST_LIMIT_MS = {Priority.URGENT: 10_000, Priority.BATCH: 120_000}
+# A request that was running waits this long for the next copy of its model.
+TAKEOVER_LIMIT_MS = 20_000
 RESUME_HEAD_LIMIT_MS = 1_000
 RESUMES_LIMIT_COUNT = 3
 RESUME_DELAY_MS = 50
@@ -157,9 +159,15 @@
         if end is End.CRASHED:
             await self._report_crash(slot.backend)
         course = self._call.course
+        if end in (End.CRASHED, End.FAILED):
+            # The only copy may have been there. The answer has begun or was about
+            # to, so it waits for the next copy, which placement now loads.
+            self._wanted.patient = True
+            limit_ms = timers.now_ms() + TAKEOVER_LIMIT_MS
+            self._wanted.deadline_ms = max(self._wanted.deadline_ms, limit_ms)
         if course.allows("retry"):
             course.step("retry")
-        if course.may_retry(self._state.retries, timers.now_ms()):
+        if course.failed() and await self._take_retry():
             return
         if self.answer.next_position:
             raise refused(ErrorKind.STREAM_LOST)
@@ -170,6 +178,18 @@
         }
         raise refused(kinds.get(end, ErrorKind.BACKEND_SERVER_FAILED))
 
+    async def _take_retry(self) -> bool:
+        """Takes a retry from the budget; a request that was running waits for it."""
+        budget = self._state.retries
+        now_ms = timers.now_ms()
+        while not budget.take(now_ms):
+            wait_ms = max(1, budget.free_ms(now_ms))
+            if not self._wanted.patient or now_ms + wait_ms > self._wanted.deadline_ms:
+                return False
+            await anyio.sleep(wait_ms / 1000)
+            now_ms = timers.now_ms()
+        return True
+
     async def _report_crash(self, backend: BackendItem) -> None:
         verdict = await self._crashes.report(backend, self._plan.request.digest)
         if verdict is Verdict.QUARANTINED:
--- a/cassiapitch/retries.py
+++ b/cassiapitch/retries.py
@@ -28,6 +28,10 @@
         self._requests.append(now_ms)
         _drop_old(self._requests, now_ms)
 
+    def free_ms(self, now_ms: int) -> int:
+        """Returns the time until the oldest retry leaves the window."""
+        return self._retries[0] + WINDOW_MS - now_ms if self._retries else 0
+
     def take(self, now_ms: int) -> bool:
         """Takes one retry from the budget; false if it is used up."""
         _drop_old(self._requests, now_ms)
@@ -89,14 +93,16 @@
         """No byte of the newest attempt left, for instance no connection was made."""
         self.step("not_sent")
 
-    def may_retry(self, budget: RetryBudget, now_ms: int) -> bool:
-        """Counts a failed attempt and tells whether another one may be made."""
+    def failed(self) -> bool:
+        """Counts a failed attempt; tells whether the request allows another one."""
         self.failures_count += 1
         if self.failures_count > RETRIES_LIMIT_COUNT:
             return False
-        if self.may_have_left and not self.idempotent:
-            return False
-        return budget.take(now_ms)
+        return self.idempotent or not self.may_have_left
+
+    def may_retry(self, budget: RetryBudget, now_ms: int) -> bool:
+        """Counts a failed attempt and tells whether another one may be made."""
+        return self.failed() and budget.take(now_ms)
 
     def outcome(self) -> RunOutcome:
         """Returns what a refusal may say of this request."""
