--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -42,12 +42,11 @@
     parse_event,
 )
 
+# A request that was running waits this long for the next copy of its model.
+TAKEOVER_LIMIT_MS = 20_000
 RESUME_HEAD_LIMIT_MS = 1_000
 RESUMES_LIMIT_COUNT = 3
 RESUME_DELAY_MS = 50
-# An answer that has begun waits this long for another engine with its model, which
-# may first have to load it.
-TAKEOVER_LIMIT_MS = 30_000
 _PASSED_ON = (400, 404, 413, 422)
 
 PutChunk = Callable[[bytes], Awaitable[None]]
@@ -156,6 +155,12 @@
         if end is End.CRASHED:
             await self._report_crash(slot.backend)
         course = self._call.course
+        if end in (End.CRASHED, End.FAILED):
+            # The only copy may have been there. The answer has begun or was about
+            # to, so it waits for the next copy, which placement now loads.
+            self._wanted.patient = True
+            limit_ms = timers.now_ms() + TAKEOVER_LIMIT_MS
+            self._wanted.deadline_ms = max(self._wanted.deadline_ms, limit_ms)
         if course.state == "streaming":
             # The last try to resume began to stream and broke again.
             course.step("resume")
@@ -173,17 +178,12 @@
         raise refused(kinds.get(end, ErrorKind.BACKEND_SERVER_FAILED))
 
     async def _take_retry(self) -> bool:
-        """Takes a retry from the budget; an answer that has begun waits for it."""
+        """Takes a retry from the budget; a request that was running waits for it."""
         budget = self._state.retries
         now_ms = timers.now_ms()
-        if self.answer.next_position:
-            self._wanted.started = True
-            self._wanted.deadline_ms = max(
-                self._call.deadline_ms, now_ms + TAKEOVER_LIMIT_MS
-            )
         while not budget.take(now_ms):
             wait_ms = max(1, budget.free_ms(now_ms))
-            if not self._wanted.started or now_ms + wait_ms > self._wanted.deadline_ms:
+            if not self._wanted.patient or now_ms + wait_ms > self._wanted.deadline_ms:
                 return False
             await anyio.sleep(wait_ms / 1000)
             now_ms = timers.now_ms()
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -39,7 +39,7 @@
         excluded: Lives that it must not go to.
         suspect: Whether a backend server crashed while it ran.
         narrow: Whether not every backend server of its queue is a candidate.
-        started: Whether the caller has part of the answer already.
+        patient: Whether it waits for a candidate although none is expected yet.
         asked_ms: When it was first asked for.
     """
 
@@ -57,7 +57,7 @@
     excluded: set[LifeId] = dataclasses.field(default_factory=set)
     suspect: bool = False
     narrow: bool = False
-    started: bool = False
+    patient: bool = False
     asked_ms: int | None = None
 
     @property
@@ -245,13 +245,11 @@
             if backend.life_id not in wanted.excluded
             and not self._suspicion.has_crashed(backend.life_id, now_ms)
         ]
-        if usable:
+        if usable or wanted.patient:
             return None
         expected_ms = wanted.expected_ms()
         if expected_ms is not None:
             is_late = now_ms + expected_ms > wanted.deadline_ms
-        elif wanted.started:
-            is_late = now_ms > wanted.deadline_ms
         else:
             asked_ms = now_ms if wanted.asked_ms is None else wanted.asked_ms
             is_late = now_ms > asked_ms + EXPECTATION_LIMIT_MS
