Count the hysteresis in the time until a copy is expected

Ruled out: a lost order (the ledger was empty) and a shorter residence, which would let models displace each other all the time. Before: the new test saw an expected time below 15 s for a model that could not be loaded for 20 s.

--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -160,10 +160,14 @@
             self._place_or_plan(model, rooms, age_ms)
 
     def _place_or_plan(self, key: str, rooms: list[Room], age_ms: int) -> None:
+        self._state.blocked_until_ms.pop(key, None)
         if self._place(key, rooms):
             return
         allowed = victims.class_allowed(age_ms)
         is_planned = self._plan(key, allowed, rooms, is_first=True)
+        if not is_planned:
+            wait_ms = self._victims.wait_ms(rooms, age_ms)
+            self._state.blocked_until_ms[key] = self._now_ms + wait_ms
         if not is_planned and age_ms >= HOLD_AFTER_MS:
             self._hold(key, rooms)
 
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -52,6 +52,7 @@
         self.load_ms = float(DEFAULT_LOAD_MS)
         self.order_seen_ms: dict[str, int] = {}
         self.bundle_seen_ms = now_ms
+        self.blocked_until_ms: dict[str, int] = {}
         self.served: set[str] = set()
         self._bundle_version = fleet.catalog.version
         self._resident_ms: dict[tuple[str, str], int] | None = None
@@ -82,6 +83,11 @@
         since_ms = (self._resident_ms or {}).get((life_id, key), now_ms)
         return now_ms - since_ms >= RESIDENT_MS
 
+    def resident_rest_ms(self, life_id: str, key: str, now_ms: int) -> int:
+        """Returns how long the hysteresis still keeps a copy."""
+        since_ms = (self._resident_ms or {}).get((life_id, key), now_ms)
+        return max(0, since_ms + RESIDENT_MS - now_ms)
+
     def _refill(self, now_ms: int) -> None:
         rate = self.fleet.catalog.store.loads_per_s
         grown = self.store_tokens + rate * (now_ms - self._refilled_ms) / 1_000
@@ -117,6 +123,7 @@
             if survey.is_served(key):
                 self.demand.served(key)
                 self.plans.pop(key, None)
+                self.blocked_until_ms.pop(key, None)
 
     def _age_plans(self, survey: Survey, now_ms: int) -> None:
         for key, plan in list(self.plans.items()):
@@ -136,11 +143,16 @@
     return plan.life_id in survey.rooms and now_ms - plan.since_ms < PLAN_LIFE_MS
 
 
+def _blocked_ms(state: PlacementState, key: str, now_ms: int) -> int:
+    return max(0, state.blocked_until_ms.get(key, now_ms) - now_ms)
+
+
 def expected_ms(state: PlacementState, now_ms: int) -> dict[str, int]:
     """Returns the time until a copy is expected, by model or adapter name.
 
     Covers what is being loaded or waited for: the rest of a load under way, or the
-    place in the waiting list by the store's rate, and the unload that comes first.
+    place in the waiting list by the store's rate, and the unload that comes first
+    once the hysteresis allows it.
     """
     expected: dict[str, int] = {}
     catalog = state.fleet.catalog
@@ -156,6 +168,8 @@
         if name in expected:
             continue
         rank += key == model_key(name)
+        model = model_key(catalog.model_of(key) or name)
         unload_ms = VIEW_DELAY_MS if key in state.plans else 0
-        expected[name] = int(rank * gap_ms + unload_ms + state.load_ms)
+        blocked_ms = max(_blocked_ms(state, one, now_ms) for one in (key, model))
+        expected[name] = int(blocked_ms + rank * gap_ms + unload_ms + state.load_ms)
     return expected
--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -93,6 +93,15 @@
                 return room, _without_spare(taken[life_id], -needed[life_id])
         return None
 
+    def wait_ms(self, rooms: list[Room], age_ms: int) -> int:
+        """Returns the least time until one of the engines may have to make room."""
+        rests_ms = [
+            self._state.resident_rest_ms(room.life.life_id, key, self._now_ms)
+            for room in rooms
+            for key in room.life.ledger.reported
+        ]
+        return max(min(rests_ms, default=0), HOT_AFTER_MS - age_ms, 0)
+
     def _list(self, role: str) -> list[tuple[int, float, str, str]]:
         if role not in self._lists:
             found = []
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -35,6 +35,20 @@
     assert seconds_until_served(world, "c") <= REACHED_S
 
 
+def test_expected_time_counts_the_hysteresis():
+    """Guards against requests that wait until their deadline for a model that no
+    engine may load before."""
+    world = make_world((100,), {"a": 60, "b": 60}, adapters={"b1": 10})
+    world.hot = {"a": 100}
+    world.ask("a", 1)
+    world.run(10_000)
+    world.ask("b1", 1)
+    world.run(2_000)
+    expected = world.coordinator.load_reports(world.now_ms).expected_ms
+    assert expected["b"] >= 15_000
+    assert expected["b1"] >= 15_000
+
+
 def test_large_model_is_reached_among_small_ones():
     """Guards against small models that take every freed piece of an engine."""
     small = dict.fromkeys("abcde", 30)
