Check refusals of every kind within the rate in the demo

Cause: the demo's check had been narrowed to refusals for the rate, so that model_loading and not_ready no longer counted although no trace shows that they are allowed. Ruled out: demanding none at all in the seconds around a leader's death; the stated limit there is 1 in 100. Before: calls refused with model_loading passed the check. Conclusion: the narrowed check is replaced.

--- a/demo/checks.py
+++ b/demo/checks.py
@@ -7,6 +7,8 @@
 from rich.table import Table
 
 TEAM_ORDERS = "POST /orders/team"
+# The users' limit for the time around a leader's death, of calls within the rate.
+REFUSED_SHARE_LIMIT = 0.01
 _HIDDEN = ("authorization:", "cookie:", "idempotency-key:", "proxy-authorization:")
 
 
@@ -26,10 +28,16 @@
     # These accounts stay within their rate all the time; which calls of the limited
     # one are refused depends on which ones were served, so the table shows them.
     refused = {
-        name: item["refused_within_rate"]["rate_exceeded"]
+        name: item["refused_within_rate"]
         for name, item in accounts.items()
-        if "rate_exceeded" in item["refused_within_rate"] and name != limited_account
+        if item["refused_within_rate"] and name != limited_account
     }
+    refused_count = sum(sum(kinds.values()) for kinds in refused.values())
+    sent_count = sum(
+        item["offered_count"]
+        for name, item in accounts.items()
+        if name != limited_account
+    )
     beyond = accounts[limited_account]["refused_beyond_rate"]
     lost = sum(
         item["endings"].get(ending, 0)
@@ -45,7 +53,9 @@
         ),
         Check("no call was lost", lost == 0, f"{lost} lost"),
         Check(
-            "no account within its rate was refused for it", not refused, str(refused)
+            "at most 1 in 100 calls within the rate was refused, whatever the reason",
+            refused_count <= REFUSED_SHARE_LIMIT * sent_count,
+            f"{refused_count} of {sent_count}: {refused}",
         ),
         Check(
             f"{limited_account} was refused beyond its rate",
