Prove withdrawn keys on frozen and isolated entries with real processes

testbed/ gains TCP relays in front of control members; a cut link accepts and forwards nothing. A connection's opener is found by its socket, since the links use TLS and the group's configuration has one address for each member. Ruled out: one address for each pair (the group configuration has no place for it), and recognising the sender by its first message (encrypted).

--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -48,12 +48,15 @@
         entry: Fields that replace those of the entry settings.
         standin: Fields that replace those of the stand-ins' settings.
         with_tls: Whether own processes use mutual TLS.
+        with_relays: Whether control members are reached through relays, which the
+            caller starts at `relay_ports`.
     """
 
     control: dict[str, Any] = dataclasses.field(default_factory=dict)
     entry: dict[str, Any] = dataclasses.field(default_factory=dict)
     standin: dict[str, Any] = dataclasses.field(default_factory=dict)
     with_tls: bool = True
+    with_relays: bool = False
 
 
 def _address(port: int) -> dict[str, Any]:
@@ -83,6 +86,10 @@
         self._options = options
         self._secrets = folder / "secrets"
         self._ports = self._allocate_ports()
+        self.relay_ports: dict[str, int] = {}
+        if options.with_relays:
+            ports = self.processes.reserve_ports(size.control_count)
+            self.relay_ports = dict(zip(self.control, ports, strict=True))
         self._operator = keygen.make_operator_key(self._secrets, OPERATOR)
         if options.with_tls:
             names = [*self.control, *self.entries]
@@ -105,6 +112,15 @@
         """Returns where callers reach an entry."""
         return Address(LOOPBACK, self._ports[entry][0])
 
+    def peer_address(self, member: str) -> Address:
+        """Returns where entries and other members reach a control member."""
+        port = self.relay_ports.get(member, self._ports[member][0])
+        return Address(LOOPBACK, port)
+
+    def rpc_port(self, member: str) -> int:
+        """Returns the port on which a control member listens for them."""
+        return self._ports[member][0]
+
     def standin_address(self, name: str) -> Address:
         """Returns where a stand-in backend server serves."""
         return Address(LOOPBACK, self._ports[name][0])
@@ -128,7 +144,7 @@
             {
                 "name": name,
                 "zone": self.zone(name),
-                "address": _address(self._ports[name][0]),
+                "address": _address(self.peer_address(name).port),
             }
             for name in self.control
         ]
--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -1,5 +1,6 @@
 """Processes of a testbed: started as modules, ended by their id."""
 
+import contextlib
 import os
 import pathlib
 import signal
@@ -79,6 +80,17 @@
         ticks = int(fields[11]) + int(fields[12])
         return ticks / os.sysconf("SC_CLK_TCK")
 
+    def owns_socket(self, inode: str) -> bool:
+        """Tells whether the program has the socket with an inode open."""
+        if self._process is None:
+            return False
+        for path in pathlib.Path(f"/proc/{self._process.pid}/fd").iterdir():
+            # A file may be closed between the listing and the look at it.
+            with contextlib.suppress(OSError):
+                if os.readlink(path) == f"socket:[{inode}]":
+                    return True
+        return False
+
     def memory_mib(self) -> float | None:
         """Returns the resident memory, None if the program doesn't run."""
         if self._process is None or not self.is_running():
--- /dev/null
+++ b/tests/system_world.py
@@ -0,0 +1,168 @@
+"""A deployment of real processes on loopback for the `test_system_*` files."""
+
+import contextlib
+import dataclasses
+import json
+
+import anyio
+import httpcore
+
+from cassiapitch import streams, timers
+from cassiapitch.client import Done
+from demo import probes
+from demo.probes import Request, chat
+from testbed.catalogue import make_catalogue
+from testbed.deployment import Deployment, Options, Size
+from testbed.processes import ProcessGroup
+from testbed.relays import Relays
+
+LIMIT_S = 60
+START_MS = 40_000
+MODEL = "model-00"
+
+
+class World:
+    """A running deployment and what its callers and operators do."""
+
+    def __init__(self, deployment, relays):
+        self.deployment, self.relays, self.keys = deployment, relays, {}
+
+    def run(self, scenario, *arguments):
+        async def limited():
+            with anyio.fail_after(LIMIT_S):
+                return await scenario(self, *arguments)
+
+        return anyio.run(limited)
+
+    def process(self, name):
+        return self.deployment.processes[name]
+
+    async def call(self, entry, request):
+        return await probes.call(self.deployment.caller_address(entry), request)
+
+    async def standin(self, name, method, path, document=None):
+        address = self.deployment.standin_address(name)
+        reply = await probes.call(address, Request(method, path, document))
+        assert reply.status == 200, reply
+        return json.loads(reply.content)
+
+    async def dump(self, name):
+        return await self.standin(name, "GET", "/standin/dump")
+
+    async def fault(self, name, **fields):
+        await self.standin(name, "POST", "/standin/faults", fields)
+
+    async def admin(self, name):
+        outcome = await self.deployment.ask(name, "GET", "/dump")
+        return outcome.document if isinstance(outcome, Done) else None
+
+    async def withdraw(self, key):
+        """Returns when the operator had the answer."""
+        await self.deployment.command("withdraw", text=key)
+        return timers.now_ms()
+
+
+async def until(probe, limit_s=25):
+    """Polls until the probe's result is true, and returns it."""
+    with anyio.fail_after(limit_s):
+        while not (result := await probe()):  # noqa: ASYNC110
+            await anyio.sleep(0.05)
+    return result
+
+
+@contextlib.contextmanager
+def running(folder, size, *, control=None, entry=None, standin=None, models=1):
+    """Starts everything, grants each client account a key and yields a `World`."""
+    options = Options(
+        control or {}, entry or {}, standin or {}, with_tls=True, with_relays=True
+    )
+    with ProcessGroup() as group, Relays(group) as relays:
+        catalogue = make_catalogue(models, 0)
+        deployment = Deployment(folder, group, catalogue, size, options)
+        for name, port in deployment.relay_ports.items():
+            relays.add(name, port, deployment.rpc_port(name))
+        world = World(deployment, relays)
+        world.run(_start)
+        yield world
+
+
+async def _start(world):
+    deployment = world.deployment
+    deployment.start(deployment.control)
+    await deployment.wait_for_leader(START_MS)
+    deployment.start([*deployment.engines, *deployment.services, *deployment.entries])
+    await deployment.roll(1)
+    for account in deployment.catalogue.accounts:
+        world.keys[account] = await deployment.grant(account)
+    await deployment.wait_for_entries(START_MS)
+    await deployment.wait_for_backends(START_MS)
+
+
+@dataclasses.dataclass
+class Stream:
+    """A streamed answer while it arrives; each part with the moment of arrival."""
+
+    parts: list = dataclasses.field(default_factory=list)
+    status: int = 0
+    has_ended: bool = False
+    closed_cleanly: bool = False
+
+    def chunks(self, start_ms=0):
+        """Returns the generated chunks that arrived after a moment, with theirs."""
+        splitter, found = streams.EventSplitter(), []
+        for time_ms, data in self.parts:
+            events = [streams.parse_event(raw) for raw in splitter.feed(data)]
+            if time_ms > start_ms:
+                chunks = [one for one in events if isinstance(one, streams.Chunk)]
+                found += [(time_ms, one) for one in chunks if one.text]
+        return found
+
+    @property
+    def text(self):
+        return b"".join(data for _, data in self.parts)
+
+    @property
+    def looks_complete(self):
+        return self.closed_cleanly or b"[DONE]" in self.text
+
+    async def wait_for_chunks(self, count):
+        async def have():
+            return len(self.chunks()) >= count
+
+        await until(have)
+
+    async def wait_for_end(self):
+        async def ended():
+            return self.has_ended
+
+        await until(ended)
+
+
+async def receive(world, entry, key, stream, *, tokens=900, text="long"):
+    """Receives a streamed answer to its end."""
+    address = world.deployment.caller_address(entry)
+    request = chat(MODEL, text, key, stream=True, tokens=tokens)
+    body = json.dumps(request.document).encode()
+    headers = probes._headers(address, request, len(body))
+    origin = httpcore.Origin(b"http", address.ip.encode(), address.port)
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), LIMIT_S)
+    connection = httpcore.AsyncHTTPConnection(origin=origin)
+    try:
+        async with (
+            connection,
+            connection.stream(
+                "POST",
+                f"http://{address}{request.path}",
+                headers=headers,
+                content=body,
+                extensions={"timeout": timeout},
+            ) as response,
+        ):
+            stream.status = response.status
+            async for part in response.aiter_stream():
+                stream.parts.append((timers.now_ms(), part))
+        stream.closed_cleanly = True
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        pass
+    finally:
+        stream.has_ended = True
--- /dev/null
+++ b/tests/test_system_withdrawal.py
@@ -0,0 +1,112 @@
+"""Withdrawn keys on frozen and isolated entries, with real processes."""
+
+import signal
+
+import anyio
+import pytest
+
+from cassiapitch import timers
+from demo.probes import Request, chat
+from testbed.deployment import Size
+from tests.system_world import MODEL, Stream, receive, running, until
+
+WITHDRAWAL_MS = 2_000
+FRESHNESS_MS = 1_800
+ENTRY = "entry-2"
+
+
+@pytest.fixture(scope="module")
+def world(tmp_path_factory):
+    size = Size(control_count=3, entry_count=3, engine_count=1, service_count=1)
+    with running(tmp_path_factory.mktemp("system"), size) as world:
+        yield world
+
+
+def ask(key):
+    return chat(MODEL, "short", key, stream=False, tokens=3)
+
+
+async def start_stream(world, group, key):
+    stream = Stream()
+    group.start_soon(receive, world, ENTRY, key, stream)
+    await stream.wait_for_chunks(20)
+    return stream
+
+
+async def serves(world, key):
+    return (await world.call(ENTRY, ask(key))).status == 200
+
+
+def test_frozen_entry_sends_nothing_after_it_wakes(world):
+    """Guards against a woken entry that goes on with a key withdrawn meanwhile."""
+
+    async def scenario(world):
+        key = await world.deployment.grant("jersey-shop")
+        late = []
+
+        async def call_frozen():
+            late.append(await world.call(ENTRY, ask(key)))
+
+        async with anyio.create_task_group() as group:
+            stream = await start_stream(world, group, key)
+            world.process(ENTRY).signal(signal.SIGSTOP)
+            try:
+                group.start_soon(call_frozen)
+                withdrawn_ms = await world.withdraw(key)
+                past_ms = withdrawn_ms + WITHDRAWAL_MS + FRESHNESS_MS
+                await anyio.sleep((past_ms - timers.now_ms()) / 1000)
+                assert not stream.has_ended
+                woken_ms = timers.now_ms()
+            finally:
+                world.process(ENTRY).signal(signal.SIGCONT)
+            await stream.wait_for_end()
+        assert stream.chunks(woken_ms) == []
+        assert stream.chunks(withdrawn_ms + WITHDRAWAL_MS) == []
+        assert not stream.looks_complete
+        assert late[0].status in (401, 503)
+        assert late[0].outcome == "not_run"
+        for entry in world.deployment.entries:
+            reply = await world.call(entry, ask(key))
+            assert (reply.status, reply.outcome) in ((401, "not_run"), (503, "not_run"))
+        await until(lambda: serves(world, world.keys["jersey-shop"]))
+        assert (await world.call(ENTRY, ask(key))).status == 401
+
+    world.run(scenario)
+
+
+def test_isolated_entry_ends_keyed_streams_and_keeps_open_routes(world):
+    """Guards against an entry that trusts its old view while nobody confirms it."""
+
+    async def scenario(world):
+        key = await world.deployment.grant("jersey-shop")
+        valid_key = world.keys["team-portal"]
+        async with anyio.create_task_group() as group:
+            await until(lambda: serves(world, valid_key))
+            stream = await start_stream(world, group, key)
+            world.relays.cut(ENTRY, world.deployment.control)
+            cut_ms = timers.now_ms()
+            try:
+                withdrawn_ms = await world.withdraw(key)
+                await stream.wait_for_end()
+                last_ms = max(withdrawn_ms, cut_ms) + WITHDRAWAL_MS
+                assert stream.chunks(last_ms) == []
+                assert not stream.looks_complete
+                assert b"authorization_unconfirmed" in stream.text
+                past_ms = cut_ms + FRESHNESS_MS
+                await anyio.sleep(max(0, past_ms - timers.now_ms()) / 1000)
+                for one in (key, valid_key):
+                    reply = await world.call(ENTRY, ask(one))
+                    assert reply.code == "authorization_unconfirmed"
+                    assert (reply.status, reply.outcome) == (503, "not_run")
+                reply = await world.call(ENTRY, Request("GET", "/size-chart"))
+                assert reply.status == 200
+                # The other entries don't depend on the isolated one.
+                reply = await world.call("entry-1", ask(valid_key))
+                assert reply.status == 200
+            finally:
+                world.relays.heal()
+        await until(lambda: serves(world, valid_key))
+        reply = await world.call(ENTRY, ask(key))
+        assert (reply.status, reply.outcome) == (401, "not_run")
+
+    world.run(scenario)
