--- a/cassiapitch/standin_service.py
+++ b/cassiapitch/standin_service.py
@@ -27,6 +27,8 @@
         self.headers = HeaderLog()
         self.runs: collections.Counter[str] = collections.Counter()
         self.paths: collections.Counter[str] = collections.Counter()
+        # A call that its caller repeats has a new request id but the same query.
+        self.targets: collections.Counter[str] = collections.Counter()
         self._running_count = 0
 
     def announcement(self, ip: str, port: int, sequence: int) -> Announcement:
@@ -61,6 +63,7 @@
             "runs": self.runs,
             "doubled": [key for key, count in self.runs.items() if count > 1],
             "paths": self.paths,
+            "targets": self.targets,
             "headers": list(self.headers.seen),
         }
 
@@ -88,6 +91,8 @@
         request_id = asgi.header(scope, b"x-request-id") or f"local-{timers.now_ms()}"
         self.runs[request_id] += 1
         self.paths[f"{scope['method']} {scope['path']}"] += 1
+        query = str(scope.get("query_string", b""), "latin-1")
+        self.targets[f"{scope['method']} {scope['path']}?{query}"] += 1
         self._running_count += 1
         try:
             await anyio.sleep(self.settings.step_ms / 1000)
--- a/tests/system_world.py
+++ b/tests/system_world.py
@@ -61,6 +61,16 @@
         await self.deployment.command("withdraw", text=key)
         return timers.now_ms()
 
+    async def orders(self):
+        """Returns how often the service ran each team order, by its number."""
+        targets = (await self.dump("service-1"))["targets"]
+        prefix = "POST /orders/team?order="
+        return {
+            int(target.removeprefix(prefix)): count
+            for target, count in targets.items()
+            if target.startswith(prefix)
+        }
+
 
 async def until(probe, limit_s=25):
     """Polls until the probe's result is true, and returns it."""
@@ -95,7 +105,14 @@
     for account in deployment.catalogue.accounts:
         world.keys[account] = await deployment.grant(account)
     await deployment.wait_for_entries(START_MS)
-    await deployment.wait_for_backends(START_MS)
+    has_engines = bool(deployment.engines)
+    await deployment.wait_for_backends(START_MS, with_models=has_engines)
+
+
+def order(number, key):
+    """Returns a team order, the same one for the same number."""
+    path = f"/orders/team?order={number}"
+    return Request("POST", path, {"order": number}, key, f"order-{number}")
 
 
 @dataclasses.dataclass
