--- /dev/null
+++ b/tests/test_system_engines.py
@@ -0,0 +1,148 @@
+"""Requests that crash engines, and backend servers that leave."""
+
+import anyio
+import pytest
+
+from cassiapitch import timers
+from demo.probes import chat
+from testbed.catalogue import ROLES
+from testbed.deployment import Size
+from tests.system_world import MODEL, Stream, receive, running, until
+
+ENGINES = ("engine-1", "engine-2", "engine-4", "engine-5")
+LIVES_LIMIT = 2
+ATTEMPT_COUNT = 8
+LEAVING_MS = 2_000
+ANNOUNCE_MS = 500
+TOKENS = 100
+INNOCENT_COUNT = 6
+
+
+@pytest.fixture(scope="module")
+def world(tmp_path_factory):
+    size = Size(control_count=3, entry_count=3, engine_count=5, service_count=1)
+    with running(tmp_path_factory.mktemp("system"), size) as world:
+        world.run(load_everywhere)
+        yield world
+
+
+async def load_everywhere(world):
+    """Brings a bundle into force that wants a copy on each engine of the role."""
+    model = {
+        "name": MODEL,
+        "role": ROLES[0],
+        "memory_mib": 6_000,
+        "minimum_copies": len(ENGINES),
+    }
+    await world.deployment.roll(2, models=[model])
+    await until(lambda: is_loaded(world))
+
+
+async def is_loaded(world):
+    dump = await world.admin("entry-1")
+    return set(ENGINES) <= {
+        item["name"]
+        for item in dump["backends"]
+        if MODEL in item["models"] and item["state"] == "serving"
+    }
+
+
+async def crash_once(world, entry, replies):
+    key = world.keys["team-portal"]
+    request = chat(MODEL, "CRASH-ENGINE", key, stream=False, tokens=5)
+    replies.append(await world.call(entry, request))
+
+
+async def restart_dead(world, deaths):
+    """Starts engines again as the platform does, and counts their ends."""
+    while True:
+        for name in ENGINES:
+            if not world.process(name).is_running():
+                deaths.append(name)
+                world.deployment.start([name])
+        await anyio.sleep(0.1)
+
+
+def test_crashing_request_ends_two_lives_at_most(world):
+    """Guards against a request that takes down every engine, one by one."""
+
+    async def scenario(world):
+        deaths, replies = [], []
+        streams = [Stream() for _ in range(INNOCENT_COUNT)]
+        entries = world.deployment.entries
+        async with anyio.create_task_group() as group:
+            group.start_soon(restart_dead, world, deaths)
+            async with anyio.create_task_group() as innocent:
+                key = world.keys["jersey-shop"]
+                for number, stream in enumerate(streams):
+                    entry = entries[number % len(entries)]
+                    call = (world, entry, key, stream)
+                    innocent.start_soon(_receive_text, *call, f"innocent {number}")
+                for stream in streams:
+                    await stream.wait_for_chunks(5)
+                for number in range(ATTEMPT_COUNT):
+                    entry = entries[number % len(entries)]
+                    await crash_once(world, entry, replies)
+            for entry in entries:
+                await crash_once(world, entry, replies)
+            await anyio.sleep(0.5)
+            group.cancel_scope.cancel()
+        assert 1 <= len(deaths) <= LIVES_LIMIT
+        assert {one.code for one in replies[-3:]} == {"request_quarantined"}
+        for stream in streams:
+            assert stream.looks_complete, stream.text[-300:]
+            positions = [chunk.position for _, chunk in stream.chunks()]
+            assert positions == list(range(TOKENS))
+
+    world.run(scenario)
+
+
+async def _receive_text(world, entry, key, stream, text):
+    await receive(world, entry, key, stream, tokens=TOKENS, text=text)
+
+
+async def call_on(world, number, stop, statuses):
+    key, count = world.keys["jersey-shop"], 0
+    entries = world.deployment.entries
+    while not stop.is_set():
+        count += 1
+        request = chat(MODEL, f"{number} {count}", key, stream=False, tokens=3)
+        reply = await world.call(entries[number % len(entries)], request)
+        statuses.append(reply.status)
+
+
+async def request_count(world, engine):
+    return len((await world.dump(engine))["request_counts"])
+
+
+def test_leaving_engine_gets_no_new_work_after_two_seconds(world):
+    """Guards against entries that don't hear of a backend server's leaving."""
+
+    async def scenario(world):
+        leaving = "engine-2"
+        await until(lambda: is_loaded(world))
+        stop, statuses = anyio.Event(), []
+        async with anyio.create_task_group() as group:
+            for number in range(6):
+                group.start_soon(call_on, world, number, stop, statuses)
+
+            async def has_work():
+                return await request_count(world, leaving) > 0
+
+            await until(has_work)
+            await world.fault(leaving, leaving=True)
+            # The engine announces itself this often; the limit counts from there.
+            limit_ms = timers.now_ms() + ANNOUNCE_MS + LEAVING_MS
+            await anyio.sleep((limit_ms - timers.now_ms()) / 1000)
+            count_at_limit = await request_count(world, leaving)
+            answered_count = len(statuses)
+
+            async def answered_more():
+                return len(statuses) > answered_count + 60
+
+            await until(answered_more)
+            assert await request_count(world, leaving) == count_at_limit
+            stop.set()
+        assert set(statuses) == {200}
+
+    world.run(scenario)
