Tell a caller of a quarantine only when every entry knows it

A caller that sent a crashing request again through other entries ended a third engine life: the second crash was recorded, the caller got its refusal, and its repeat arrived 20 ms later at an entry whose view didn't hold the quarantine yet. Ruled out: a check of the log for every call (a round trip each), and waiting for each entry's acknowledgement (one isolated entry would block it).

--- a/cassiapitch/crashes.py
+++ b/cassiapitch/crashes.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from cassiapitch import events, timers
+from cassiapitch import events, freshness, timers
 from cassiapitch.entrystate import EntryState
 from cassiapitch.messages import BackendItem, CrashAnswer, CrashReport, SuspectCleared
 from cassiapitch.suspicion import QUARANTINE_CRASHES_COUNT
@@ -32,7 +32,9 @@
         """Reports that `backend` crashed while `digest` ran on it.
 
         A request is run again only once the report is recorded, since the next
-        crash must be recognised as its second, whoever retries it.
+        crash must be recognised as its second, whoever retries it. A caller hears of
+        a quarantine only when no entry serves from a view without it any more;
+        otherwise its repeat through another entry can end a third life.
         """
         life_id = backend.life_id
         digests = self._state.suspicion.crashed(life_id, timers.now_ms())
@@ -46,6 +48,7 @@
         if not recorded:
             return Verdict.UNRECORDED
         if self.crash_count(digest) >= QUARANTINE_CRASHES_COUNT:
+            await anyio.sleep(freshness.LIMIT_MS / 1000)
             return Verdict.QUARANTINED
         return Verdict.RETRY
 
--- a/tests/test_system_engines.py
+++ b/tests/test_system_engines.py
@@ -47,10 +47,14 @@
     }
 
 
-async def crash_once(world, entry, replies):
-    key = world.keys["team-portal"]
-    request = chat(MODEL, "CRASH-ENGINE", key, stream=False, tokens=5)
-    replies.append(await world.call(entry, request))
+async def crash(world, name, count):
+    """Sends one crashing request again and again through all entries in turn."""
+    key, replies = world.keys["team-portal"], []
+    for number in range(count):
+        entry = world.deployment.entries[number % len(world.deployment.entries)]
+        request = chat(MODEL, f"CRASH-ENGINE {name}", key, stream=False, tokens=5)
+        replies.append(await world.call(entry, request))
+    return replies
 
 
 async def restart_dead(world, deaths):
@@ -67,7 +71,24 @@
     """Guards against a request that takes down every engine, one by one."""
 
     async def scenario(world):
-        deaths, replies = [], []
+        deaths = []
+        async with anyio.create_task_group() as group:
+            group.start_soon(restart_dead, world, deaths)
+            replies = await crash(world, "alone", ATTEMPT_COUNT)
+            await anyio.sleep(0.5)
+            group.cancel_scope.cancel()
+        assert 1 <= len(deaths) <= LIVES_LIMIT, [one.code for one in replies]
+        assert {one.code for one in replies[-3:]} == {"request_quarantined"}
+
+    world.run(scenario)
+
+
+def test_other_streams_on_crashed_engines_are_answered(world):
+    """Guards against a quarantine of requests that only ran beside a crash."""
+
+    async def scenario(world):
+        await until(lambda: is_loaded(world))
+        deaths = []
         streams = [Stream() for _ in range(INNOCENT_COUNT)]
         entries = world.deployment.entries
         async with anyio.create_task_group() as group:
@@ -80,15 +101,9 @@
                     innocent.start_soon(_receive_text, *call, f"innocent {number}")
                 for stream in streams:
                     await stream.wait_for_chunks(5)
-                for number in range(ATTEMPT_COUNT):
-                    entry = entries[number % len(entries)]
-                    await crash_once(world, entry, replies)
-            for entry in entries:
-                await crash_once(world, entry, replies)
-            await anyio.sleep(0.5)
+                await crash(world, "beside others", 1)
             group.cancel_scope.cancel()
         assert 1 <= len(deaths) <= LIVES_LIMIT
-        assert {one.code for one in replies[-3:]} == {"request_quarantined"}
         for stream in streams:
             assert stream.looks_complete, stream.text[-300:]
             positions = [chunk.position for _, chunk in stream.chunks()]
--- /dev/null
+++ b/tests/test_system_placement.py
@@ -0,0 +1,97 @@
+"""Placement through a bundle's change while orders are lost, late and doubled."""
+
+import anyio
+import pytest
+
+from demo.probes import chat
+from testbed.catalogue import ROLES
+from testbed.deployment import Size
+from tests.system_world import running, until
+
+MEMORY_MIB = 40_960
+# Three of these fit one engine, so that old models must go before new ones come.
+NEW_MIB = 12_000
+OLD = tuple(f"model-{number:02d}" for number in range(6))
+NEW = (*OLD[2:], "new-a", "new-b")
+ORDER_FAULTS = {
+    "lose_orders": 1,
+    "delay_orders": 1,
+    "double_orders": 1,
+    "order_delay_ms": 1_500,
+}
+
+
+@pytest.fixture
+def world(tmp_path):
+    size = Size(control_count=3, entry_count=2, engine_count=3, service_count=1)
+    with running(tmp_path, size, models=len(OLD)) as world:
+        yield world
+
+
+async def reach(world, entry, model, reached):
+    """Calls a model until it answers."""
+    key = world.keys["jersey-shop"]
+
+    async def answers():
+        request = chat(model, "hello", key, stream=False, tokens=3)
+        reply = await world.call(entry, request)
+        if reply.status != 200:
+            await anyio.sleep(0.3)
+        return reply.status == 200
+
+    await until(answers, limit_s=45)
+    reached.add(model)
+
+
+async def reach_all(world, models):
+    reached = set()
+    async with anyio.create_task_group() as group:
+        for number, model in enumerate(models):
+            entry = world.deployment.entries[number % 2]
+            group.start_soon(reach, world, entry, model, reached)
+    return reached
+
+
+async def keep_calling(world, models):
+    count, key = 0, world.keys["team-portal"]
+    while True:
+        count += 1
+        entry = world.deployment.entries[count % 2]
+        model = models[count % len(models)]
+        await world.call(entry, chat(model, f"{count}", key, stream=False, tokens=10))
+
+
+def new_models():
+    return [
+        {
+            "name": name,
+            "role": ROLES[number % 2],
+            "memory_mib": NEW_MIB,
+            "minimum_copies": 0,
+        }
+        for number, name in enumerate(NEW)
+    ]
+
+
+def test_no_engine_is_overcommitted_while_a_bundle_changes_its_models(world):
+    """Guards against memory that is counted free before the engine freed it."""
+
+    async def scenario(world):
+        engines = world.deployment.engines
+        for engine in engines:
+            await world.fault(engine, **ORDER_FAULTS)
+        assert await reach_all(world, OLD) == set(OLD)
+        async with anyio.create_task_group() as group:
+            group.start_soon(keep_calling, world, (*OLD, *NEW))
+            for engine in engines:
+                await world.fault(engine, **ORDER_FAULTS)
+            await world.deployment.roll(2, models=new_models())
+            assert await reach_all(world, NEW) == set(NEW)
+            group.cancel_scope.cancel()
+        dumps = {engine: await world.dump(engine) for engine in engines}
+        for dump in dumps.values():
+            assert dump["overcommit"] == []
+            assert dump["most_used_mib"] <= MEMORY_MIB
+        assert any(one["late"] for dump in dumps.values() for one in dump["orders"])
+
+    world.run(scenario)
