Sharpen the proofs of lost disks, rates and memory

Each one had stayed green with its rule broken in a scratch copy: a disk that keeps its id, a new granter that starts with the full burst, a ledger that doesn't charge open loads. The empty disk must now fail to complete a quorum, the rate's calls are short, since a window counts only those within it, and the models fill the engines. Ruled out: bounds taken from measured figures.

--- a/tests/test_system_disks.py
+++ b/tests/test_system_disks.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import shutil
+import signal
 
 import anyio
 import pytest
@@ -17,6 +18,7 @@
 SECOND_OPERATOR = "iosefo"
 CHANGE_COUNT = 300
 ANSWER_MS = 10_000
+WITHOUT_QUORUM_S = 2
 
 
 @pytest.fixture
@@ -103,9 +105,18 @@
             return await deployment.status(lost)
 
         status = await until(answers)
-        # It waits for its admission; neither its vote nor its log counts.
         assert status["role"] != "leader"
-        assert (await state_of(world, lost))[0] is None
+        # It waits for its admission; with it alone the leader has no quorum.
+        world.process(second).signal(signal.SIGSTOP)
+        try:
+            await until(lambda: lacks_leader(world))
+            await anyio.sleep(WITHOUT_QUORUM_S)
+            assert await deployment.leader() is None
+            assert (await state_of(world, lost))[0] is None
+        finally:
+            world.process(second).signal(signal.SIGCONT)
+        leader = await until(deployment.leader)
+        second = next(one for one in deployment.control if one not in (lost, leader))
         address = str(deployment.peer_address(lost))
         await deployment.command("member", "remove", lost)
         await deployment.command(
@@ -135,6 +146,10 @@
     world.run(scenario)
 
 
+async def lacks_leader(world):
+    return await world.deployment.leader() is None
+
+
 async def same_state(world, one, other):
     first, second = await state_of(world, one), await state_of(world, other)
     return first == second and first[0] is not None
--- a/tests/test_system_isolation.py
+++ b/tests/test_system_isolation.py
@@ -1,5 +1,6 @@
 """A control leader that is isolated or frozen, with real processes."""
 
+import json
 import signal
 
 import anyio
@@ -24,7 +25,8 @@
 CALLER_COUNT = 12
 CALLS_MS = 9_000
 FROZEN_S = 2
-ACCOUNT = "store-kiosk"
+ACCOUNT = "club-orders"
+PROMPT_CHARACTERS = 1_000
 
 
 @pytest.fixture(scope="module")
@@ -167,15 +169,20 @@
 
 
 async def call_on(world, entry, number, answered, until_ms):
-    """Sends calls one after the other; notes what each answered one used."""
+    """Sends calls one after the other; notes what each answered one used.
+
+    The calls are short, since a window counts only those that lie within it.
+    """
     key, count = world.keys[ACCOUNT], 0
     while timers.now_ms() < until_ms:
         count += 1
-        text = f"{number} {count}"
+        text = f"{number} {count} ".ljust(PROMPT_CHARACTERS, ".")
         sent_ms = timers.now_ms()
-        reply = await world.call(entry, chat(MODEL, text, key, stream=True, tokens=40))
+        reply = await world.call(entry, chat(MODEL, text, key, stream=False, tokens=3))
         if reply.status == 200 and reply.is_complete:
-            answered.append((sent_ms, reply.ended_ms, reply.tokens))
+            usage = json.loads(reply.content)["usage"]
+            tokens = usage["prompt_tokens"] + usage["completion_tokens"]
+            answered.append((sent_ms, reply.ended_ms, tokens))
         else:
             await anyio.sleep(0.03)
 
--- a/tests/test_system_placement.py
+++ b/tests/test_system_placement.py
@@ -9,8 +9,9 @@
 from tests.system_world import running, until
 
 MEMORY_MIB = 40_960
-# Three of these fit one engine, so that old models must go before new ones come.
-NEW_MIB = 12_000
+# Two of the first role's models fit one of its two engines, and all three of the
+# second role's its only one, so that old models must go before new ones come.
+NEW_MIB = {ROLES[0]: 20_000, ROLES[1]: 13_000}
 OLD = tuple(f"model-{number:02d}" for number in range(6))
 NEW = (*OLD[2:], "new-a", "new-b")
 ORDER_FAULTS = {
@@ -66,7 +67,7 @@
         {
             "name": name,
             "role": ROLES[number % 2],
-            "memory_mib": NEW_MIB,
+            "memory_mib": NEW_MIB[ROLES[number % 2]],
             "minimum_copies": 0,
         }
         for number, name in enumerate(NEW)
