--- /dev/null
+++ b/bench/entry_idle_cost.py
@@ -0,0 +1,137 @@
+"""Measures an idle entry in a real control group: processor time, memory, bytes.
+
+Usage, from the repository's folder:
+
+    python -m bench.entry_idle_cost [--short]
+
+The entry reaches each control member through a TCP relay that counts the bytes, those
+of TLS included. Each point is run twice. The last points grant five keys a second, or
+roll out bundle after bundle.
+"""
+
+import argparse
+import dataclasses
+import pathlib
+import tempfile
+
+import anyio
+
+from bench.hub_cost import Bench, Point, make_backends
+from bench.synthetic import CountingRelay
+from cassiapitch import timers
+from testbed.catalogue import make_catalogue
+from testbed.deployment import ZONES, Deployment, Options, Size
+from testbed.processes import ProcessGroup
+
+READY_TIMEOUT_MS = 30_000
+SETTLE_S = 2.0
+RUN_COUNT = 2
+MEMBER_COUNT = 3
+
+POINTS = tuple(
+    Point(entries=1, backends=backends, models=models)
+    for backends in (10, 300)
+    for models in (15, 1_300)
+)
+
+
+async def measure_point(
+    deployment: Deployment,
+    relays: list[CountingRelay],
+    bench: Bench,
+    point: Point,
+    window_s: float,
+    *,
+    rolls: bool,
+) -> None:
+    """Prints the figures of one point."""
+    (entry,) = deployment.entries
+    process = deployment.processes[entry]
+    ports = [deployment.admin_peer(name).address.port for name in deployment.control]
+    async with anyio.create_task_group() as tasks:
+        for backend in make_backends(point, deployment.catalogue, ports):
+            tasks.start_soon(backend.run)
+        tasks.start_soon(bench.change, point)
+        await anyio.sleep(SETTLE_S)
+        cpu_s = process.cpu_s() or 0.0
+        up, down = (sum(r.up_bytes for r in relays), sum(r.down_bytes for r in relays))
+        start_ms = timers.now_ms()
+        rolls_count = 0
+        while timers.now_ms() - start_ms < window_s * 1000:
+            if rolls:
+                await bench.roll(point)
+                rolls_count += 1
+            else:
+                await anyio.sleep(window_s)
+        elapsed_s = (timers.now_ms() - start_ms) / 1000
+        used_s = (process.cpu_s() or 0.0) - cpu_s
+        up_rate = (sum(r.up_bytes for r in relays) - up) / elapsed_s
+        down_rate = (sum(r.down_bytes for r in relays) - down) / elapsed_s
+        tasks.cancel_scope.cancel()
+    print(
+        f"{point.models} models, {point.backends} backend servers, "
+        f"{point.changes_per_s} key changes/s, {rolls_count / elapsed_s:.2f} "
+        f"bundles/s: {used_s * 100 / elapsed_s:.2f}% of a core, "
+        f"{process.memory_mib():.1f} MiB, {up_rate:.0f} B/s to control, "
+        f"{down_rate:.0f} B/s from control",
+        flush=True,
+    )
+
+
+async def measure(options: argparse.Namespace, folder: pathlib.Path) -> None:
+    relays = [CountingRelay() for _ in range(MEMBER_COUNT)]
+    async with anyio.create_task_group() as tasks:
+        ports = [await tasks.start(relay.run) for relay in relays]
+        peers = [
+            {
+                "name": f"control-{number + 1}",
+                "zone": ZONES[number],
+                "address": {"ip": "127.0.0.1", "port": port},
+            }
+            for number, port in enumerate(ports)
+        ]
+        with ProcessGroup() as group:
+            deployment = Deployment(
+                folder,
+                group,
+                make_catalogue(15, 0),
+                Size(entry_count=1, engine_count=0, service_count=0),
+                Options(entry={"control": peers}),
+            )
+            for relay, name in zip(relays, deployment.control, strict=True):
+                relay.target = deployment.rpc_address(name)
+            await run_points(options, deployment, relays)
+        tasks.cancel_scope.cancel()
+
+
+async def run_points(
+    options: argparse.Namespace, deployment: Deployment, relays: list[CountingRelay]
+) -> None:
+    """Starts the processes and measures all points."""
+    deployment.start(deployment.control)
+    await deployment.wait_for_leader(READY_TIMEOUT_MS)
+    bench = Bench(deployment, options.window_s)
+    points = POINTS[:2] if options.short else POINTS
+    changing = dataclasses.replace(points[-1], changes_per_s=5)
+    await bench.roll(points[0])
+    deployment.start(deployment.entries)
+    await deployment.wait_for_entries(READY_TIMEOUT_MS)
+    plan = [(point, False) for point in (*points, changing)]
+    for point, rolls in (*plan, (points[-1], True)):
+        await bench.roll(point)
+        for _ in range(RUN_COUNT):
+            await measure_point(
+                deployment, relays, bench, point, options.window_s, rolls=rolls
+            )
+
+
+def parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--short", action="store_true", help="few backend servers")
+    parser.add_argument("--window-s", type=float, default=4.0)
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    with tempfile.TemporaryDirectory() as temporary:
+        anyio.run(measure, parse(), pathlib.Path(temporary))
--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -12,7 +12,7 @@
 
 from cassiapitch import certificates, keygen, timers
 from cassiapitch.client import AdminPeer, Client, Done, Outcome
-from cassiapitch.settings import Address
+from cassiapitch.settings import Address, TlsSettings
 from testbed.catalogue import ENGINE_MEMORY_MIB, ROLES, SERVICE_ROLE, Catalogue
 from testbed.ports import LOOPBACK
 from testbed.processes import ROOT, ManagedProcess, ProcessGroup
@@ -109,6 +109,15 @@
         """Returns where a stand-in backend server serves."""
         return Address(LOOPBACK, self._ports[name][0])
 
+    def rpc_address(self, member: str) -> Address:
+        """Returns where peers and entries reach a control member."""
+        return Address(LOOPBACK, self._ports[member][0])
+
+    def tls(self, name: str) -> TlsSettings | None:
+        """Returns a process's files for mutual TLS, None without TLS."""
+        files = self._tls(name)
+        return None if files is None else TlsSettings(**files)
+
     def admin_peer(self, name: str) -> AdminPeer:
         """Returns the administration API of a control member or entry."""
         return AdminPeer(name, Address(LOOPBACK, self._ports[name][1]))
