Send load reports on primary links only; encode shared messages once

An entry drops the load reports of its second link, yet the hub sent them on both, and grpclib encoded every report and increment once a link.

Ruled out: one shared queue of encoded messages for all links, since a slow link must be able to merge increments.

--- a/cassiapitch/codec.py
+++ b/cassiapitch/codec.py
@@ -48,13 +48,31 @@
 
 
 class MessageCodec(CodecBase):
-    """Lets `grpclib` carry registered data classes."""
+    """Lets `grpclib` carry registered data classes.
+
+    Of the shared types, the last message is kept with its bytes: a hub sends the same
+    object over each of its links, so that it is encoded once and not once a link.
+    Shared messages must not be changed after they are first sent.
+    """
 
     __content_subtype__ = "msgpack"
 
+    def __init__(self, shared_types: Iterable[type] = ()) -> None:
+        """Makes a codec; `shared_types` are those sent over many streams."""
+        self._last: dict[type, tuple[Any, bytes]] = {
+            cls: (None, b"") for cls in shared_types
+        }
+
     def encode(self, message: Any, message_type: Any) -> bytes:
         """Encodes one message; `message_type` is not needed."""
-        return encode(message)
+        kept = self._last.get(type(message))
+        if kept is None:
+            return encode(message)
+        if kept[0] is message:
+            return kept[1]
+        data = encode(message)
+        self._last[type(message)] = (message, data)
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """Decodes one message; `message_type` is not needed."""
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -110,8 +110,12 @@
                 link.wake.set()
 
     def broadcast(self, reports: LoadReports) -> None:
-        """Queues load reports for all links."""
-        for link in self._links:
+        """Queues load reports for the primary links.
+
+        An entry drops those of its second link, and they are the largest part of
+        what a link carries.
+        """
+        for link in tuple(self._primary.values()):
             self._push(link, reports)
 
     def deliver_grants(self, answer: RelayedGrants) -> None:
--- a/cassiapitch/rpc.py
+++ b/cassiapitch/rpc.py
@@ -10,8 +10,12 @@
 import grpclib.server
 
 from cassiapitch.codec import MessageCodec
+from cassiapitch.messages import LoadReports, ViewDelta
 from cassiapitch.settings import Address, TlsSettings
 
+# Messages that a hub sends alike over all its links.
+SHARED_TYPES = (LoadReports, ViewDelta)
+
 RpcMethod = Callable[[grpclib.server.Stream[Any, Any]], Awaitable[None]]
 
 
@@ -54,7 +58,8 @@
     handlers: list[Handler], address: Address, tls: TlsSettings | None
 ) -> RpcServer:
     """Starts a server for `handlers` on `address`."""
-    server = grpclib.server.Server(handlers, codec=MessageCodec())
+    codec = MessageCodec(SHARED_TYPES)
+    server = grpclib.server.Server(handlers, codec=codec)
     context = None if tls is None else server_context(tls)
     await server.start(address.ip, address.port, ssl=context)
     return RpcServer(server)
--- a/cassiapitch/view.py
+++ b/cassiapitch/view.py
@@ -28,6 +28,8 @@
         items: Maps item names to their encoded value.
         changes: (index, changed names) of recent commands, oldest first.
         horizon: Increments can be given from this index on.
+        last_delta: The increment given last. Most links of a hub are at the same
+            index, so they get the same object, which the codec encodes once.
     """
 
     index: int = 0
@@ -36,6 +38,7 @@
         default_factory=collections.deque
     )
     horizon: int = 0
+    last_delta: ViewDelta | None = None
 
 
 def encode_items(values: dict[str, Any]) -> dict[str, bytes]:
@@ -47,6 +50,7 @@
     """Moves the view to `index`; items whose bytes stay equal don't count."""
     names = [name for name in sorted(changes) if _replace(view, name, changes[name])]
     view.index = index
+    view.last_delta = None
     if names:
         view.changes.append((index, tuple(names)))
     while len(view.changes) > KEPT_CHANGES_COUNT:
@@ -73,6 +77,7 @@
     view.index = index
     view.changes.clear()
     view.horizon = index
+    view.last_delta = None
 
 
 def can_increment(view: View, since: int) -> bool:
@@ -93,6 +98,9 @@
 
 def delta_since(view: View, since: int) -> ViewDelta:
     """Returns the increment from index `since` to the present one."""
+    last = view.last_delta
+    if last is not None and (last.previous_index, last.index) == (since, view.index):
+        return last
     names: set[str] = set()
     for index, changed in reversed(view.changes):
         if index <= since:
@@ -100,7 +108,8 @@
         names.update(changed)
     upserts = {name: view.items[name] for name in sorted(names) if name in view.items}
     deletes = tuple(sorted(names - upserts.keys()))
-    return ViewDelta(since, view.index, upserts, deletes)
+    view.last_delta = ViewDelta(since, view.index, upserts, deletes)
+    return view.last_delta
 
 
 def snapshot_parts(view: View) -> list[ViewSnapshot]:
--- a/tests/test_common.py
+++ b/tests/test_common.py
@@ -68,6 +68,18 @@
     assert codec.decode(codec.encode(delta)) == delta
 
 
+def test_shared_message_is_encoded_once_and_never_mistaken_for_another():
+    """Guards against encoding a link, and against one message's bytes for another."""
+    shared = codec.MessageCodec((messages.ViewDelta,))
+    delta = messages.ViewDelta(1, 2, {"key/1": b"x"}, ())
+    other = messages.ViewDelta(1, 3, {"key/1": b"y"}, ())
+    data = shared.encode(delta, object)
+    assert shared.encode(messages.Confirmed(1, 2), object) != data
+    assert shared.encode(delta, object) is data
+    for message in (other, delta, other):
+        assert codec.decode(shared.encode(message, object)) == message
+
+
 def test_codec_refuses_damaged_messages():
     """Guards against a crash, or a wrong message, on malformed input."""
     data = codec.encode(messages.Confirmed(3, 4))
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -5,6 +5,7 @@
 
 from cassiapitch import hub as hubs
 from cassiapitch import messages
+from cassiapitch import view as views
 from cassiapitch.batching import Proposals
 from cassiapitch.replicated import ReplicatedState
 from cassiapitch.types import ClaimState
@@ -206,3 +207,40 @@
             assert (await stream.wait_for(messages.Confirmed)).sequence == 3
         assert len(reads) < 10
         tasks.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_load_reports_travel_on_the_primary_link_only():
+    """Guards against bytes for reports that an entry drops on its second link."""
+    hub, *_ = make_hub()
+    primary, second = Stream(), Stream()
+    primary.put.send_nowait(hello())
+    second.put.send_nowait(hello(primary=False))
+    async with anyio.create_task_group() as tasks:
+        for stream in (primary, second):
+            tasks.start_soon(hub.serve_link, stream)
+        while len(hub.describe()) < 2:
+            await anyio.lowlevel.checkpoint()
+        hub.broadcast(messages.LoadReports((), {}))
+        await primary.wait_for(messages.LoadReports)
+        # What is broadcast is queued for all links at once, so a confirmation that
+        # was asked for afterwards comes after it.
+        second.put.send_nowait(messages.ConfirmAsk(1))
+        tasks.start_soon(hub.run_confirmations)
+        await second.wait_for(messages.Confirmed)
+        tasks.cancel_scope.cancel()
+    assert not any(isinstance(one, messages.LoadReports) for one in second.sent)
+
+
+def test_links_at_one_index_share_a_delta_until_the_view_changes():
+    """Guards against one encoding a link, and against a stale shared delta."""
+    view = views.View()
+    for index in (1, 2):
+        changes = {f"key/{index}": messages.KeyItem("acme")}
+        views.apply_changes(view, index, changes)
+    first = views.delta_since(view, 1)
+    assert views.delta_since(view, 1) is first
+    views.apply_changes(view, 3, {"key/2": None})
+    later = views.delta_since(view, 1)
+    assert (later.index, later.upserts, later.deletes) == (3, {}, ("key/2",))
+    assert views.delta_since(view, 2).previous_index == 2
