Limit load reports to about 4 kB/s an entry

Each entry got every backend server's report once a second, 88 bytes each: 53,240 B/s from control with 300 backend servers, and by the slope about 315 kB/s with 3,600 against a limit of 7 kB/s a daemon. Reports beyond 4,000 bytes now travel as packed counts, oldest first, and full reports with prefixes take turns.

Ruled out: dropping reports at random, which starves some backend servers, and a limit without packing, which would let each of 300 report every 6.5 s. Conclusion: the bytes no longer grow with the fleet; above 500 backend servers the reports get older instead, 7.2 s at 3,600, which is above the routing weight's half-life of 2 s.

--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -19,6 +19,7 @@
     RecordOrders,
     ReportBackends,
 )
+from cassiapitch.loadtable import LoadTable
 from cassiapitch.messages import (
     Announcement,
     DemandReport,
@@ -95,7 +96,7 @@
         self._hold_until_ms: dict[str, int] = {}
         self._answers: list[OrderAnswer] = []
         self._progress: dict[str, _Progress] = {}
-        self._loads: dict[str, LoadReport] = {}
+        self._loads = LoadTable()
         self._next_round_ms = now_ms
         self._last_round_ms = now_ms
 
@@ -115,9 +116,8 @@
         self._heard_ms[life_id] = now_ms
         counts = (announcement.running_count, announcement.waiting_count)
         self.placement.requests[life_id] = counts
-        self._loads[announcement.name] = LoadReport(
-            announcement.name, life_id, *counts, announcement.cached_prefixes
-        )
+        prefixes = announcement.cached_prefixes
+        self._loads.put(LoadReport(announcement.name, life_id, *counts, prefixes))
         durable = dataclasses.replace(
             announcement, running_count=0, waiting_count=0, cached_prefixes=()
         )
@@ -165,10 +165,10 @@
             )
 
     def load_reports(self, now_ms: int) -> LoadReports:
-        """Returns the load reports since the last call."""
-        reports = tuple(self._loads.values())
-        self._loads = {}
-        return LoadReports(reports, placement_state.expected_ms(self.placement, now_ms))
+        """Returns load reports that were not given yet, within a size limit."""
+        reports, counts = self._loads.take()
+        expected_ms = placement_state.expected_ms(self.placement, now_ms)
+        return LoadReports(reports, expected_ms, counts)
 
     def commands(self, now_ms: int) -> list[Command]:
         """Returns what to propose now; the caller proposes it in this order."""
@@ -239,6 +239,7 @@
             self._refused,
             self._hold_until_ms,
             self.placement.requests,
+            self._loads.full_turns,
         )
         for table in tables:
             for life_id in [key for key in table if self._fleet.is_ended(key)]:
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -8,7 +8,7 @@
 import anyio
 import anyio.abc
 
-from cassiapitch import events, timers
+from cassiapitch import events, loadtable, timers
 from cassiapitch.budget import (
     Admitted,
     Budget,
@@ -131,6 +131,12 @@
         now_ms = timers.now_ms()
         for report in message.reports:
             self.router.report(report, now_ms)
+        counts = loadtable.unpack(message.counts)
+        # Packed counts come from large fleets only; others don't pay for the tags.
+        for backend in self.catalog.backends.values() if counts else ():
+            count = counts.get(loadtable.tag(backend.life_id))
+            if count is not None:
+                self.router.report_count(backend.life_id, count, now_ms)
         self._expected = {
             model: now_ms + expected_ms
             for model, expected_ms in message.expected_ms.items()
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -447,13 +447,16 @@
     """Reports that are new since the last message, and loads under way.
 
     Attributes:
-        reports: One for each backend server that announced itself anew.
+        reports: For backend servers that announced themselves anew; in a large
+            fleet only some of them, with cached prefixes.
         expected_ms: Maps a model without a serving copy to the time until one is
             expected.
+        counts: Packed loads of further backend servers, see `loadtable`.
     """
 
     reports: tuple[LoadReport, ...]
     expected_ms: dict[ModelName, int]
+    counts: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -54,19 +54,22 @@
         return 0 if load is None else load.own_count
 
     def report(self, report: LoadReport, now_ms: int) -> None:
-        """Takes a backend server's report of its load.
+        """Takes a backend server's report of its load and cached prefixes."""
+        count = report.running_count + report.waiting_count
+        self.report_count(report.life_id, count, now_ms)
+        self._load(report.life_id).prefixes = frozenset(report.cached_prefixes)
+
+    def report_count(self, life_id: LifeId, count: int, now_ms: int) -> None:
+        """Takes the requests that a backend server runs or lets wait.
 
         The report lags by about the time between two reports, so requests that
         this entry sent since the previous one are not taken to be part of it.
         """
-        load = self._load(report.life_id)
+        load = self._load(life_id)
         included = min(load.own_count, load.own_at_report_count)
-        load.others_count = max(
-            0, report.running_count + report.waiting_count - included
-        )
+        load.others_count = max(0, count - included)
         load.own_at_report_count = load.own_count
         load.reported_ms = now_ms
-        load.prefixes = frozenset(report.cached_prefixes)
 
     def unreachable(self, life_id: LifeId, now_ms: int) -> None:
         """Sends nothing to a backend server for a while that can't be connected.
