--- a/bench/entry_idle_cost.py
+++ b/bench/entry_idle_cost.py
@@ -2,7 +2,7 @@
 
 Usage, from the repository's folder:
 
-    python -m bench.entry_idle_cost [--short]
+    python -m bench.entry_idle_cost [--short] [--backends COUNT]
 
 The entry reaches each control member through a TCP relay that counts the bytes, those
 of TLS included. Each point is run twice. The last points grant five keys a second, or
@@ -112,6 +112,8 @@
     await deployment.wait_for_leader(READY_TIMEOUT_MS)
     bench = Bench(deployment, options.window_s)
     points = POINTS[:2] if options.short else POINTS
+    if options.backends is not None:
+        points = (Point(entries=1, backends=options.backends, models=1_300),)
     changing = dataclasses.replace(points[-1], changes_per_s=5)
     await bench.roll(points[0])
     deployment.start(deployment.entries)
@@ -128,6 +130,7 @@
 def parse() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--short", action="store_true", help="few backend servers")
+    parser.add_argument("--backends", type=int, help="only this many, 1,300 models")
     parser.add_argument("--window-s", type=float, default=4.0)
     return parser.parse_args()
 
