Carry a client account's use over changes of limits and leaders

Cause: a new granter started from floors of at least 0 and did not know the limits they were recorded under, so grants under a larger burst that was lowered shortly before were forgotten; a lowered burst counted only grants still in use, not what had just been admitted. An account without a record started at 0 and was refused within its burst after the first bundle. Change: a record of floors names its limits, floors may be negative, nothing is granted under limits that no committed record names, and a bucket carries what it used into new limits. An account that no record names therefore never had a grant and starts full. Both gaps need the same record, hence one commit.

--- a/cassiapitch/bucket.py
+++ b/cassiapitch/bucket.py
@@ -40,6 +40,10 @@
         stamp: Identity and time of the last grant; strictly increasing.
         headrooms: (stamp, least headroom since that grant), both ascending.
         charges: (time, microtokens) of grants that may still be in use.
+        horizon_ms: How long a charge may still be in use; the longest life of a
+            grant under the present and earlier limits.
+        settled: What earlier charges still count against a burst, at `settled_ms`.
+        settled_ms: Time of the last charge in `settled`.
     """
 
     rate: int
@@ -51,6 +55,9 @@
     stamp: int
     headrooms: list[tuple[int, int]]
     charges: collections.deque[tuple[int, int]]
+    horizon_ms: int
+    settled: int
+    settled_ms: int
 
 
 def create(
@@ -76,9 +83,26 @@
         stamp=now_ms,
         headrooms=[],
         charges=collections.deque(),
+        horizon_ms=life_ms,
+        settled=0,
+        settled_ms=now_ms,
     )
 
 
+def resume(
+    rate_tokens_per_s: int, burst_tokens: int, level: int, now_ms: int
+) -> Bucket:
+    """Returns a bucket that another granter left at `level` or above.
+
+    Its grants aren't known here, so all that is missing may still be in use, after
+    grants of a whole life at the account's rate.
+    """
+    bucket = create(rate_tokens_per_s, burst_tokens, level, now_ms)
+    bucket.charges.append((now_ms, bucket.cap - bucket.level))
+    bucket.settled = bucket.rate * bucket.life_ms
+    return bucket
+
+
 def refill(bucket: Bucket, now_ms: int) -> None:
     """Adds what has come in since the last refill."""
     elapsed_ms = now_ms - bucket.updated_ms
@@ -136,8 +160,10 @@
 ) -> Bucket:
     """Returns the bucket under a new rate and burst.
 
-    Grants that may still be in use count against the new burst, so the level may
-    become negative. Grants issued before the change are no longer refunded.
+    Earlier charges count against the new burst, so the level may become negative.
+    Grants that may still be in use can be admitted as late as the end of their life,
+    when the new rate has already refilled the bucket for that long; the reserve
+    makes up for it. Grants issued before the change are no longer refunded.
     """
     refill(bucket, now_ms)
     _forget_charges(bucket, now_ms)
@@ -149,7 +175,12 @@
         now_ms,
         shares_count=shares_count,
     )
-    new.level = min(new.level, new.burst - in_use)
+    new.horizon_ms = max(bucket.horizon_ms, new.life_ms)
+    reserve = new.rate * new.horizon_ms if in_use else 0
+    new.settled_ms = max(bucket.settled_ms, now_ms - bucket.horizon_ms)
+    new.settled = _settled_at(bucket, new.settled_ms)
+    counted = in_use + max(new.settled, reserve)
+    new.level = min(new.level, new.burst - counted)
     new.stamp = max(now_ms, bucket.stamp)
     new.charges = bucket.charges
     return new
@@ -174,5 +205,13 @@
 
 
 def _forget_charges(bucket: Bucket, now_ms: int) -> None:
-    while bucket.charges and bucket.charges[0][0] + GRANT_LIFE_MS < now_ms:
-        bucket.charges.popleft()
+    while bucket.charges and bucket.charges[0][0] + bucket.horizon_ms < now_ms:
+        charged_ms, amount = bucket.charges.popleft()
+        bucket.settled = _settled_at(bucket, charged_ms) + amount
+        bucket.settled_ms = max(bucket.settled_ms, charged_ms)
+
+
+def _settled_at(bucket: Bucket, at_ms: int) -> int:
+    """Returns what the settled charges still count at a later time."""
+    elapsed_ms = max(0, at_ms - bucket.settled_ms)
+    return max(0, bucket.settled - bucket.rate * elapsed_ms)
--- a/cassiapitch/commands.py
+++ b/cassiapitch/commands.py
@@ -100,12 +100,15 @@
         term: Term of the granter.
         sequence: Number of the record in this term, from 1. The first one changes
             nothing: it fences off records of earlier terms and reads the floors.
-        floors: Maps an account to its floor in microtokens; others keep theirs.
+        floors: Maps an account to its floor in microtokens; others keep theirs. One
+            below 0 says that the account has more in use than its burst allows.
+        limits: Rate and burst in tokens that each floor holds under.
     """
 
     term: int
     sequence: int
     floors: dict[AccountName, int]
+    limits: dict[AccountName, tuple[int, int]] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -197,6 +200,7 @@
 
     accepted: bool
     floors: dict[AccountName, int]
+    limits: dict[AccountName, tuple[int, int]] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/dump.py
+++ b/cassiapitch/dump.py
@@ -88,6 +88,9 @@
             "term": state.floors.term,
             "sequence": state.floors.sequence,
             "microtokens": dict(state.floors.floors),
+            "limits": {
+                account: list(limits) for account, limits in state.floors.limits.items()
+            },
         },
         "rates": desk.describe(),
     }
--- a/cassiapitch/floors.py
+++ b/cassiapitch/floors.py
@@ -14,11 +14,13 @@
         term: Term of the granter that wrote it.
         sequence: Number of its last record.
         floors: Maps accounts to floors in microtokens.
+        limits: Rate and burst in tokens that each floor was recorded under.
     """
 
     term: int
     sequence: int
     floors: dict[AccountName, int]
+    limits: dict[AccountName, tuple[int, int]] = dataclasses.field(default_factory=dict)
 
 
 def record(state: Floors, command: RecordFloors) -> FloorsRecorded:
@@ -30,4 +32,5 @@
         state.term = command.term
         state.sequence = command.sequence
         state.floors.update(command.floors)
-    return FloorsRecorded(True, dict(state.floors))
+        state.limits.update(command.limits)
+    return FloorsRecorded(True, dict(state.floors), dict(state.limits))
--- a/cassiapitch/granter.py
+++ b/cassiapitch/granter.py
@@ -10,7 +10,7 @@
 from cassiapitch import bucket as buckets
 from cassiapitch import division
 from cassiapitch.bucket import MICROTOKENS, Bucket
-from cassiapitch.commands import RecordFloors
+from cassiapitch.commands import FloorsRecorded, RecordFloors
 from cassiapitch.division import Want
 from cassiapitch.messages import Grant, RateAsk, RateGrants, Refund
 from cassiapitch.types import AccountName
@@ -55,6 +55,7 @@
         buckets: One for each account that a bundle of this term named.
         active: Accounts of the bundle in force.
         floors: Floors of the last committed record, in microtokens.
+        recorded: Limits under which those floors hold.
         pending: Record that was proposed and may have been committed.
         sequence: Number of the last record.
         recorded_ms: When the last record was proposed.
@@ -67,6 +68,7 @@
     buckets: dict[AccountName, Bucket]
     active: Limits
     floors: dict[AccountName, int]
+    recorded: Limits
     pending: RecordFloors | None = None
     sequence: int = 1
     recorded_ms: int = 0
@@ -88,11 +90,9 @@
     return RecordFloors(term, 1, {})
 
 
-def start(
-    term: int, floors: dict[AccountName, int], limits: Limits, now_ms: int
-) -> Granter:
+def start(term: int, promised: FloorsRecorded, limits: Limits, now_ms: int) -> Granter:
     """Returns a granter that starts from the promised floors."""
-    granter = Granter(term, {}, {}, dict(floors))
+    granter = Granter(term, {}, {}, dict(promised.floors), dict(promised.limits))
     set_limits(granter, limits, now_ms)
     return granter
 
@@ -106,13 +106,34 @@
     for account, (rate, burst) in limits.items():
         present = granter.buckets.get(account)
         if present is None:
-            level = granter.floors.get(account, 0)
-            granter.buckets[account] = buckets.create(rate, burst, level, now_ms)
+            granter.buckets[account] = _first_bucket(
+                granter, account, (rate, burst), now_ms
+            )
         elif granter.active.get(account) != (rate, burst):
             granter.buckets[account] = buckets.reconfigure(present, rate, burst, now_ms)
     granter.active = dict(limits)
 
 
+def _first_bucket(
+    granter: Granter, account: AccountName, limits: tuple[int, int], now_ms: int
+) -> Bucket:
+    """Returns the bucket of an account that this granter has not had yet.
+
+    Nothing is granted before a record under the same limits is committed. So an
+    account without a record has never had a grant and starts full, and the grants
+    of an account with one were charged under the recorded limits.
+    """
+    if account not in granter.floors:
+        return buckets.create(
+            *limits, buckets.cap_tokens(*limits) * MICROTOKENS, now_ms
+        )
+    recorded = granter.recorded.get(account, limits)
+    bucket = buckets.resume(*recorded, granter.floors[account], now_ms)
+    if recorded != limits:
+        bucket = buckets.reconfigure(bucket, *limits, now_ms)
+    return bucket
+
+
 def answer(
     granter: Granter, asks: Sequence[RateAsk], now_ms: int
 ) -> list[tuple[RateAsk, RateGrants]]:
@@ -185,7 +206,7 @@
     bucket = granter.buckets[account]
     buckets.refill(bucket, now_ms)
     reservation = _current_reservation(granter, account, wants, now_ms)
-    spendable = bucket.level - floor_in_force(granter, account)
+    spendable = _spendable(granter, account)
     shares = division.divide(spendable // MICROTOKENS, wants, reservation)
     grants = []
     unmet = []
@@ -218,7 +239,6 @@
     reservation = granter.reservations.get(account)
     if reservation is None:
         return None
-    bucket = granter.buckets[account]
     for want in wants:
         if want.entry == reservation.entry:
             if want.largest_tokens == 0:
@@ -230,7 +250,7 @@
     if now_ms - reservation.asked_ms > RESERVATION_MS:
         del granter.reservations[account]
         return None
-    spendable = max(0, bucket.level - floor_in_force(granter, account))
+    spendable = max(0, _spendable(granter, account))
     saved = min(reservation.saved, spendable)
     saved += (spendable - saved) // 2
     needed = reservation.needed_tokens * MICROTOKENS
@@ -284,10 +304,25 @@
     """
     floor = granter.floors.get(account, 0)
     if granter.pending is not None:
-        floor = max(floor, granter.pending.floors.get(account, 0))
+        floor = max(floor, granter.pending.floors.get(account, floor))
     return floor
 
 
+def _spendable(granter: Granter, account: AccountName) -> int:
+    """Returns the microtokens above the floor; none without a record to cover them.
+
+    A successor takes the missing tokens for grants under the recorded limits, so
+    that grants under other limits must wait for their record.
+    """
+    limits = granter.active[account]
+    if granter.recorded.get(account) != limits:
+        return 0
+    pending = granter.pending
+    if pending is not None and pending.limits.get(account, limits) != limits:
+        return 0
+    return granter.buckets[account].level - max(0, floor_in_force(granter, account))
+
+
 def next_record(granter: Granter, now_ms: int) -> RecordFloors | None:
     """Returns the record to propose now, or None if none is due.
 
@@ -304,7 +339,8 @@
         return None
     granter.sequence += 1
     granter.recorded_ms = now_ms
-    granter.pending = RecordFloors(granter.term, granter.sequence, floors)
+    limits = {account: granter.active[account] for account in floors}
+    granter.pending = RecordFloors(granter.term, granter.sequence, floors, limits)
     return granter.pending
 
 
@@ -312,6 +348,7 @@
     """Takes over a record that is in the log."""
     if granter.pending == record:
         granter.floors.update(record.floors)
+        granter.recorded.update(record.limits)
         granter.pending = None
 
 
@@ -323,10 +360,11 @@
         bucket = granter.buckets[account]
         buckets.refill(bucket, now_ms)
         present = granter.floors.get(account, 0)
-        level = max(bucket.level, 0)
+        level = bucket.level
         missing = granter.wanted.get(account, 0)
-        target = max(0, min(level // 2, level - missing))
-        is_urgent = missing > 0 and target < present
+        target = min(level, max(0, min(level // 2, level - missing)))
+        is_uncovered = granter.recorded.get(account) != granter.active[account]
+        is_urgent = is_uncovered or (missing > 0 and target < present)
         is_off = abs(target - present) * FLOOR_TOLERANCE > bucket.cap
         if is_urgent or (is_off and not urgent_only):
             floors[account] = target
--- a/cassiapitch/leadership.py
+++ b/cassiapitch/leadership.py
@@ -106,7 +106,7 @@
                 return
             limits = self._limits()
             now_ms = self._now_ms()
-            self._granter = granter.start(term, outcome.floors, limits, now_ms)
+            self._granter = granter.start(term, outcome, limits, now_ms)
         events.log(Event.GRANTER_STARTED, term=term, policy=self._policy)
 
     async def _record(self, current: Granter) -> None:
--- a/tests/test_rates_fuzz.py
+++ b/tests/test_rates_fuzz.py
@@ -4,6 +4,7 @@
 together admit, net of refunds, at most burst + rate x T of a client account.
 """
 
+import hypothesis
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -13,6 +14,10 @@
 
 NAMES = st.sampled_from(ENTRIES)
 PAIR = st.sampled_from(ENTRIES[:2])
+# Lower and higher in rate, in burst and in both; None leaves the account out.
+LIMITS = st.sampled_from(
+    (*ACCOUNTS.values(), (100, 100), (1_000, 1_000), (10, 200), (10, 20), None)
+)
 WAITS_MS = st.sampled_from((0, 1, 10, 50, 200, 399, 500, 900, 1_000, 3_000))
 
 
@@ -28,6 +33,7 @@
     def start(self, account):
         self.world = World(account)
         self.world.wait(3_000)
+        self.world.record("now")
 
     @rule(ms=WAITS_MS)
     def wait(self, ms):
@@ -43,6 +49,10 @@
     def change_leader(self):
         self.world.change_leader()
 
+    @rule(limits=LIMITS)
+    def roll_bundle(self, limits):
+        self.world.roll(limits)
+
     @rule(name=NAMES, needed=st.sampled_from((0, 10, 100)), expected=st.integers(0, 60))
     def ask(self, name, needed, expected):
         burst = ACCOUNTS[self.world.account][1]
@@ -137,6 +147,16 @@
     def change_leader(self):
         self.world.change_leader()
 
+    @rule(
+        limits=LIMITS,
+        wait_ms=st.sampled_from((0, 20, 900, 1_100)),
+        how=st.sampled_from(("now", "late", "lost")),
+    )
+    def roll_bundle(self, limits, wait_ms, how):
+        self.world.roll(limits)
+        self.world.wait(wait_ms)
+        self.world.record(how)
+
     @rule(name=PAIR, copies=st.sampled_from((1, 2)))
     def give_back_and_take(self, name, copies):
         self.world.entries[name].return_unspent()
@@ -154,6 +174,58 @@
         self.world.check()
 
 
+HOW = st.sampled_from(("now", "late", "lost"))
+# What happens around one bundle: the steps before it, its limits, the steps after.
+PHASES = st.tuples(
+    st.sampled_from(("", "fill", "take", "fill take", "fill take admit")),
+    LIMITS,
+    st.tuples(st.sampled_from((0, 1, 20, 600, 1_100, 2_500)), HOW, st.booleans()),
+    st.sampled_from(("", "take", "take take", "leader take", "leader leader take")),
+)
+
+
+def run_steps(world, names, entry, how):
+    for name in names.split():
+        if name == "fill":
+            world.fill()
+        elif name == "take":
+            world.take(entry, 100, how)
+        elif name == "admit":
+            world.admit(ENTRIES, 100)
+        else:
+            world.change_leader()
+
+
+@fuzzing.settings(4_000, 1)
+@hypothesis.given(
+    account=st.sampled_from(sorted(ACCOUNTS)),
+    phases=st.lists(PHASES, min_size=1, max_size=3),
+    hold=st.booleans(),
+)
+def test_bundles_and_leaders_that_change_together(account, phases, hold):
+    """Guards against grants under old limits that a change or a successor forgets."""
+    world = World(account)
+    world.fill()
+    for before, limits, (wait_ms, how, acknowledged), after in phases:
+        run_steps(world, before, "e0", "now")
+        world.roll(limits)
+        world.wait(wait_ms)
+        world.record(how, acknowledged)
+        while world.late_records and how == "late":
+            floors.record(world.log, world.late_records.pop())
+        run_steps(world, after, "e1", how)
+        if hold:
+            world.hold_until_expiry()
+        else:
+            world.admit(ENTRIES, 100)
+    for wait_ms in (0, 400, 1_100, 3_000):
+        world.wait(wait_ms)
+        world.admit(ENTRIES, 100)
+        world.take("e2", 100)
+        world.admit(ENTRIES, 100)
+    world.check()
+
+
 TestRatesFuzz = Rates.TestCase
 TestRatesFuzz.settings = fuzzing.settings(200, 50)
 TestRateAttacksFuzz = RateAttacks.TestCase
