Drop the rate parts of silent entries and divide new limits at once

Cause: an entry that was silent for 10 s kept its part of the equal split, which filled while the others shared its rate; new limits took effect only at the next ask, so parts filled at the old rate until then. Ruled out: refilling kept parts at their new share, which needs a history of shares; a returning entry starts at 0 as a new one does. Conclusion: closed within a leader's term. Across terms the baseline has no log; a burst lowered shortly before a leader change is not covered by it.

--- a/cassiapitch/equalsplit.py
+++ b/cassiapitch/equalsplit.py
@@ -59,7 +59,11 @@
 
 
 def _divide(split: EqualSplit, now_ms: int) -> None:
-    """Makes the parts anew when the number of known entries has changed."""
+    """Makes the parts anew when the number of known entries has changed.
+
+    The part of a silent entry is dropped: the others take over its rate, so it
+    would otherwise come back with tokens that were given away meanwhile.
+    """
     silent = [
         entry
         for entry, heard_ms in split.heard_ms.items()
@@ -67,6 +71,12 @@
     ]
     for entry in silent:
         del split.heard_ms[entry]
+    if silent:
+        split.parts = {
+            name: part
+            for name, part in split.parts.items()
+            if name[1] in split.heard_ms
+        }
     count = len(split.heard_ms)
     for account, (rate, burst) in split.limits.items():
         for entry in split.heard_ms:
@@ -81,11 +91,15 @@
     split.shares_count = count
 
 
-def set_limits(split: EqualSplit, limits: Limits) -> None:
-    """Takes over the rates of a bundle; the parts are made anew."""
+def set_limits(split: EqualSplit, limits: Limits, now_ms: int) -> None:
+    """Takes over the rates of a bundle; the parts are made anew at once.
+
+    Until the next ask they would otherwise fill at the old rate.
+    """
     if split.limits != limits:
         split.limits = dict(limits)
         split.shares_count = 0
+        _divide(split, now_ms)
 
 
 def _take_refunds(split: EqualSplit, ask: RateAsk, now_ms: int) -> None:
--- a/cassiapitch/leadership.py
+++ b/cassiapitch/leadership.py
@@ -156,7 +156,7 @@
         if isinstance(self._granter, Granter):
             granter.set_limits(self._granter, self._limits(), self._now_ms())
         elif self._granter is not None:
-            equalsplit.set_limits(self._granter, self._limits())
+            equalsplit.set_limits(self._granter, self._limits(), self._now_ms())
 
     def _limits(self) -> Limits:
         bundle = self._state.bundle
