Drop relayed messages that waited over half a second

Cause: after a freeze, a control member passed on announcements that had waited in its relay, while the displacement of lives relies on announcements that arrive within a second or not at all. A write could also wait for 5 s. Ruled out: an age in the message, since clocks of processes aren't compared; a limit for announcements only, since late rate asks and reports are useless as well and their senders repeat them. Change: 500 ms in the queue and 500 ms for the write, together the second. Before: the new test found a message of 1,001 ms in the batch; after: it isn't. Not covered: what the leader's own socket buffers hold while it is frozen.

--- a/cassiapitch/relay.py
+++ b/cassiapitch/relay.py
@@ -9,7 +9,7 @@
 import grpclib.exceptions
 import grpclib.server
 
-from cassiapitch import codec, events, group, rpc
+from cassiapitch import codec, events, group, rpc, timers
 from cassiapitch.events import Event
 from cassiapitch.exceptions import CodecError
 from cassiapitch.group import Group
@@ -19,7 +19,10 @@
 QUEUE_LIMIT_COUNT = 8_192
 BATCH_LIMIT_COUNT = 512
 CONNECT_TIMEOUT_S = 2
-SEND_TIMEOUT_S = 5
+# Messages leave this member within a second or not at all, also after it was frozen:
+# a late announcement could be taken for that of a new life, see `Coordinator`.
+AGE_LIMIT_MS = 500
+SEND_TIMEOUT_S = 0.5
 RETRY_PAUSE_S = 0.1
 LEADER_POLL_S = 0.05
 
@@ -28,21 +31,22 @@
 
 
 class Outbox:
-    """Bounded queue of messages that travel in batches; a full one drops.
+    """Bounded queue of messages that travel in batches; drops excess and old ones.
 
     Everything relayed is asked or reported again by its sender, so dropping the
     oldest message costs a delay and no state.
     """
 
-    def __init__(self) -> None:
-        self._messages: collections.deque[Any] = collections.deque(
+    def __init__(self, now_ms: Callable[[], int] = timers.now_ms) -> None:
+        self._now_ms = now_ms
+        self._messages: collections.deque[tuple[int, Any]] = collections.deque(
             maxlen=QUEUE_LIMIT_COUNT
         )
         self._changed = anyio.Event()
 
     def push(self, message: Any) -> None:
         """Queues a message."""
-        self._messages.append(message)
+        self._messages.append((self._now_ms(), message))
         self._changed.set()
 
     def clear(self) -> None:
@@ -51,14 +55,21 @@
 
     async def take(self) -> RelayBatch:
         """Waits for messages and returns a batch of them."""
+        self._drop_old()
         while not self._messages:
             self._changed = anyio.Event()
             await self._changed.wait()
+            self._drop_old()
         count = min(BATCH_LIMIT_COUNT, len(self._messages))
         return RelayBatch(
-            tuple(codec.encode(self._messages.popleft()) for _ in range(count))
+            tuple(codec.encode(self._messages.popleft()[1]) for _ in range(count))
         )
 
+    def _drop_old(self) -> None:
+        oldest_ms = self._now_ms() - AGE_LIMIT_MS
+        while self._messages and self._messages[0][0] < oldest_ms:
+            self._messages.popleft()
+
 
 class Relay:
     """This member's end of the relay, as a follower and as the leader."""
