Name the lives that a clean run of a suspect clears

Cause: ClearSuspect named a digest only, so a repeat that was delivered late erased a crash that was reported after the run it spoke of, and the next crash was counted as the first. Ruled out: the crash count, since it is 1 again after a clear and a new crash; the log index of the record, since answers and view would have to carry it. Before: after a clear, a second crash and the repeat, the count was 0 and the third crash led to no quarantine. After: the count stays 1 and the third crash quarantines (test_replicated, and the model in test_state_fuzz). Conclusion: the view's item holds the lives; an entry adds those it reported.

--- a/cassiapitch/commands.py
+++ b/cassiapitch/commands.py
@@ -87,9 +87,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClearSuspect:
-    """A suspect request ran to its end without a crash."""
+    """A suspect request ran to its end without a crash.
+
+    Attributes:
+        digest: The suspect.
+        lives: Lives whose crashes were known when the run began.
+    """
 
     digest: RequestDigest
+    lives: tuple[LifeId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/crashes.py
+++ b/cassiapitch/crashes.py
@@ -7,6 +7,7 @@
 from cassiapitch import events, timers
 from cassiapitch.entrystate import EntryState
 from cassiapitch.messages import BackendItem, CrashAnswer, CrashReport, SuspectCleared
+from cassiapitch.scheduler import Wanted
 from cassiapitch.suspicion import QUARANTINE_CRASHES_COUNT
 from cassiapitch.types import LifeId, RequestDigest
 
@@ -60,10 +61,19 @@
         item = self._state.catalog.suspects.get(digest)
         return item is not None and item.quarantined
 
-    def ran_clean(self, digest: RequestDigest) -> None:
+    def crashed_lives(self, digest: RequestDigest) -> set[LifeId]:
+        """Returns the lives that are known to have crashed under a digest."""
+        if not self.crash_count(digest):
+            return set()
+        item = self._state.catalog.suspects.get(digest)
+        in_view = () if item is None else item.lives
+        return {*in_view, *self._state.suspicion.crashed_lives(digest)}
+
+    def ran_clean(self, wanted: Wanted) -> None:
         """Says that a suspect ran to its end."""
+        digest, lives = wanted.digest, tuple(sorted(wanted.crashed_lives))
         self._state.suspicion.cleared(digest)
-        self._state.asks.tell(lambda sequence: SuspectCleared(sequence, digest))
+        self._state.asks.tell(lambda sequence: SuspectCleared(sequence, digest, lives))
 
     async def _send(
         self, backend: BackendItem, digests: tuple[RequestDigest, ...]
@@ -86,7 +96,9 @@
             if answer is not None:
                 recorded.append(True)
                 counts = answer.crash_counts
-                self._state.suspicion.recorded(digests, counts, timers.now_ms())
+                now_ms = timers.now_ms()
+                life_id = backend.life_id
+                self._state.suspicion.recorded(life_id, digests, counts, now_ms)
         finally:
             done.set()
 
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -113,7 +113,7 @@
                 await self._prepare_retry(end, slot)
         self._call.course.step("complete")
         if self._wanted.suspect:
-            self._crashes.ran_clean(self._plan.request.digest)
+            self._crashes.ran_clean(self._wanted)
 
     def _make_wanted(self) -> Wanted:
         call, plan, state = self._call, self._plan, self._state
@@ -131,7 +131,7 @@
             deadline_ms=call.deadline_ms,
             digest=plan.request.digest,
             prefixes=tuple(prefix_digests(plan.target.model.name, plan.request.prompt)),
-            suspect=self._crashes.crash_count(plan.request.digest) > 0,
+            crashed_lives=self._crashes.crashed_lives(plan.request.digest),
             narrow=plan.target.adapter is not None,
         )
 
@@ -197,7 +197,7 @@
             streamed = self.answer.next_position > 0
             lost = ErrorKind.STREAM_LOST
             raise refused(lost if streamed else ErrorKind.BACKEND_SERVER_FAILED)
-        self._wanted.suspect = True
+        self._wanted.crashed_lives.add(backend.life_id)
 
     async def _attempt(self, backend: BackendItem) -> End:
         connection = await self._state.connections.open(backend, fresh=False)
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -311,7 +311,7 @@
         case CrashReport():
             return commands.ReportCrash(message.life_id, message.digests)
         case _:
-            return commands.ClearSuspect(message.digest)
+            return commands.ClearSuspect(message.digest, message.lives)
 
 
 def _claim_answer(sequence: int, result: Any | None) -> ClaimAnswer:
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -173,10 +173,12 @@
     Attributes:
         crash_count: Distinct lives of backend servers that crashed under it.
         quarantined: Whether it is refused for now.
+        lives: Those lives.
     """
 
     crash_count: int
     quarantined: bool
+    lives: tuple[LifeId, ...] = ()
 
 
 # Link, entry to control member.
@@ -320,10 +322,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SuspectCleared:
-    """A suspect ran to its end without a crash."""
+    """A suspect ran to its end without a crash.
+
+    Attributes:
+        sequence: Number of the message.
+        digest: The suspect.
+        lives: Lives whose crashes were known when the run began. A late repeat of
+            this message leaves later crashes alone.
+    """
 
     sequence: int
     digest: RequestDigest
+    lives: tuple[LifeId, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -37,7 +37,7 @@
         digest: Digest of its content.
         prefixes: Digests of its prompt's prefixes.
         excluded: Lives that it must not go to.
-        suspect: Whether a backend server crashed while it ran.
+        crashed_lives: Lives of backend servers that crashed while it ran.
         narrow: Whether not every backend server of its queue is a candidate.
         patient: Whether it waits for a candidate although none is expected yet.
         asked_ms: When it was first asked for.
@@ -55,11 +55,16 @@
     digest: RequestDigest
     prefixes: tuple[str, ...] = ()
     excluded: set[LifeId] = dataclasses.field(default_factory=set)
-    suspect: bool = False
+    crashed_lives: set[LifeId] = dataclasses.field(default_factory=set)
     narrow: bool = False
     patient: bool = False
     asked_ms: int | None = None
 
+    @property
+    def suspect(self) -> bool:
+        """Whether a backend server crashed while it ran."""
+        return bool(self.crashed_lives)
+
     @property
     def is_special(self) -> bool:
         """Whether others may be served while this one finds no backend server."""
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -155,7 +155,7 @@
             if isinstance(answer, ServiceAnswer):
                 self._call.course.step("complete")
                 if wanted.suspect:
-                    self._crashes.ran_clean(self.digest)
+                    self._crashes.ran_clean(wanted)
                 return answer
             await self._prepare_retry(answer, slot, wanted)
 
@@ -173,7 +173,7 @@
             cost=max(1, self._request.route.cost_tokens),
             deadline_ms=self._call.deadline_ms,
             digest=self.digest,
-            suspect=self._crashes.crash_count(self.digest) > 0,
+            crashed_lives=self._crashes.crashed_lives(self.digest),
             # No controller loads a plain service, so that there is nothing to wait for.
             asked_ms=0,
         )
@@ -210,7 +210,7 @@
             raise refused(ErrorKind.REQUEST_QUARANTINED)
         if verdict is Verdict.UNRECORDED:
             raise refused(ErrorKind.BACKEND_SERVER_FAILED)
-        wanted.suspect = True
+        wanted.crashed_lives.add(backend.life_id)
 
     async def _attempt(
         self, backend: BackendItem
--- a/cassiapitch/suspects.py
+++ b/cassiapitch/suspects.py
@@ -69,10 +69,16 @@
 
 
 def clear(state: Suspects, command: ClearSuspect) -> tuple[SuspectResult, Changes]:
-    """Forgets a suspect that ran cleanly; a quarantine ends only by time."""
+    """Forgets a suspect that ran cleanly; a quarantine ends only by time.
+
+    A crash that was not known when the run began stays, also where the command is
+    a late repeat.
+    """
     existing = state.table.get(command.digest)
     if existing is None or existing.is_quarantined:
         return _result(state, (command.digest,)), {}
+    if not set(existing.lives) <= set(command.lives):
+        return _result(state, (command.digest,)), {}
     del state.table[command.digest]
     return _result(state, (command.digest,)), {f"suspect/{command.digest}": None}
 
@@ -103,7 +109,7 @@
 
 
 def _item(suspect: Suspect) -> SuspectItem:
-    return SuspectItem(len(suspect.lives), suspect.is_quarantined)
+    return SuspectItem(len(suspect.lives), suspect.is_quarantined, suspect.lives)
 
 
 def _result(state: Suspects, digests: tuple[RequestDigest, ...]) -> SuspectResult:
--- a/cassiapitch/suspicion.py
+++ b/cassiapitch/suspicion.py
@@ -15,6 +15,7 @@
 @dataclasses.dataclass(slots=True)
 class _Known:
     crash_count: int
+    lives: frozenset[LifeId]
     until_ms: int
 
 
@@ -60,13 +61,16 @@
 
     def recorded(
         self,
+        life_id: LifeId,
         digests: Collection[RequestDigest],
         crash_counts: Collection[int],
         now_ms: int,
     ) -> None:
-        """Takes the answer to a crash report."""
+        """Takes the answer to the report that a life crashed."""
         for digest, count in zip(digests, crash_counts, strict=False):
-            self._known[digest] = _Known(count, now_ms + FORGET_MS)
+            known = self._known.get(digest)
+            earlier = frozenset() if known is None else known.lives
+            self._known[digest] = _Known(count, earlier | {life_id}, now_ms + FORGET_MS)
 
     def cleared(self, digest: RequestDigest) -> None:
         """Forgets a digest that ran to its end."""
@@ -82,6 +86,11 @@
             known = None
         return max(in_view_count, 0 if known is None else known.crash_count)
 
+    def crashed_lives(self, digest: RequestDigest) -> frozenset[LifeId]:
+        """Returns the lives whose crash under a digest was reported from here."""
+        known = self._known.get(digest)
+        return frozenset() if known is None else known.lives
+
     def may_run_suspect(self, life_id: LifeId, digest: RequestDigest) -> bool:
         """Tells whether no other suspect runs on a life of a backend server.
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -141,6 +141,9 @@
             assert body["continue_position"] == die_at
             assert body["continue_text"] == expected_text(die_at)
         await w.until(lambda: w.hub.of(messages.SuspectCleared))
+        [cleared] = w.hub.of(messages.SuspectCleared)
+        [report] = w.hub.of(messages.CrashReport)
+        assert cleared.lives == (report.life_id,)
 
 
 @pytest.mark.anyio
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -178,7 +178,7 @@
     assert not state.has_crashed("l1", 10_000)
     state.ended("l1", "d2")
     assert state.may_run_suspect("l1", "d3")
-    state.recorded(("d1",), (2,), 0)
+    state.recorded("l1", ("d1",), (2,), 0)
     assert state.crash_count("d1", 0, 1) == 2
     assert state.crash_count("d1", 0, 600_000) == 0
 
--- a/tests/test_replicated.py
+++ b/tests/test_replicated.py
@@ -165,6 +165,18 @@
     assert len(machine.state.view.items) == 3
 
 
+def test_late_repeat_of_a_clean_run_leaves_a_later_crash():
+    """Guards against a second crash that isn't recognised as the second."""
+    machine = Machine()
+    machine.apply(commands.ReportCrash("life1", ("bad",)))
+    clean = commands.ClearSuspect("bad", ("life1",))
+    assert machine.apply(clean).crash_counts == (0,)
+    machine.apply(commands.ReportCrash("life2", ("bad",)))
+    assert machine.apply(clean).crash_counts == (1,)
+    machine.apply(commands.ReportCrash("life3", ("bad",)))
+    assert machine.state.suspects.table["bad"].is_quarantined
+
+
 @pytest.mark.parametrize("data", [b"", b"\xc1", codec.encode(commands.Expired())])
 def test_malformed_command_changes_nothing(data):
     """Guards against an entry of a newer version that ends every member."""
--- a/tests/test_state_fuzz.py
+++ b/tests/test_state_fuzz.py
@@ -79,7 +79,11 @@
         st.sampled_from("ABC"),
         st.sets(DIGESTS).map(lambda digests: tuple(sorted(digests))),
     ),
-    st.builds(commands.ClearSuspect, DIGESTS),
+    st.builds(
+        commands.ClearSuspect,
+        DIGESTS,
+        st.sets(st.sampled_from("ABC")).map(lambda lives: tuple(sorted(lives))),
+    ),
 )
 
 
@@ -276,8 +280,10 @@
                     lives.add(command.life_id)
                     self.quarantine_ends[digest] = self.time_ms + 600_000
                 assert count == len(lives)
-        elif len(self.crashes.get(command.digest, ())) < 2:
-            self.crashes.pop(command.digest, None)
+        elif self.crashes.get(command.digest, set()) in (
+            {life} for life in command.lives
+        ):
+            self.crashes.pop(command.digest)
 
     def end_quarantines(self):
         for digest in list(self.crashes):
