Refuse connections over the limit as every other refusal

Cause: over connections_limit_count uvicorn answered in plain text, without an outcome or Retry-After, on connections within the limit as well and one connection early. Ruled out: closing excess connections on accept, since callers would not know that nothing ran; refusing /healthz there, since the balancer would take an entry out while its callers move to the others. Before (scratch copy): with a limit of 2 the second connection's request got the plain text 503. After: it is served, the third gets 503 overloaded, not_run, Retry-After 1 and is closed; over 256 excess connections are closed unanswered, so memory stays bounded (test_entry_limits). Not covered: a caller that is still sending a body when it is refused may see a reset, as with the other refusals that close.

--- a/cassiapitch/asgi.py
+++ b/cassiapitch/asgi.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import socket
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
 from typing import Any
@@ -25,6 +26,9 @@
 KEEP_ALIVE_S = 75
 HEAD_LIMIT_S = 30
 LISTEN_BACKLOG = 1_024
+# Connections over the limit that are open at once to be refused; any further one is
+# closed without an answer, so that a flood of them takes bounded memory.
+REFUSED_LIMIT_COUNT = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,18 +108,35 @@
 
 
 class _Protocol(H11Protocol):
-    """`uvicorn`'s protocol with a limit on the time for a request's head.
+    """`uvicorn`'s protocol with limits on open connections and on a head's time.
 
     `uvicorn` limits idle connections after their first response only, so that a
-    caller that sends a head byte by byte would hold its connection for ever.
+    caller that sends a head byte by byte would hold its connection for ever. Over
+    its limit of connections it answers in plain text, on earlier ones as well.
     """
 
     _head_timer: asyncio.TimerHandle | None = None
 
+    def __init__(
+        self, *, limit_count: int | None, refuse: App | None, **arguments: Any
+    ) -> None:
+        super().__init__(**arguments)
+        self._limit_count = limit_count
+        self._refuse = refuse
+
     def connection_made(self, transport: Any) -> None:
         """Starts the time for the first head."""
         super().connection_made(transport)
         self._watch_head()
+        if self._limit_count is None:
+            return
+        excess_count = len(self.connections) - self._limit_count
+        if excess_count > REFUSED_LIMIT_COUNT or (
+            excess_count > 0 and not self._refuse
+        ):
+            self.transport.abort()
+        elif excess_count > 0:
+            self.app = self._refuse
 
     def data_received(self, data: bytes) -> None:
         """Starts the time if only a part of a head has arrived."""
@@ -160,9 +181,19 @@
         address: Address,
         *,
         connections_limit_count: int | None = None,
+        refuse: App | None = None,
         header_limit_bytes: int = 32 * 1024,
     ) -> None:
-        """Binds the address; port 0 takes a free one, see `port`."""
+        """Binds the address; port 0 takes a free one, see `port`.
+
+        Args:
+            app: Serves the requests.
+            address: Where to listen.
+            connections_limit_count: Connections that `app` serves at once.
+            refuse: Answers the first request of each connection over the limit and
+                closes it; without it they are closed at once.
+            header_limit_bytes: Largest head of a request.
+        """
         family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
         # asyncio turns off Nagle's algorithm only for sockets that name TCP. With it
         # the body of a response waits for the acknowledgement of its head, 40 ms.
@@ -180,14 +211,15 @@
                 interface="asgi3",
                 # Forwarding headers are not trusted, and cost time on each request.
                 proxy_headers=False,
-                http=_Protocol,
+                http=functools.partial(
+                    _Protocol, limit_count=connections_limit_count, refuse=refuse
+                ),
                 ws="none",
                 lifespan="off",
                 log_config=None,
                 access_log=False,
                 server_header=False,
                 timeout_keep_alive=KEEP_ALIVE_S,
-                limit_concurrency=connections_limit_count,
                 h11_max_incomplete_event_size=header_limit_bytes,
             )
         )
--- a/cassiapitch/callers.py
+++ b/cassiapitch/callers.py
@@ -81,6 +81,25 @@
         finally:
             self._state.authorization.leave(call)
 
+    async def refuse_connection(
+        self, scope: Scope, _receive: Receive, send: Send
+    ) -> None:
+        """Refuses the request of a connection over the limit and closes it.
+
+        The balancer gets its usual answer: an entry with many connections must not
+        be taken out, since the others would have to take them over.
+        """
+        if scope["type"] != "http":
+            return
+        if scope["path"] == HEALTH_PATH:
+            await self._answer_health(send, _CLOSE)
+            return
+        refusal = Refusal(ErrorKind.OVERLOADED, "too many connections are open")
+        request_id = self._state.next_request_id()
+        answer = api.refusal_answer(refusal, request_id, may_have_left=False)
+        headers = [*answer.headers, *_CLOSE]
+        await asgi.send_response(send, answer.status, answer.body, headers=headers)
+
     async def _serve(
         self, call: Call, scope: Scope, receive: Receive, send: Send
     ) -> None:
@@ -311,13 +330,13 @@
         headers = [*self._headers(call), *(extra or [])]
         await asgi.send_response(send, status, body, content_type, headers)
 
-    async def _answer_health(self, send: Send) -> None:
+    async def _answer_health(self, send: Send, headers: Headers | None = None) -> None:
         if self._state.shutdown != RUNNING:
             await asgi.send_json(send, 503, {"status": "leaving"}, _CLOSE)
         elif self._state.catalog.index == 0:
-            await asgi.send_json(send, 503, {"status": "no view yet"})
+            await asgi.send_json(send, 503, {"status": "no view yet"}, headers)
         else:
-            await asgi.send_json(send, 200, {"status": "ok"})
+            await asgi.send_json(send, 200, {"status": "ok"}, headers)
 
     async def _answer_models(self, call: Call, send: Send) -> None:
         catalog = self._state.catalog
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -52,6 +52,7 @@
             application,
             settings.caller_address,
             connections_limit_count=settings.connections_limit_count,
+            refuse=application.refuse_connection,
         )
         operators = OperatorApplication(self.state, self._plan, stop)
         self.operators = HttpServer(operators, settings.admin_address)
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -108,7 +108,8 @@
         routing_policy: `least_cost`, or `round_robin` as the baseline.
         queue_policy: `weighted_fair`, or `first_come` as the baseline.
         body_limit_bytes: Largest request body.
-        connections_limit_count: Largest number of open caller connections.
+        connections_limit_count: Largest number of caller connections that are served;
+            256 more are open at once to be refused.
         seed: Seed of the routing decisions.
     """
 
