Bound the request bodies that an entry buffers at once

Cause: a body may have 4 MiB and 2,000 connections are served, so callers could make an entry hold some 8 GB of bodies. Ruled out: a share for each connection, since few calls have large bodies; counting declared sizes, since a caller could reserve room without sending. Change: buffered_bodies_limit_bytes (128 MiB) bounds the bytes that arrived and belong to calls in progress. A declared size that doesn't fit, or bytes that don't, are refused as overloaded at once and the connection is closed, as is every refusal that leaves a part of the body unread. Before: there was no such setting. After: with a limit of 1,000 bytes and 600 in use, a declared 900 and chunked 500 are refused, and the room is free once the first caller has gone (test_entry_limits). Conclusion: the bound counts bodies; decoded requests add to it.

--- a/cassiapitch/asgi.py
+++ b/cassiapitch/asgi.py
@@ -43,6 +43,11 @@
     """The body was larger than the limit."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyNoRoom:
+    """The body doesn't fit next to the others that are buffered."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyLate:
     """The body didn't arrive whole in time."""
@@ -53,7 +58,7 @@
     """The caller closed the connection before the end of the body."""
 
 
-BodyOutcome = Body | BodyTooLarge | BodyLate | CallerGone
+BodyOutcome = Body | BodyTooLarge | BodyNoRoom | BodyLate | CallerGone
 
 
 def header(scope: Scope, name: bytes) -> str | None:
@@ -64,8 +69,58 @@
     return None
 
 
-async def read_body(receive: Receive, limit_bytes: int, timeout_ms: int) -> BodyOutcome:
-    """Reads a request body within a size and a time."""
+class BodyRoom:
+    """Bytes of request bodies that may be buffered at once."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    def take(self, size_bytes: int) -> bool:
+        """Counts bytes if there is room for them."""
+        if self.used_bytes + size_bytes > self.limit_bytes:
+            return False
+        self.used_bytes += size_bytes
+        return True
+
+
+class BodyShare:
+    """What one request has taken of the room; given back by `release`."""
+
+    def __init__(self, room: BodyRoom) -> None:
+        self._room = room
+        self._taken_bytes = 0
+
+    def fits(self, size_bytes: int) -> bool:
+        """Tells whether a body of this size would fit now."""
+        return self._room.used_bytes + size_bytes <= self._room.limit_bytes
+
+    def take(self, size_bytes: int) -> bool:
+        """Counts bytes that have arrived if there is room for them."""
+        if not self._room.take(size_bytes):
+            return False
+        self._taken_bytes += size_bytes
+        return True
+
+    def release(self) -> None:
+        """Gives everything back."""
+        self._room.used_bytes -= self._taken_bytes
+        self._taken_bytes = 0
+
+
+def declared_bytes(scope: Scope) -> int:
+    """Returns the size of the body that a request declares, or 0."""
+    value = header(scope, b"content-length")
+    return int(value) if value is not None and value.isdecimal() else 0
+
+
+async def read_body(
+    receive: Receive,
+    limit_bytes: int,
+    timeout_ms: int,
+    share: BodyShare | None = None,
+) -> BodyOutcome:
+    """Reads a request body within a size, a time and a share of the room."""
     parts: list[bytes] = []
     size_bytes = 0
     with anyio.move_on_after(timeout_ms / 1000):
@@ -77,6 +132,8 @@
             size_bytes += len(part)
             if size_bytes > limit_bytes:
                 return BodyTooLarge()
+            if share is not None and not share.take(len(part)):
+                return BodyNoRoom()
             parts.append(part)
             if not message.get("more_body", False):
                 return Body(b"".join(parts))
--- a/cassiapitch/callers.py
+++ b/cassiapitch/callers.py
@@ -79,6 +79,8 @@
             self._step_last(call, "refuse")
             await self._refuse(call, send, refusal_for(refused(ErrorKind.INTERNAL)))
         finally:
+            if call.body_share is not None:
+                call.body_share.release()
             self._state.authorization.leave(call)
 
     async def refuse_connection(
@@ -153,13 +155,23 @@
             raise refused(ErrorKind.KEY_UNKNOWN)
         call.key_digest, call.account = digest, account
 
-    async def _read_body(self, receive: Receive) -> bytes:
+    async def _read_body(self, call: Call, scope: Scope, receive: Receive) -> bytes:
+        """Reads the body; its bytes count until the call ends."""
         limit_bytes = self._state.settings.body_limit_bytes
-        outcome = await asgi.read_body(receive, limit_bytes, BODY_LIMIT_MS)
+        call.body_share = share = asgi.BodyShare(self._state.body_room)
+        call.is_body_pending = True
+        size_bytes = asgi.declared_bytes(scope)
+        outcome: asgi.BodyOutcome = asgi.BodyNoRoom()
+        if size_bytes > limit_bytes or share.fits(size_bytes):
+            outcome = await asgi.read_body(receive, limit_bytes, BODY_LIMIT_MS, share)
         if isinstance(outcome, asgi.Body):
+            call.is_body_pending = False
             return outcome.data
         if isinstance(outcome, asgi.CallerGone):
             raise CallerGoneError
+        if isinstance(outcome, asgi.BodyNoRoom):
+            message = "too many request bodies are buffered"
+            raise CallRefusedError(Refusal(ErrorKind.OVERLOADED, message))
         if isinstance(outcome, asgi.BodyTooLarge):
             message = f"the body may have {limit_bytes} bytes"
             raise CallRefusedError(Refusal(ErrorKind.BODY_TOO_LARGE, message))
@@ -169,7 +181,7 @@
     async def _generate(
         self, call: Call, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        data = await self._read_body(receive)
+        data = await self._read_body(call, scope, receive)
         priority = asgi.header(scope, b"x-priority")
         request = api.parse_generation(scope["path"], data, priority)
         if isinstance(request, Refusal):
@@ -280,7 +292,7 @@
     ) -> None:
         call.course.idempotent = route.idempotent
         call.deadline_ms = call.arrived_ms + route.timeout_ms
-        body = await self._read_body(receive)
+        body = await self._read_body(call, scope, receive)
         content_type = asgi.header(scope, b"content-type") or ""
         if body_holds_key(body, call.key, json="json" in content_type):
             raise refused(ErrorKind.KEY_IN_BODY)
@@ -356,7 +368,7 @@
         may_have_left = call.course.may_have_left
         answer = api.refusal_answer(refusal, call.request_id, may_have_left)
         headers = [*answer.headers, *self._closing()]
-        if refusal.kind in _CLOSING_KINDS:
+        if call.is_body_pending or refusal.kind is ErrorKind.HEADERS_TOO_LARGE:
             # The rest of the body is not read, so that nothing can follow it.
             headers = [*answer.headers, *_CLOSE]
         await asgi.send_response(send, answer.status, answer.body, headers=headers)
@@ -374,8 +386,3 @@
 
 
 _CLOSE: Headers = [(b"connection", b"close")]
-_CLOSING_KINDS = (
-    ErrorKind.BODY_TOO_LARGE,
-    ErrorKind.BODY_TIMEOUT,
-    ErrorKind.HEADERS_TOO_LARGE,
-)
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -9,6 +9,7 @@
 import anyio.abc
 
 from cassiapitch import events, timers
+from cassiapitch.asgi import BodyRoom
 from cassiapitch.budget import (
     Admitted,
     Budget,
@@ -68,6 +69,7 @@
         self.demand = Demand(settings.name)
         self.asks = ControlAsks()
         self.connections = Connections()
+        self.body_room = BodyRoom(settings.buffered_bodies_limit_bytes)
         self.confirmed = Signal()
         self.rate_needed = Signal()
         self.shutdown = load_chart("shutdown").initial
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -108,6 +108,7 @@
         routing_policy: `least_cost`, or `round_robin` as the baseline.
         queue_policy: `weighted_fair`, or `first_come` as the baseline.
         body_limit_bytes: Largest request body.
+        buffered_bodies_limit_bytes: Largest sum of the bodies of all calls at once.
         connections_limit_count: Largest number of caller connections that are served;
             256 more are open at once to be refused.
         seed: Seed of the routing decisions.
@@ -129,6 +130,7 @@
         "weighted_fair"
     )
     body_limit_bytes: PositiveInt = 4 * 1024 * 1024
+    buffered_bodies_limit_bytes: PositiveInt = 128 * 1024 * 1024
     connections_limit_count: PositiveInt = 2_000
     seed: NaturalInt = 1
     log_path: str | None = None
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -6,6 +6,8 @@
 from cassiapitch import asgi
 from tests.entryfakes import KEY, FakeEngine, error, world
 
+PATH = "/v1/chat/completions"
+
 
 @pytest.fixture
 def anyio_backend():
@@ -51,3 +53,43 @@
         assert (await send_on(excess, "/healthz"))[0] == 200
         for stream in (*held, excess, further):
             await stream.aclose()
+
+
+async def begin_call(w, framing, body):
+    """Opens a connection and sends the beginning of a call."""
+    stream = await anyio.connect_tcp("127.0.0.1", w.entry.callers.port)
+    head = f"POST {PATH} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+    await stream.send(f"{head}{framing}\r\n\r\n".encode() + body)
+    return stream
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("framing", "body"),
+    [
+        ("Content-Length: 900", b""),
+        ("Transfer-Encoding: chunked", b"1f4\r\n" + b" " * 500 + b"\r\n"),
+    ],
+)
+async def test_bodies_of_all_calls_together_are_bounded(framing, body):
+    """Guards against memory for many callers whose bodies are within their limit."""
+    async with world(FakeEngine("n1", "l1"), buffered_bodies_limit_bytes=1_000) as w:
+        room = w.entry.state.body_room
+        slow = await begin_call(w, "Content-Length: 900", b" " * 600)
+        await w.until(lambda: room.used_bytes == 600)
+        with anyio.fail_after(20):
+            refused = await begin_call(w, framing, body)
+            received = await refused.receive()
+            while not received.endswith(b"}"):
+                received += await refused.receive()
+        head, _, content = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 503 ")
+        assert b"connection: close" in head.lower()
+        assert b"retry-after: 1" in head.lower()
+        assert error(content) == ("overloaded", "not_run")
+        assert room.used_bytes == 600
+        await refused.aclose()
+        await slow.aclose()
+        await w.until(lambda: room.used_bytes == 0)
+        assert (await w.chat(3))[0] == 200
+        assert room.used_bytes == 0
