Send a suspect to the backend server that all entries prefer

Cause: the rule of one suspect per backend server held within one entry only; entries that retried the same request crashed a backend server each. Ruled out: a claim in the log for each suspect's run, which would bound it but adds a round trip to the quorum to every retry after a crash. Change: a suspect goes to the free candidate with the highest hash of digest and life (rendezvous hashing, Thaler and Ravishankar 1998).

--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -221,6 +221,8 @@
 
     def _place(self, wanted: Wanted, now_ms: int) -> Slot | None:
         candidates = list(self._allowed(wanted, now_ms))
+        if wanted.suspect:
+            candidates = self._preferred(candidates, wanted, now_ms)
         backend = self._router.choose(
             candidates, wanted.priority, wanted.prefixes, now_ms
         )
@@ -242,6 +244,20 @@
                 continue
             yield backend
 
+    def _preferred(
+        self, candidates: list[BackendItem], wanted: Wanted, now_ms: int
+    ) -> list[BackendItem]:
+        """Returns the free candidate that all entries prefer for a suspect."""
+        free = [
+            backend
+            for backend in candidates
+            if self._router.has_room(backend, wanted.priority, now_ms)
+        ]
+        free.sort(
+            key=lambda item: self._suspicion.preference(item.life_id, wanted.digest)
+        )
+        return free[-1:]
+
     def _hopeless(self, wanted: Wanted, now_ms: int) -> NoSlot | None:
         """Returns a refusal where no candidate comes before the deadline."""
         usable = [
--- a/cassiapitch/suspicion.py
+++ b/cassiapitch/suspicion.py
@@ -1,6 +1,7 @@
 """Decides how requests that may crash backend servers are contained."""
 
 import dataclasses
+import hashlib
 from collections.abc import Collection
 
 from cassiapitch.types import LifeId, RequestDigest
@@ -99,6 +100,16 @@
         """
         return not (self._suspects_on.get(life_id, set()) - {digest})
 
+    @staticmethod
+    def preference(life_id: LifeId, digest: RequestDigest) -> bytes:
+        """Returns the rank of a life for a suspect; the highest one is preferred.
+
+        Rendezvous hashing: every entry ranks alike without a message, so that one
+        suspect runs on one backend server even if several entries have it, and
+        different suspects mostly run on different ones.
+        """
+        return hashlib.sha256(f"{digest} {life_id}".encode()).digest()
+
     def forget_except(self, life_ids: Collection[LifeId]) -> None:
         """Forgets crashes of lives that the view no longer holds."""
         for life_id in [key for key in self._crashed if key not in life_ids]:
