Remove the order that changes a backend server's role

Cause: the kind set_role existed in the types, the protocol page and the stand-in engine, while the fleet refused to record such orders. Ruled out: finishing it; a role comes with its credential and its entry in the bundle, so that a change would need both on the engine, and the ledger's rules for models of two roles. The removal is smaller. Before: the stand-in answered such an order with 202. After: 400 bad_order.

--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -28,7 +28,6 @@
 )
 from cassiapitch.messages import Announcement, BackendItem
 from cassiapitch.orders import (
-    LOAD_KINDS,
     UNLOAD_KINDS,
     Order,
     is_adapter_key,
@@ -292,8 +291,6 @@
             # The unload of a load that may arrive late raises the fence above it.
             is_void = life.fencing and new.item in life.ledger.late
             return None if is_loaded or is_void else "it is not loaded"
-        if new.kind not in LOAD_KINDS:
-            return f"the kind {new.kind} is not supported"
         if is_loaded:
             return "it is loaded already"
         if self.catalog.role_of(new.item) != life.role:
--- a/cassiapitch/standin_engine.py
+++ b/cassiapitch/standin_engine.py
@@ -81,7 +81,7 @@
         return Announcement(
             name=BackendName(self.settings.name),
             life_id=self.life_id,
-            role=self.memory.role or self.settings.role,
+            role=self.settings.role,
             zone=self.settings.zone,
             ip=ip,
             port=port,
--- a/cassiapitch/standin_memory.py
+++ b/cassiapitch/standin_memory.py
@@ -28,7 +28,6 @@
         version: Version of the model.
         adapter: The adapter, empty for orders about a model.
         memory_mib: Memory that a load occupies from its start.
-        role: New role of a `set_role` order.
     """
 
     order_id: str
@@ -40,7 +39,6 @@
     version: int = 0
     adapter: str = ""
     memory_mib: int = 0
-    role: str = ""
 
 
 class OrderVerdict(enum.StrEnum):
@@ -107,7 +105,6 @@
         """
         self.life_id = life_id
         self.memory_mib = memory_mib
-        self.role = ""
         self.leaving = False
         self.fence = (0, 0)
         self.residents: dict[tuple[str, bool], Resident] = {}
@@ -186,10 +183,6 @@
                 self._finish_unload(resident, now_ms)
 
     def _run(self, order: OrderRequest, now_ms: int) -> None:
-        if order.kind == OrderKind.SET_ROLE:
-            self.role = order.role
-            self._settle(order, OrderOutcome.DONE)
-            return
         is_adapter = order.kind in ADAPTER_KINDS
         name = order.adapter if is_adapter else order.model
         resident = self.residents.get((name, is_adapter))
--- a/cassiapitch/types.py
+++ b/cassiapitch/types.py
@@ -32,7 +32,6 @@
     UNLOAD = "unload"
     LOAD_ADAPTER = "load_adapter"
     UNLOAD_ADAPTER = "unload_adapter"
-    SET_ROLE = "set_role"
 
 
 class OrderOutcome(enum.StrEnum):
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -252,6 +252,14 @@
         )
 
 
+@pytest.mark.anyio
+async def test_order_of_another_kind_is_refused():
+    """Guards against an order that is accepted although nothing can record it."""
+    async with Run() as standin:
+        status, _ = await standin.order("o1", "set_role", "m", 1)
+        assert status == 400
+
+
 @pytest.mark.anyio
 async def test_unload_waits_for_requests_and_refuses_new_ones():
     """Guards against an unload that cuts an answer."""
