--- a/cassiapitch/asgi.py
+++ b/cassiapitch/asgi.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import socket
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
 from typing import Any
@@ -25,6 +26,9 @@
 KEEP_ALIVE_S = 75
 HEAD_LIMIT_S = 30
 LISTEN_BACKLOG = 1_024
+# Connections over the limit that are open at once to be refused; any further one is
+# closed without an answer, so that a flood of them takes bounded memory.
+REFUSED_LIMIT_COUNT = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +43,11 @@
     """The body was larger than the limit."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyNoRoom:
+    """The body doesn't fit next to the others that are buffered."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BodyLate:
     """The body didn't arrive whole in time."""
@@ -49,7 +58,7 @@
     """The caller closed the connection before the end of the body."""
 
 
-BodyOutcome = Body | BodyTooLarge | BodyLate | CallerGone
+BodyOutcome = Body | BodyTooLarge | BodyNoRoom | BodyLate | CallerGone
 
 
 def header(scope: Scope, name: bytes) -> str | None:
@@ -60,8 +69,58 @@
     return None
 
 
-async def read_body(receive: Receive, limit_bytes: int, timeout_ms: int) -> BodyOutcome:
-    """Reads a request body within a size and a time."""
+class BodyRoom:
+    """Bytes of request bodies that may be buffered at once."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    def take(self, size_bytes: int) -> bool:
+        """Counts bytes if there is room for them."""
+        if self.used_bytes + size_bytes > self.limit_bytes:
+            return False
+        self.used_bytes += size_bytes
+        return True
+
+
+class BodyShare:
+    """What one request has taken of the room; given back by `release`."""
+
+    def __init__(self, room: BodyRoom) -> None:
+        self._room = room
+        self._taken_bytes = 0
+
+    def fits(self, size_bytes: int) -> bool:
+        """Tells whether a body of this size would fit now."""
+        return self._room.used_bytes + size_bytes <= self._room.limit_bytes
+
+    def take(self, size_bytes: int) -> bool:
+        """Counts bytes that have arrived if there is room for them."""
+        if not self._room.take(size_bytes):
+            return False
+        self._taken_bytes += size_bytes
+        return True
+
+    def release(self) -> None:
+        """Gives everything back."""
+        self._room.used_bytes -= self._taken_bytes
+        self._taken_bytes = 0
+
+
+def declared_bytes(scope: Scope) -> int:
+    """Returns the size of the body that a request declares, or 0."""
+    value = header(scope, b"content-length")
+    return int(value) if value is not None and value.isdecimal() else 0
+
+
+async def read_body(
+    receive: Receive,
+    limit_bytes: int,
+    timeout_ms: int,
+    share: BodyShare | None = None,
+) -> BodyOutcome:
+    """Reads a request body within a size, a time and a share of the room."""
     parts: list[bytes] = []
     size_bytes = 0
     with anyio.move_on_after(timeout_ms / 1000):
@@ -73,6 +132,8 @@
             size_bytes += len(part)
             if size_bytes > limit_bytes:
                 return BodyTooLarge()
+            if share is not None and not share.take(len(part)):
+                return BodyNoRoom()
             parts.append(part)
             if not message.get("more_body", False):
                 return Body(b"".join(parts))
@@ -104,18 +165,35 @@
 
 
 class _Protocol(H11Protocol):
-    """`uvicorn`'s protocol with a limit on the time for a request's head.
+    """`uvicorn`'s protocol with limits on open connections and on a head's time.
 
     `uvicorn` limits idle connections after their first response only, so that a
-    caller that sends a head byte by byte would hold its connection for ever.
+    caller that sends a head byte by byte would hold its connection for ever. Over
+    its limit of connections it answers in plain text, on earlier ones as well.
     """
 
     _head_timer: asyncio.TimerHandle | None = None
 
+    def __init__(
+        self, *, limit_count: int | None, refuse: App | None, **arguments: Any
+    ) -> None:
+        super().__init__(**arguments)
+        self._limit_count = limit_count
+        self._refuse = refuse
+
     def connection_made(self, transport: Any) -> None:
         """Starts the time for the first head."""
         super().connection_made(transport)
         self._watch_head()
+        if self._limit_count is None:
+            return
+        excess_count = len(self.connections) - self._limit_count
+        if excess_count > REFUSED_LIMIT_COUNT or (
+            excess_count > 0 and not self._refuse
+        ):
+            self.transport.abort()
+        elif excess_count > 0:
+            self.app = self._refuse
 
     def data_received(self, data: bytes) -> None:
         """Starts the time if only a part of a head has arrived."""
@@ -160,9 +238,19 @@
         address: Address,
         *,
         connections_limit_count: int | None = None,
+        refuse: App | None = None,
         header_limit_bytes: int = 32 * 1024,
     ) -> None:
-        """Binds the address; port 0 takes a free one, see `port`."""
+        """Binds the address; port 0 takes a free one, see `port`.
+
+        Args:
+            app: Serves the requests.
+            address: Where to listen.
+            connections_limit_count: Connections that `app` serves at once.
+            refuse: Answers the first request of each connection over the limit and
+                closes it; without it they are closed at once.
+            header_limit_bytes: Largest head of a request.
+        """
         family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
         # asyncio turns off Nagle's algorithm only for sockets that name TCP. With it
         # the body of a response waits for the acknowledgement of its head, 40 ms.
@@ -180,14 +268,15 @@
                 interface="asgi3",
                 # Forwarding headers are not trusted, and cost time on each request.
                 proxy_headers=False,
-                http=_Protocol,
+                http=functools.partial(
+                    _Protocol, limit_count=connections_limit_count, refuse=refuse
+                ),
                 ws="none",
                 lifespan="off",
                 log_config=None,
                 access_log=False,
                 server_header=False,
                 timeout_keep_alive=KEEP_ALIVE_S,
-                limit_concurrency=connections_limit_count,
                 h11_max_incomplete_event_size=header_limit_bytes,
             )
         )
--- a/cassiapitch/leadership.py
+++ b/cassiapitch/leadership.py
@@ -106,7 +106,7 @@
                 return
             limits = self._limits()
             now_ms = self._now_ms()
-            self._granter = granter.start(term, outcome.floors, limits, now_ms)
+            self._granter = granter.start(term, outcome, limits, now_ms)
         events.log(Event.GRANTER_STARTED, term=term, policy=self._policy)
 
     async def _record(self, current: Granter) -> None:
@@ -156,7 +156,7 @@
         if isinstance(self._granter, Granter):
             granter.set_limits(self._granter, self._limits(), self._now_ms())
         elif self._granter is not None:
-            equalsplit.set_limits(self._granter, self._limits())
+            equalsplit.set_limits(self._granter, self._limits(), self._now_ms())
 
     def _limits(self) -> Limits:
         bundle = self._state.bundle
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -37,7 +37,7 @@
         digest: Digest of its content.
         prefixes: Digests of its prompt's prefixes.
         excluded: Lives that it must not go to.
-        suspect: Whether a backend server crashed while it ran.
+        crashed_lives: Lives of backend servers that crashed while it ran.
         narrow: Whether not every backend server of its queue is a candidate.
         patient: Whether it waits for a candidate although none is expected yet.
         asked_ms: When it was first asked for.
@@ -55,11 +55,16 @@
     digest: RequestDigest
     prefixes: tuple[str, ...] = ()
     excluded: set[LifeId] = dataclasses.field(default_factory=set)
-    suspect: bool = False
+    crashed_lives: set[LifeId] = dataclasses.field(default_factory=set)
     narrow: bool = False
     patient: bool = False
     asked_ms: int | None = None
 
+    @property
+    def suspect(self) -> bool:
+        """Whether a backend server crashed while it ran."""
+        return bool(self.crashed_lives)
+
     @property
     def is_special(self) -> bool:
         """Whether others may be served while this one finds no backend server."""
@@ -216,6 +221,8 @@
 
     def _place(self, wanted: Wanted, now_ms: int) -> Slot | None:
         candidates = list(self._allowed(wanted, now_ms))
+        if wanted.suspect:
+            candidates = self._preferred(candidates, wanted, now_ms)
         backend = self._router.choose(
             candidates, wanted.priority, wanted.prefixes, now_ms
         )
@@ -237,6 +244,20 @@
                 continue
             yield backend
 
+    def _preferred(
+        self, candidates: list[BackendItem], wanted: Wanted, now_ms: int
+    ) -> list[BackendItem]:
+        """Returns the free candidate that all entries prefer for a suspect."""
+        free = [
+            backend
+            for backend in candidates
+            if self._router.has_room(backend, wanted.priority, now_ms)
+        ]
+        free.sort(
+            key=lambda item: self._suspicion.preference(item.life_id, wanted.digest)
+        )
+        return free[-1:]
+
     def _hopeless(self, wanted: Wanted, now_ms: int) -> NoSlot | None:
         """Returns a refusal where no candidate comes before the deadline."""
         usable = [
