Repeat the crashing request beside streams of every entry

Alone, the repeated request didn't meet the window in which an entry's view lacks the quarantine, so that its proof stayed green without the wait. Ruled out: more repeats alone; the window opens only once, after the second crash.

--- a/tests/test_system_engines.py
+++ b/tests/test_system_engines.py
@@ -74,7 +74,15 @@
         deaths = []
         async with anyio.create_task_group() as group:
             group.start_soon(restart_dead, world, deaths)
-            replies = await crash(world, "alone", ATTEMPT_COUNT)
+            # Streams beside it make every entry notice a crash, and views change.
+            beside = [Stream() for _ in range(INNOCENT_COUNT)]
+            for number, stream in enumerate(beside):
+                entry = world.deployment.entries[number % 3]
+                call = (world, entry, world.keys["jersey-shop"], stream)
+                group.start_soon(_receive_text, *call, f"beside {number}")
+            for stream in beside:
+                await stream.wait_for_chunks(5)
+            replies = await crash(world, "repeated", ATTEMPT_COUNT)
             await anyio.sleep(0.5)
             group.cancel_scope.cancel()
         assert 1 <= len(deaths) <= LIVES_LIMIT, [one.code for one in replies]
