--- a/bench/faults.py
+++ b/bench/faults.py
@@ -11,6 +11,7 @@
 
 LEADER = "leader"
 LEADER_TIMEOUT_MS = 20_000
+END_TIMEOUT_MS = 60_000
 
 Say = Callable[[str], None]
 
@@ -53,6 +54,8 @@
         elif fault.action is FaultAction.STOP:
             process.signal(signal.SIGTERM)
         elif fault.action is FaultAction.START:
+            # A stopped process may still finish its requests.
+            await self._deployment.wait_for_end(target, END_TIMEOUT_MS)
             process.start()
         elif fault.action is FaultAction.FREEZE:
             process.signal(signal.SIGSTOP)
--- a/demo/plan.py
+++ b/demo/plan.py
@@ -105,3 +105,8 @@
         check_text=True,
         health_period_ms=100,
     )
+
+
+def load_share(account: str) -> float:
+    """Returns the demo's load of an account as a share of its rate."""
+    return _LOAD[account][0]
--- a/testbed/catalogue.py
+++ b/testbed/catalogue.py
@@ -8,6 +8,7 @@
 ENGINE_MEMORY_MIB = 40_960
 ROLES = ("kit-assistant", "shopfront")
 SERVICE_ROLE = "order-desk"
+_STORE = {"loads_per_s": 4.0, "loads_in_flight_count": 4}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,12 +20,16 @@
         models: Maps each model to its role.
         adapters: Maps each adapter to its model.
         accounts: Maps each client account to rate, burst and weight.
+        roles: The two engine roles.
+        store: Limits of the weight store, as in the bundle.
     """
 
     credentials: dict[str, str]
     models: dict[str, str]
     adapters: dict[str, str]
     accounts: dict[str, tuple[int, int, int]]
+    roles: tuple[str, str] = ROLES
+    store: dict[str, Any] = dataclasses.field(default_factory=lambda: dict(_STORE))
 
     def document(self, version: int, **sections: Any) -> dict[str, Any]:
         """Returns a bundle; `sections` replace its own ones."""
@@ -33,11 +38,11 @@
                 "name": name,
                 "kind": "engine",
                 # One role's engines ignore fencing, as some real ones do.
-                "fencing": name == ROLES[0],
+                "fencing": name == self.roles[0],
                 "credential_sha256": keygen.digest(self.credentials[name]),
                 "memory_limit_mib": ENGINE_MEMORY_MIB,
             }
-            for name in ROLES
+            for name in self.roles
         ]
         service_role = {
             "name": SERVICE_ROLE,
@@ -76,7 +81,7 @@
                     "/orders/team", "POST", is_idempotent=False, is_open=False, cost=50
                 ),
             ],
-            "store": {"loads_per_s": 4.0, "loads_in_flight_count": 4},
+            "store": self.store,
         }
         return {**document, **sections}
 
@@ -95,15 +100,17 @@
     }
 
 
-def make_catalogue(model_count: int, adapter_count: int) -> Catalogue:
+def make_catalogue(
+    model_count: int, adapter_count: int, roles: tuple[str, str] = ROLES
+) -> Catalogue:
     """Returns a catalogue with five client accounts, two of them large."""
-    models = {f"model-{number:02d}": ROLES[number % 2] for number in range(model_count)}
+    models = {f"model-{number:02d}": roles[number % 2] for number in range(model_count)}
     names = list(models)
     adapters = {
         f"adapter-{number:02d}": names[number % min(4, model_count)]
         for number in range(adapter_count)
     }
-    credentials = {name: keygen.new_key() for name in (*ROLES, SERVICE_ROLE)}
+    credentials = {name: keygen.new_key() for name in (*roles, SERVICE_ROLE)}
     accounts = {
         "jersey-shop": (12_000, 36_000, 5),
         "team-portal": (9_000, 27_000, 4),
@@ -111,4 +118,4 @@
         "mockup-batch": (1_500, 6_000, 1),
         "store-kiosk": (200, 600, 1),
     }
-    return Catalogue(credentials, models, adapters, accounts)
+    return Catalogue(credentials, models, adapters, accounts, roles)
--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -13,7 +13,7 @@
 from cassiapitch import certificates, keygen, timers
 from cassiapitch.client import AdminPeer, Client, Done, Outcome
 from cassiapitch.settings import Address
-from testbed.catalogue import ENGINE_MEMORY_MIB, ROLES, SERVICE_ROLE, Catalogue
+from testbed.catalogue import ENGINE_MEMORY_MIB, SERVICE_ROLE, Catalogue
 from testbed.ports import LOOPBACK
 from testbed.processes import ROOT, ManagedProcess, ProcessGroup
 
@@ -31,11 +31,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Size:
-    """How many processes of each kind a deployment has."""
+    """How many processes of each kind a deployment has.
+
+    Attributes:
+        control_count: Control members.
+        entry_count: Entries.
+        engine_count: Stand-in engines.
+        first_role_count: How many of the engines have the first role.
+        service_count: Stand-in plain services.
+    """
 
     control_count: int = 3
     entry_count: int = 6
     engine_count: int = 8
+    first_role_count: int = 5
     service_count: int = 1
 
 
@@ -169,9 +178,10 @@
             }
             self._add(name, "cassiapitch.entry", settings)
         for number, name in enumerate(self.engines):
-            # Five of eight engines have the first role, as at the first user.
-            is_first = number % 8 in (0, 1, 3, 4, 6)
-            role = ROLES[0] if is_first else ROLES[1]
+            # Neighbours are in different zones, so consecutive engines of one role
+            # spread over all zones and no role is lost with one zone.
+            is_first = number < self.size.first_role_count
+            role = self.catalogue.roles[0 if is_first else 1]
             self._add_standin(name, "engine", role, fencing=is_first)
         for name in self.services:
             self._add_standin(name, "service", SERVICE_ROLE, fencing=False)
