Make the load report's plots readable and print the measures as tables

Fault labels crossed the frame and their line, the legend covered curves, a narrow range of times had ticks such as 6 x 10^1, and a class had different colours in the two latency panels; seen on a report of the leader-killed case.

--- /dev/null
+++ b/bench/tables.py
@@ -0,0 +1,150 @@
+"""Prints the tables of docs/MEASUREMENTS.md from the bench's results.
+
+python -m bench.tables FOLDER
+"""
+
+import json
+import pathlib
+import sys
+from typing import Any
+
+from bench import plans
+from cassiapitch.loadreport import RESULT_NAME, format_value
+
+# The stated targets; a measured figure never changes them.
+REFUSALS_LIMITS = {"leader-killed": 0.01}
+REFUSALS_LIMIT = 0.001
+WORST_SERVED_LIMIT = 0.95
+
+_HEADS = (
+    "variant",
+    "attained per s and accelerator",
+    "model moves",
+    "attainment",
+    "worst-served account within its rate",
+    "its attainment",
+    "calls within rate",
+    "refused within rate",
+    "share",
+    "kinds",
+    "first token p95 ms",
+    "doubled",
+    "cut",
+    "broken off",
+)
+
+
+def main() -> int:
+    folder = pathlib.Path(sys.argv[1])
+    for deployment in plans.DEPLOYMENTS:
+        for case in plans.CASES:
+            _print_case(folder / deployment.name / case.name, deployment, case)
+    return 0
+
+
+def _print_case(
+    folder: pathlib.Path, deployment: plans.DeploymentPlan, case: plans.Case
+) -> None:
+    documents = {
+        variant.name: json.loads((folder / variant.name / RESULT_NAME).read_text())
+        for variant in plans.VARIANTS
+        if (folder / variant.name / RESULT_NAME).exists()
+    }
+    if not documents:
+        return
+    first = next(iter(documents.values()))
+    print(f"### {deployment.name}: {case.name}\n")
+    print(f"Seed {first['seed']}, {first['duration_ms'] / 1000:g} s of load.\n")
+    print("| " + " | ".join(_HEADS) + " |")
+    print("| --- " * len(_HEADS) + "|")
+    for variant, document in documents.items():
+        cells = (format_value(cell) for cell in _cells(document, case))
+        print(f"| {variant} | " + " | ".join(cells) + " |")
+    print()
+    if "product" in documents:
+        print("\n".join(_verdicts(documents["product"], case)) + "\n")
+
+
+def _within_rate(document: dict[str, Any]) -> int:
+    return sum(item["within_rate_count"] for item in document["accounts"].values())
+
+
+def _worst(document: dict[str, Any], case: plans.Case) -> tuple[str, float]:
+    """Returns the worst-served account among those that keep to their rate."""
+    shares = {
+        name: item["attainment"]
+        for name, item in document["accounts"].items()
+        if name not in case.factors and item["attainment"] is not None
+    }
+    name = min(shares, key=lambda item: shares[item])
+    return name, shares[name]
+
+
+def _kinds(document: dict[str, Any]) -> dict[str, int]:
+    kinds: dict[str, int] = {}
+    for item in document["accounts"].values():
+        for kind, count in item["refused_within_rate"].items():
+            kinds[kind] = kinds.get(kind, 0) + count
+    return kinds
+
+
+def _cells(document: dict[str, Any], case: plans.Case) -> list[Any]:
+    measures, integrity = document["measures"], document["integrity"]
+    first_token = document["classes"]["fit-advice"]["first_token_ms"]
+    kinds = _kinds(document)
+    return [
+        measures["attained_per_s_and_accelerator"],
+        measures["model_moves_count"],
+        measures["attainment"],
+        *_worst(document, case),
+        _within_rate(document),
+        measures["refused_within_rate_count"],
+        measures["refused_within_rate_share"],
+        ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())) or "-",
+        first_token and first_token["p95"],
+        integrity.get("doubled_runs_count"),
+        integrity.get("cut_answers_count"),
+        integrity.get("broken_off_answers_count"),
+    ]
+
+
+def _refused_share(document: dict[str, Any], names: set[str]) -> tuple[int, int, float]:
+    """Returns refused calls within the rate, all calls within it and the share."""
+    accounts = [document["accounts"][name] for name in sorted(names)]
+    refused = sum(sum(item["refused_within_rate"].values()) for item in accounts)
+    within = sum(item["within_rate_count"] for item in accounts)
+    return refused, within, refused / within
+
+
+def _verdicts(document: dict[str, Any], case: plans.Case) -> list[str]:
+    integrity = document["integrity"]
+    limit = REFUSALS_LIMITS.get(case.name, REFUSALS_LIMIT)
+    names = set(document["accounts"])
+    groups = {"all accounts": names}
+    if case.factors:
+        groups["accounts at 90% of their rate"] = names - set(case.factors)
+    lines = []
+    for group, members in groups.items():
+        refused, within, share = _refused_share(document, members)
+        text = f"refusals within the rate at most {limit:.1%}, {group}"
+        lines.append(_verdict(text, f"{refused} of {within}", share <= limit))
+    doubled = integrity.get("doubled_runs_count")
+    lines.append(_verdict("nothing run twice", doubled, doubled == 0))
+    if case.name == "five-times-rate":
+        name, share = _worst(document, case)
+        text = f"worst-served account ({name}) at least {WORST_SERVED_LIMIT:.0%}"
+        lines.append(_verdict(text, share, share >= WORST_SERVED_LIMIT))
+    if case.name in ("rolling-restart", "bundle-rolled"):
+        cut = integrity.get("cut_answers_count", 0)
+        cut += integrity.get("broken_off_answers_count", 0)
+        lines.append(_verdict("no call cut by a graceful stop", cut, cut == 0))
+    return lines
+
+
+def _verdict(text: str, value: Any, is_met: bool) -> str:
+    verdict = "met" if is_met else "**missed**"
+    return f"* Product, {text}: {format_value(value)}, {verdict}."
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cassiapitch/loadreport.py
+++ b/cassiapitch/loadreport.py
@@ -170,40 +170,50 @@
         axes.plot(range(len(values)), values, label=name)
     for fault in document["faults"]:
         axes.axvline(fault["at_ms"] / 1000, color="tab:red", linestyle=":")
-        axes.text(
-            fault["at_ms"] / 1000,
-            axes.get_ylim()[1],
+        # Beside the line and below the frame, so that neither crosses the text.
+        axes.annotate(
             f"{fault['action']} {fault['target']}",
+            (fault["at_ms"] / 1000, 1),
+            xycoords=("data", "axes fraction"),
+            xytext=(3, -4),
+            textcoords="offset points",
             rotation=90,
             va="top",
-            fontsize=7,
+            fontsize=8,
         )
     for shift in document["shifts"]:
         axes.axvline(shift["at_ms"] / 1000, color="tab:gray", linestyle="--")
     axes.set_xlabel("seconds from the start")
     axes.set_ylabel("calls a second")
-    axes.set_title(document["experiment"])
-    axes.legend()
+    variant = document.get("variant")
+    axes.set_title(document["experiment"] + (f", {variant}" if variant else ""))
+    figure.legend(*axes.get_legend_handles_labels(), loc="outside right upper")
     figure.savefig(path, dpi=120)
 
 
 def _plot_latency(document: dict[str, Any], path: pathlib.Path) -> None:
     from matplotlib.figure import Figure
+    from matplotlib.ticker import LogLocator, NullFormatter, ScalarFormatter
 
     figure = Figure(figsize=(9, 4), layout="constrained")
     panels = figure.subplots(1, 2)
     shown = (("first_token_ms", panels[0]), ("token_gap_ms", panels[1]))
     heads = [f"p{percentile:g}" for percentile in PERCENTILES]
     for name, axes in shown:
-        for group, item in document["classes"].items():
+        for number, (group, item) in enumerate(document["classes"].items()):
             if item[name] is not None:
                 values = [item[name][head] for head in heads]
-                axes.plot(heads, values, marker="o", label=group)
+                color = f"C{number}"
+                axes.plot(heads, values, marker="o", label=group, color=color)
         axes.set_yscale("log")
+        # Plain numbers; a narrow range would show ticks such as 6 x 10^1.
+        axes.yaxis.set_major_locator(LogLocator(subs=(1, 2, 5)))
+        axes.yaxis.set_major_formatter(ScalarFormatter())
+        axes.yaxis.set_minor_formatter(NullFormatter())
         axes.set_title(dict(_TIMES)[name])
         axes.set_ylabel("milliseconds")
-        if axes.lines:
-            axes.legend(fontsize=7)
+    # Both panels show each class in the same colour, beside the curves.
+    figure.legend(*panels[0].get_legend_handles_labels(), loc="outside right upper")
     figure.savefig(path, dpi=120)
 
 
