--- a/bench/run.py
+++ b/bench/run.py
@@ -193,12 +193,12 @@
 
 
 _COLUMNS = {
-    "attained": "attainment",
+    "attain": "attainment",
     "per s": "attained_per_s_and_accelerator",
     "moves": "model_moves_count",
     "refused": "refused_within_rate_count",
     "worst": "worst_served_account",
-    "its share": "worst_served_attainment",
+    "share": "worst_served_attainment",
     "cut": "cut_answers_count",
     "ended": "broken_off_answers_count",
     "doubled": "doubled_runs_count",
@@ -208,7 +208,13 @@
 
 def _print_summary(results: Results) -> None:
     for planned in plans.DEPLOYMENTS:
-        table = Table(title=planned.name, title_justify="left", box=box.SIMPLE)
+        table = Table(
+            title=planned.name,
+            title_justify="left",
+            box=box.SIMPLE,
+            collapse_padding=True,
+            pad_edge=False,
+        )
         for head in ("case", "variant"):
             table.add_column(head, no_wrap=True)
         for head in _COLUMNS:
