Refuse a quarantined request at once

Cause: the refusal of a request that was just quarantined was held back for 1,800 ms so that every entry knew of it before its caller could repeat it. A request that is given up must get its answer at once. Before: refusal after 1,800 ms.

--- a/cassiapitch/calls.py
+++ b/cassiapitch/calls.py
@@ -127,7 +127,7 @@
     ErrorKind.KEY_MISSING: "send a key: Authorization: Bearer <key>",
     ErrorKind.KEY_UNKNOWN: "the key is not known",
     ErrorKind.KEY_WITHDRAWN: "the key was withdrawn",
-    ErrorKind.AUTHORIZATION_UNCONFIRMED: "the key could not be confirmed in time",
+    ErrorKind.AUTHORIZATION_UNCONFIRMED: "the view could not be confirmed in time",
     ErrorKind.MODEL_LOADING: "the model is not loaded yet",
     ErrorKind.NO_BACKEND_SERVER: "no backend server can be reached",
     ErrorKind.OVERLOADED: "too many requests wait for this model",
--- a/cassiapitch/crashes.py
+++ b/cassiapitch/crashes.py
@@ -4,9 +4,11 @@
 
 import anyio
 
-from cassiapitch import events, freshness, timers
+from cassiapitch import events, timers
+from cassiapitch.calls import refused
 from cassiapitch.entrystate import EntryState
 from cassiapitch.messages import BackendItem, CrashAnswer, CrashReport, SuspectCleared
+from cassiapitch.outcomes import ErrorKind
 from cassiapitch.scheduler import Wanted
 from cassiapitch.suspicion import QUARANTINE_CRASHES_COUNT
 from cassiapitch.types import LifeId, RequestDigest
@@ -33,9 +35,7 @@
         """Reports that `backend` crashed while `digest` ran on it.
 
         A request is run again only once the report is recorded, since the next
-        crash must be recognised as its second, whoever retries it. A caller hears of
-        a quarantine only when no entry serves from a view without it any more;
-        otherwise its repeat through another entry can end a third life.
+        crash must be recognised as its second, whoever retries it.
         """
         life_id = backend.life_id
         digests = self._state.suspicion.crashed(life_id, timers.now_ms())
@@ -49,10 +49,25 @@
         if not recorded:
             return Verdict.UNRECORDED
         if self.crash_count(digest) >= QUARANTINE_CRASHES_COUNT:
-            await anyio.sleep(freshness.LIMIT_MS / 1000)
             return Verdict.QUARANTINED
         return Verdict.RETRY
 
+    async def admit_suspect(self, digest: RequestDigest) -> None:
+        """Lets a suspect run only on a view that was confirmed after this call.
+
+        The caller of a request that was just quarantined may repeat it at once
+        through another entry, whose view doesn't show the second crash yet.
+
+        Raises:
+            CallRefusedError: It is quarantined, or nobody confirmed the view.
+        """
+        if not self.crash_count(digest):
+            return
+        if not await self._state.wait_confirmed_since(timers.now_ms()):
+            raise refused(ErrorKind.AUTHORIZATION_UNCONFIRMED)
+        if self.crash_count(digest) >= QUARANTINE_CRASHES_COUNT:
+            raise refused(ErrorKind.REQUEST_QUARANTINED)
+
     def crash_count(self, digest: RequestDigest) -> int:
         """Returns the known crashes under a digest."""
         item = self._state.catalog.suspects.get(digest)
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -100,6 +100,7 @@
         """
         self._call.course.step("admit")
         while not self.answer.is_complete:
+            await self._crashes.admit_suspect(self._wanted.digest)
             slot = await self._state.scheduler.acquire(self._wanted)
             if isinstance(slot, NoSlot):
                 raise self._no_slot(slot)
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -142,6 +142,7 @@
         self._call.course.step("admit")
         wanted = self._make_wanted()
         while True:
+            await self._crashes.admit_suspect(wanted.digest)
             slot = await self._state.scheduler.acquire(wanted)
             if isinstance(slot, NoSlot):
                 raise self._no_slot(slot)
--- a/tests/test_system_engines.py
+++ b/tests/test_system_engines.py
@@ -9,7 +9,7 @@
 from testbed.deployment import Size
 from tests.system_world import MODEL, Stream, receive, running, until
 
-ENGINES = ("engine-1", "engine-2", "engine-4", "engine-5")
+ENGINES = ("engine-1", "engine-2", "engine-3", "engine-4")
 LIVES_LIMIT = 2
 ATTEMPT_COUNT = 8
 LEAVING_MS = 2_000
@@ -20,7 +20,13 @@
 
 @pytest.fixture(scope="module")
 def world(tmp_path_factory):
-    size = Size(control_count=3, entry_count=3, engine_count=5, service_count=1)
+    size = Size(
+        control_count=3,
+        entry_count=3,
+        engine_count=5,
+        first_role_count=len(ENGINES),
+        service_count=1,
+    )
     with running(tmp_path_factory.mktemp("system"), size) as world:
         world.run(load_everywhere)
         yield world
--- a/tests/test_system_placement.py
+++ b/tests/test_system_placement.py
@@ -31,7 +31,13 @@
 
 @pytest.fixture
 def world(tmp_path):
-    size = Size(control_count=3, entry_count=2, engine_count=3, service_count=1)
+    size = Size(
+        control_count=3,
+        entry_count=2,
+        engine_count=3,
+        first_role_count=len(FENCED),
+        service_count=1,
+    )
     with running(tmp_path, size, models=len(OLD)) as world:
         yield world
 
