Count failed connections and calls that had not ended

The tables showed cut and broken-off answers only. Stand-ins without a dump are named, since a doubled run on them would not be seen. No bound is changed.

--- a/bench/tables.py
+++ b/bench/tables.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from bench import plans
+from cassiapitch.loadcaller import Ending
 from cassiapitch.loadreport import RESULT_NAME, format_value
 
 # The stated targets; a measured figure never changes them.
@@ -31,6 +32,8 @@
     "doubled",
     "cut",
     "broken off",
+    "connection failed",
+    "not ended",
 )
 
 
@@ -105,9 +108,17 @@
         integrity.get("doubled_runs_count"),
         integrity.get("cut_answers_count"),
         integrity.get("broken_off_answers_count"),
+        _ended(document, Ending.CONNECTION_FAILED),
+        _ended(document, Ending.TIMED_OUT),
     ]
 
 
+def _ended(document: dict[str, Any], ending: Ending) -> int:
+    """Returns how many calls ended so."""
+    accounts = document["accounts"].values()
+    return sum(item["endings"].get(ending, 0) for item in accounts)
+
+
 def _refused_share(document: dict[str, Any], names: set[str]) -> tuple[int, int, float]:
     """Returns refused calls within the rate, all calls within it and the share."""
     accounts = [document["accounts"][name] for name in sorted(names)]
@@ -130,6 +141,12 @@
         lines.append(_verdict(text, f"{refused} of {within}", share <= limit))
     doubled = integrity.get("doubled_runs_count")
     lines.append(_verdict("nothing run twice", doubled, doubled == 0))
+    # A stand-in that was killed has no dump, so what it ran isn't counted.
+    unreachable = integrity.get("unreachable_standins_count", 0)
+    if unreachable:
+        lines.append(
+            f"* {unreachable} stand-ins gave no dump: what they ran is unknown."
+        )
     if case.name == "five-times-rate":
         name, share = _worst(document, case)
         text = f"worst-served account ({name}) at least {WORST_SERVED_LIMIT:.0%}"
@@ -137,6 +154,7 @@
     if case.name in ("rolling-restart", "bundle-rolled"):
         cut = integrity.get("cut_answers_count", 0)
         cut += integrity.get("broken_off_answers_count", 0)
+        cut += _ended(document, Ending.CONNECTION_FAILED)
         lines.append(_verdict("no call cut by a graceful stop", cut, cut == 0))
     return lines
 
