Claim a backend server in the log before a suspect runs on it

Cause: "one suspect at a time on a backend server" was kept by each entry for itself, so that an innocent suspect of one entry met the crashing one of another and both were quarantined by the second crash. Before: a suspect ran without a claim.

--- a/cassiapitch/commands.py
+++ b/cassiapitch/commands.py
@@ -8,7 +8,13 @@
 
 from cassiapitch import codec
 from cassiapitch.bundle import Bundle
-from cassiapitch.types import AccountName, ClaimState, LifeId, RequestDigest
+from cassiapitch.types import (
+    AccountName,
+    ClaimState,
+    LifeId,
+    RequestDigest,
+    SuspectRun,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,6 +123,23 @@
     limits: dict[AccountName, tuple[int, int]] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimSuspectRun:
+    """Claims a life of a backend server for one run of a suspect."""
+
+    digest: RequestDigest
+    life_id: LifeId
+    holder: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseSuspectRun:
+    """Ends the claim of a run."""
+
+    life_id: LifeId
+    holder: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpireRecords:
     """Ends what is past its time; log time advances only with log entries."""
@@ -200,6 +223,13 @@
     crash_counts: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectRunResult:
+    """Whether the suspect may run on the claimed life."""
+
+    outcome: SuspectRun
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FloorsRecorded:
     """Floors in force, or none if the record came from an older granter."""
@@ -237,6 +267,9 @@
     ReleaseClaim,
     ReportCrash,
     ClearSuspect,
+    ClaimSuspectRun,
+    ReleaseSuspectRun,
+    SuspectRunResult,
     RecordFloors,
     ExpireRecords,
     CommandBatch,
--- a/cassiapitch/crashes.py
+++ b/cassiapitch/crashes.py
@@ -7,13 +7,21 @@
 from cassiapitch import events, timers
 from cassiapitch.calls import refused
 from cassiapitch.entrystate import EntryState
-from cassiapitch.messages import BackendItem, CrashAnswer, CrashReport, SuspectCleared
+from cassiapitch.messages import (
+    BackendItem,
+    CrashAnswer,
+    CrashReport,
+    SuspectCleared,
+    SuspectRunAsk,
+    SuspectRunEnded,
+)
 from cassiapitch.outcomes import ErrorKind
-from cassiapitch.scheduler import Wanted
+from cassiapitch.scheduler import NoSlot, Slot, Wanted
 from cassiapitch.suspicion import QUARANTINE_CRASHES_COUNT
-from cassiapitch.types import LifeId, RequestDigest
+from cassiapitch.types import LifeId, RequestDigest, SuspectRun
 
 REPORT_LIMIT_MS = 3_000
+RUN_RETRY_MS = 100
 
 
 class Verdict(enum.Enum):
@@ -52,21 +60,55 @@
             return Verdict.QUARANTINED
         return Verdict.RETRY
 
-    async def admit_suspect(self, digest: RequestDigest) -> None:
-        """Lets a suspect run only on a view that was confirmed after this call.
+    async def acquire(self, wanted: Wanted, holder: str) -> Slot | NoSlot:
+        """Returns a slot; for a suspect, one that no other suspect has at any entry.
 
-        The caller of a request that was just quarantined may repeat it at once
-        through another entry, whose view doesn't show the second crash yet.
+        The claim is made in the log. It also shows a quarantine that this entry's
+        view lacks, for instance when the caller repeats a request at once through
+        another entry.
 
         Raises:
-            CallRefusedError: It is quarantined, or nobody confirmed the view.
+            CallRefusedError: The suspect is quarantined.
         """
-        if not self.crash_count(digest):
-            return
-        if not await self._state.wait_confirmed_since(timers.now_ms()):
-            raise refused(ErrorKind.AUTHORIZATION_UNCONFIRMED)
-        if self.crash_count(digest) >= QUARANTINE_CRASHES_COUNT:
-            raise refused(ErrorKind.REQUEST_QUARANTINED)
+        while True:
+            slot = await self._state.scheduler.acquire(wanted)
+            if isinstance(slot, NoSlot) or not wanted.suspect:
+                return slot
+            outcome = None
+            try:
+                outcome = await self._claim_run(wanted, slot, holder)
+            finally:
+                if outcome is not SuspectRun.GRANTED:
+                    self.release(slot, holder, completed=False)
+            if outcome is SuspectRun.GRANTED:
+                return slot
+            if outcome is SuspectRun.QUARANTINED:
+                raise refused(ErrorKind.REQUEST_QUARANTINED)
+            wanted.denied_count += 1
+            if timers.now_ms() >= wanted.deadline_ms:
+                return NoSlot(ErrorKind.DEADLINE_EXCEEDED)
+            await anyio.sleep(RUN_RETRY_MS / 1000)
+
+    def release(self, slot: Slot, holder: str, *, completed: bool) -> None:
+        """Gives a slot back, and with it the claim of a suspect's run."""
+        life_id = slot.backend.life_id
+        if slot.wanted.suspect:
+            self._state.asks.tell(
+                lambda sequence: SuspectRunEnded(sequence, life_id, holder)
+            )
+        self._state.scheduler.release(slot, completed=completed)
+
+    async def _claim_run(
+        self, wanted: Wanted, slot: Slot, holder: str
+    ) -> SuspectRun | None:
+        answer = await self._state.asks.ask(
+            lambda sequence: SuspectRunAsk(
+                sequence, wanted.digest, slot.backend.life_id, holder
+            ),
+            lambda answer: answer.outcome is not None,
+            REPORT_LIMIT_MS,
+        )
+        return None if answer is None else answer.outcome
 
     def crash_count(self, digest: RequestDigest) -> int:
         """Returns the known crashes under a digest."""
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -22,6 +22,7 @@
     LinkHello,
     LoadReports,
     RateGrants,
+    SuspectRunAnswer,
     ViewDelta,
     ViewSnapshot,
 )
@@ -128,7 +129,7 @@
             return self._apply(slot, message)
         elif isinstance(message, RateGrants):
             self.state.take_grants(message)
-        elif isinstance(message, ClaimAnswer | CrashAnswer):
+        elif isinstance(message, ClaimAnswer | CrashAnswer | SuspectRunAnswer):
             self.state.asks.answered(message)
         elif isinstance(message, LoadReports) and slot == PRIMARY:
             # Both links bring the same reports; a second copy would pass for a
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -100,8 +100,7 @@
         """
         self._call.course.step("admit")
         while not self.answer.is_complete:
-            await self._crashes.admit_suspect(self._wanted.digest)
-            slot = await self._state.scheduler.acquire(self._wanted)
+            slot = await self._crashes.acquire(self._wanted, self._call.request_id)
             if isinstance(slot, NoSlot):
                 raise self._no_slot(slot)
             self._call.course.step("route")
@@ -109,7 +108,8 @@
             try:
                 end = await self._attempt(slot.backend)
             finally:
-                self._state.scheduler.release(slot, completed=end is End.COMPLETE)
+                completed = end is End.COMPLETE
+                self._crashes.release(slot, self._call.request_id, completed=completed)
             if end is not End.COMPLETE:
                 await self._prepare_retry(end, slot)
         self._call.course.step("complete")
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -32,6 +32,9 @@
     RateAsk,
     RelayedGrants,
     SuspectCleared,
+    SuspectRunAnswer,
+    SuspectRunAsk,
+    SuspectRunEnded,
     ViewSnapshot,
 )
 from cassiapitch.replicated import ReplicatedState
@@ -54,6 +57,8 @@
     ClaimRelease,
     CrashReport,
     SuspectCleared,
+    SuspectRunAsk,
+    SuspectRunEnded,
     DemandReport,
 )
 
@@ -231,6 +236,8 @@
                 self._propose(link, message, _claim_answer)
             case CrashReport() | SuspectCleared():
                 self._propose(link, message, _crash_answer)
+            case SuspectRunAsk() | SuspectRunEnded():
+                self._propose(link, message, _run_answer)
             case _:
                 self._close(link, f"unexpected message {type(message).__name__}")
 
@@ -314,6 +321,12 @@
             )
         case CrashReport():
             return commands.ReportCrash(message.life_id, message.digests)
+        case SuspectRunAsk():
+            return commands.ClaimSuspectRun(
+                message.digest, message.life_id, message.holder
+            )
+        case SuspectRunEnded():
+            return commands.ReleaseSuspectRun(message.life_id, message.holder)
         case _:
             return commands.ClearSuspect(message.digest, message.lives)
 
@@ -330,3 +343,9 @@
     if not isinstance(result, commands.SuspectResult):
         return CrashAnswer(sequence, False, ())
     return CrashAnswer(sequence, True, result.crash_counts)
+
+
+def _run_answer(sequence: int, result: Any | None) -> SuspectRunAnswer:
+    if not isinstance(result, commands.SuspectRunResult):
+        return SuspectRunAnswer(sequence, None)
+    return SuspectRunAnswer(sequence, result.outcome)
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -17,6 +17,7 @@
     Priority,
     RequestDigest,
     RoleKind,
+    SuspectRun,
 )
 
 # The view: what entries know of the replicated state.
@@ -336,6 +337,32 @@
     lives: tuple[LifeId, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectRunAsk:
+    """Claims a life of a backend server before a suspect is sent to it.
+
+    Attributes:
+        sequence: Number of this ask on the link.
+        digest: The suspect.
+        life_id: The life that it is to run on.
+        holder: The call that runs it.
+    """
+
+    sequence: int
+    digest: RequestDigest
+    life_id: LifeId
+    holder: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectRunEnded:
+    """Ends the claim of a suspect's run."""
+
+    sequence: int
+    life_id: LifeId
+    holder: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelDemand:
     """Demand for one model at one entry since its last report.
@@ -441,6 +468,19 @@
     crash_counts: tuple[int, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectRunAnswer:
+    """Answers `SuspectRunAsk` and `SuspectRunEnded`.
+
+    Attributes:
+        sequence: Sequence of the ask.
+        outcome: None if the control group could not decide in time.
+    """
+
+    sequence: int
+    outcome: SuspectRun | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
     """A backend server's own, lagging report."""
@@ -599,6 +639,9 @@
     ClaimRelease,
     CrashReport,
     SuspectCleared,
+    SuspectRunAsk,
+    SuspectRunEnded,
+    SuspectRunAnswer,
     DemandReport,
     Confirmed,
     RateGrants,
--- a/cassiapitch/replicated.py
+++ b/cassiapitch/replicated.py
@@ -64,6 +64,7 @@
     claims: tuple[claims.Claim, ...]
     releases: tuple[claims.Release, ...]
     suspects: tuple[suspects.Suspect, ...]
+    suspect_runs: tuple[suspects.Run, ...]
     floors: floors.Floors
     fleet: bytes
 
@@ -139,6 +140,10 @@
                 return suspects.report(self.suspects, command, time_ms)
             case commands.ClearSuspect():
                 return suspects.clear(self.suspects, command)
+            case commands.ClaimSuspectRun():
+                return suspects.claim_run(self.suspects, command, time_ms)
+            case commands.ReleaseSuspectRun():
+                return suspects.release_run(self.suspects, command)
             case commands.RecordFloors():
                 return floors.record(self.floors, command), {}
             case commands.ExpireRecords():
@@ -221,6 +226,7 @@
                 tuple(self.claims.table.values()),
                 tuple(self.claims.releases.values()),
                 tuple(self.suspects.table.values()),
+                tuple(self.suspects.runs.values()),
                 self.floors,
                 self._fleet.snapshot(),
             )
@@ -248,7 +254,7 @@
             saved.accounts, saved.bundle, saved.granted, saved.withdrawn
         )
         self.claims = claims.load(saved.claims, saved.releases)
-        self.suspects = suspects.load(saved.suspects)
+        self.suspects = suspects.load(saved.suspects, saved.suspect_runs)
         self.floors = saved.floors
         if saved.bundle is not None:
             self._fleet.set_bundle(saved.bundle)
@@ -259,7 +265,7 @@
 
     def has_pending_expiry(self) -> bool:
         """Tells whether `ExpireRecords` may have something to end."""
-        return bool(self.suspects.table or self.claims.releases)
+        return bool(self.suspects.table or self.suspects.runs or self.claims.releases)
 
 
 def _bundle_item(record: commands.BundleAccepted) -> BundleItem:
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -41,6 +41,7 @@
         narrow: Whether not every backend server of its queue is a candidate.
         patient: Whether it waits for a candidate although none is expected yet.
         asked_ms: When it was first asked for.
+        denied_count: How often a suspect found its backend server taken by another.
     """
 
     name: str
@@ -59,6 +60,7 @@
     narrow: bool = False
     patient: bool = False
     asked_ms: int | None = None
+    denied_count: int = 0
 
     @property
     def suspect(self) -> bool:
@@ -254,7 +256,9 @@
             if self._router.has_room(backend, wanted.priority, now_ms)
         ]
         free.sort(
-            key=lambda item: self._suspicion.preference(item.life_id, wanted.digest)
+            key=lambda item: self._suspicion.preference(
+                item.life_id, wanted.digest, wanted.denied_count
+            )
         )
         return free[-1:]
 
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -142,8 +142,7 @@
         self._call.course.step("admit")
         wanted = self._make_wanted()
         while True:
-            await self._crashes.admit_suspect(wanted.digest)
-            slot = await self._state.scheduler.acquire(wanted)
+            slot = await self._crashes.acquire(wanted, self._call.request_id)
             if isinstance(slot, NoSlot):
                 raise self._no_slot(slot)
             self._call.course.step("route")
@@ -152,7 +151,8 @@
                 answer = await self._attempt(slot.backend)
             finally:
                 completed = isinstance(answer, ServiceAnswer)
-                self._state.scheduler.release(slot, completed=completed)
+                holder = self._call.request_id
+                self._crashes.release(slot, holder, completed=completed)
             if isinstance(answer, ServiceAnswer):
                 self._call.course.step("complete")
                 if wanted.suspect:
--- a/cassiapitch/suspects.py
+++ b/cassiapitch/suspects.py
@@ -2,14 +2,24 @@
 
 import dataclasses
 
-from cassiapitch.commands import ClearSuspect, ReportCrash, SuspectResult
+from cassiapitch.commands import (
+    ClaimSuspectRun,
+    ClearSuspect,
+    ReleaseSuspectRun,
+    ReportCrash,
+    SuspectResult,
+    SuspectRunResult,
+)
 from cassiapitch.messages import SuspectItem
-from cassiapitch.types import LifeId, RequestDigest
+from cassiapitch.types import LifeId, RequestDigest, SuspectRun
 from cassiapitch.view import Changes
 
 QUARANTINE_CRASH_COUNT = 2
 QUARANTINE_MS = 600_000
 SUSPECTS_LIMIT_COUNT = 20_000
+# A run whose entry ended without a word blocks its backend server no longer than
+# this for other suspects.
+RUN_MS = 120_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,20 +42,40 @@
         return len(self.lives) >= QUARANTINE_CRASH_COUNT
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """The one suspect that may run on a life of a backend server.
+
+    Attributes:
+        life_id: The life.
+        digest: The suspect.
+        holder: The call that runs it.
+        until_ms: Log time at which the claim ends by itself.
+    """
+
+    life_id: LifeId
+    digest: RequestDigest
+    holder: str
+    until_ms: int
+
+
 @dataclasses.dataclass(slots=True)
 class Suspects:
-    """All suspects, the ones that end first at the beginning."""
+    """All suspects, the ones that end first at the beginning, and their runs."""
 
     table: dict[RequestDigest, Suspect] = dataclasses.field(default_factory=dict)
+    runs: dict[LifeId, Run] = dataclasses.field(default_factory=dict)
 
     def view_items(self) -> dict[str, SuspectItem]:
         """Returns the view's items of all suspects."""
         return {f"suspect/{item.digest}": _item(item) for item in self.table.values()}
 
 
-def load(items: tuple[Suspect, ...]) -> Suspects:
+def load(items: tuple[Suspect, ...], runs: tuple[Run, ...]) -> Suspects:
     """Returns the state that a snapshot holds."""
-    return Suspects({item.digest: item for item in items})
+    return Suspects(
+        {item.digest: item for item in items}, {run.life_id: run for run in runs}
+    )
 
 
 def report(
@@ -53,6 +83,7 @@
 ) -> tuple[SuspectResult, Changes]:
     """Counts a crash; the same life counts once for each digest."""
     changes: Changes = {}
+    state.runs.pop(command.life_id, None)
     for digest in command.digests:
         existing = state.table.get(digest)
         lives = () if existing is None else existing.lives
@@ -83,9 +114,41 @@
     return _result(state, (command.digest,)), {f"suspect/{command.digest}": None}
 
 
+def claim_run(
+    state: Suspects, command: ClaimSuspectRun, time_ms: int
+) -> tuple[SuspectRunResult, Changes]:
+    """Lets one suspect at a time run on a life of a backend server.
+
+    With two of them on it, a crash would count against both, and the harmless one
+    would be quarantined too.
+    """
+    suspect = state.table.get(command.digest)
+    if suspect is not None and suspect.is_quarantined:
+        return SuspectRunResult(SuspectRun.QUARANTINED), {}
+    held = state.runs.get(command.life_id)
+    if held is not None and held.holder != command.holder:
+        return SuspectRunResult(SuspectRun.BUSY), {}
+    state.runs[command.life_id] = Run(
+        command.life_id, command.digest, command.holder, time_ms + RUN_MS
+    )
+    return SuspectRunResult(SuspectRun.GRANTED), {}
+
+
+def release_run(
+    state: Suspects, command: ReleaseSuspectRun
+) -> tuple[SuspectRunResult, Changes]:
+    """Ends a run's claim; another holder's claim stays."""
+    held = state.runs.get(command.life_id)
+    if held is not None and held.holder == command.holder:
+        del state.runs[command.life_id]
+    return SuspectRunResult(SuspectRun.GRANTED), {}
+
+
 def expire(state: Suspects, time_ms: int) -> Changes:
     """Ends the records that are past their time."""
     changes: Changes = {}
+    for run in [run for run in state.runs.values() if run.until_ms <= time_ms]:
+        del state.runs[run.life_id]
     while state.table:
         first = next(iter(state.table.values()))
         if first.until_ms > time_ms:
--- a/cassiapitch/suspicion.py
+++ b/cassiapitch/suspicion.py
@@ -101,14 +101,18 @@
         return not (self._suspects_on.get(life_id, set()) - {digest})
 
     @staticmethod
-    def preference(life_id: LifeId, digest: RequestDigest) -> bytes:
+    def preference(
+        life_id: LifeId, digest: RequestDigest, denied_count: int = 0
+    ) -> bytes:
         """Returns the rank of a life for a suspect; the highest one is preferred.
 
         Rendezvous hashing: every entry ranks alike without a message, so that one
         suspect runs on one backend server even if several entries have it, and
-        different suspects mostly run on different ones.
+        different suspects mostly run on different ones. Each denied claim changes
+        the rank, so that a suspect doesn't wait for one that stays taken.
         """
-        return hashlib.sha256(f"{digest} {life_id}".encode()).digest()
+        text = f"{digest} {life_id} {denied_count}"
+        return hashlib.sha256(text.encode()).digest()
 
     def forget_except(self, life_ids: Collection[LifeId]) -> None:
         """Forgets crashes of lives that the view no longer holds."""
--- a/cassiapitch/types.py
+++ b/cassiapitch/types.py
@@ -41,6 +41,14 @@
     FAILED = "failed"
 
 
+class SuspectRun(enum.StrEnum):
+    """What a suspect's claim on a backend server was answered with."""
+
+    GRANTED = "granted"
+    BUSY = "busy"
+    QUARANTINED = "quarantined"
+
+
 class ClaimState(enum.StrEnum):
     """What a claim on an idempotency key was answered with."""
 
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -10,7 +10,7 @@
 
 from cassiapitch import asgi, codec, messages, rpc, settings
 from cassiapitch.entry import EntryProcess
-from cassiapitch.types import ClaimState, Priority, RoleKind
+from cassiapitch.types import ClaimState, Priority, RoleKind, SuspectRun
 
 KEY = "sk-test-key-0123456789"
 BATCH = Priority.BATCH
@@ -32,6 +32,7 @@
         self.received = []
         self.claims = {}
         self.crashes = {}
+        self.runs = []
         self.on_crash = lambda report: None
         self.confirming = True
         self.granting = True
@@ -102,6 +103,9 @@
             return messages.ClaimAnswer(message.sequence, ClaimState.GRANTED)
         if isinstance(message, messages.CrashReport):
             return self.crash(message)
+        if isinstance(message, messages.SuspectRunAsk):
+            outcome = self.runs.pop(0) if self.runs else SuspectRun.GRANTED
+            return messages.SuspectRunAnswer(message.sequence, outcome)
         return None
 
     def grants(self, message):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,9 +5,9 @@
 import anyio
 import pytest
 
-from cassiapitch import codec, engines, messages, settings, timers
+from cassiapitch import api, codec, engines, messages, settings, timers
 from cassiapitch.entry import EntryProcess
-from cassiapitch.types import Priority
+from cassiapitch.types import Priority, SuspectRun
 from tests.entryfakes import (
     KEY,
     FakeEngine,
@@ -197,6 +197,36 @@
         assert sorted(len(engine.streams) for engine in engines) == [0, 1, 1]
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("second", [SuspectRun.GRANTED, SuspectRun.QUARANTINED])
+async def test_suspect_runs_only_with_a_claim(second):
+    """Guards against two suspects on one engine, and against a repeat that an entry
+    runs because its view lacks the second crash."""
+    engine = FakeEngine("n1", "l1")
+    async with world(engine) as w:
+        assert (await w.chat(3))[0] == 200
+        body = {
+            "model": "m",
+            "max_tokens": 3,
+            "messages": [{"role": "user", "content": "hello"}],
+        }
+        path, data = "/v1/chat/completions", json.dumps(body).encode()
+        digest = api.parse_generation(path, data, None).digest
+        item = messages.SuspectItem(1, False, ("earlier",))
+        await w.hub.change({f"suspect/{digest}": item})
+        await w.until(lambda: w.entry.state.catalog.suspects)
+        w.hub.runs = [SuspectRun.BUSY, second]
+        status, _, body = await w.chat(3)
+        if second is SuspectRun.GRANTED:
+            assert status == 200
+        else:
+            assert error(body) == ("request_quarantined", "not_run")
+        assert len(engine.seen) == 1 + (second is SuspectRun.GRANTED)
+        claims = w.hub.of(messages.SuspectRunAsk)
+        assert {claim.digest for claim in claims} == {digest}
+        await w.until(lambda: len(w.hub.of(messages.SuspectRunEnded)) == 2)
+
+
 @pytest.mark.anyio
 async def test_caller_that_goes_away_cancels_at_the_engine():
     """Guards against engines that generate for nobody."""
--- a/tests/test_replicated.py
+++ b/tests/test_replicated.py
@@ -6,7 +6,7 @@
 from cassiapitch.exceptions import StorageError
 from cassiapitch.fleet import FLEET_COMMANDS, Fleet
 from cassiapitch.replicated import ReplicatedState
-from cassiapitch.types import ClaimState
+from cassiapitch.types import ClaimState, SuspectRun
 from tests.standins import StandinFleet
 
 SHA = "ab" * 32
@@ -204,3 +204,37 @@
     """Guards against a member that goes on with half a state."""
     with pytest.raises(StorageError):
         Machine().state.restore(data)
+
+
+def test_one_suspect_at_a_time_runs_on_a_life():
+    """Guards against a harmless suspect that is quarantined with the crashing one."""
+    machine = Machine()
+
+    def claim_run(digest, holder, life="life2"):
+        command = commands.ClaimSuspectRun(digest, life, holder)
+        return machine.apply(command).outcome
+
+    machine.apply(commands.ReportCrash("life1", ("bad", "good")))
+    assert claim_run("bad", "call1") is SuspectRun.GRANTED
+    assert claim_run("bad", "call1") is SuspectRun.GRANTED
+    assert claim_run("good", "call2") is SuspectRun.BUSY
+    assert claim_run("good", "call2", "life3") is SuspectRun.GRANTED
+    machine.apply(commands.ReleaseSuspectRun("life2", "call2"))
+    assert claim_run("good", "call2") is SuspectRun.BUSY
+    copy = Machine()
+    copy.state.restore(machine.state.snapshot())
+    assert copy.state.suspects.runs == machine.state.suspects.runs
+    machine.apply(commands.ReportCrash("life2", ("bad",)))
+    assert claim_run("bad", "call1", "life4") is SuspectRun.QUARANTINED
+    assert claim_run("good", "call2") is SuspectRun.GRANTED
+    machine.apply(commands.ReleaseSuspectRun("life2", "call2"))
+    assert claim_run("other", "call3") is SuspectRun.GRANTED
+
+
+def test_run_of_a_lost_entry_ends_by_itself():
+    """Guards against a backend server that stays closed to suspects for good."""
+    machine = Machine()
+    machine.apply(commands.ClaimSuspectRun("bad", "life", "call1"))
+    machine.time_ms += suspects.RUN_MS
+    again = machine.apply(commands.ClaimSuspectRun("good", "life", "call2"))
+    assert again.outcome is SuspectRun.GRANTED
