Count a crash only for requests that ran on the crashed life

The claim of a run ended before its crash was reported, so that another suspect was sent to the same address; the restarted engine answered under a new life, and that counted as a crash of the old life under the second suspect, which never ran there. Ruled out: two suspects on one life at the same time; the log shows one. Now the report of a crash takes over the claim, a suspect gets a fresh connection, and an answer of another life is no crash.

--- a/cassiapitch/crashes.py
+++ b/cassiapitch/crashes.py
@@ -79,7 +79,8 @@
                 outcome = await self._claim_run(wanted, slot, holder)
             finally:
                 if outcome is not SuspectRun.GRANTED:
-                    self.release(slot, holder, completed=False)
+                    self.end_run(slot, holder)
+                    self._state.scheduler.release(slot, completed=False)
             if outcome is SuspectRun.GRANTED:
                 return slot
             if outcome is SuspectRun.QUARANTINED:
@@ -89,14 +90,17 @@
                 return NoSlot(ErrorKind.DEADLINE_EXCEEDED)
             await anyio.sleep(RUN_RETRY_MS / 1000)
 
-    def release(self, slot: Slot, holder: str, *, completed: bool) -> None:
-        """Gives a slot back, and with it the claim of a suspect's run."""
+    def end_run(self, slot: Slot, holder: str) -> None:
+        """Ends the claim of a suspect's run, unless the backend server crashed.
+
+        The report of a crash takes over the claim, so that no other suspect is sent
+        there in between.
+        """
         life_id = slot.backend.life_id
         if slot.wanted.suspect:
             self._state.asks.tell(
                 lambda sequence: SuspectRunEnded(sequence, life_id, holder)
             )
-        self._state.scheduler.release(slot, completed=completed)
 
     async def _claim_run(
         self, wanted: Wanted, slot: Slot, holder: str
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -109,7 +109,9 @@
                 end = await self._attempt(slot.backend)
             finally:
                 completed = end is End.COMPLETE
-                self._crashes.release(slot, self._call.request_id, completed=completed)
+                self._state.scheduler.release(slot, completed=completed)
+                if end is not End.CRASHED:
+                    self._crashes.end_run(slot, self._call.request_id)
             if end is not End.COMPLETE:
                 await self._prepare_retry(end, slot)
         self._call.course.step("complete")
@@ -201,7 +203,11 @@
         self._wanted.crashed_lives.add(backend.life_id)
 
     async def _attempt(self, backend: BackendItem) -> End:
-        connection = await self._state.connections.open(backend, fresh=False)
+        # A kept connection may end in a life that has crashed, which would count as
+        # a run there.
+        connection = await self._state.connections.open(
+            backend, fresh=self._wanted.suspect
+        )
         if isinstance(connection, NotConnected):
             self._note_unreachable(backend, connection)
             self._call.course.not_sent()
@@ -288,7 +294,10 @@
 
     async def _take_response(self, backend: BackendItem, response: Response) -> End:
         if is_other_life(backend, response):
-            return End.CRASHED
+            # The request never ran on the chosen life, so that the end of that life
+            # doesn't count against it.
+            self._state.router.unreachable(backend.life_id, timers.now_ms())
+            return End.FAILED
         if response.status == 200:
             return await self._read(response)
         body = await read_all(response, ERROR_BODY_LIMIT_BYTES) or b""
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -151,8 +151,9 @@
                 answer = await self._attempt(slot.backend)
             finally:
                 completed = isinstance(answer, ServiceAnswer)
-                holder = self._call.request_id
-                self._crashes.release(slot, holder, completed=completed)
+                self._state.scheduler.release(slot, completed=completed)
+                if not isinstance(answer, ConnectionLost):
+                    self._crashes.end_run(slot, self._call.request_id)
             if isinstance(answer, ServiceAnswer):
                 self._call.course.step("complete")
                 if wanted.suspect:
@@ -192,7 +193,7 @@
         wanted.excluded.add(slot.backend.life_id)
         course = self._call.course
         if isinstance(failure, ConnectionLost):
-            await self._look_for_crash(slot.backend, wanted)
+            await self._look_for_crash(slot, wanted)
             if course.idempotent:
                 course.step("retry")
         if not course.may_retry(self._state.retries, timers.now_ms()):
@@ -200,11 +201,13 @@
             lost = ErrorKind.BACKEND_SERVER_FAILED
             raise refused(ErrorKind.NO_BACKEND_SERVER if unsent else lost)
 
-    async def _look_for_crash(self, backend: BackendItem, wanted: Wanted) -> None:
+    async def _look_for_crash(self, slot: Slot, wanted: Wanted) -> None:
         """Reports a crash if the backend server no longer takes connections."""
+        backend = slot.backend
         probe = await self._state.connections.open(backend, fresh=True)
         if not isinstance(probe, NotConnected):
             await self._state.connections.give_back(probe)
+            self._crashes.end_run(slot, self._call.request_id)
             return
         verdict = await self._crashes.report(backend, self.digest)
         if verdict is Verdict.QUARANTINED:
--- a/cassiapitch/suspects.py
+++ b/cassiapitch/suspects.py
@@ -20,6 +20,7 @@
 # A run whose entry ended without a word blocks its backend server no longer than
 # this for other suspects.
 RUN_MS = 120_000
+NONE = RequestDigest("")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +49,7 @@
 
     Attributes:
         life_id: The life.
-        digest: The suspect.
+        digest: The suspect; empty where the life has crashed.
         holder: The call that runs it.
         until_ms: Log time at which the claim ends by itself.
     """
@@ -83,7 +84,9 @@
 ) -> tuple[SuspectResult, Changes]:
     """Counts a crash; the same life counts once for each digest."""
     changes: Changes = {}
-    state.runs.pop(command.life_id, None)
+    # Nobody is sent to a crashed life any more: a suspect that starts there before
+    # its entry knows of the crash would be counted as running in it.
+    state.runs[command.life_id] = Run(command.life_id, NONE, "", time_ms + RUN_MS)
     for digest in command.digests:
         existing = state.table.get(digest)
         lives = () if existing is None else existing.lives
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -197,6 +197,18 @@
         assert sorted(len(engine.streams) for engine in engines) == [0, 1, 1]
 
 
+@pytest.mark.anyio
+async def test_request_that_another_life_answers_is_no_suspect():
+    """Guards against a crash that counts for a request which never ran there."""
+    first, second = FakeEngine("n1", "l1"), FakeEngine("n2", "l2", zone="b")
+    async with world(first, second) as w:
+        first.life_id = "l9"
+        for _ in range(4):
+            assert (await w.chat(3))[0] == 200
+        assert first.seen
+        assert w.hub.of(messages.CrashReport) == []
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("second", [SuspectRun.GRANTED, SuspectRun.QUARANTINED])
 async def test_suspect_runs_only_with_a_claim(second):
--- a/tests/test_replicated.py
+++ b/tests/test_replicated.py
@@ -226,9 +226,9 @@
     assert copy.state.suspects.runs == machine.state.suspects.runs
     machine.apply(commands.ReportCrash("life2", ("bad",)))
     assert claim_run("bad", "call1", "life4") is SuspectRun.QUARANTINED
-    assert claim_run("good", "call2") is SuspectRun.GRANTED
+    assert claim_run("good", "call2") is SuspectRun.BUSY
     machine.apply(commands.ReleaseSuspectRun("life2", "call2"))
-    assert claim_run("other", "call3") is SuspectRun.GRANTED
+    assert claim_run("good", "call2") is SuspectRun.BUSY
 
 
 def test_run_of_a_lost_entry_ends_by_itself():
