Split view items and announcements from the link's messages

Cause: messages.py had grown to 650 lines with three kinds of data classes. Ruled out: re-exporting the moved names from messages.py; two names for one class would stay. Every importer names the new modules. Conclusion: no message changed on the wire.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -14,16 +14,18 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
+from cassiapitch.announcements import (
+    Announcement,
+    LoadedModel,
+    SettledOrder,
+)
 from cassiapitch.bundle import Bundle, Model, Role, Store
 from cassiapitch.coordinator import Coordinator
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import BeginTerm
 from cassiapitch.messages import (
-    Announcement,
     DemandReport,
-    LoadedModel,
     ModelDemand,
-    SettledOrder,
 )
 from cassiapitch.types import OrderOutcome
 
--- a/bench/synthetic.py
+++ b/bench/synthetic.py
@@ -10,12 +10,14 @@
 import anyio.abc
 
 from cassiapitch import announce, rpc, timers
-from cassiapitch.messages import (
+from cassiapitch.announcements import (
     Announcement,
+    LoadedModel,
+)
+from cassiapitch.messages import (
     ConfirmAsk,
     GrantAsk,
     LinkHello,
-    LoadedModel,
     RateAsk,
     ViewDelta,
     ViewSnapshot,
--- a/cassiapitch/announce.py
+++ b/cassiapitch/announce.py
@@ -11,7 +11,11 @@
 from msgspec import Meta
 
 from cassiapitch import asgi
-from cassiapitch.messages import Announcement, LoadedModel, SettledOrder
+from cassiapitch.announcements import (
+    Announcement,
+    LoadedModel,
+    SettledOrder,
+)
 from cassiapitch.operators import bearer_token
 from cassiapitch.settings import Address, Name, NaturalInt
 from cassiapitch.types import BackendName, LifeId
@@ -38,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnnouncementBody:
-    """Body of an announcement; see `messages.Announcement` for the fields."""
+    """Body of an announcement; see `announcements.Announcement` for the fields."""
 
     name: Name
     life_id: Annotated[str, Meta(min_length=1, max_length=64)]
--- a/cassiapitch/backends.py
+++ b/cassiapitch/backends.py
@@ -3,7 +3,9 @@
 import dataclasses
 
 from cassiapitch import statechart
-from cassiapitch.messages import Announcement
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.orders import Ledger, adapter_key, model_key
 from cassiapitch.types import BackendName, LifeId
 
--- a/cassiapitch/budget.py
+++ b/cassiapitch/budget.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from cassiapitch.messages import (
-    AccountItem,
     Grant,
     GrantAsk,
     RateAsk,
@@ -11,6 +10,9 @@
     Refund,
 )
 from cassiapitch.types import AccountName
+from cassiapitch.viewitems import (
+    AccountItem,
+)
 
 ASK_PERIOD_MS = 200
 WAIT_LIMIT_MS = 800
--- a/cassiapitch/callers.py
+++ b/cassiapitch/callers.py
@@ -25,13 +25,15 @@
 from cassiapitch.engines import EngineRefusedError, Plan
 from cassiapitch.entrystate import EntryState
 from cassiapitch.generation import Generation
-from cassiapitch.messages import RouteItem
 from cassiapitch.operators import bearer_token
 from cassiapitch.outcomes import ErrorKind, Refusal
 from cassiapitch.rateanswers import check_admitted
 from cassiapitch.retries import Course
 from cassiapitch.scrubbing import body_holds_key, forwarded_headers, forwarded_query
 from cassiapitch.servicecalls import ServiceCall, ServiceRequest
+from cassiapitch.viewitems import (
+    RouteItem,
+)
 
 BODY_LIMIT_MS = 30_000
 HEADERS_LIMIT_BYTES = 16 * 1024
--- a/cassiapitch/calls.py
+++ b/cassiapitch/calls.py
@@ -7,10 +7,12 @@
 from cassiapitch.asgi import BodyShare
 from cassiapitch.catalog import Catalog
 from cassiapitch.freshness import Freshness
-from cassiapitch.messages import AccountItem
 from cassiapitch.outcomes import ErrorKind, Refusal
 from cassiapitch.retries import Course
 from cassiapitch.types import Priority
+from cassiapitch.viewitems import (
+    AccountItem,
+)
 
 
 class CallEndedError(Exception):
--- a/cassiapitch/catalog.py
+++ b/cassiapitch/catalog.py
@@ -5,6 +5,10 @@
 
 from cassiapitch import codec
 from cassiapitch.messages import (
+    ViewDelta,
+    ViewSnapshot,
+)
+from cassiapitch.viewitems import (
     AccountItem,
     AdapterItem,
     BackendItem,
@@ -14,8 +18,6 @@
     RoleItem,
     RouteItem,
     SuspectItem,
-    ViewDelta,
-    ViewSnapshot,
 )
 
 SERVING = "serving"
--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -8,10 +8,16 @@
 import anyio.abc
 
 from cassiapitch import dispatch, events
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.coordinator import Coordinator, SendOrder
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import BeginTerm, MarkBackends, RecordOrders
-from cassiapitch.messages import Announcement, DemandReport, LoadReports
+from cassiapitch.messages import (
+    DemandReport,
+    LoadReports,
+)
 
 Propose = Callable[[Any, int], Awaitable[Any]]
 
--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -9,12 +9,14 @@
 
 from cassiapitch import asgi, dump, group, rpc, timers
 from cassiapitch.admin import AdminApi
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.batching import Proposals
 from cassiapitch.group import Group
 from cassiapitch.hub import Hub
 from cassiapitch.leadership import RateDesk
 from cassiapitch.messages import (
-    Announcement,
     DemandReport,
     LoadReports,
     RateAsk,
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -7,6 +7,9 @@
 import dataclasses
 
 from cassiapitch import backends, placement, placement_state
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.backends import Life
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import (
@@ -21,7 +24,6 @@
 )
 from cassiapitch.loadtable import LoadTable
 from cassiapitch.messages import (
-    Announcement,
     DemandReport,
     LoadReport,
     LoadReports,
--- a/cassiapitch/crashes.py
+++ b/cassiapitch/crashes.py
@@ -8,7 +8,6 @@
 from cassiapitch.calls import refused
 from cassiapitch.entrystate import EntryState
 from cassiapitch.messages import (
-    BackendItem,
     CrashAnswer,
     CrashReport,
     SuspectCleared,
@@ -19,6 +18,9 @@
 from cassiapitch.scheduler import NoSlot, Slot, Wanted
 from cassiapitch.suspicion import QUARANTINE_CRASHES_COUNT
 from cassiapitch.types import LifeId, RequestDigest, SuspectRun
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 REPORT_LIMIT_MS = 3_000
 RUN_RETRY_MS = 100
--- a/cassiapitch/demand.py
+++ b/cassiapitch/demand.py
@@ -2,7 +2,10 @@
 
 import dataclasses
 
-from cassiapitch.messages import DemandReport, ModelDemand
+from cassiapitch.messages import (
+    DemandReport,
+    ModelDemand,
+)
 from cassiapitch.types import LifeId, ModelName, Priority
 
 REPORT_PERIOD_MS = 500
--- a/cassiapitch/engines.py
+++ b/cassiapitch/engines.py
@@ -17,9 +17,11 @@
     exchange,
     read_all,
 )
-from cassiapitch.messages import BackendItem
 from cassiapitch.streams import Answer
 from cassiapitch.types import Priority
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 # Without a chunk for this long a stream is taken for broken and resumed. Engines
 # may set batch requests aside for urgent ones.
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -22,7 +22,11 @@
 from cassiapitch.demand import Demand
 from cassiapitch.forward import Connections
 from cassiapitch.freshness import NEW_CALL_WAIT_MS, Freshness
-from cassiapitch.messages import Confirmed, LoadReports, RateGrants
+from cassiapitch.messages import (
+    Confirmed,
+    LoadReports,
+    RateGrants,
+)
 from cassiapitch.retries import RetryBudget
 from cassiapitch.routing import Router
 from cassiapitch.scheduler import Scheduler
--- a/cassiapitch/equalsplit.py
+++ b/cassiapitch/equalsplit.py
@@ -6,7 +6,12 @@
 from cassiapitch import bucket as buckets
 from cassiapitch.bucket import MICROTOKENS, Bucket
 from cassiapitch.granter import NEVER_MS, Limits
-from cassiapitch.messages import Grant, GrantAsk, RateAsk, RateGrants
+from cassiapitch.messages import (
+    Grant,
+    GrantAsk,
+    RateAsk,
+    RateGrants,
+)
 from cassiapitch.types import AccountName
 
 ENTRY_SILENCE_MS = 10_000
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -10,6 +10,9 @@
 import msgspec
 
 from cassiapitch import backends, fleet_view
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.backends import Life
 from cassiapitch.bundle import Bundle
 from cassiapitch.fleet_catalog import Catalog, from_bundle
@@ -26,7 +29,6 @@
     RecordOrders,
     ReportBackends,
 )
-from cassiapitch.messages import Announcement, BackendItem
 from cassiapitch.orders import (
     UNLOAD_KINDS,
     Order,
@@ -35,6 +37,9 @@
     name_of,
 )
 from cassiapitch.types import OrderKind, RoleKind
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 __all__ = ["FLEET_COMMANDS", "Fleet"]
 
--- a/cassiapitch/fleet_commands.py
+++ b/cassiapitch/fleet_commands.py
@@ -3,7 +3,9 @@
 import dataclasses
 
 from cassiapitch import codec
-from cassiapitch.messages import Announcement
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.types import BackendName, LifeId, OrderKind
 
 
--- a/cassiapitch/fleet_view.py
+++ b/cassiapitch/fleet_view.py
@@ -2,9 +2,11 @@
 
 from cassiapitch.backends import Life
 from cassiapitch.fleet_catalog import Catalog
-from cassiapitch.messages import BackendItem
 from cassiapitch.orders import is_adapter_key, name_of
 from cassiapitch.types import ModelName
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 
 def usable_keys(life: Life, catalog: Catalog) -> list[str]:
--- a/cassiapitch/forward.py
+++ b/cassiapitch/forward.py
@@ -8,8 +8,10 @@
 import httpcore
 
 from cassiapitch import timers
-from cassiapitch.messages import BackendItem
 from cassiapitch.types import LifeId
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 CONNECT_LIMIT_MS = 1_000
 IDLE_LIMIT_S = 10.0
--- a/cassiapitch/freshness.py
+++ b/cassiapitch/freshness.py
@@ -1,6 +1,9 @@
 """Decides until when the applied view may be acted on for keyed calls."""
 
-from cassiapitch.messages import ConfirmAsk, Confirmed
+from cassiapitch.messages import (
+    ConfirmAsk,
+    Confirmed,
+)
 
 # A withdrawn key must stop working within 2,000 ms of the operator's answer. A
 # confirmation counts from when it was asked for, so 200 ms remain for ending calls.
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -28,7 +28,6 @@
     exchange,
     read_all,
 )
-from cassiapitch.messages import BackendItem
 from cassiapitch.outcomes import ErrorKind
 from cassiapitch.prefixes import prefix_digests
 from cassiapitch.scheduler import NoSlot, Slot, Wanted
@@ -41,6 +40,9 @@
     Taken,
     parse_event,
 )
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 # A request that was running waits this long for the next copy of its model.
 TAKEOVER_LIMIT_MS = 20_000
--- a/cassiapitch/granter.py
+++ b/cassiapitch/granter.py
@@ -12,7 +12,12 @@
 from cassiapitch.bucket import MICROTOKENS, Bucket
 from cassiapitch.commands import FloorsRecorded, RecordFloors
 from cassiapitch.division import Want
-from cassiapitch.messages import Grant, RateAsk, RateGrants, Refund
+from cassiapitch.messages import (
+    Grant,
+    RateAsk,
+    RateGrants,
+    Refund,
+)
 from cassiapitch.types import AccountName
 
 RECORD_PERIOD_MS = 500
--- a/cassiapitch/keys.py
+++ b/cassiapitch/keys.py
@@ -4,9 +4,11 @@
 
 from cassiapitch.bundle import Bundle
 from cassiapitch.commands import GrantKey, KeyChanged, KeyRefused, WithdrawKey
-from cassiapitch.messages import KeyItem
 from cassiapitch.types import AccountName
 from cassiapitch.view import Changes
+from cassiapitch.viewitems import (
+    KeyItem,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/leadership.py
+++ b/cassiapitch/leadership.py
@@ -12,7 +12,10 @@
 from cassiapitch.events import Event
 from cassiapitch.granter import Granter, Limits
 from cassiapitch.group import Applied, Group
-from cassiapitch.messages import RateAsk, RelayedGrants
+from cassiapitch.messages import (
+    RateAsk,
+    RelayedGrants,
+)
 from cassiapitch.replicated import ReplicatedState
 
 POLL_S = 0.02
--- a/cassiapitch/link.py
+++ b/cassiapitch/link.py
@@ -11,7 +11,12 @@
 from cassiapitch import events, rpc, timers
 from cassiapitch.exceptions import CodecError
 from cassiapitch.freshness import ASK_PERIOD_MS
-from cassiapitch.messages import ConfirmAsk, Confirmed, LinkHello, LinkRefused
+from cassiapitch.messages import (
+    ConfirmAsk,
+    Confirmed,
+    LinkHello,
+    LinkRefused,
+)
 from cassiapitch.settings import ControlPeer, TlsSettings
 
 CONNECT_LIMIT_MS = 1_000
--- a/cassiapitch/linkstate.py
+++ b/cassiapitch/linkstate.py
@@ -9,7 +9,10 @@
 from typing import Any
 
 from cassiapitch import view as views
-from cassiapitch.messages import Confirmed, LinkHello
+from cassiapitch.messages import (
+    Confirmed,
+    LinkHello,
+)
 from cassiapitch.view import View
 
 QUEUE_LIMIT_COUNT = 512
--- a/cassiapitch/loadtable.py
+++ b/cassiapitch/loadtable.py
@@ -11,7 +11,9 @@
 import zlib
 from collections.abc import Iterable
 
-from cassiapitch.messages import LoadReport
+from cassiapitch.messages import (
+    LoadReport,
+)
 from cassiapitch.types import LifeId
 
 FULL_LIMIT_BYTES = 4_000
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -13,10 +13,8 @@
     ClaimState,
     LifeId,
     ModelName,
-    OrderOutcome,
     Priority,
     RequestDigest,
-    RoleKind,
     SuspectRun,
 )
 
@@ -57,131 +55,6 @@
     deletes: tuple[str, ...]
 
 
-# Values of view items, by prefix of the item's name.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BundleItem:
-    """`bundle`: the bundle in force."""
-
-    version: int
-    digest: str
-    author: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelItem:
-    """`model/<name>`."""
-
-    name: ModelName
-    role: str
-    memory_mib: int
-    minimum_copies: int
-    context_tokens: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdapterItem:
-    """`adapter/<name>`: fine-tuned weights on top of `model`."""
-
-    name: str
-    model: ModelName
-    memory_mib: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AccountItem:
-    """`account/<name>`: a client account with its rate over the whole fleet."""
-
-    name: AccountName
-    rate_tokens_per_s: int
-    burst_tokens: int
-    weight: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RoleItem:
-    """`role/<name>`: a group of backend servers."""
-
-    name: str
-    kind: RoleKind
-    fencing: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RouteItem:
-    """`route/<method> <path>`: a plain service's call.
-
-    Attributes:
-        path: Path at the entry and at the backend server.
-        method: HTTP method.
-        role: Role of the plain service.
-        idempotent: Whether the call may be repeated.
-        open: Whether callers need no key.
-        timeout_ms: Longest time for an answer.
-        cost_tokens: What a call takes of the client account's rate.
-    """
-
-    path: str
-    method: str
-    role: str
-    idempotent: bool
-    open: bool
-    timeout_ms: int
-    cost_tokens: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyItem:
-    """`key/<sha256 hex>`: a key that works. A withdrawn key has no item."""
-
-    account: AccountName
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BackendItem:
-    """`backend/<name>`: a backend server.
-
-    Attributes:
-        name: Its name, which a later life may take again.
-        life_id: Identity of this run of the backend server.
-        role: Its role.
-        zone: Its availability zone.
-        ip: IP number of its HTTP port.
-        port: Its HTTP port.
-        state: State of the chart `backend_server`; only `serving` gets new work.
-        models: Models that it reports as loaded and that are not being unloaded.
-        adapters: Adapters that it reports as loaded.
-        max_running_count: Requests that it runs at once.
-    """
-
-    name: BackendName
-    life_id: LifeId
-    role: str
-    zone: str
-    ip: str
-    port: int
-    state: str
-    models: tuple[ModelName, ...]
-    adapters: tuple[str, ...]
-    max_running_count: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectItem:
-    """`suspect/<digest>`: a request that was running when backend servers crashed.
-
-    Attributes:
-        crash_count: Distinct lives of backend servers that crashed under it.
-        quarantined: Whether it is refused for now.
-        lives: Those lives.
-    """
-
-    crash_count: int
-    quarantined: bool
-    lives: tuple[LifeId, ...] = ()
-
-
 # Link, entry to control member.
 
 
@@ -547,90 +420,9 @@
     grants: RateGrants
 
 
-# Announcements of backend servers, passed from a member to the leader.
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadedModel:
-    """A model that an engine holds.
-
-    Attributes:
-        model: The model.
-        version: Version of the bundle that defined it when it was loaded.
-        memory_mib: Memory that it occupies, 0 where the engine doesn't say.
-    """
-
-    model: ModelName
-    version: int
-    memory_mib: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettledOrder:
-    """How an order ended at an engine."""
-
-    order_id: str
-    outcome: OrderOutcome
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Announcement:
-    """What a backend server says of itself, every 500 ms.
-
-    Attributes:
-        name: Its name.
-        life_id: Random identity of this run.
-        role: Its role in the bundle.
-        zone: Its availability zone.
-        ip: IP number of its HTTP port.
-        port: Its HTTP port.
-        memory_mib: Accelerator memory for models and adapters.
-        max_running_count: Requests that it runs at once.
-        loaded: Models that it holds.
-        adapters: Adapters that it holds.
-        settled: Orders that ended in this life.
-        fence_term: Term of the highest fence it has seen.
-        fence_number: Order number of the highest fence it has seen.
-        running_count: Requests that run.
-        waiting_count: Requests that wait.
-        leaving: Whether it is about to stop.
-        cached_prefixes: Digests of prompt prefixes in its cache, late and gapped.
-        sequence: Number of this announcement in its life. Members pass
-            announcements on concurrently, so that they may arrive out of order.
-    """
-
-    name: BackendName
-    life_id: LifeId
-    role: str
-    zone: str
-    ip: str
-    port: int
-    memory_mib: int
-    max_running_count: int
-    loaded: tuple[LoadedModel, ...] = ()
-    adapters: tuple[str, ...] = ()
-    settled: tuple[SettledOrder, ...] = ()
-    fence_term: int = 0
-    fence_number: int = 0
-    running_count: int = 0
-    waiting_count: int = 0
-    leaving: bool = False
-    cached_prefixes: tuple[str, ...] = ()
-    sequence: int = 0
-
-
 ALL = (
     ViewSnapshot,
     ViewDelta,
-    BundleItem,
-    ModelItem,
-    AdapterItem,
-    AccountItem,
-    RoleItem,
-    RouteItem,
-    KeyItem,
-    BackendItem,
-    SuspectItem,
     LinkHello,
     ConfirmAsk,
     RateAsk,
@@ -652,6 +444,5 @@
     RelayHello,
     RelayBatch,
     RelayedGrants,
-    Announcement,
 )
 codec.register(ALL)
--- a/cassiapitch/modeldemand.py
+++ b/cassiapitch/modeldemand.py
@@ -3,7 +3,9 @@
 import math
 from collections.abc import Callable
 
-from cassiapitch.messages import DemandReport
+from cassiapitch.messages import (
+    DemandReport,
+)
 from cassiapitch.orders import adapter_key, model_key
 
 # Time constant of the moving average: long enough to span bursts of a few seconds,
--- a/cassiapitch/referencebucket.py
+++ b/cassiapitch/referencebucket.py
@@ -104,7 +104,9 @@
     for record in records:
         events.append((record.at_ms, True, record.number, record))
         if record.unused_tokens and not record.is_refused:
-            events.append((record.end_ms, False, record.number, record))
+            # A call that ends within the millisecond of its start is charged first.
+            end_ms = max(record.end_ms, record.at_ms + 1)
+            events.append((end_ms, False, record.number, record))
     events.sort(key=lambda event: event[:3])
     charges: dict[int, int] = {}
     found = set()
--- a/cassiapitch/relay.py
+++ b/cassiapitch/relay.py
@@ -13,7 +13,11 @@
 from cassiapitch.events import Event
 from cassiapitch.exceptions import CodecError
 from cassiapitch.group import Group
-from cassiapitch.messages import LinkRefused, RelayBatch, RelayHello
+from cassiapitch.messages import (
+    LinkRefused,
+    RelayBatch,
+    RelayHello,
+)
 from cassiapitch.settings import Address, TlsSettings
 
 QUEUE_LIMIT_COUNT = 8_192
--- a/cassiapitch/replicated.py
+++ b/cassiapitch/replicated.py
@@ -8,7 +8,8 @@
 from cassiapitch import bundle as bundles
 from cassiapitch import claims, codec, commands, floors, keys, suspects, view
 from cassiapitch.exceptions import CodecError, StorageError
-from cassiapitch.messages import (
+from cassiapitch.types import AccountName, ModelName
+from cassiapitch.viewitems import (
     AccountItem,
     AdapterItem,
     BackendItem,
@@ -17,7 +18,6 @@
     RoleItem,
     RouteItem,
 )
-from cassiapitch.types import AccountName, ModelName
 
 SNAPSHOT_FORMAT = 1
 # Accepted versions that are remembered for resends. A resend of an older one is
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -4,8 +4,13 @@
 import random
 from collections.abc import Collection, Sequence
 
-from cassiapitch.messages import BackendItem, LoadReport
+from cassiapitch.messages import (
+    LoadReport,
+)
 from cassiapitch.types import LifeId, Priority
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 # Costs are in requests in flight, the unit of the score.
 ZONE_COST = 1.0
--- a/cassiapitch/rpc.py
+++ b/cassiapitch/rpc.py
@@ -10,7 +10,10 @@
 import grpclib.server
 
 from cassiapitch.codec import MessageCodec
-from cassiapitch.messages import LoadReports, ViewDelta
+from cassiapitch.messages import (
+    LoadReports,
+    ViewDelta,
+)
 from cassiapitch.settings import Address, TlsSettings
 
 # Messages that a hub sends alike over all its links.
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -8,11 +8,13 @@
 
 from cassiapitch import timers
 from cassiapitch.fairness import FairQueue, Ticket
-from cassiapitch.messages import BackendItem
 from cassiapitch.outcomes import ErrorKind
 from cassiapitch.routing import Router
 from cassiapitch.suspicion import Suspicion
 from cassiapitch.types import AccountName, LifeId, Priority, RequestDigest
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 # How long a request waits to learn when its model is loaded. The demand report and
 # the answer to it each take up to a period of 500 ms and 1,000 ms.
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -19,17 +19,19 @@
     read_all,
 )
 from cassiapitch.messages import (
-    BackendItem,
     ClaimAnswer,
     ClaimAsk,
     ClaimFinish,
     ClaimRelease,
-    RouteItem,
 )
 from cassiapitch.outcomes import ErrorKind
 from cassiapitch.rateanswers import check_admitted
 from cassiapitch.scheduler import NoSlot, Slot, Wanted
 from cassiapitch.types import ClaimState
+from cassiapitch.viewitems import (
+    BackendItem,
+    RouteItem,
+)
 
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 # The control group keeps bodies up to 64 KiB; one byte more tells it that this one
--- a/cassiapitch/standin_engine.py
+++ b/cassiapitch/standin_engine.py
@@ -10,7 +10,9 @@
 import msgspec
 
 from cassiapitch import asgi, timers
-from cassiapitch.messages import Announcement
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.standin_faults import (
     Faults,
     HeaderLog,
--- a/cassiapitch/standin_memory.py
+++ b/cassiapitch/standin_memory.py
@@ -4,7 +4,10 @@
 import enum
 from collections.abc import Callable
 
-from cassiapitch.messages import LoadedModel, SettledOrder
+from cassiapitch.announcements import (
+    LoadedModel,
+    SettledOrder,
+)
 from cassiapitch.types import LifeId, ModelName, OrderKind, OrderOutcome
 
 UNLOAD_KINDS = (OrderKind.UNLOAD, OrderKind.UNLOAD_ADAPTER)
--- a/cassiapitch/standin_service.py
+++ b/cassiapitch/standin_service.py
@@ -7,7 +7,9 @@
 import anyio
 
 from cassiapitch import asgi, timers
-from cassiapitch.messages import Announcement
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.standin_faults import Faults, HeaderLog, drop_connection, update_faults
 from cassiapitch.standin_settings import StandinSettings
 from cassiapitch.types import BackendName, LifeId
--- a/cassiapitch/suspects.py
+++ b/cassiapitch/suspects.py
@@ -10,9 +10,11 @@
     SuspectResult,
     SuspectRunResult,
 )
-from cassiapitch.messages import SuspectItem
 from cassiapitch.types import LifeId, RequestDigest, SuspectRun
 from cassiapitch.view import Changes
+from cassiapitch.viewitems import (
+    SuspectItem,
+)
 
 QUARANTINE_CRASH_COUNT = 2
 QUARANTINE_MS = 600_000
--- a/cassiapitch/view.py
+++ b/cassiapitch/view.py
@@ -10,7 +10,10 @@
 from typing import Any
 
 from cassiapitch import codec
-from cassiapitch.messages import ViewDelta, ViewSnapshot
+from cassiapitch.messages import (
+    ViewDelta,
+    ViewSnapshot,
+)
 
 KEPT_CHANGES_COUNT = 4_096
 SNAPSHOT_PART_BYTES = 256 * 1024
--- /dev/null
+++ b/cassiapitch/viewitems.py
@@ -0,0 +1,148 @@
+"""Values of the view's items: what entries know of the replicated state."""
+
+import dataclasses
+
+from cassiapitch import codec
+from cassiapitch.types import (
+    AccountName,
+    BackendName,
+    LifeId,
+    ModelName,
+    RoleKind,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BundleItem:
+    """`bundle`: the bundle in force."""
+
+    version: int
+    digest: str
+    author: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelItem:
+    """`model/<name>`."""
+
+    name: ModelName
+    role: str
+    memory_mib: int
+    minimum_copies: int
+    context_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterItem:
+    """`adapter/<name>`: fine-tuned weights on top of `model`."""
+
+    name: str
+    model: ModelName
+    memory_mib: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountItem:
+    """`account/<name>`: a client account with its rate over the whole fleet."""
+
+    name: AccountName
+    rate_tokens_per_s: int
+    burst_tokens: int
+    weight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoleItem:
+    """`role/<name>`: a group of backend servers."""
+
+    name: str
+    kind: RoleKind
+    fencing: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteItem:
+    """`route/<method> <path>`: a plain service's call.
+
+    Attributes:
+        path: Path at the entry and at the backend server.
+        method: HTTP method.
+        role: Role of the plain service.
+        idempotent: Whether the call may be repeated.
+        open: Whether callers need no key.
+        timeout_ms: Longest time for an answer.
+        cost_tokens: What a call takes of the client account's rate.
+    """
+
+    path: str
+    method: str
+    role: str
+    idempotent: bool
+    open: bool
+    timeout_ms: int
+    cost_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyItem:
+    """`key/<sha256 hex>`: a key that works. A withdrawn key has no item."""
+
+    account: AccountName
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendItem:
+    """`backend/<name>`: a backend server.
+
+    Attributes:
+        name: Its name, which a later life may take again.
+        life_id: Identity of this run of the backend server.
+        role: Its role.
+        zone: Its availability zone.
+        ip: IP number of its HTTP port.
+        port: Its HTTP port.
+        state: State of the chart `backend_server`; only `serving` gets new work.
+        models: Models that it reports as loaded and that are not being unloaded.
+        adapters: Adapters that it reports as loaded.
+        max_running_count: Requests that it runs at once.
+    """
+
+    name: BackendName
+    life_id: LifeId
+    role: str
+    zone: str
+    ip: str
+    port: int
+    state: str
+    models: tuple[ModelName, ...]
+    adapters: tuple[str, ...]
+    max_running_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectItem:
+    """`suspect/<digest>`: a request that was running when backend servers crashed.
+
+    Attributes:
+        crash_count: Distinct lives of backend servers that crashed under it.
+        quarantined: Whether it is refused for now.
+        lives: Those lives.
+    """
+
+    crash_count: int
+    quarantined: bool
+    lives: tuple[LifeId, ...] = ()
+
+
+ALL = (
+    BundleItem,
+    ModelItem,
+    AdapterItem,
+    AccountItem,
+    RoleItem,
+    RouteItem,
+    KeyItem,
+    BackendItem,
+    SuspectItem,
+)
+codec.register(ALL)
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -8,7 +8,7 @@
 import anyio.lowlevel
 import httpcore
 
-from cassiapitch import asgi, codec, messages, rpc, settings
+from cassiapitch import asgi, codec, messages, rpc, settings, viewitems
 from cassiapitch.entry import EntryProcess
 from cassiapitch.types import ClaimState, Priority, RoleKind, SuspectRun
 
@@ -156,7 +156,7 @@
         self.transports = set()
 
     def item(self, role, models=(), *, adapters=(), limit=16):
-        return messages.BackendItem(
+        return viewitems.BackendItem(
             self.name,
             self.life_id,
             role,
@@ -308,13 +308,13 @@
     async def prepare(self, *servers):
         """Starts the control group and the backend servers without an entry."""
         hub = self.hub
-        hub.put(messages.RoleItem("engines", RoleKind.ENGINE, True), "role/engines")
-        hub.put(messages.RoleItem("shop", RoleKind.SERVICE, False), "role/shop")
-        hub.put(messages.ModelItem("m", "engines", 100, 1, 4_096), "model/m")
-        hub.put(messages.ModelItem("cold", "engines", 100, 0, 4_096), "model/cold")
-        hub.put(messages.AdapterItem("ad", "m", 1), "adapter/ad")
-        hub.put(messages.AccountItem("acme", 10_000, 20_000, 1), "account/acme")
-        hub.put(messages.KeyItem("acme"), f"key/{key_digest(KEY)}")
+        hub.put(viewitems.RoleItem("engines", RoleKind.ENGINE, True), "role/engines")
+        hub.put(viewitems.RoleItem("shop", RoleKind.SERVICE, False), "role/shop")
+        hub.put(viewitems.ModelItem("m", "engines", 100, 1, 4_096), "model/m")
+        hub.put(viewitems.ModelItem("cold", "engines", 100, 0, 4_096), "model/cold")
+        hub.put(viewitems.AdapterItem("ad", "m", 1), "adapter/ad")
+        hub.put(viewitems.AccountItem("acme", 10_000, 20_000, 1), "account/acme")
+        hub.put(viewitems.KeyItem("acme"), f"key/{key_digest(KEY)}")
         self.route("GET", "/stock", idempotent=True)
         self.route("GET", "/open", idempotent=True, is_open=True)
         self.route("POST", "/charge", idempotent=False)
@@ -343,7 +343,7 @@
         self.ended.set()
 
     def route(self, method, path, *, idempotent, is_open=False):
-        item = messages.RouteItem(path, method, "shop", idempotent, is_open, 5_000, 10)
+        item = viewitems.RouteItem(path, method, "shop", idempotent, is_open, 5_000, 10)
         self.hub.put(item, f"route/{method} {path}")
 
     def add(self, server):
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -4,11 +4,17 @@
 import itertools
 import random
 
+from cassiapitch.announcements import (
+    Announcement,
+)
 from cassiapitch.bundle import Adapter, Bundle, Model, Role, Store
 from cassiapitch.coordinator import Coordinator
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import BeginTerm
-from cassiapitch.messages import Announcement, DemandReport, ModelDemand
+from cassiapitch.messages import (
+    DemandReport,
+    ModelDemand,
+)
 from cassiapitch.orders import adapter_key, model_key
 from cassiapitch.standin_memory import EngineMemory, OrderRequest, Phase
 
--- a/tests/rates_world.py
+++ b/tests/rates_world.py
@@ -5,7 +5,11 @@
 
 from cassiapitch import floors, granter
 from cassiapitch.bucket import GRANT_LIFE_MS
-from cassiapitch.messages import GrantAsk, RateAsk, Refund
+from cassiapitch.messages import (
+    GrantAsk,
+    RateAsk,
+    Refund,
+)
 
 ENTRIES = ("e0", "e1", "e2")
 ACCOUNTS = {"slow": (100, 200), "small": (1_000, 100), "wide": (50, 1_000)}
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,8 +1,14 @@
 """Tests of how long a call waits for tokens."""
 
 from cassiapitch.budget import Admitted, Budget, RateExceeded, Unanswered, Waiting
-from cassiapitch.messages import AccountItem, Grant, RateGrants
+from cassiapitch.messages import (
+    Grant,
+    RateGrants,
+)
 from cassiapitch.types import AccountName
+from cassiapitch.viewitems import (
+    AccountItem,
+)
 
 ACCOUNT = AccountItem(AccountName("acme"), 100, 1_000, 1)
 
--- a/tests/test_budget_fuzz.py
+++ b/tests/test_budget_fuzz.py
@@ -14,7 +14,13 @@
     Waiting,
     largest_cost,
 )
-from cassiapitch.messages import AccountItem, Grant, RateGrants
+from cassiapitch.messages import (
+    Grant,
+    RateGrants,
+)
+from cassiapitch.viewitems import (
+    AccountItem,
+)
 
 ACCOUNT = AccountItem("acme", 10_000, 20_000, 1)
 
--- a/tests/test_callerstream.py
+++ b/tests/test_callerstream.py
@@ -8,9 +8,15 @@
 from cassiapitch.calls import Authorization, Call, refused
 from cassiapitch.catalog import Catalog
 from cassiapitch.freshness import Freshness
-from cassiapitch.messages import AccountItem, Confirmed, KeyItem
+from cassiapitch.messages import (
+    Confirmed,
+)
 from cassiapitch.outcomes import ErrorKind
 from cassiapitch.retries import Course
+from cassiapitch.viewitems import (
+    AccountItem,
+    KeyItem,
+)
 
 
 @pytest.fixture
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -12,7 +12,10 @@
 from cassiapitch.controller import Controller
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import NewOrder, RecordOrders
-from cassiapitch.messages import DemandReport, ModelDemand
+from cassiapitch.messages import (
+    DemandReport,
+    ModelDemand,
+)
 from cassiapitch.settings import Address
 from cassiapitch.standin_engine import Engine
 from cassiapitch.standin_settings import StandinSettings
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from cassiapitch.messages import DemandReport
+from cassiapitch.messages import (
+    DemandReport,
+)
 from tests.fleet_world import World
 
 FLAT = {"a": 30, "b": 30, "c": 30}
--- a/tests/test_distribution_fuzz.py
+++ b/tests/test_distribution_fuzz.py
@@ -12,7 +12,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cassiapitch import bundle, codec, commands, confirmations, linkstate, view
-from cassiapitch.messages import ConfirmAsk, Confirmed, LinkHello, ViewDelta
+from cassiapitch.messages import (
+    ConfirmAsk,
+    Confirmed,
+    LinkHello,
+    ViewDelta,
+)
 from cassiapitch.messages import ViewSnapshot as Snapshot
 from cassiapitch.replicated import ReplicatedState
 from tests import fuzzing
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from cassiapitch import api, codec, engines, messages, settings, timers
+from cassiapitch import api, codec, engines, messages, settings, timers, viewitems
 from cassiapitch.entry import EntryProcess
 from cassiapitch.types import Priority, SuspectRun
 from tests.entryfakes import (
@@ -224,7 +224,7 @@
         }
         path, data = "/v1/chat/completions", json.dumps(body).encode()
         digest = api.parse_generation(path, data, None).digest
-        item = messages.SuspectItem(1, False, ("earlier",))
+        item = viewitems.SuspectItem(1, False, ("earlier",))
         await w.hub.change({f"suspect/{digest}": item})
         await w.until(lambda: w.entry.state.catalog.suspects)
         w.hub.runs = [SuspectRun.BUSY, second]
@@ -302,7 +302,7 @@
         digest = key_digest("sk-new-key")
         w.hub.index += 1
         previous = w.hub.index - 1
-        item = codec.encode(messages.KeyItem("acme"))
+        item = codec.encode(viewitems.KeyItem("acme"))
         delta = messages.ViewDelta(previous, w.hub.index, {f"key/{digest}": item}, ())
 
         async def arrive():
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -10,9 +10,7 @@
 from cassiapitch.exceptions import CodecError
 from cassiapitch.link import LinkPlan
 from cassiapitch.messages import (
-    BackendItem,
     Confirmed,
-    KeyItem,
     LoadReport,
     ViewDelta,
     ViewSnapshot,
@@ -21,6 +19,10 @@
 from cassiapitch.settings import Address, ControlPeer
 from cassiapitch.suspicion import Suspicion
 from cassiapitch.types import Priority
+from cassiapitch.viewitems import (
+    BackendItem,
+    KeyItem,
+)
 
 KEY = codec.encode(KeyItem("acme"))
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,11 @@
 import pytest
 
 from cassiapitch import codec
+from cassiapitch.announcements import (
+    Announcement,
+    LoadedModel,
+    SettledOrder,
+)
 from cassiapitch.bundle import Bundle, Model, Role, Store
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import (
@@ -19,7 +24,6 @@
     RecordOrders,
     ReportBackends,
 )
-from cassiapitch.messages import Announcement, LoadedModel, SettledOrder
 
 ENGINE = Announcement("e", "life", "r", "z", "127.0.0.1", 1, 100, 8, sequence=1)
 
--- a/tests/test_freshness_fuzz.py
+++ b/tests/test_freshness_fuzz.py
@@ -14,7 +14,13 @@
 from cassiapitch import codec
 from cassiapitch.catalog import Catalog
 from cassiapitch.freshness import LIMIT_MS, Freshness
-from cassiapitch.messages import Confirmed, KeyItem, ViewDelta
+from cassiapitch.messages import (
+    Confirmed,
+    ViewDelta,
+)
+from cassiapitch.viewitems import (
+    KeyItem,
+)
 
 NAMES = ("k1", "k2", "k3")
 KEY = codec.encode(KeyItem("acme"))
--- a/tests/test_granter.py
+++ b/tests/test_granter.py
@@ -5,7 +5,11 @@
 from cassiapitch import bucket, division, equalsplit, floors, granter
 from cassiapitch.bucket import MICROTOKENS
 from cassiapitch.commands import FloorsRecorded
-from cassiapitch.messages import GrantAsk, RateAsk, Refund
+from cassiapitch.messages import (
+    GrantAsk,
+    RateAsk,
+    Refund,
+)
 
 # Life 1,000 ms, cap 1,000 tokens.
 LIMITS = {"acme": (1_000, 2_000)}
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -4,7 +4,7 @@
 import pytest
 
 from cassiapitch import hub as hubs
-from cassiapitch import messages
+from cassiapitch import messages, viewitems
 from cassiapitch import view as views
 from cassiapitch.batching import Proposals
 from cassiapitch.replicated import ReplicatedState
@@ -236,7 +236,7 @@
     """Guards against one encoding a link, and against a stale shared delta."""
     view = views.View()
     for index in (1, 2):
-        changes = {f"key/{index}": messages.KeyItem("acme")}
+        changes = {f"key/{index}": viewitems.KeyItem("acme")}
         views.apply_changes(view, index, changes)
     first = views.delta_since(view, 1)
     assert views.delta_since(view, 1) is first
--- a/tests/test_linkstate.py
+++ b/tests/test_linkstate.py
@@ -4,11 +4,13 @@
 from cassiapitch.messages import (
     ConfirmAsk,
     Confirmed,
-    KeyItem,
     LinkHello,
     ViewDelta,
     ViewSnapshot,
 )
+from cassiapitch.viewitems import (
+    KeyItem,
+)
 
 
 def make_view(count, size=10):
--- a/tests/test_loadtable.py
+++ b/tests/test_loadtable.py
@@ -4,8 +4,14 @@
 
 from cassiapitch import codec, loadtable, timers
 from cassiapitch.entrystate import EntryState
-from cassiapitch.messages import BackendItem, LoadReport, LoadReports
+from cassiapitch.messages import (
+    LoadReport,
+    LoadReports,
+)
 from cassiapitch.settings import Address, EntrySettings
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 TARGET_BACKENDS_COUNT = 3_600
 # Share of a daemon's 7 kB/s at the target that load reports may take.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,7 +3,9 @@
 import anyio
 
 from cassiapitch import codec
-from cassiapitch.messages import DemandReport
+from cassiapitch.messages import (
+    DemandReport,
+)
 from cassiapitch.relay import Outbox
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,11 +5,13 @@
 import anyio
 
 from cassiapitch import timers
-from cassiapitch.messages import BackendItem
 from cassiapitch.routing import Router
 from cassiapitch.scheduler import Scheduler, Wanted
 from cassiapitch.suspicion import Suspicion
 from cassiapitch.types import Priority
+from cassiapitch.viewitems import (
+    BackendItem,
+)
 
 BACKENDS = [
     BackendItem(
