--- a/cassiapitch/announce.py
+++ b/cassiapitch/announce.py
@@ -60,6 +60,7 @@
     leaving: bool = False
     cache_events: Annotated[tuple[Text, ...], Meta(max_length=512)] = ()
     sequence: NaturalInt = 0
+    started_ms: NaturalInt = 0
 
 
 def encode(announcement: Announcement) -> bytes:
@@ -100,6 +101,7 @@
         leaving=body.leaving,
         cached_prefixes=body.cache_events,
         sequence=body.sequence,
+        started_ms=body.started_ms,
     )
 
 
--- a/cassiapitch/announcements.py
+++ b/cassiapitch/announcements.py
@@ -58,6 +58,9 @@
         cached_prefixes: Digests of prompt prefixes in its cache, late and gapped.
         sequence: Number of this announcement in its life. Members pass
             announcements on concurrently, so that they may arrive out of order.
+        started_ms: Start of this life by the backend server's clock, 0 if it doesn't
+            say. Of two lives under one name or address the later one is the present
+            one; other clocks are never compared with it.
     """
 
     name: BackendName
@@ -78,6 +81,7 @@
     leaving: bool = False
     cached_prefixes: tuple[str, ...] = ()
     sequence: int = 0
+    started_ms: int = 0
 
 
 ALL = (Announcement,)
--- /dev/null
+++ b/cassiapitch/backendlink.py
@@ -0,0 +1,217 @@
+"""Connections to backend servers for forwarded requests, by `h11`."""
+
+import contextlib
+import dataclasses
+from collections.abc import Callable, Collection
+from typing import Any
+
+import anyio
+import anyio.abc
+import h11
+
+from cassiapitch import timers
+from cassiapitch.types import LifeId
+from cassiapitch.viewitems import BackendItem
+
+CONNECT_TIMEOUT_MS = 700
+READ_BYTES = 65_536
+# Kept connections are given up before the backend server closes them: what is sent
+# while it closes may or may not have been read.
+IDLE_MARGIN_MS = 800
+UNSTATED_IDLE_MS = 4_000
+IDLE_LIMIT_COUNT = 16
+HEAD_LIMIT_BYTES = 64 * 1024
+
+StartTask = Callable[..., None]
+
+
+class BackendUnreachableError(Exception):
+    """No connection came about, so that nothing was sent."""
+
+
+class BackendBrokenError(Exception):
+    """The connection failed, or what came is no whole response."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status, reason and headers of a response."""
+
+    status: int
+    reason: bytes
+    headers: list[tuple[bytes, bytes]]
+
+
+class BackendConnection:
+    """One connection to one life of a backend server."""
+
+    def __init__(self, life_id: LifeId, stream: anyio.abc.SocketStream) -> None:
+        self.life_id = life_id
+        self._stream = stream
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
+        )
+        self.idle_until_ms = 0
+        self.is_reused = False
+        self.is_closed = False
+        self._idle_scope: anyio.CancelScope | None = None
+
+    async def send(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+    ) -> None:
+        """Writes a whole request.
+
+        A failure to write is left to `read_head`: the response may have come before
+        the whole request was read.
+        """
+        framed = list(headers)
+        if body or method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+            framed.append((b"Content-Length", str(len(body)).encode()))
+        request = h11.Request(method=method, target=target, headers=framed)
+        data = self._http.send(request) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await self._stream.send(data)
+
+    async def read_head(self) -> ResponseHead:
+        """Returns the response's head.
+
+        Raises:
+            BackendBrokenError: No whole head came.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                headers = [(bytes(name), bytes(value)) for name, value in event.headers]
+                return ResponseHead(event.status_code, bytes(event.reason), headers)
+            if not isinstance(event, h11.InformationalResponse):
+                raise BackendBrokenError(f"unexpected {type(event).__name__}")
+
+    async def read_data(self) -> bytes | None:
+        """Returns the next bytes of the body, or None at its end.
+
+        Raises:
+            BackendBrokenError: The body is not complete.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+            raise BackendBrokenError(f"unexpected {type(event).__name__}")
+
+    async def _next_event(self) -> Any:
+        try:
+            while (event := self._http.next_event()) is h11.NEED_DATA:
+                self._http.receive_data(await self._receive())
+        except h11.RemoteProtocolError as error:
+            raise BackendBrokenError(f"no valid response: {error}") from None
+        return event
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            return b""
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            raise BackendBrokenError("the connection was reset") from None
+
+    def may_be_kept(self) -> bool:
+        """Tells whether the exchange ended cleanly; foreign bytes forbid reuse."""
+        states = (self._http.our_state, self._http.their_state)
+        is_done = states == (h11.DONE, h11.DONE)
+        data, is_closed = self._http.trailing_data
+        return is_done and not data and not is_closed and not self.is_closed
+
+    def begin_idle(self, idle_ms: int) -> None:
+        """Prepares the connection for the next request."""
+        self._http.start_next_cycle()
+        self.idle_until_ms = timers.now_ms() + idle_ms
+
+    async def watch_idle(self) -> None:
+        """Closes the connection if anything arrives on it, or its end."""
+        with anyio.CancelScope() as scope:
+            self._idle_scope = scope
+            wait_ms = max(0, self.idle_until_ms - timers.now_ms())
+            with anyio.move_on_after(wait_ms / 1000):
+                await self._receive_any()
+            await self.close()
+
+    async def _receive_any(self) -> None:
+        with contextlib.suppress(
+            anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            await self._stream.receive(1)
+
+    def take(self) -> bool:
+        """Ends the idle time; false if the connection is closed or about to be."""
+        is_late = timers.now_ms() >= self.idle_until_ms
+        if self.is_closed or is_late:
+            return False
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
+        self.is_reused = True
+        return True
+
+    async def close(self) -> None:
+        """Closes the connection at once."""
+        self.is_closed = True
+        with anyio.CancelScope(shield=True):
+            await self._stream.aclose()
+
+
+class BackendLinks:
+    """Kept connections by life of a backend server."""
+
+    def __init__(self, start_task: StartTask) -> None:
+        self._start_task = start_task
+        self._idle: dict[LifeId, list[BackendConnection]] = {}
+        self.opened_count = 0
+
+    async def open(self, backend: BackendItem) -> BackendConnection:
+        """Returns a kept connection or a new one.
+
+        Raises:
+            BackendUnreachableError: The backend server takes no connection in time.
+        """
+        idle = self._idle.get(backend.life_id, [])
+        while idle:
+            connection = idle.pop()
+            if connection.take():
+                return connection
+        self.opened_count += 1
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_MS / 1000):
+                stream = await anyio.connect_tcp(backend.ip, backend.port)
+        except (OSError, TimeoutError) as error:
+            raise BackendUnreachableError(str(error) or "timeout") from None
+        return BackendConnection(backend.life_id, stream)
+
+    async def give_back(
+        self, connection: BackendConnection, idle_timeout_ms: int | None
+    ) -> None:
+        """Keeps a connection for the next request, or closes it."""
+        stated_ms = UNSTATED_IDLE_MS if idle_timeout_ms is None else idle_timeout_ms
+        idle_ms = stated_ms - IDLE_MARGIN_MS
+        kept = self._idle.setdefault(connection.life_id, [])
+        kept[:] = [one for one in kept if not one.is_closed]
+        is_full = len(kept) >= IDLE_LIMIT_COUNT
+        if is_full or idle_ms <= 0 or not connection.may_be_kept():
+            await connection.close()
+            return
+        connection.begin_idle(idle_ms)
+        kept.append(connection)
+        self._start_task(connection.watch_idle)
+
+    async def forget_except(self, life_ids: Collection[LifeId]) -> None:
+        """Closes kept connections to lives that the view no longer holds."""
+        for life_id in [key for key in self._idle if key not in life_ids]:
+            for connection in self._idle.pop(life_id):
+                await connection.close()
--- a/cassiapitch/backends.py
+++ b/cassiapitch/backends.py
@@ -48,6 +48,7 @@
         fence_number: Second part of the highest fence it reported.
         ledger: What it may hold.
         charged_mib: Sum of the ledger's charges.
+        started_ms: Its start by its own clock, 0 if it doesn't say.
     """
 
     name: BackendName
@@ -65,6 +66,7 @@
     fence_number: int = 0
     ledger: Ledger = dataclasses.field(default_factory=Ledger)
     charged_mib: int = 0
+    started_ms: int = 0
 
     def allows(self, event: str) -> bool:
         """Tells whether the chart has a transition for an event."""
@@ -110,6 +112,7 @@
     life.port = announcement.port
     life.memory_mib = announcement.memory_mib
     life.max_running_count = announcement.max_running_count
+    life.started_ms = announcement.started_ms
     fence = (announcement.fence_term, announcement.fence_number)
     life.fence_term, life.fence_number = max(life.fence(), fence)
     event = announcement_event(
@@ -131,11 +134,13 @@
     return "heard" if _CHART.allows(state, "heard") else None
 
 
-def silence_event(state: str, silent_ms: int) -> str | None:
+def silence_event(
+    state: str, silent_ms: int, suspect_after_ms: int = SUSPECT_AFTER_MS
+) -> str | None:
     """Returns the chart's event that a silence of this length means."""
     if silent_ms >= DOWN_AFTER_MS and _CHART.allows(state, "expired"):
         return "expired"
-    if silent_ms >= SUSPECT_AFTER_MS and _CHART.allows(state, "silent"):
+    if silent_ms >= suspect_after_ms and _CHART.allows(state, "silent"):
         return "silent"
     if silent_ms >= FORGET_AFTER_MS and _CHART.allows(state, "forgotten"):
         return "forgotten"
--- a/cassiapitch/bucket.py
+++ b/cassiapitch/bucket.py
@@ -26,6 +26,35 @@
     return burst_tokens - -(-rate_tokens_per_s * life_ms // 1000)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateTolerance:
+    """What may be admitted beyond rate and burst in a window.
+
+    Attributes:
+        tokens: A fixed part.
+        share: A share of rate and burst in the window.
+        window_s: Length of the window.
+    """
+
+    tokens: int
+    share: float
+    window_s: float
+
+
+def burst_for_cap(
+    rate_tokens_per_s: int, burst_tokens: int, tolerance: RateTolerance
+) -> int:
+    """Returns the burst whose bucket holds a stated burst, as far as tolerated.
+
+    Grants that entries hold can be in use beside a full bucket, so that a bucket is
+    smaller than its burst. Where a deployment tolerates as much beyond the burst as
+    such grants amount to, the bucket may hold the stated burst.
+    """
+    window_tokens = rate_tokens_per_s * tolerance.window_s + burst_tokens
+    tolerated = tolerance.tokens + int(window_tokens * tolerance.share)
+    return burst_tokens + min(rate_tokens_per_s, burst_tokens, tolerated)
+
+
 @dataclasses.dataclass(slots=True)
 class Bucket:
     """Level and history of a bucket.
--- a/cassiapitch/bundle.py
+++ b/cassiapitch/bundle.py
@@ -11,6 +11,7 @@
 
 from cassiapitch import config
 from cassiapitch.exceptions import SettingsError
+from cassiapitch.forwardroutes import CallerLimits, ForwardRoute, find_forward_faults
 from cassiapitch.settings import Name, Sha256Hex
 from cassiapitch.types import RoleKind
 
@@ -20,6 +21,9 @@
 
 MAX_CONTENT_BYTES = 4 * 1024 * 1024
 
+# No credential is known to have this digest, so nothing is announced with one.
+NO_CREDENTIAL = "0" * 64
+
 ItemName = Annotated[str, Meta(pattern=r"^[a-zA-Z0-9][a-zA-Z0-9._:/-]{0,127}$")]
 Method = Annotated[str, Meta(pattern=r"^(GET|POST|PUT|PATCH|DELETE)$")]
 RoutePath = Annotated[str, Meta(pattern=r"^/[a-zA-Z0-9._~/-]{0,255}$")]
@@ -47,25 +51,53 @@
             accelerators; None trusts the announced memory.
         running_limit_count: Upper limit on requests that one backend server runs
             at once; None trusts the announced limit.
+        settles_orders: Whether its engines report the orders that ended; otherwise
+            an order ends when the engine's report shows its effect.
+        adapter_places_count: Adapters that one engine holds at most; 0 for no limit
+            besides memory.
+        connections_limit_count: Connections that one backend server accepts from
+            all callers together; 0 for no limit.
+        silence_limit_ms: Silence after which one gets no new work; 0 for the usual
+            limit.
+        cache_tokens: Tokens that one engine's cache memory holds; 0 if unknown.
+        unload_delay_ms: Time from the record of an unload until it is sent. Entries
+            whose view is older may still send requests; short where engines decline
+            requests for what they don't hold.
     """
 
     name: Name
     kind: RoleKind
-    credential_sha256: Sha256Hex
+    credential_sha256: Sha256Hex = NO_CREDENTIAL
     fencing: bool = False
     memory_limit_mib: Count | None = None
     running_limit_count: Count | None = None
+    settles_orders: bool = True
+    adapter_places_count: CountOrZero = 0
+    connections_limit_count: CountOrZero = 0
+    silence_limit_ms: CountOrZero = 0
+    cache_tokens: CountOrZero = 0
+    unload_delay_ms: CountOrZero = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Model:
-    """A model that engines of a role serve."""
+    """A model that engines of a role serve.
+
+    Attributes:
+        name: Its name.
+        role: Role of its engines.
+        memory_mib: Accelerator memory of its weights.
+        minimum_copies: Copies that stay loaded.
+        context_tokens: Longest prompt and answer together.
+        load_ms: Time of a load from the weight store; 0 if unknown.
+    """
 
     name: ItemName
     role: Name
     memory_mib: Count
     minimum_copies: CountOrZero = 0
     context_tokens: Count = 8_192
+    load_ms: CountOrZero = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,12 +111,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientAccount:
-    """A client account with its rate over all entries together."""
+    """A client account with its rate over all entries together.
+
+    Attributes:
+        name: Its name.
+        rate_tokens_per_s: What flows into its bucket.
+        burst_tokens: What its bucket holds.
+        weight: Its share in a fair queue.
+        is_limited: Whether the rate applies at all.
+        counts_tokens: Whether a forwarded request costs its tokens; otherwise 1.
+        plain_cost_tokens: Cost of a forwarded request that states no tokens.
+        priority: Rank of its forwarded requests, 0 first; None for the route's.
+    """
 
     name: Name
     rate_tokens_per_s: Tokens
     burst_tokens: Tokens
     weight: Annotated[int, Meta(ge=1, le=1_000_000)] = 1
+    is_limited: bool = True
+    counts_tokens: bool = True
+    plain_cost_tokens: CountOrZero = 1
+    priority: CountOrZero | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +176,8 @@
     keys: tuple[Key, ...] = ()
     routes: tuple[Route, ...] = ()
     store: Store = Store()
+    forwards: tuple[ForwardRoute, ...] = ()
+    caller_limits: CallerLimits | None = None
 
 
 def digest(content: bytes) -> str:
@@ -184,6 +233,7 @@
         *_adapter_faults(bundle),
         *_account_faults(bundle),
         *_route_faults(bundle),
+        *find_forward_faults(bundle.forwards, {role.name for role in bundle.roles}),
     ]
 
 
@@ -235,6 +285,8 @@
 def _account_faults(bundle: Bundle) -> list[str]:
     faults = []
     for number, account in enumerate(bundle.client_accounts):
+        if not account.is_limited:
+            continue
         if account.burst_tokens * RATE_TO_BURST_LIMIT < account.rate_tokens_per_s:
             faults.append(
                 f"$.client_accounts[{number}].burst_tokens: must be at least "
--- /dev/null
+++ b/cassiapitch/callerlink.py
@@ -0,0 +1,311 @@
+"""Connections of callers whose requests are forwarded, by `h11`."""
+
+import contextlib
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import h11
+
+from cassiapitch.asgi import BodyRoom, BodyShare
+from cassiapitch.forwardroutes import CallerLimits
+
+READ_BYTES = 65_536
+# A caller that takes nothing for this long is taken for gone.
+SEND_TIMEOUT_S = 10
+BODY_TIMEOUT_S = 15
+# Bytes of the next request that are read while the present one is answered.
+AHEAD_LIMIT_BYTES = 256 * 1024
+
+DEFAULT_LIMITS = CallerLimits(16_384, 4 * 1024 * 1024, 3_000, 15_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request, read whole."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The target's path without its query."""
+        target = self.target
+        if not target.startswith(b"/"):
+            # Absolute form: the path follows scheme and host.
+            _, separator, rest = target.partition(b"://")
+            slash = rest.find(b"/") if separator else -1
+            target = rest[slash:] if slash >= 0 else target
+        return target.partition(b"?")[0].decode("latin-1")
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns a header's value; `name` is in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+    @property
+    def host(self) -> str:
+        """The host without its port, in lower case."""
+        value = (self.header(b"host") or b"").decode("latin-1").lower()
+        name, separator, port = value.rpartition(":")
+        return name if separator and port.isdigit() else value
+
+
+class BadRequestError(Exception):
+    """The request can't be read; `status` is the answer, then the connection ends."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class CallerGoneError(Exception):
+    """The caller closed the connection."""
+
+
+class CallerConnection:
+    """One caller's connection: requests in, answers out, one at a time."""
+
+    def __init__(
+        self,
+        stream: anyio.abc.SocketStream,
+        limits: Callable[[], CallerLimits],
+        room: BodyRoom,
+    ) -> None:
+        """Takes over an accepted connection.
+
+        Args:
+            stream: The connection.
+            limits: Returns the limits in force.
+            room: Where buffered bodies are counted.
+        """
+        self._stream = stream
+        self._limits = limits
+        self._room = room
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().head_bytes
+        )
+        self.is_idle = True
+        self.has_answered = False
+        self.share: BodyShare | None = None
+        self._is_gone = False
+
+    async def read_request(self) -> CallerRequest | None:
+        """Returns the next request, or None at the end of the connection.
+
+        Raises:
+            BadRequestError: It can't be read.
+            CallerGoneError: The caller left in the middle of it.
+        """
+        self.has_answered = False
+        try:
+            head = await self._read_head()
+            if head is None:
+                return None
+            self.is_idle = False
+            headers = [(bytes(name), bytes(value)) for name, value in head.headers]
+            _check_framing(headers)
+            body = await self._read_body()
+        except h11.RemoteProtocolError as error:
+            raise BadRequestError(error.error_status_hint, str(error)) from None
+        return CallerRequest(bytes(head.method), bytes(head.target), headers, body)
+
+    async def _read_head(self) -> h11.Request | None:
+        limits = self._limits()
+        timeout_ms = limits.idle_timeout_ms
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            is_begun = bool(self._http.trailing_data[0])
+            if is_begun:
+                self.is_idle = False
+                timeout_ms = limits.head_timeout_ms
+            with anyio.move_on_after(timeout_ms / 1000) as scope:
+                data = await self._receive()
+            if scope.cancelled_caught:
+                if is_begun:
+                    raise BadRequestError(408, "the head did not arrive in time")
+                return None
+            if not data and not is_begun:
+                return None
+            self._http.receive_data(data)
+
+    async def _read_body(self) -> bytes:
+        limit_bytes = self._limits().body_bytes
+        self.share = BodyShare(self._room)
+        parts: list[bytes] = []
+        size_bytes = 0
+        with anyio.move_on_after(BODY_TIMEOUT_S):
+            while True:
+                if self._http.they_are_waiting_for_100_continue:
+                    await self._send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+                event = self._http.next_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return b"".join(parts)
+                if isinstance(event, h11.Data):
+                    parts.append(bytes(event.data))
+                    size_bytes += len(event.data)
+                    if size_bytes > limit_bytes:
+                        raise BadRequestError(413, "the body is too large")
+                    if not self.share.take(len(event.data)):
+                        raise BadRequestError(503, "no room for the body")
+                elif event is h11.NEED_DATA:
+                    data = await self._receive()
+                    if not data:
+                        raise CallerGoneError
+                    self._http.receive_data(data)
+                else:
+                    raise CallerGoneError
+        raise BadRequestError(408, "the body did not arrive in time")
+
+    async def watch(self) -> None:
+        """Returns once the caller has left while its request is served.
+
+        What arrives meanwhile belongs to the next request and is kept.
+        """
+        while not self._is_gone:
+            if len(self._http.trailing_data[0]) > AHEAD_LIMIT_BYTES:
+                await anyio.sleep_forever()
+            data = await self._receive()
+            self._http.receive_data(data)
+            if not data:
+                self._is_gone = True
+
+    async def begin_answer(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        length: int | None,
+        reason: bytes = b"",
+        close: bool = False,
+    ) -> None:
+        """Writes the head of an answer; a body without a length is chunked.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        framed = list(headers)
+        if length is not None:
+            framed.append((b"Content-Length", str(length).encode()))
+        if close:
+            framed.append((b"Connection", b"close"))
+        self.has_answered = True
+        response = h11.Response(status_code=status, headers=framed, reason=reason)
+        await self._send(response)
+
+    async def send_data(self, data: bytes) -> None:
+        """Writes a part of the body.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        await self._send(h11.Data(data=data))
+
+    async def end_answer(self) -> None:
+        """Completes the answer.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        await self._send(h11.EndOfMessage())
+
+    async def answer(
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        body: bytes,
+        *,
+        reason: bytes = b"",
+        close: bool = False,
+    ) -> None:
+        """Writes a whole answer in one piece.
+
+        Raises:
+            CallerGoneError: The caller has left.
+        """
+        framed = [*headers, (b"Content-Length", str(len(body)).encode())]
+        if close:
+            framed.append((b"Connection", b"close"))
+        self.has_answered = True
+        response = h11.Response(status_code=status, headers=framed, reason=reason)
+        data = self._http.send(response) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._write(data)
+
+    def begin_next(self) -> bool:
+        """Prepares for the next request; false if the connection must end."""
+        if self.share is not None:
+            self.share.release()
+            self.share = None
+        states = (self._http.our_state, self._http.their_state)
+        if states != (h11.DONE, h11.DONE) or self._is_gone:
+            return False
+        self._http.start_next_cycle()
+        self.is_idle = not self._http.trailing_data[0]
+        return True
+
+    async def close(self) -> None:
+        """Ends the connection; an answer that is not complete stays incomplete."""
+        if self.share is not None:
+            self.share.release()
+            self.share = None
+        with anyio.CancelScope(shield=True):
+            await self._stream.aclose()
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive(READ_BYTES)
+        except (
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            return b""
+
+    async def _send(self, event: Any) -> None:
+        data = self._http.send(event)
+        if data:
+            await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            with anyio.fail_after(SEND_TIMEOUT_S):
+                await self._stream.send(data)
+        except (
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            TimeoutError,
+        ):
+            self._is_gone = True
+            raise CallerGoneError from None
+
+
+def _check_framing(headers: list[tuple[bytes, bytes]]) -> None:
+    """Rejects requests whose end two readers could see in different places.
+
+    Raises:
+        BadRequestError: The request states both a length and chunks.
+    """
+    names = [name for name, _ in headers]
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise BadRequestError(400, "both Content-Length and Transfer-Encoding")
+
+
+@contextlib.asynccontextmanager
+async def closing(connection: CallerConnection) -> Any:
+    """Closes a connection at the end of a block."""
+    try:
+        yield connection
+    finally:
+        await connection.close()
--- a/cassiapitch/catalog.py
+++ b/cassiapitch/catalog.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from cassiapitch import codec
+from cassiapitch.forwardroutes import CallerLimits, ForwardRoute, ForwardTable
 from cassiapitch.messages import (
     ViewDelta,
     ViewSnapshot,
@@ -72,6 +73,7 @@
         self._tables: dict[str, dict[str, Any]] = _empty_tables()
         self._by_role: dict[str, dict[str, BackendItem]] = {}
         self._by_model: dict[str, dict[str, BackendItem]] = {}
+        self._forwards: ForwardTable | None = None
 
     def apply_snapshot(self, index: int, items: dict[str, bytes]) -> ApplyOutcome:
         """Replaces the whole view unless it is as new already.
@@ -87,6 +89,7 @@
             tables.setdefault(kind, {})[key] = codec.decode(data)
         removed = self.keys.keys() - tables["key"].keys()
         self._tables = tables
+        self._forwards = None
         self._by_role, self._by_model = {}, {}
         for backend in tables["backend"].values():
             self._index_backend(backend)
@@ -112,6 +115,8 @@
         for name in delta.deletes:
             kind, key = _split(name)
             item = self._tables.setdefault(kind, {}).pop(key, None)
+            if kind == "forward":
+                self._forwards = None
             if kind == "key" and item is not None:
                 removed.add(key)
             elif kind == "backend" and item is not None:
@@ -121,6 +126,8 @@
             kind, key = _split(name)
             earlier = self._tables.setdefault(kind, {}).get(key)
             self._tables[kind][key] = item
+            if kind == "forward":
+                self._forwards = None
             if kind == "backend":
                 if earlier is not None:
                     self._unindex_backend(earlier)
@@ -174,6 +181,17 @@
         """Requests that were running when backend servers crashed, by digest."""
         return self._tables["suspect"]
 
+    @property
+    def caller_limits(self) -> CallerLimits | None:
+        """What forwarded requests may use, if the bundle says so."""
+        return self._tables["limits"].get("")
+
+    def forward(self, host: str, path: str) -> ForwardRoute | None:
+        """Returns the forwarding route of a request, by its longest prefix."""
+        if self._forwards is None:
+            self._forwards = ForwardTable(self._tables["forward"].values())
+        return self._forwards.find(host, path)
+
     def target(self, name: str) -> Target | None:
         """Returns what a request's model name means, or None if unknown."""
         if (model := self.models.get(name)) is not None:
@@ -240,6 +258,8 @@
         "key",
         "backend",
         "suspect",
+        "forward",
+        "limits",
     )
     return {kind: {} for kind in kinds}
 
--- a/cassiapitch/control.py
+++ b/cassiapitch/control.py
@@ -1,22 +1,53 @@
 """`cassiapitch-control`: a member of the control group."""
 
+import dataclasses
+import functools
 import random
 import sys
+from collections.abc import Awaitable, Callable
 
 import anyio
 
-from cassiapitch import codec, process, timers
+from cassiapitch import asgi, codec, dispatch, joining, process, timers
 from cassiapitch.announce import AnnounceRoute
-from cassiapitch.controller import Controller
+from cassiapitch.controller import Controller, SendFunction
 from cassiapitch.controlnode import ControlNode, Parts
 from cassiapitch.fleet import FLEET_COMMANDS, Fleet
 from cassiapitch.member import Member
+from cassiapitch.seeds import peers_from_seeds
 from cassiapitch.settings import ControlSettings
 
+MakeApp = Callable[[Fleet, ControlNode], asgi.App]
 
-def make_parts(settings: ControlSettings) -> Parts:
-    """Returns the parts of a member that the log and placement provide."""
+
+def make_parts(
+    settings: ControlSettings,
+    *,
+    send_order: SendFunction = dispatch.send_order,
+    make_app: MakeApp | None = None,
+) -> Parts:
+    """Returns the parts of a member that the log and placement provide.
+
+    Args:
+        settings: The process's settings.
+        send_order: Makes an attempt to send an order to an engine.
+        make_app: Makes the HTTP application of the administration address.
+    """
     fleet = Fleet()
+    seeds = peers_from_seeds(settings.seeds, settings.seed_rpc_port)
+    if seeds:
+        settings = dataclasses.replace(settings, initial_members=seeds)
+
+    def tasks(member: Member) -> tuple[Callable[[], Awaitable[None]], ...]:
+        if settings.tolerated_faults_count is None:
+            return ()
+        return (
+            functools.partial(joining.ask_for_admission, member, seeds),
+            functools.partial(
+                joining.keep_group_size, member, settings.tolerated_faults_count
+            ),
+        )
+
     return Parts(
         make_member=lambda machine, on_applied: Member(settings, machine, on_applied),
         fleet=fleet,
@@ -30,8 +61,12 @@
             timers.now_ms,
             settings.placement_policy,
             random.Random(),
+            send_order,
+            settings.order_lease_ms,
         ),
         make_announce_route=lambda deliver: AnnounceRoute(fleet.credentials, deliver),
+        tasks=tasks,
+        make_app=None if make_app is None else functools.partial(make_app, fleet),
     )
 
 
--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -19,6 +19,7 @@
     LoadReports,
 )
 
+SendFunction = Callable[..., Awaitable[str | None]]
 Propose = Callable[[Any, int], Awaitable[Any]]
 
 # Time between looks at what is due; announcements that matter wake it earlier.
@@ -37,6 +38,8 @@
         now_ms: Callable[[], int],
         policy: str,
         random: random.Random,
+        send_order: SendFunction = dispatch.send_order,
+        lease_ms: int = 0,
     ) -> None:
         """Makes a controller that is idle until it leads.
 
@@ -47,7 +50,11 @@
             now_ms: The clock.
             policy: Placement policy, `demand` or `fixed`.
             random: Source of the terms' tokens.
+            send_order: Makes an attempt to send an order.
+            lease_ms: How long a new term sends no orders.
         """
+        self._send_order = send_order
+        self._lease_ms = lease_ms
         self._propose = propose
         self._fleet = fleet
         self._is_leader = is_leader
@@ -69,6 +76,8 @@
         """Takes an entry's demand report."""
         if self._coordinator is not None:
             self._coordinator.on_demand(report, self._now_ms())
+            if self._coordinator.rest_ms(self._now_ms()) < TICK_MS:
+                self._poked.set()
 
     def load_reports(self) -> LoadReports:
         """Returns the load reports since the last call, for the entries."""
@@ -81,10 +90,15 @@
         async with anyio.create_task_group() as group:
             while True:
                 await self._turn(group)
-                with anyio.move_on_after(TICK_MS / 1_000):
+                with anyio.move_on_after(self._pause_ms() / 1_000):
                     await self._poked.wait()
                 self._poked = anyio.Event()
 
+    def _pause_ms(self) -> int:
+        if self._coordinator is None:
+            return TICK_MS
+        return max(1, min(TICK_MS, self._coordinator.rest_ms(self._now_ms())))
+
     async def _turn(self, group: anyio.abc.TaskGroup) -> None:
         if not self._is_leader():
             self._coordinator = None
@@ -101,7 +115,9 @@
         if self._fleet.term_token != self._token:
             return
         term = self._fleet.term
-        self._coordinator = Coordinator(self._fleet, self._policy, term, self._now_ms())
+        self._coordinator = Coordinator(
+            self._fleet, self._policy, term, self._now_ms(), self._lease_ms
+        )
         events.log(events.Event.TERM_BEGUN, term=term)
 
     async def _decide(
@@ -140,7 +156,7 @@
     async def _send(self, coordinator: Coordinator, send: SendOrder) -> None:
         life = self._fleet.lives.get(send.order.backend)
         fencing = life is not None and life.fencing
-        answer = await dispatch.send_order(send, fencing=fencing)
+        answer = await self._send_order(send, fencing=fencing)
         events.log(
             events.Event.ORDER_ANSWERED,
             order_id=send.order.order_id,
--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -70,6 +70,9 @@
         fleet_commands: The fleet's command data classes.
         make_placement: Makes the placement task, given the member.
         make_announce_route: Makes the application for announcements.
+        tasks: Returns further tasks of the member.
+        make_app: Makes the application of the administration address; by default
+            the administration API and the announcements.
     """
 
     make_member: Callable[[ReplicatedState, Callable[[int], None]], Member]
@@ -77,6 +80,10 @@
     fleet_commands: tuple[type, ...]
     make_placement: Callable[[Member], PlacementTask]
     make_announce_route: Callable[[Deliver], asgi.App]
+    tasks: Callable[[Member], tuple[Callable[[], Awaitable[None]], ...]] = (
+        lambda member: ()
+    )
+    make_app: Callable[["ControlNode"], asgi.App] | None = None
 
 
 class ControlNode:
@@ -87,6 +94,8 @@
     ) -> None:
         self._settings = settings
         self._stop = stop
+        self._make_app = parts.make_app
+        self._more_tasks = parts.tasks
         self.state = ReplicatedState(parts.fleet, parts.fleet_commands)
         self.member = parts.make_member(self.state, self._on_applied)
         self._proposals = Proposals(self.member, timers.now_ms)
@@ -117,7 +126,7 @@
             self._dump,
             stop.set,
         )
-        self._announce = parts.make_announce_route(self._deliver)
+        self._announce = parts.make_announce_route(self.deliver)
 
     def _on_applied(self, index: int) -> None:
         self.hub.on_applied(index)
@@ -138,7 +147,8 @@
             case LoadReports():
                 self.hub.broadcast(message)
 
-    async def _deliver(self, announcement: Announcement) -> bool:
+    async def deliver(self, announcement: Announcement) -> bool:
+        """Passes an announcement to the leader; false if there is none."""
         if self.member.status().leader is None:
             return False
         self._relay.send(announcement)
@@ -165,7 +175,10 @@
         task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serves until `stop` is set; reports the administration port."""
-        app = _route(self._admin, self._announce)
+        if self._make_app is None:
+            app = _route(self._admin, self._announce)
+        else:
+            app = self._make_app(self)
         http = asgi.HttpServer(app, self._settings.admin_address)
         # The member's peers reach it through this server, also for forming the
         # group, so it listens before the member runs.
@@ -178,6 +191,9 @@
             tasks.start_soon(self.member.run)
             tasks.start_soon(self._proposals.run)
             tasks.start_soon(self.hub.run_confirmations)
+            tasks.start_soon(self.hub.announce_members)
+            for more in self._more_tasks(self.member):
+                tasks.start_soon(more)
             tasks.start_soon(self._relay.run)
             tasks.start_soon(self._desk.run)
             tasks.start_soon(self._placement.run)
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -28,7 +28,7 @@
     LoadReport,
     LoadReports,
 )
-from cassiapitch.orders import Order
+from cassiapitch.orders import Order, is_adapter_key
 from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState
 
 ROUND_MS = 1_000
@@ -36,6 +36,10 @@
 # A round comes earlier when something new is waited for: an adapter loads in a few
 # milliseconds, so that the wait for the round would be most of its delay.
 URGENT_ROUND_MS = 250
+URGENT_ADAPTER_ROUND_MS = 20
+
+# More than the fleet can record while one member leads.
+ORDERS_PER_TERM = 10**9
 
 # Announcements in one command, so that a command stays under a mebibyte.
 REPORTS_PER_COMMAND = 256
@@ -63,12 +67,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendOrder:
-    """An attempt to be sent now."""
+    """An attempt to be sent now.
+
+    Attributes:
+        order: The order.
+        attempt: Its number.
+        ip: Where the engine is.
+        port: Where the engine is.
+        fence: Fencing number of this attempt as one number; it rises with each term
+            and within it.
+    """
 
     order: Order
     attempt: int
     ip: str
     port: int
+    fence: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,9 +98,21 @@
 class Coordinator:
     """State of one controller term, in memory."""
 
-    def __init__(self, fleet: Fleet, policy: str, term: int, now_ms: int) -> None:
-        """Begins a term that is already in force in the fleet."""
+    def __init__(
+        self, fleet: Fleet, policy: str, term: int, now_ms: int, lease_ms: int = 0
+    ) -> None:
+        """Begins a term that is already in force in the fleet.
+
+        Args:
+            fleet: The replicated state, read only.
+            policy: Placement policy.
+            term: The term.
+            now_ms: The current time.
+            lease_ms: How long an earlier leader's orders may still count as current;
+                this term sends none before.
+        """
         self.term = term
+        self._lease_ms = lease_ms
         self.placement = PlacementState(fleet, policy, now_ms)
         self._fleet = fleet
         self._begun_ms = now_ms
@@ -150,8 +176,11 @@
         )
         report = dataclasses.replace(report, demands=known)
         new = self.placement.demand.note(report, adapters, now_ms)
-        if any(key not in self.placement.served for key in new):
-            urgent_ms = self._last_round_ms + URGENT_ROUND_MS
+        unserved = [key for key in new if key not in self.placement.served]
+        if unserved:
+            is_quick = any(is_adapter_key(key) for key in unserved)
+            pause_ms = URGENT_ADAPTER_ROUND_MS if is_quick else URGENT_ROUND_MS
+            urgent_ms = self._last_round_ms + pause_ms
             self._next_round_ms = min(self._next_round_ms, urgent_ms)
         for life_id in report.refused_backends:
             self._refused.setdefault(life_id, {})[report.entry] = now_ms
@@ -198,6 +227,10 @@
         orders = placement.decide(self.placement, now_ms)
         return RecordOrders(self.term, tuple(orders)) if orders else None
 
+    def rest_ms(self, now_ms: int) -> int:
+        """Returns the time until the next placement round."""
+        return max(0, self._next_round_ms - now_ms)
+
     def sends(self, now_ms: int) -> list[SendOrder]:
         """Returns the attempts that are recorded and not yet sent.
 
@@ -205,7 +238,9 @@
         before, since it rejects an order that arrives after a higher fence.
         """
         self._forget_settled()
-        found = []
+        found: list[SendOrder] = []
+        if now_ms - self._begun_ms < self._lease_ms:
+            return found
         blocked: set[str] = set()
         for order in self._fleet.open_orders.values():
             life = self._fleet.lives[order.backend]
@@ -218,7 +253,10 @@
             progress.sent_attempt = order.attempt_count
             progress.sent_ms = now_ms
             progress.responded = False
-            found.append(SendOrder(order, order.attempt_count, life.ip, life.port))
+            fence = self.term * ORDERS_PER_TERM + order.fence_number
+            found.append(
+                SendOrder(order, order.attempt_count, life.ip, life.port, fence)
+            )
         return found
 
     def _is_due(
@@ -231,7 +269,9 @@
         if life.state in (backends.DOWN, backends.SUSPECTED):
             return False
         # The recorded unload left the view at once; entries may be a moment behind.
-        return order.is_load() or now_ms - progress.seen_ms >= VIEW_DELAY_MS
+        role = self._fleet.catalog.roles.get(life.role)
+        delay_ms = VIEW_DELAY_MS if role is None else role.unload_delay_ms
+        return order.is_load() or now_ms - progress.seen_ms >= delay_ms
 
     def _forget_ended(self) -> None:
         tables = (
@@ -261,6 +301,8 @@
         life = self._fleet.lives.get(announcement.name)
         if life is None or life.life_id == announcement.life_id:
             return False
+        if announcement.started_ms and life.started_ms:
+            return announcement.started_ms < life.started_ms
         heard_ms = self._heard_ms.get(life.life_id, self._begun_ms)
         return now_ms - heard_ms < backends.SUSPECT_AFTER_MS
 
@@ -301,7 +343,13 @@
         marks = []
         for life in self._fleet.lives.values():
             heard_ms = self._heard_ms.setdefault(life.life_id, self._begun_ms)
-            event = backends.silence_event(life.state, now_ms - heard_ms)
+            role = self._fleet.catalog.roles.get(life.role)
+            limit_ms = 0 if role is None else role.silence_limit_ms
+            event = backends.silence_event(
+                life.state,
+                now_ms - heard_ms,
+                limit_ms or backends.SUSPECT_AFTER_MS,
+            )
             if event is None and self._is_refused(life, now_ms):
                 event = "refused"
                 self._hold_until_ms[life.life_id] = now_ms + REFUSED_HOLD_MS
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -2,7 +2,8 @@
 
 import logging
 import sys
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import anyio
 
@@ -18,6 +19,7 @@
     ClaimAnswer,
     ConfirmAsk,
     Confirmed,
+    ControlMembers,
     CrashAnswer,
     LinkHello,
     LoadReports,
@@ -27,6 +29,7 @@
     ViewSnapshot,
 )
 from cassiapitch.operatorroutes import OperatorApplication
+from cassiapitch.seeds import peers_from_seeds
 from cassiapitch.settings import EntrySettings
 
 PRIMARY = 0
@@ -37,24 +40,59 @@
 RETURN_WAIT_MS = 100
 
 
+class CallerServer(Protocol):
+    """What the process needs of the server for callers."""
+
+    port: int
+
+    async def run(self) -> None:
+        """Serves until `close`, and then to the end of every call."""
+
+    def close(self) -> None:
+        """Stops listening."""
+
+
+MakeCallers = Callable[[EntryState, Crashes], CallerServer]
+
+
+def _openai_callers(state: EntryState, crashes: Crashes) -> CallerServer:
+    application = CallerApplication(state, crashes)
+    return HttpServer(
+        application,
+        state.settings.caller_address,
+        connections_limit_count=state.settings.connections_limit_count,
+        refuse=application.refuse_connection,
+    )
+
+
 class EntryProcess:
     """The tasks of one entry."""
 
-    def __init__(self, settings: EntrySettings, stop: anyio.Event) -> None:
+    def __init__(
+        self,
+        settings: EntrySettings,
+        stop: anyio.Event,
+        make_callers: MakeCallers | None = None,
+    ) -> None:
+        """Makes an entry.
+
+        Args:
+            settings: The process's settings.
+            stop: Begins the graceful shutdown.
+            make_callers: Makes the server for callers; by default the one of the
+                OpenAI-compatible interface.
+        """
         self.state = EntryState(settings)
         self._settings = settings
         self._stop = stop
         self._crashes = Crashes(self.state)
-        self._plan = LinkPlan(settings.control, settings.zone, settings.name)
+        self._control = settings.control or peers_from_seeds(
+            settings.seeds, settings.seed_rpc_port
+        )
+        self._plan = LinkPlan(self._control, settings.zone, settings.name)
         self._parts = {slot: SnapshotParts() for slot in range(LINKS_COUNT)}
         self._send_primary: Any = None
-        application = CallerApplication(self.state, self._crashes)
-        self.callers = HttpServer(
-            application,
-            settings.caller_address,
-            connections_limit_count=settings.connections_limit_count,
-            refuse=application.refuse_connection,
-        )
+        self.callers = (make_callers or _openai_callers)(self.state, self._crashes)
         operators = OperatorApplication(self.state, self._plan, stop)
         self.operators = HttpServer(operators, settings.admin_address)
 
@@ -87,7 +125,7 @@
             received=self._received,
             closed=self._closed,
         )
-        for slot in range(min(LINKS_COUNT, len(self._settings.control))):
+        for slot in range(min(LINKS_COUNT, len(self._control))):
             link = Link(slot, self._plan, handlers, self._settings.tls)
             group.start_soon(link.run)
 
@@ -99,6 +137,7 @@
             zone=self._settings.zone,
             applied_index=self.state.catalog.index,
             primary=slot == PRIMARY,
+            wants_members=bool(self._settings.seeds),
         )
 
     def _confirm_ask(self) -> ConfirmAsk:
@@ -131,6 +170,8 @@
             self.state.take_grants(message)
         elif isinstance(message, ClaimAnswer | CrashAnswer | SuspectRunAnswer):
             self.state.asks.answered(message)
+        elif isinstance(message, ControlMembers):
+            self._plan.learn(message.members)
         elif isinstance(message, LoadReports) and slot == PRIMARY:
             # Both links bring the same reports; a second copy would pass for a
             # later one when own requests are discounted.
@@ -193,7 +234,7 @@
 
     async def _report_demand(self) -> None:
         while True:
-            await anyio.sleep(demand.REPORT_PERIOD_MS / 1000)
+            await self.state.demand_needed.wait(demand.REPORT_PERIOD_MS)
             if self._send_primary is None:
                 continue
             catalog = self.state.catalog
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -34,6 +34,7 @@
 from cassiapitch.statechart import load_chart
 from cassiapitch.suspicion import Suspicion
 from cassiapitch.types import ModelName
+from cassiapitch.viewitems import AccountItem
 
 
 class Signal:
@@ -76,6 +77,7 @@
         self.body_room = BodyRoom(settings.buffered_bodies_limit_bytes)
         self.confirmed = Signal()
         self.rate_needed = Signal()
+        self.demand_needed = Signal()
         self.shutdown = load_chart("shutdown").initial
         self.requests_count = 0
         self._expected: dict[ModelName, int] = {}
@@ -184,16 +186,19 @@
 
     async def admit(self, call: Call, tokens: int) -> Decision:
         """Takes a call's tokens from its account, waiting for a grant if needed."""
-        account = call.account
-        if account is None:
+        if call.account is None:
             return Admitted("", ())
-        decision = self.budget.request(
-            call.request_id, account, tokens, timers.now_ms()
-        )
+        return await self.admit_cost(call.request_id, call.account, tokens)
+
+    async def admit_cost(
+        self, request_id: str, account: AccountItem, tokens: int
+    ) -> Decision:
+        """Takes tokens from an account for a request; see `admit`."""
+        decision = self.budget.request(request_id, account, tokens, timers.now_ms())
         if not isinstance(decision, Waiting):
             return decision
         event, decisions = anyio.Event(), list[Decision]()
-        self._budget_waits[call.request_id] = (event, decisions)
+        self._budget_waits[request_id] = (event, decisions)
         self.rate_needed.fire()
         try:
             await event.wait()
@@ -202,6 +207,6 @@
                 self.budget.settle(decisions[0], 0)
             raise
         finally:
-            del self._budget_waits[call.request_id]
-            self.budget.withdraw(call.request_id, account.name)
+            del self._budget_waits[request_id]
+            self.budget.withdraw(request_id, account.name)
         return decisions[0]
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -36,7 +36,7 @@
     model_key,
     name_of,
 )
-from cassiapitch.types import OrderKind, RoleKind
+from cassiapitch.types import OrderKind, OrderOutcome, RoleKind
 from cassiapitch.viewitems import (
     BackendItem,
 )
@@ -46,7 +46,7 @@
 # Lives that ended are remembered, so that their late announcements are ignored.
 ENDED_LIVES_COUNT = 8_192
 
-MARK_EVENTS = frozenset({"silent", "refused", "expired", "forgotten"})
+MARK_EVENTS = frozenset({"silent", "refused", "expired", "forgotten", "replaced"})
 
 
 @dataclasses.dataclass(slots=True)
@@ -204,10 +204,19 @@
     def _announce(self, announcement: Announcement) -> None:
         if self.is_ended(announcement.life_id):
             return
+        if not self._end_earlier_at(announcement):
+            return
         life = self.lives.get(announcement.name)
         if life is not None and life.life_id != announcement.life_id:
+            if 0 < announcement.started_ms < life.started_ms:
+                return
             # A credential of one role must not displace another role's servers.
-            if life.role != announcement.role and life.state != backends.DOWN:
+            is_other_role = life.role != announcement.role
+            if (
+                is_other_role
+                and life.state != backends.DOWN
+                and not announcement.started_ms
+            ):
                 return
             self._end_life(life, "replaced")
             life = None
@@ -225,10 +234,39 @@
             life.fence(),
             fencing=life.fencing,
         )
+        ended += self._settle_observed(life)
         for order in ended:
             del self._open[order.order_id]
         self._refresh(life)
 
+    def _end_earlier_at(self, announcement: Announcement) -> bool:
+        """Ends earlier lives at an address; false if this one is the earlier one.
+
+        A heartbeat of a crashed life may arrive after its address has been given to
+        another backend server.
+        """
+        if not announcement.started_ms:
+            return True
+        place = (announcement.ip, announcement.port)
+        others = [
+            life
+            for life in self.lives.values()
+            if (life.ip, life.port) == place and life.life_id != announcement.life_id
+        ]
+        if any(life.started_ms > announcement.started_ms for life in others):
+            return False
+        for life in others:
+            if life.name != announcement.name:
+                self._end_life(life, "replaced")
+        return True
+
+    def _settle_observed(self, life: Life) -> list[Order]:
+        """Ends orders whose effect a report shows, where reports name no orders."""
+        role = self.catalog.roles.get(life.role)
+        if role is None or role.settles_orders:
+            return []
+        return life.ledger.settle_observed()
+
     def _end_life(self, life: Life, event: str) -> None:
         life.advance(event)
         for order in life.ledger.orders.values():
@@ -248,7 +286,7 @@
             return
         if mark.event not in MARK_EVENTS or not life.allows(mark.event):
             return
-        if mark.event == "forgotten":
+        if mark.event in ("forgotten", "replaced"):
             self._end_life(life, mark.event)
             return
         life.advance(mark.event)
@@ -316,12 +354,27 @@
             life, model_key(self.catalog.model_of(new.item) or "")
         ):
             return "its model is not loaded"
+        if is_adapter and not self.has_adapter_place(life):
+            return "all adapter places are taken"
         needed_mib = self.catalog.memory_mib(new.item) or 0
         grown_mib = max(0, needed_mib - life.ledger.late_mib(new.item))
         if life.charged_mib + grown_mib > self.capacity_mib(life):
             return "the memory doesn't suffice"
         return None
 
+    def free_adapter_places(self, life: Life) -> int | None:
+        """Returns the adapter places left on an engine; None without a limit."""
+        role = self.catalog.roles.get(life.role)
+        if role is None or not role.adapter_places_count:
+            return None
+        taken = [key for key in life.ledger.charged_keys() if is_adapter_key(key)]
+        return role.adapter_places_count - len(taken)
+
+    def has_adapter_place(self, life: Life) -> bool:
+        """Tells whether an engine can take one more adapter."""
+        free_count = self.free_adapter_places(life)
+        return free_count is None or free_count > 0
+
     def _attempt(self, attempt: OrderAttempt) -> None:
         order = self._open.get(attempt.order_id)
         if order is not None and attempt.attempt == order.attempt_count + 1:
@@ -340,6 +393,10 @@
         if order is not None and is_stale and not order.accepted:
             life.ledger.refuse(answer.order_id)
             del self._open[answer.order_id]
+        if order is not None and answer.answer in ("done", "failed"):
+            outcome = OrderOutcome(answer.answer)
+            life.ledger.settle_answered(answer.order_id, outcome)
+            self._open.pop(answer.order_id, None)
         self._refresh(life)
 
     def _is_usable(self, life: Life, key: str) -> bool:
--- a/cassiapitch/fleet_commands.py
+++ b/cassiapitch/fleet_commands.py
@@ -83,7 +83,8 @@
         backend: The backend server that the attempt was for.
         order_id: The order.
         attempt: The attempt's number.
-        answer: `accepted`, `stale_fence`, `other_life`, `refused`, or `not_sent`
+        answer: `done` or `failed` for an order that ended with its answer, `accepted`,
+            `stale_fence`, `other_life`, `refused`, or `not_sent`
             for an attempt of which no byte was sent.
     """
 
--- /dev/null
+++ b/cassiapitch/forwardroutes.py
@@ -0,0 +1,144 @@
+"""Routes whose requests are forwarded byte for byte, by host and path prefix."""
+
+import dataclasses
+import enum
+import random
+from collections.abc import Iterable, Sequence
+from typing import Annotated
+
+from msgspec import Meta
+
+Natural = Annotated[int, Meta(ge=0)]
+
+
+class Repeat(enum.StrEnum):
+    """What may be repeated of a forwarded request."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+    RESUMABLE_STREAM = "resumable_stream"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightedRole:
+    """A role that gets a share of a route's requests."""
+
+    role: str
+    weight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardRoute:
+    """Requests of one host below one path prefix.
+
+    Attributes:
+        name: Its name in the configuration.
+        host: The host that callers name.
+        path_prefix: Begins and ends with a slash.
+        repeat: What may be repeated.
+        targets: Roles by weight.
+        timeout_ms: Longest time that a caller is kept waiting.
+        objective_ms: Time within which an answer, or its first event, is on time.
+        gap_objective_ms: Longest pause between events that is on time; 0 if unset.
+        priority: Rank, 0 first.
+        attempts_limit_count: Backend servers that may get one request.
+        open: Whether callers need no key.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    repeat: Repeat
+    targets: tuple[WeightedRole, ...]
+    timeout_ms: int
+    objective_ms: int = 0
+    gap_objective_ms: int = 0
+    priority: int = 0
+    attempts_limit_count: int = 1
+    open: bool = False
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether answers are event streams."""
+        return self.repeat in (Repeat.STREAM, Repeat.RESUMABLE_STREAM)
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether a request that may have run can be sent again from its start."""
+        return self.repeat in (Repeat.IDEMPOTENT, Repeat.RESUMABLE_STREAM)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What callers of forwarded requests may use.
+
+    Attributes:
+        head_bytes: Largest head.
+        body_bytes: Largest body.
+        head_timeout_ms: Longest time from a head's first byte to its last.
+        idle_timeout_ms: How long a connection may stay open without a request.
+    """
+
+    head_bytes: int
+    body_bytes: int
+    head_timeout_ms: int
+    idle_timeout_ms: int
+
+
+class ForwardTable:
+    """Finds the route of a request."""
+
+    def __init__(self, routes: Iterable[ForwardRoute]) -> None:
+        self._by_host: dict[str, dict[str, ForwardRoute]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, {})[route.path_prefix] = route
+
+    def find(self, host: str, path: str) -> ForwardRoute | None:
+        """Returns the route with the longest prefix of a path, or None.
+
+        Args:
+            host: The host that the request names.
+            path: The request's path without its query.
+        """
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def choose_role(targets: Sequence[WeightedRole], source: random.Random) -> str:
+    """Draws a role by weight."""
+    if len(targets) == 1:
+        return targets[0].role
+    weights = [target.weight for target in targets]
+    return source.choices([target.role for target in targets], weights)[0]
+
+
+def find_forward_faults(routes: Iterable[ForwardRoute], roles: set[str]) -> list[str]:
+    """Returns every fault of forwarding routes with the path of its field."""
+    faults = []
+    seen: dict[tuple[str, str], int] = {}
+    for number, route in enumerate(routes):
+        path = f"$.forwards[{number}]"
+        first = seen.setdefault((route.host, route.path_prefix), number)
+        if first != number:
+            faults.append(f"{path}: host and prefix of $.forwards[{first}]")
+        faults.extend(
+            f"{path}.targets: no role {target.role!r}"
+            for target in route.targets
+            if target.role not in roles
+        )
+        if any(target.weight < 0 for target in route.targets):
+            faults.append(f"{path}.targets: a weight is negative")
+        if sum(target.weight for target in route.targets) <= 0:
+            faults.append(f"{path}.targets: the weights add up to 0")
+        if route.timeout_ms <= 0:
+            faults.append(f"{path}.timeout_ms: must be above 0")
+    return faults
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -23,6 +23,7 @@
     ClaimFinish,
     ClaimRelease,
     ConfirmAsk,
+    ControlMembers,
     CrashAnswer,
     CrashReport,
     DemandReport,
@@ -38,6 +39,7 @@
     ViewSnapshot,
 )
 from cassiapitch.replicated import ReplicatedState
+from cassiapitch.settings import Address, ControlPeer
 
 # Freshness lasts 1,800 ms and an election takes up to about 1,200 ms, so a read that
 # a lost leader left unanswered must not hold up the next one for long.
@@ -48,6 +50,7 @@
 # increment instead of everything that it missed.
 SEND_TIMEOUT_S = 5
 LINKS_LIMIT_COUNT = 4_096
+MEMBERS_PERIOD_S = 0.5
 
 Stream = grpclib.server.Stream[Any, Any]
 PRIMARY_ONLY = (
@@ -188,6 +191,8 @@
     def _add(self, link: Link) -> None:
         hello = link.state.hello
         self._links.add(link)
+        if hello.wants_members:
+            linkstate.push(link.state, self._control_members())
         if hello.primary:
             self._primary[(hello.entry, hello.life_id)] = link
         link.wake.set()
@@ -198,6 +203,27 @@
             applied_index=hello.applied_index,
         )
 
+    def _control_members(self) -> ControlMembers:
+        return ControlMembers(
+            tuple(
+                ControlPeer(one.name, one.zone, Address(one.ip, one.port))
+                for one in self._member.status().members
+            )
+        )
+
+    async def announce_members(self) -> None:
+        """Tells every link when the control group has changed, until cancelled."""
+        told = self._control_members()
+        while True:
+            await anyio.sleep(MEMBERS_PERIOD_S)
+            current = self._control_members()
+            if current == told:
+                continue
+            told = current
+            for link in tuple(self._links):
+                if link.state.hello.wants_members:
+                    self._push(link, current)
+
     def _remove(self, link: Link) -> None:
         hello = link.state.hello
         self._links.discard(link)
--- a/cassiapitch/link.py
+++ b/cassiapitch/link.py
@@ -38,6 +38,22 @@
         self._zone = zone
         self._current: dict[int, ControlPeer] = {}
         self._failures: dict[str, tuple[int, int]] = {}
+        self._former: set[str] = set()
+
+    def learn(self, members: tuple[ControlPeer, ...]) -> None:
+        """Takes the present members; the ones known before stay as a last resort.
+
+        A member that is known by its address only is replaced by its full entry.
+        """
+        by_address = {peer.address: peer for peer in self._members}
+        by_address.update({peer.address: peer for peer in members})
+        self._members = tuple(by_address.values())
+        current_addresses = {peer.address for peer in members}
+        self._former = {
+            peer.name
+            for peer in self._members
+            if members and peer.address not in current_addresses
+        }
 
     def choose(self, slot: int, now_ms: int) -> ControlPeer | None:
         """Returns the member for a link, or None if none is to be tried now."""
@@ -55,7 +71,11 @@
         # Two links in one zone would end together with it.
         chosen = min(
             free,
-            key=lambda peer: (peer.zone in other_zones, peer.zone != self._zone),
+            key=lambda peer: (
+                peer.name in self._former,
+                peer.zone in other_zones,
+                peer.zone != self._zone,
+            ),
         )
         self._current[slot] = chosen
         return chosen
--- a/cassiapitch/member.py
+++ b/cassiapitch/member.py
@@ -11,6 +11,7 @@
 import anyio.to_thread
 
 from cassiapitch import (
+    admission,
     consensus,
     diskwriter,
     events,
@@ -51,6 +52,7 @@
     EntryKind,
     ForwardAnswer,
     ForwardAsk,
+    GroupMember,
     PeerHello,
 )
 from cassiapitch.settings import Address, ControlSettings
@@ -112,6 +114,8 @@
         self.node: Node | None = None
         self._journal: journal.Journal | None = None
         self.peers = peers.Peers(self._hello, self._on_message, settings.tls)
+        self.candidates: dict[str, admission.Candidate] = {}
+        self.peers.on_hello = self._note_candidate
         self._identity: identity.Identity | None = None
         self._writer = diskwriter.DiskWriter(self._on_synced)
         self._held: list[Send] = []
@@ -238,6 +242,9 @@
     def _hello(self) -> PeerHello:
         assert self.node is not None
         settings = self.settings
+        status = self.status()
+        known = [one for one in status.members if one.name == status.leader]
+        leader = known[0] if known else None
         return PeerHello(
             settings.cluster,
             settings.name,
@@ -245,8 +252,32 @@
             settings.rpc_address.ip,
             settings.rpc_address.port,
             formed=bool(self.node.group.members),
+            zone=settings.zone,
+            is_outside=status.role == "waiting",
+            leader_ip="" if leader is None else leader.ip,
+            leader_port=0 if leader is None else leader.port,
         )
 
+    def _note_candidate(self, hello: PeerHello) -> None:
+        if hello.is_outside and hello.cluster == self.settings.cluster:
+            member = GroupMember(
+                hello.name, hello.disk_id, hello.zone, hello.ip, hello.port, False
+            )
+            self.candidates[hello.name] = admission.Candidate(member, now_ms())
+
+    def contacts(self) -> dict[str, int]:
+        """Returns when each other member last answered this leader, by disk id.
+
+        One that hasn't answered yet counts from the election.
+        """
+        leadership = None if self.node is None else self.node.leadership
+        if leadership is None:
+            return {}
+        return {
+            disk_id: progress.acked_ms or leadership.elected_ms
+            for disk_id, progress in leadership.progress.items()
+        }
+
     async def _serve(self, stream: Any) -> None:
         if self.node is not None:
             await self.peers.serve(stream)
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from cassiapitch import codec
+from cassiapitch.settings import ControlPeer
 from cassiapitch.types import (
     AccountName,
     BackendName,
@@ -69,6 +70,7 @@
         zone: Availability zone of the entry.
         applied_index: Index of the entry's view, 0 for none.
         primary: Whether this link carries rate asks, claims and reports.
+        wants_members: Whether the entry has no list of the control members.
     """
 
     entry: str
@@ -77,6 +79,14 @@
     zone: str
     applied_index: int
     primary: bool
+    wants_members: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlMembers:
+    """The members of the control group, for entries that know only some."""
+
+    members: tuple[ControlPeer, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -424,6 +434,7 @@
     ViewSnapshot,
     ViewDelta,
     LinkHello,
+    ControlMembers,
     ConfirmAsk,
     RateAsk,
     ClaimAsk,
--- a/cassiapitch/orders.py
+++ b/cassiapitch/orders.py
@@ -200,6 +200,28 @@
         if order.is_load() and order.key not in self.reported:
             self.sizes.pop(order.key, None)
 
+    def settle_observed(self) -> list[Order]:
+        """Ends accepted orders whose effect the report shows; returns them."""
+        ended = [
+            order
+            for order in self.orders.values()
+            if order.accepted and (order.key in self.reported) == order.is_load()
+        ]
+        for order in ended:
+            self._settle(order, OrderOutcome.DONE)
+        return ended
+
+    def settle_answered(self, order_id: str, outcome: OrderOutcome) -> None:
+        """Ends an order that the engine carried out, or refused, at once."""
+        order = self.orders.get(order_id)
+        if order is None:
+            return
+        if outcome is OrderOutcome.DONE and order.is_load():
+            self.reported.setdefault(order.key, order.memory_mib)
+        elif outcome is OrderOutcome.DONE:
+            self.reported.pop(order.key, None)
+        self._settle(order, outcome)
+
     def _settle(self, order: Order, outcome: OrderOutcome) -> None:
         is_done = outcome == OrderOutcome.DONE
         order.advance("reported_done" if is_done else "reported_failed")
--- a/cassiapitch/peers.py
+++ b/cassiapitch/peers.py
@@ -88,6 +88,8 @@
         # is out of date has to answer a leader that it doesn't know yet.
         self._connected: dict[str, Address] = {}
         self._group: anyio.abc.TaskGroup | None = None
+        # Called with what each member that connects says of itself.
+        self.on_hello: Callable[[PeerHello], None] = lambda hello: None
 
     async def run(self) -> None:
         """Owns the links until cancelled."""
@@ -244,6 +246,7 @@
         if hello.cluster != own.cluster:
             events.log(events.Event.PEER_REFUSED, target=hello.name, reason="cluster")
             return
+        self.on_hello(hello)
         address = Address(hello.ip, hello.port)
         self._connected[hello.disk_id] = address
         try:
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -58,6 +58,7 @@
         self._search_count = 0
         self._find_count = 0
         self._roomiest_mib: dict[str, int] = {}
+        self._taken_places: dict[str, int] = {}
         self._wanted = _wanted_copies(state, survey, now_ms)
         self._victims = victims.Victims(state, survey, self._wanted, now_ms)
 
@@ -125,8 +126,11 @@
 
     def place_adapters(self) -> None:
         """Loads adapters that have no copy next to one of their model's copies."""
-        for name in self._catalog.adapters:
+        for name, adapter in self._catalog.adapters.items():
             key = f"adapter/{name}"
+            if self._has_places(adapter.model):
+                # Places are few, so that only what is asked for takes one.
+                continue
             if not self.may_load(key) or self._search_count >= SEARCHES_PER_ROUND:
                 return
             if self._survey.copy_count(key) == 0 and key not in self._state.plans:
@@ -137,11 +141,58 @@
             self._use_plan(key)
             return
         rooms = self._rooms(key)
+        if is_adapter_key(key) and rooms and self._has_places(self._model_of(key)):
+            self._place_adapter(key, rooms)
+            return
         if self._fits_somewhere(key, rooms):
             self._place_or_plan(key, rooms, age_ms)
         elif is_adapter_key(key):
             self._place_model_for(key, age_ms)
 
+    def _model_of(self, key: str) -> str:
+        return self._catalog.model_of(key) or ""
+
+    def _has_places(self, model: str) -> bool:
+        """Tells whether engines of a model hold a limited number of adapters."""
+        role = self._catalog.roles.get(self._catalog.role_of(model_key(model)) or "")
+        return role is not None and role.adapter_places_count > 0
+
+    def _place_adapter(self, key: str, rooms: list[Room]) -> None:
+        """Loads an adapter next to its model, in the place of the coldest if full."""
+        free = [room for room in rooms if self._survey.may_load(room, key)]
+        fitting = [
+            room
+            for room in free
+            if room.free_mib >= self._survey.grown_mib(room, key)
+            and self._taken_places.get(room.life.life_id, 0)
+            < (self._state.fleet.free_adapter_places(room.life) or 0)
+        ]
+        if fitting and self.may_load(key):
+            room = min(fitting, key=lambda room: room.busy_ratio)
+            taken = self._taken_places.get(room.life.life_id, 0)
+            self._taken_places[room.life.life_id] = taken + 1
+            self.load(room, key)
+        elif not fitting:
+            self._vacate_place(key, rooms)
+
+    def _vacate_place(self, key: str, rooms: list[Room]) -> None:
+        """Unloads the adapter that is asked for least, unless one is on its way out."""
+        waiting = {one for _, one in self._state.demand.waiting()}
+        found: list[tuple[float, str, Room]] = []
+        for room in rooms:
+            if self._has_open_unload(room.life):
+                return
+            found.extend(
+                (self._state.demand.rate(other, self._now_ms), other, room)
+                for other in room.life.ledger.reported
+                if is_adapter_key(other)
+                and other not in waiting
+                and room.life.ledger.open_order(other) is None
+            )
+        if found:
+            _, victim, room = min(found, key=lambda item: item[:2])
+            self._unload(room.life, victim)
+
     def _place_model_for(self, adapter: str, age_ms: int) -> None:
         """Loads an adapter's model where both fit, if no copy is on such an engine."""
         model = model_key(self._catalog.model_of(adapter) or "")
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -10,6 +10,9 @@
 # Hysteresis of section 8: a copy stays at least this long.
 RESIDENT_MS = 30_000
 
+# Where the time of a load is known, a copy stays for as many loads.
+RESIDENT_LOADS_COUNT = 5
+
 # An open load that is older than this is no longer counted as a coming copy, so
 # that an engine that ignores its orders can't make a model unreachable.
 LOAD_PATIENCE_MS = 30_000
@@ -81,12 +84,19 @@
     def resident_long(self, life_id: str, key: str, now_ms: int) -> bool:
         """Tells whether a copy has been resident for the time of the hysteresis."""
         since_ms = (self._resident_ms or {}).get((life_id, key), now_ms)
-        return now_ms - since_ms >= RESIDENT_MS
+        return now_ms - since_ms >= self._resident_limit_ms(key)
 
     def resident_rest_ms(self, life_id: str, key: str, now_ms: int) -> int:
         """Returns how long the hysteresis still keeps a copy."""
         since_ms = (self._resident_ms or {}).get((life_id, key), now_ms)
-        return max(0, since_ms + RESIDENT_MS - now_ms)
+        return max(0, since_ms + self._resident_limit_ms(key) - now_ms)
+
+    def _resident_limit_ms(self, key: str) -> int:
+        """Returns the hysteresis of a copy; shorter where loads are short."""
+        model = self.fleet.catalog.models.get(self.fleet.catalog.model_of(key) or "")
+        if model is None or not model.load_ms:
+            return RESIDENT_MS
+        return min(RESIDENT_MS, RESIDENT_LOADS_COUNT * model.load_ms)
 
     def _refill(self, now_ms: int) -> None:
         rate = self.fleet.catalog.store.loads_per_s
--- /dev/null
+++ b/cassiapitch/platform/configuration.py
@@ -0,0 +1,263 @@
+"""Decodes the platform's configuration into a bundle."""
+
+import hashlib
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from cassiapitch import bucket, configurations
+from cassiapitch.bucket import RateTolerance
+from cassiapitch.bundle import (
+    Adapter,
+    Bundle,
+    ClientAccount,
+    Key,
+    Model,
+    Role,
+    Store,
+)
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.forwardroutes import (
+    CallerLimits,
+    ForwardRoute,
+    Repeat,
+    WeightedRole,
+)
+from cassiapitch.settings import ControlSettings
+from cassiapitch.types import RoleKind
+
+# Heartbeats missed in a row until an engine gets no new work.
+MISSED_HEARTBEATS_COUNT = 3
+
+# Engines decline requests for what they don't hold, so only the view has to arrive.
+UNLOAD_DELAY_MS = 200
+
+
+class _Model(msgspec.Struct):
+    name: str
+    weightsMb: float  # noqa: N815
+    loadS: float = 0.0  # noqa: N815
+    adapters: int = 0
+    adapterMb: float = 0.0  # noqa: N815
+
+
+class _Engine(msgspec.Struct):
+    weightsMb: float = 0.0  # noqa: N815
+    adapterSlots: int = 0  # noqa: N815
+    loadsPerS: float = 1.0  # noqa: N815
+    kvCapacityTokens: int = 0  # noqa: N815
+    models: list[_Model] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    maxConnections: int = 0  # noqa: N815
+    engine: _Engine | None = None
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    pathPrefix: str  # noqa: N815
+    kind: str
+    timeoutMs: float  # noqa: N815
+    service: str | None = None
+    trafficSplit: list[_Split] | None = None  # noqa: N815
+    targetLatencyMs: float = 0.0  # noqa: N815
+    gapAimMs: float = 0.0  # noqa: N815
+    priority: int = 0
+    maxAttempts: int = 1  # noqa: N815
+    authExempt: bool = False  # noqa: N815
+    resumable: bool = False
+
+
+class _Limits(msgspec.Struct):
+    maxHeaderBytes: int = 16_384  # noqa: N815
+    maxBodyBytes: int = 4_194_304  # noqa: N815
+    headerTimeoutMs: int = 3_000  # noqa: N815
+    idleTimeoutMs: int = 15_000  # noqa: N815
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    apiKeys: list[str] = []  # noqa: N815
+    priority: int | None = None
+    unit: str = "requests"
+    plainTokens: int = 1  # noqa: N815
+    ratePerS: float | None = None  # noqa: N815
+    burst: float | None = None
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits | None = None
+    tenants: list[_Tenant] | None = None
+
+
+def decoder(settings: ControlSettings) -> Callable[[bytes], Bundle]:
+    """Returns the function that decodes a configuration."""
+    tolerance = RateTolerance(
+        settings.rate_tolerance_tokens,
+        settings.rate_tolerance_share,
+        settings.rate_window_s,
+    )
+    deployment = _Deployment(
+        fencing=settings.engines_check_fences,
+        silence_ms=MISSED_HEARTBEATS_COUNT * settings.heartbeat_ms,
+        tolerance=tolerance,
+    )
+
+    def decode(content: bytes) -> Bundle:
+        document = configurations.parse_document(content)
+        try:
+            read = msgspec.convert(document, _Document, strict=False)
+        except msgspec.ValidationError as error:
+            raise SettingsError([str(error)]) from None
+        return _bundle(read, deployment)
+
+    return decode
+
+
+class _Deployment(msgspec.Struct, frozen=True):
+    """What a member's settings add to every configuration."""
+
+    fencing: bool
+    silence_ms: int
+    tolerance: RateTolerance
+
+
+def _bundle(document: _Document, deployment: _Deployment) -> Bundle:
+    services = document.services
+    engines = [one.engine for one in services if one.engine is not None]
+    pairs = [
+        (service.name, model)
+        for service in services
+        if service.engine is not None
+        for model in service.engine.models
+    ]
+    tenants = document.tenants or []
+    # Without tenants no request needs a key.
+    is_open = document.tenants is None
+    return Bundle(
+        version=document.version,
+        roles=tuple(_role(service, deployment) for service in services),
+        models=tuple(_model(role, model) for role, model in pairs),
+        adapters=tuple(
+            Adapter(f"{model.name}/a{number}", model.name, _mib(model.adapterMb))
+            for _, model in pairs
+            for number in range(1, model.adapters + 1)
+        ),
+        client_accounts=tuple(
+            _account(tenant, deployment.tolerance) for tenant in tenants
+        ),
+        keys=tuple(
+            Key(hashlib.sha256(key.encode()).hexdigest(), tenant.name)
+            for tenant in tenants
+            for key in tenant.apiKeys
+        ),
+        store=_store(engines),
+        forwards=tuple(_forward(route, is_open) for route in document.routes),
+        caller_limits=_caller_limits(document.limits or _Limits()),
+    )
+
+
+def _role(service: _Service, deployment: _Deployment) -> Role:
+    engine = service.engine
+    return Role(
+        name=service.name,
+        kind=RoleKind.SERVICE if engine is None else RoleKind.ENGINE,
+        fencing=deployment.fencing,
+        memory_limit_mib=None if engine is None else math.floor(engine.weightsMb),
+        settles_orders=False,
+        adapter_places_count=0 if engine is None else engine.adapterSlots,
+        connections_limit_count=service.maxConnections,
+        silence_limit_ms=deployment.silence_ms,
+        unload_delay_ms=UNLOAD_DELAY_MS,
+        cache_tokens=0 if engine is None else engine.kvCapacityTokens,
+    )
+
+
+def _model(role: str, model: _Model) -> Model:
+    return Model(
+        name=model.name,
+        role=role,
+        memory_mib=_mib(model.weightsMb),
+        load_ms=math.ceil(model.loadS * 1_000),
+    )
+
+
+def _mib(size_mb: float) -> int:
+    # Sizes and capacity come in the same unit, so that only rounding matters here.
+    return max(1, math.ceil(size_mb - 1e-6))
+
+
+def _account(tenant: _Tenant, tolerance: RateTolerance) -> ClientAccount:
+    rate = math.floor(tenant.ratePerS or 0.0)
+    burst = math.floor(tenant.burst or rate)
+    is_limited = rate > 0 or burst > 0
+    return ClientAccount(
+        name=tenant.name,
+        rate_tokens_per_s=max(1, rate),
+        burst_tokens=max(1, bucket.burst_for_cap(rate, burst, tolerance)),
+        is_limited=is_limited,
+        counts_tokens=tenant.unit == "tokens",
+        plain_cost_tokens=tenant.plainTokens if tenant.unit == "tokens" else 1,
+        priority=tenant.priority,
+    )
+
+
+def _store(engines: list[_Engine]) -> Store:
+    loads_per_s = sum(engine.loadsPerS for engine in engines) or 1.0
+    load_s = max((one.loadS for engine in engines for one in engine.models), default=0)
+    # The store runs as many loads at full speed as its rate starts during one load.
+    return Store(
+        loads_per_s=loads_per_s,
+        loads_in_flight_count=max(2, math.floor(loads_per_s * load_s)),
+    )
+
+
+def _forward(route: _Route, is_open: bool) -> ForwardRoute:
+    if route.trafficSplit:
+        targets = tuple(
+            WeightedRole(split.service, round(split.weight))
+            for split in route.trafficSplit
+        )
+    else:
+        targets = (WeightedRole(route.service or "", 1),)
+    return ForwardRoute(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.pathPrefix,
+        repeat=_repeat(route),
+        targets=targets,
+        timeout_ms=math.floor(route.timeoutMs),
+        objective_ms=math.floor(route.targetLatencyMs),
+        gap_objective_ms=math.floor(route.gapAimMs),
+        priority=route.priority,
+        attempts_limit_count=max(1, route.maxAttempts),
+        open=route.authExempt or is_open,
+    )
+
+
+def _repeat(route: _Route) -> Repeat:
+    if route.kind == "streaming":
+        return Repeat.RESUMABLE_STREAM if route.resumable else Repeat.STREAM
+    # A kind that isn't known yet may not be repeated.
+    return Repeat.IDEMPOTENT if route.kind == "safe" else Repeat.ONCE
+
+
+def _caller_limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        head_bytes=limits.maxHeaderBytes,
+        body_bytes=limits.maxBodyBytes,
+        head_timeout_ms=limits.headerTimeoutMs,
+        idle_timeout_ms=limits.idleTimeoutMs,
+    )
--- /dev/null
+++ b/cassiapitch/platform/programs.py
@@ -0,0 +1,86 @@
+"""The programs on the platform: `python3 -m cassiapitch.platform.programs NAME`."""
+
+import dataclasses
+import functools
+import sys
+
+import anyio
+
+from cassiapitch import process
+
+ENTRY = "entry"
+CONTROL = "control"
+
+
+def _run_entry(arguments: list[str]) -> int:
+    # Each program imports only what it runs: memory and processor time are small.
+    from cassiapitch import entry, forwarding, seeds
+    from cassiapitch.platform.requests import WIRE
+    from cassiapitch.settings import EntrySettings
+
+    async def run(settings: EntrySettings, stop: anyio.Event) -> None:
+        if settings.caller_listen:
+            settings = dataclasses.replace(
+                settings, caller_address=seeds.parse_address(settings.caller_listen)
+            )
+        if settings.readiness_listen:
+            settings = dataclasses.replace(
+                settings,
+                readiness_address=seeds.parse_address(settings.readiness_listen),
+            )
+        make_callers = functools.partial(forwarding.make_callers, WIRE)
+        await entry.EntryProcess(settings, stop, make_callers).run()
+
+    return process.run("cassiapitch-entry", EntrySettings, run, arguments)
+
+
+def _run_control(arguments: list[str]) -> int:
+    from cassiapitch import asgi, control, seeds, timers
+    from cassiapitch.configurations import Configurations
+    from cassiapitch.controlnode import ControlNode
+    from cassiapitch.coordinator import SendOrder
+    from cassiapitch.fleet import Fleet
+    from cassiapitch.platform import configuration, controlapi, orders
+    from cassiapitch.registrations import Registrations
+    from cassiapitch.settings import ControlSettings
+
+    async def run(settings: ControlSettings, stop: anyio.Event) -> None:
+        if settings.admin_listen:
+            settings = dataclasses.replace(
+                settings, admin_address=seeds.parse_address(settings.admin_listen)
+            )
+
+        async def send_order(send: SendOrder, *, fencing: bool) -> str | None:
+            return await orders.send_order(send, settings.name)
+
+        def make_app(fleet: Fleet, node: ControlNode) -> asgi.App:
+            decode = configuration.decoder(settings)
+            desk = Configurations(
+                node.member,
+                node.state,
+                decode,
+                settings.tolerated_faults_count or 0,
+                timers.now_ms,
+            )
+            return controlapi.make_app(
+                desk, Registrations(node.member, fleet, node.deliver)
+            )
+
+        parts = control.make_parts(settings, send_order=send_order, make_app=make_app)
+        await ControlNode(settings, parts, stop).run()
+
+    return process.run("cassiapitch-control", ControlSettings, run, arguments)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs the program that the first argument names."""
+    words = sys.argv[1:] if arguments is None else arguments
+    programs = {ENTRY: _run_entry, CONTROL: _run_control}
+    if not words or words[0] not in programs:
+        print(f"usage: programs {{{','.join(programs)}}} ...", file=sys.stderr)
+        return process.EXIT_USAGE
+    return programs[words[0]](words[1:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cassiapitch/platform/requests.py
@@ -0,0 +1,153 @@
+"""Headers of callers' requests and of engines' responses."""
+
+from cassiapitch.platform import names
+from cassiapitch.wire import (
+    BackendHead,
+    CallerHead,
+    Headers,
+    PromptPart,
+    Sending,
+    Wire,
+)
+
+BEARER = b"bearer "
+
+# What callers send under these names is not passed on: the entry sets them itself.
+_REPLACED = names.HOP_BY_HOP | {
+    names.AUTHORIZATION,
+    names.DEADLINE_MS,
+    names.TENANT,
+    names.TARGET_INSTANCE,
+    names.LAST_EVENT_ID,
+    names.REQUEST_PRIORITY,
+    names.EXPECTED_VERSION,
+    names.HOLD,
+    names.PIN_MS,
+    names.KV_FETCH,
+    names.KV_FROM,
+    names.KV_BACKUP,
+}
+
+
+def read_caller(headers: Headers) -> CallerHead:
+    """Reads a caller's headers.
+
+    Raises:
+        ValueError: A header of the platform is malformed.
+    """
+    found = {name.lower(): value for name, value in headers}
+    prompt_tokens, answer_tokens = _token_counts(found.get(names.TOKEN_COUNT))
+    return CallerHead(
+        request_id=_text(found.get(names.REQUEST_ID)),
+        left_ms=_number(found.get(names.DEADLINE_MS)),
+        key=_bearer(found.get(names.AUTHORIZATION)),
+        model=_text(found.get(names.MODEL)),
+        prompt_tokens=prompt_tokens,
+        answer_tokens=answer_tokens,
+        has_tokens=names.TOKEN_COUNT in found,
+        prompt_parts=_prompt_parts(found.get(names.PROMPT_PREFIX)),
+        last_event_id=_number(found.get(names.LAST_EVENT_ID)),
+    )
+
+
+def write_backend(headers: Headers, sending: Sending) -> list[tuple[bytes, bytes]]:
+    """Returns the headers for an engine, from the caller's headers."""
+    dropped = _REPLACED | _connection_options(headers)
+    kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+    kept.append((b"Deadline-Ms", str(max(0, sending.left_ms)).encode()))
+    kept.append((b"Target-Instance", sending.backend.encode()))
+    if sending.account is not None:
+        kept.append((b"Tenant", sending.account.encode()))
+    if sending.last_event_id is not None:
+        kept.append((b"Last-Event-Id", str(sending.last_event_id).encode()))
+    if sending.priority is not None:
+        kept.append((b"Request-Priority", str(sending.priority).encode()))
+    return kept
+
+
+def read_backend(status: int, headers: Headers) -> BackendHead:
+    """Reads the head of an engine's response."""
+    found = {name.lower(): value for name, value in headers}
+    is_other = status == names.MISDIRECTED_STATUS
+    return BackendHead(
+        request_id=_text(found.get(names.REQUEST_ID)),
+        is_not_run=is_other or names.NOT_EXECUTED in found,
+        is_other_backend=is_other,
+        is_signed=names.SERVER_SEAL in found,
+        idle_timeout_ms=_keep_alive_ms(found.get(b"keep-alive")),
+    )
+
+
+def write_caller(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of an answer, from an engine's."""
+    dropped = names.HOP_BY_HOP | _connection_options(headers)
+    return [(name, value) for name, value in headers if name.lower() not in dropped]
+
+
+def refusal_headers(request_id: str | None) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of an answer that the entry gives itself."""
+    if request_id is None:
+        return []
+    return [(b"Request-Id", request_id.encode("latin-1"))]
+
+
+def _connection_options(headers: Headers) -> set[bytes]:
+    """Returns the headers that `Connection` names as concerning one connection."""
+    options: set[bytes] = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            options.update(part.strip().lower() for part in value.split(b","))
+    return options
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
+def _number(value: bytes | None) -> int | None:
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 15:
+        raise ValueError(f"not a whole number: {value[:32]!r}")
+    return int(value)
+
+
+def _bearer(value: bytes | None) -> str | None:
+    if value is None or not value.lower().startswith(BEARER):
+        return None
+    return value[len(BEARER) :].strip().decode("latin-1")
+
+
+def _token_counts(value: bytes | None) -> tuple[int, int]:
+    if value is None:
+        return 0, 0
+    first, _, second = value.partition(b",")
+    return _number(first.strip()) or 0, _number(second.strip() or b"0") or 0
+
+
+def _prompt_parts(value: bytes | None) -> tuple[PromptPart, ...]:
+    if not value:
+        return ()
+    parts = []
+    for item in value.decode("latin-1").split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        parts.append(PromptPart(part_id, int(tokens) if tokens.isdigit() else 0))
+    return tuple(parts)
+
+
+def _keep_alive_ms(value: bytes | None) -> int | None:
+    for part in (value or b"").split(b","):
+        name, _, seconds = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and seconds.strip().isdigit():
+            return int(seconds) * 1_000
+    return None
+
+
+WIRE = Wire(
+    read_caller=read_caller,
+    write_backend=write_backend,
+    read_backend=read_backend,
+    write_caller=write_caller,
+    refusal_headers=refusal_headers,
+    readiness_path=names.READINESS_PATH,
+)
--- a/cassiapitch/raftmessages.py
+++ b/cassiapitch/raftmessages.py
@@ -327,6 +327,10 @@
         ip: Where the sender's peers reach it.
         port: Where the sender's peers reach it.
         formed: Whether the sender's log holds a group.
+        zone: The sender's availability zone.
+        is_outside: Whether the sender waits to be admitted to a group.
+        leader_ip: Where the leader's peers reach it, empty if unknown.
+        leader_port: Where the leader's peers reach it.
     """
 
     cluster: str
@@ -335,6 +339,10 @@
     ip: str
     port: int
     formed: bool
+    zone: str = ""
+    is_outside: bool = False
+    leader_ip: str = ""
+    leader_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/cassiapitch/readiness.py
@@ -0,0 +1,46 @@
+"""Answers the balancer's question whether this instance takes new connections."""
+
+from collections.abc import Callable
+
+import anyio
+
+from cassiapitch import asgi
+from cassiapitch.settings import Address
+
+
+class Readiness:
+    """A small HTTP server with one question."""
+
+    def __init__(
+        self, address: Address | None, path: str, is_ready: Callable[[], bool]
+    ) -> None:
+        """Binds the address.
+
+        Args:
+            address: Where to listen; None for nowhere.
+            path: Path of the question.
+            is_ready: Tells whether this instance takes new connections.
+        """
+        self._path = path
+        self._is_ready = is_ready
+        self._server = None
+        if address is not None:
+            self._server = asgi.HttpServer(self._serve, address)
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        if self._server is None:
+            await anyio.sleep_forever()
+            return
+        try:
+            await self._server.run()
+        finally:
+            self._server.close()
+
+    async def _serve(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        if scope["path"] != self._path:
+            await asgi.send_json(send, 404, {})
+        else:
+            await asgi.send_json(send, 200 if self._is_ready() else 503, {})
--- /dev/null
+++ b/cassiapitch/registrations.py
@@ -0,0 +1,96 @@
+"""Takes heartbeats of backend servers at any control member.
+
+What only adds knowledge goes to the leader without waiting. What takes a backend
+server out of service is acknowledged once it is in the log, since the backend server
+relies on it from then on.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from cassiapitch import events, group
+from cassiapitch.announcements import Announcement
+from cassiapitch.fleet import Fleet
+from cassiapitch.fleet_commands import (
+    BackendMark,
+    FleetResult,
+    MarkBackends,
+    ReportBackends,
+)
+from cassiapitch.group import Applied, Group
+from cassiapitch.types import BackendName
+
+# A backend server tries another member after a second.
+COMMIT_TIMEOUT_MS = 800
+
+Deliver = Callable[[Announcement], Awaitable[bool]]
+
+
+class Registrations:
+    """Heartbeats and departures at one control member."""
+
+    def __init__(self, member: Group, fleet: Fleet, deliver: Deliver) -> None:
+        """Makes the desk.
+
+        Args:
+            member: This control member.
+            fleet: Its replicated state of backend servers.
+            deliver: Passes an announcement to the leader; false if there is none.
+        """
+        self._member = member
+        self._fleet = fleet
+        self._deliver = deliver
+
+    async def heartbeat(self, announcement: Announcement) -> bool:
+        """Takes a heartbeat; true if it may be acknowledged."""
+        if not announcement.leaving or self._is_known_to_leave(announcement):
+            return await self._deliver(announcement)
+        command = ReportBackends(self._fleet.term, (announcement,))
+        is_recorded = await self._commit(command)
+        events.log(
+            events.Event.BACKEND_LEAVES,
+            name=announcement.name,
+            life_id=announcement.life_id,
+            is_recorded=is_recorded,
+        )
+        return is_recorded
+
+    async def depart(self, name: BackendName) -> bool:
+        """Takes the last message of a backend server; true if it is recorded."""
+        life = self._fleet.lives.get(name)
+        if life is None and not await self._is_current():
+            return False
+        life = self._fleet.lives.get(name)
+        if life is None:
+            return True
+        mark = BackendMark(name, life.life_id, "replaced")
+        is_recorded = await self._commit(MarkBackends(self._fleet.term, (mark,)))
+        events.log(
+            events.Event.BACKEND_DEPARTED,
+            name=name,
+            life_id=life.life_id,
+            is_recorded=is_recorded,
+        )
+        return is_recorded
+
+    async def _is_current(self) -> bool:
+        return await group.read_index(self._member, COMMIT_TIMEOUT_MS) is not None
+
+    def _is_known_to_leave(self, announcement: Announcement) -> bool:
+        life = self._fleet.lives.get(announcement.name)
+        return (
+            life is not None
+            and life.life_id == announcement.life_id
+            and life.state == "leaving"
+        )
+
+    async def _commit(self, command: ReportBackends | MarkBackends) -> bool:
+        with anyio.move_on_after(COMMIT_TIMEOUT_MS / 1000):
+            outcome = await group.propose(self._member, command, COMMIT_TIMEOUT_MS)
+            return (
+                isinstance(outcome, Applied)
+                and isinstance(outcome.result, FleetResult)
+                and not outcome.result.refused
+            )
+        return False
--- a/cassiapitch/replicated.py
+++ b/cassiapitch/replicated.py
@@ -292,9 +292,23 @@
             account.rate_tokens_per_s,
             account.burst_tokens,
             account.weight,
+            account.is_limited,
+            account.counts_tokens,
+            account.plain_cost_tokens,
+            account.priority,
         )
     for role in bundle.roles:
-        items[f"role/{role.name}"] = RoleItem(role.name, role.kind, role.fencing)
+        items[f"role/{role.name}"] = RoleItem(
+            role.name,
+            role.kind,
+            role.fencing,
+            role.connections_limit_count,
+            role.cache_tokens,
+        )
+    for forward in bundle.forwards:
+        items[f"forward/{forward.host}{forward.path_prefix}"] = forward
+    if bundle.caller_limits is not None:
+        items["limits"] = bundle.caller_limits
     for route in bundle.routes:
         items[f"route/{route.method} {route.path}"] = RouteItem(
             route.path,
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -10,6 +10,7 @@
 NaturalInt = Annotated[int, Meta(ge=0)]
 Name = Annotated[str, Meta(pattern=r"^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$")]
 Sha256Hex = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+AddressText = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]{2,45}:[0-9]{1,5}$")]
 IpNumber = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]{2,45}$")]
 
 
@@ -74,6 +75,20 @@
         tls: Mutual TLS between the system's own processes; none on loopback.
         placement_policy: `demand`, or `fixed` as the baseline.
         rate_policy: `demand`, or `equal_split` as the baseline.
+        seeds: Some members as `ip:port`, in place of `initial_members` where no list
+            of the members exists; the port is not that of their peers.
+        seed_rpc_port: Where the peers of every member reach it, for `seeds`.
+        tolerated_faults_count: Members that may be lost at once; the group then
+            admits and replaces members by itself. None leaves that to operators.
+        order_lease_ms: How long a new leader gives no orders to engines, so that
+            two members never take turns.
+        heartbeat_ms: Time between two heartbeats of a backend server.
+        admin_listen: `admin_address` as text.
+        rate_tolerance_tokens: What all entries together may admit beyond an account's
+            rate and burst in a window; grants that are held unused count against it.
+        rate_tolerance_share: The same as a share of rate and burst in the window.
+        rate_window_s: Length of that window.
+        engines_check_fences: Whether engines reject orders with a stale fence.
     """
 
     name: Name
@@ -82,13 +97,23 @@
     data_path: str
     rpc_address: Address
     admin_address: Address
-    initial_members: tuple[ControlPeer, ...]
-    operators: tuple[Operator, ...]
+    initial_members: tuple[ControlPeer, ...] = ()
+    operators: tuple[Operator, ...] = ()
     bootstrap: bool = True
     tls: TlsSettings | None = None
     placement_policy: Annotated[str, Meta(pattern="^(demand|fixed)$")] = "demand"
     rate_policy: Annotated[str, Meta(pattern="^(demand|equal_split)$")] = "demand"
     log_path: str | None = None
+    seeds: tuple[str, ...] = ()
+    seed_rpc_port: Port = 0
+    tolerated_faults_count: NaturalInt | None = None
+    order_lease_ms: NaturalInt = 0
+    heartbeat_ms: PositiveInt = 500
+    engines_check_fences: bool = False
+    rate_tolerance_tokens: NaturalInt = 0
+    rate_tolerance_share: Annotated[float, Meta(ge=0, le=1)] = 0.0
+    rate_window_s: Annotated[float, Meta(ge=0)] = 0.0
+    admin_listen: AddressText | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,6 +137,14 @@
         connections_limit_count: Largest number of caller connections that are served;
             256 more are open at once to be refused.
         seed: Seed of the routing decisions.
+        seeds: Some control members as `ip:port`, in place of `control`.
+        seed_rpc_port: Where entries reach every control member, for `seeds`.
+        readiness_address: Where the balancer asks whether this entry is ready.
+        serve_unconfirmed: Whether an entry that has once had a confirmed view goes on
+            with it while no control member can confirm it.
+        caller_listen: `caller_address` as text.
+        readiness_listen: `readiness_address` as text.
+        grace_s: Time from SIGTERM to the end of the process.
     """
 
     name: Name
@@ -119,8 +152,8 @@
     cluster: Name
     caller_address: Address
     admin_address: Address
-    control: tuple[ControlPeer, ...]
-    operators: tuple[Operator, ...]
+    control: tuple[ControlPeer, ...] = ()
+    operators: tuple[Operator, ...] = ()
     tls: TlsSettings | None = None
     balancer_delay_ms: NaturalInt = 2_000
     routing_policy: Annotated[str, Meta(pattern="^(least_cost|round_robin)$")] = (
@@ -134,3 +167,10 @@
     connections_limit_count: PositiveInt = 2_000
     seed: NaturalInt = 1
     log_path: str | None = None
+    seeds: tuple[str, ...] = ()
+    seed_rpc_port: Port = 0
+    readiness_address: Address | None = None
+    caller_listen: AddressText | None = None
+    readiness_listen: AddressText | None = None
+    serve_unconfirmed: bool = False
+    grace_s: Annotated[float, Meta(gt=0)] = 30.0
--- a/cassiapitch/viewitems.py
+++ b/cassiapitch/viewitems.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from cassiapitch import codec
+from cassiapitch.forwardroutes import CallerLimits, ForwardRoute
 from cassiapitch.types import (
     AccountName,
     BackendName,
@@ -49,6 +50,10 @@
     rate_tokens_per_s: int
     burst_tokens: int
     weight: int
+    is_limited: bool = True
+    counts_tokens: bool = True
+    plain_cost_tokens: int = 1
+    priority: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +63,8 @@
     name: str
     kind: RoleKind
     fencing: bool
+    connections_limit_count: int = 0
+    cache_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,5 +151,7 @@
     KeyItem,
     BackendItem,
     SuspectItem,
+    ForwardRoute,
+    CallerLimits,
 )
 codec.register(ALL)
