--- a/cassiapitch/callerlink.py
+++ b/cassiapitch/callerlink.py
@@ -200,7 +200,8 @@
             framed.append((b"Connection", b"close"))
         self.has_answered = True
         response = h11.Response(status_code=status, headers=framed, reason=reason)
-        await self._send(response)
+        with anyio.CancelScope(shield=True):
+            await self._send(response)
 
     async def send_data(self, data: bytes) -> None:
         """Writes a part of the body.
@@ -241,7 +242,9 @@
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+        # A deadline that passes now must not leave the caller without the answer.
+        with anyio.CancelScope(shield=True):
+            await self._write(data)
 
     def begin_next(self) -> bool:
         """Prepares for the next request; false if the connection must end."""
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -16,7 +16,7 @@
     ResponseHead,
 )
 from cassiapitch.callerlink import CallerConnection, CallerGoneError, CallerRequest
-from cassiapitch.crashes import Crashes
+from cassiapitch.crashes import Crashes, Verdict
 from cassiapitch.entrystate import EntryState
 from cassiapitch.eventstream import EventSplitter, EventTooLargeError
 from cassiapitch.forwardroutes import ForwardRoute, choose_role
@@ -32,6 +32,9 @@
 # Responses to requests that aren't streams are passed on whole.
 ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
 DECLINED_PAUSE_MS = 40
+DEADLINE_GRACE_MS = 60
+# A backend server that runs takes a connection within a few network delays.
+CRASH_PROBE_MS = 400
 # Statuses from which a request that may run again is tried elsewhere.
 SERVER_ERROR_STATUS = 500
 
@@ -176,7 +179,8 @@
     async def _serve_until_deadline(
         self, call: ForwardCall, caller: CallerConnection
     ) -> None:
-        left_s = max(0, call.left_ms()) / 1000
+        # A backend server that ends its run at the deadline answers just after it.
+        left_s = max(0, call.left_ms() + DEADLINE_GRACE_MS) / 1000
         is_gone = False
         with anyio.move_on_after(left_s) as limit:
             async with anyio.create_task_group() as group:
@@ -227,6 +231,8 @@
         self._state.retries.request(timers.now_ms())
         await self._admit(call)
         wanted = self._wanted(call)
+        if self._crashes.is_quarantined(wanted.digest):
+            raise RefusedError(ErrorKind.REQUEST_QUARANTINED)
         while True:
             slot = await self._state.scheduler.acquire(wanted)
             if isinstance(slot, NoSlot):
@@ -337,7 +343,7 @@
             return True
         except BackendBrokenError as error:
             self._note(call, backend, f"broken: {error}")
-            self._broken(call, slot)
+            await self._broken(call, slot)
             return False
         finally:
             if is_clean:
@@ -386,22 +392,45 @@
         if backend_head.is_other_backend:
             slot.wanted.excluded.add(slot.backend.life_id)
 
-    def _broken(self, call: ForwardCall, slot: Slot) -> None:
+    async def _broken(self, call: ForwardCall, slot: Slot) -> None:
         """The exchange failed; the request may have run.
 
         Raises:
             RefusedError: It must not be sent again.
-            StreamCutError: A part of the answer was passed on and can't go on.
         """
         slot.wanted.excluded.add(slot.backend.life_id)
         if not call.course.idempotent:
+            # The caller may send the same content again, as another request.
+            self._state.start_background(self._report_crash, slot)
             raise RefusedError(ErrorKind.BACKEND_SERVER_FAILED)
+        if await self._report_crash(slot) is Verdict.QUARANTINED:
+            raise RefusedError(ErrorKind.REQUEST_QUARANTINED)
         if call.sent_count >= call.route.attempts_limit_count:
             raise RefusedError(ErrorKind.BACKEND_SERVER_FAILED)
         call.course.step("retry" if call.course.state == "running" else "resume")
         if call.course.state == "resuming":
             call.course.step("retry")
 
+    async def _report_crash(self, slot: Slot) -> Verdict | None:
+        """Reports a backend server that is gone; None if it is still there."""
+        backend = slot.backend
+        try:
+            with anyio.fail_after(CRASH_PROBE_MS / 1000):
+                stream = await anyio.connect_tcp(backend.ip, backend.port)
+        except (OSError, TimeoutError):
+            self._state.router.unreachable(backend.life_id, timers.now_ms())
+            self._state.demand.backend_refused(backend.life_id)
+            verdict = await self._crashes.report(backend, slot.wanted.digest)
+            events.log(
+                events.Event.BACKEND_CRASHED,
+                name=backend.name,
+                life_id=backend.life_id,
+                verdict=verdict.value,
+            )
+            return verdict
+        await stream.aclose()
+        return None
+
     async def _prepare_retry(
         self, call: ForwardCall, wanted: Wanted, slot: Slot
     ) -> None:
--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -75,7 +75,7 @@
         )
         async with anyio.create_task_group() as group:
             async with listener:
-                group.start_soon(listener.serve, self._serve_stream)
+                group.start_soon(listener.serve, self.serve_stream)
                 await self._closed.wait()
                 # A new connection that is already accepted is served.
                 await anyio.lowlevel.checkpoint()
@@ -100,7 +100,8 @@
         self._closed_ms = timers.now_ms() + max(0, rest_ms)
         self._closed.set()
 
-    async def _serve_stream(self, stream: anyio.abc.SocketStream) -> None:
+    async def serve_stream(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves one caller's connection to its end."""
         connection = CallerConnection(stream, self._limits, self._state.body_room)
         self._connections.add(connection)
         try:
--- /dev/null
+++ b/tests/forward_world.py
@@ -0,0 +1,231 @@
+"""An entry's forwarding server in this process, with scripted backend servers."""
+
+import contextlib
+import hashlib
+
+import anyio
+import h11
+
+from cassiapitch import codec, timers
+from cassiapitch.bundle import Bundle, ClientAccount, Key, Role
+from cassiapitch.crashes import Crashes
+from cassiapitch.entrystate import EntryState
+from cassiapitch.forwarding import ForwardServer
+from cassiapitch.forwardroutes import CallerLimits, ForwardRoute, Repeat, WeightedRole
+from cassiapitch.messages import Confirmed
+from cassiapitch.platform.requests import WIRE
+from cassiapitch.settings import Address, EntrySettings
+from cassiapitch.types import RoleKind
+from cassiapitch.viewitems import (
+    AccountItem,
+    BackendItem,
+    BundleItem,
+    KeyItem,
+    RoleItem,
+)
+
+LIMIT_S = 20
+KEY = "caller-key"
+
+
+def answer_bytes(request_id, body=b"done", *, status=200, headers=(), chunked=False):
+    """Returns a backend server's whole response."""
+    lines = [f"HTTP/1.1 {status} X", f"Request-Id: {request_id}", "Server-Seal: seal"]
+    lines += list(headers)
+    if chunked:
+        lines.append("Transfer-Encoding: chunked")
+        payload = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    else:
+        lines.append(f"Content-Length: {len(body)}")
+        payload = body
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + payload
+
+
+def stream_head(request_id):
+    """Returns the head of an event stream."""
+    return (
+        "HTTP/1.1 200 OK\r\n"
+        f"Request-Id: {request_id}\r\nServer-Seal: seal\r\n"
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number):
+    return b"id: %d\ndata: token-%d\n\n" % (number, number)
+
+
+class Backend:
+    """A backend server whose behaviour is a function of each request."""
+
+    def __init__(self, name, behave):
+        self.name, self.behave = name, behave
+        self.requests = []
+        self.closed = anyio.Event()
+
+    async def serve(self, stream):
+        http = h11.Connection(h11.SERVER)
+        async with stream:
+            try:
+                while (request := await self._read(http, stream)) is not None:
+                    self.requests.append(request)
+                    if await self.behave(self, request, stream) == "close":
+                        return
+                    http = h11.Connection(h11.SERVER)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                pass
+            finally:
+                self.closed.set()
+
+    async def _read(self, http, stream):
+        request, body = None, b""
+        while True:
+            found = http.next_event()
+            if found is h11.NEED_DATA:
+                http.receive_data(await stream.receive())
+            elif isinstance(found, h11.Request):
+                request = found
+            elif isinstance(found, h11.Data):
+                body += bytes(found.data)
+            elif isinstance(found, h11.EndOfMessage):
+                headers = {
+                    bytes(name).decode(): bytes(value).decode()
+                    for name, value in request.headers
+                }
+                target = bytes(request.target).decode()
+                return bytes(request.method).decode(), target, headers, body
+            else:
+                return None
+
+    @property
+    def ids(self):
+        return [request[2].get("request-id") for request in self.requests]
+
+
+class World:
+    """Entry, backend servers and a caller."""
+
+    def __init__(self, group, repeat, *, attempts=3, timeout_ms=5_000):
+        self.group = group
+        settings = EntrySettings(
+            name="entry-1",
+            zone="a",
+            cluster="test",
+            caller_address=Address("127.0.0.1", 0),
+            admin_address=Address("127.0.0.1", 0),
+            serve_unconfirmed=True,
+        )
+        self.state = EntryState(settings)
+        self.state.use_background(group)
+        self.backends = []
+        self.route = ForwardRoute(
+            "r",
+            "shop.example",
+            "/charge/",
+            repeat,
+            (WeightedRole("shop", 1),),
+            timeout_ms,
+            attempts_limit_count=attempts,
+        )
+        self.server = ForwardServer(WIRE, self.state, Crashes(self.state))
+        self.port = 0
+
+    async def start(self, *behaviours):
+        for number, behave in enumerate(behaviours, 1):
+            backend = Backend(f"b{number}", behave)
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            backend.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            self.group.start_soon(listener.serve, backend.serve)
+            self.backends.append(backend)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.group.start_soon(listener.serve, self.server.serve_stream)
+        self._apply_view()
+
+    def _apply_view(self):
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        items = {
+            "bundle": BundleItem(1, "", ""),
+            "limits": CallerLimits(16_384, 1_000_000, 1_000, 5_000),
+            "role/shop": RoleItem("shop", RoleKind.SERVICE, False),
+            "account/jersey": AccountItem("jersey", 1, 1, 1, is_limited=False),
+            f"key/{digest}": KeyItem("jersey"),
+            f"forward/{self.route.host}{self.route.path_prefix}": self.route,
+        }
+        for backend in self.backends:
+            items[f"backend/{backend.name}"] = BackendItem(
+                backend.name,
+                f"{backend.name}@1",
+                "shop",
+                "a",
+                "127.0.0.1",
+                backend.port,
+                "serving",
+                (),
+                (),
+                8,
+            )
+        encoded = {name: codec.encode(item) for name, item in items.items()}
+        outcome = self.state.catalog.apply_snapshot(1, encoded)
+        ask = self.state.freshness.ask(timers.now_ms())
+        self.state.applied(outcome)
+        self.state.take_confirmation(Confirmed(ask.sequence, 1))
+
+    async def connect(self):
+        return await anyio.connect_tcp("127.0.0.1", self.port)
+
+    async def exchange(self, data):
+        """Sends raw bytes and returns everything until the connection ends."""
+        received = b""
+        async with await self.connect() as stream:
+            await stream.send(data)
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    received += await stream.receive()
+        return received
+
+    async def call(self, *, method="POST", body=b"x", request_id="q1", headers=()):
+        lines = [
+            f"{method} /charge/1?n=2 HTTP/1.1",
+            "Host: shop.example",
+            f"Request-Id: {request_id}",
+            "Deadline-Ms: 4000",
+            f"Authorization: Bearer {KEY}",
+            "Connection: close",
+            f"Content-Length: {len(body)}",
+            *headers,
+        ]
+        return await self.exchange("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+def play(scenario, repeat, *behaviours, **options):
+    """Runs a scenario against backend servers; returns its result."""
+
+    async def main():
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as group:
+                world = World(group, repeat, **options)
+                await world.start(*behaviours)
+                result = await scenario(world)
+                group.cancel_scope.cancel()
+        return result
+
+    return anyio.run(main)
+
+
+def bundle_with(*routes):
+    """Returns a bundle with forwarding routes to one role."""
+    return Bundle(
+        version=1,
+        roles=(Role("shop", RoleKind.SERVICE),),
+        client_accounts=(ClientAccount("jersey", 1, 1),),
+        keys=(Key("0" * 64, "jersey"),),
+        forwards=routes,
+    )
+
+
+ONCE, IDEMPOTENT = Repeat.ONCE, Repeat.IDEMPOTENT
+STREAM, RESUMABLE = Repeat.STREAM, Repeat.RESUMABLE_STREAM
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,100 @@
+import json
+
+import pytest
+
+from cassiapitch import bundle
+from cassiapitch.exceptions import SettingsError
+from cassiapitch.forwardroutes import Repeat
+from cassiapitch.platform import configuration
+from cassiapitch.settings import Address, ControlSettings
+from cassiapitch.types import RoleKind
+
+ADDRESS = Address("127.0.0.1", 1)
+SETTINGS = ControlSettings("m", "z", "c", "/d", ADDRESS, ADDRESS, heartbeat_ms=1_200)
+ROUTE = {
+    "name": "r",
+    "host": "Shop.Example",
+    "pathPrefix": "/a/",
+    "kind": "streaming",
+    "timeoutMs": 5000,
+    "targetLatencyMs": 600,
+    "priority": 1,
+    "service": "s",
+    "maxAttempts": 2,
+    "resumable": True,
+    "gapAimMs": 300,
+    "fieldOfLater": 1,
+}
+MODEL = {
+    "name": "m1",
+    "weightsMb": 65099.99999999999,
+    "loadS": 1.2,
+    "adapters": 2,
+    "adapterMb": 12.0,
+}
+ENGINE = {
+    "weightsMb": 200000.0,
+    "adapterSlots": 8,
+    "loadsPerS": 1.1,
+    "kvCapacityTokens": 9,
+    "models": [MODEL],
+}
+TENANT = {
+    "name": "t",
+    "apiKeys": ["k"],
+    "unit": "tokens",
+    "plainTokens": 200,
+    "ratePerS": 100,
+    "burst": 100,
+}
+
+
+def document(**changes):
+    return {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": [{"name": "s", "engine": ENGINE}, {"name": "p"}],
+        "tenants": [TENANT],
+        **changes,
+    }
+
+
+def decode(value):
+    return configuration.decoder(SETTINGS)(json.dumps(value).encode())
+
+
+def test_document_becomes_a_bundle_without_faults():
+    found = decode(document())
+    assert bundle.find_faults(found) == []
+    assert [role.kind for role in found.roles] == [RoleKind.ENGINE, RoleKind.SERVICE]
+    assert found.models[0].memory_mib == 65_100
+    assert [one.name for one in found.adapters] == ["m1/a1", "m1/a2"]
+    assert found.forwards[0].host == "shop.example"
+    assert found.forwards[0].repeat is Repeat.RESUMABLE_STREAM
+    assert found.roles[0].silence_limit_ms == 3_600
+    assert found.store.loads_in_flight_count == 2
+
+
+def test_kind_that_is_not_known_runs_once():
+    found = decode(document(routes=[{**ROUTE, "kind": "later"}]))
+    assert found.forwards[0].repeat is Repeat.ONCE
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        document(routes=[{**ROUTE, "service": "none"}]),
+        document(routes=[ROUTE, ROUTE]),
+        document(routes=[{**ROUTE, "timeoutMs": 0}]),
+        document(tenants=[TENANT, {**TENANT, "name": "u"}]),
+        document(routes=[{**ROUTE, "trafficSplit": [{"service": "s", "weight": 0}]}]),
+    ],
+)
+def test_invalid_configurations_have_faults(value):
+    assert bundle.find_faults(decode(value))
+
+
+@pytest.mark.parametrize("content", [b"", b"{", b"[]", b'{"version": "x"}', b"\xff"])
+def test_unreadable_configurations_are_refused(content):
+    with pytest.raises(SettingsError):
+        configuration.decoder(SETTINGS)(content)
--- /dev/null
+++ b/tests/platform/test_requests.py
@@ -0,0 +1,61 @@
+import pytest
+
+from cassiapitch.platform import requests
+from cassiapitch.wire import PromptPart, Sending
+
+
+def test_caller_head_is_read_into_typed_fields():
+    head = requests.read_caller(
+        [
+            (b"request-id", b"9c41"),
+            (b"deadline-ms", b"4001"),
+            (b"model", b"m/a3"),
+            (b"token-count", b"1460,80"),
+            (b"prompt-prefix", b"5c:800,91:410"),
+            (b"last-event-id", b"12"),
+            (b"authorization", b"Bearer k"),
+        ]
+    )
+    assert (head.request_id, head.left_ms, head.model) == ("9c41", 4_001, "m/a3")
+    assert (head.prompt_tokens, head.answer_tokens, head.key) == (1_460, 80, "k")
+    assert head.prompt_parts == (PromptPart("5c", 800), PromptPart("91", 410))
+    assert head.last_event_id == 12
+
+
+@pytest.mark.parametrize("value", [b"-1", b"x", b"1e3", b"9" * 40, b""])
+def test_malformed_time_is_refused_and_not_guessed(value):
+    with pytest.raises(ValueError):
+        requests.read_caller([(b"deadline-ms", value)])
+
+
+def test_only_the_system_sets_what_backend_servers_trust():
+    sent = requests.write_backend(
+        [
+            (b"tenant", b"other"),
+            (b"target-instance", b"x"),
+            (b"hold", b"1"),
+            (b"pin-ms", b"1"),
+            (b"kv-backup", b"1"),
+            (b"kv-from", b"1"),
+            (b"authorization", b"Bearer k"),
+            (b"connection", b"x-hop"),
+            (b"x-hop", b"1"),
+            (b"x-kept", b"1"),
+            (b"transfer-encoding", b"chunked"),
+        ],
+        Sending(10, "i-1", "jersey"),
+    )
+    assert dict(sent) == {
+        b"x-kept": b"1",
+        b"Deadline-Ms": b"10",
+        b"Target-Instance": b"i-1",
+        b"Tenant": b"jersey",
+    }
+
+
+def test_response_says_whether_the_request_ran():
+    assert requests.read_backend(503, [(b"not-executed", b"1")]).is_not_run
+    assert requests.read_backend(421, []).is_not_run
+    assert not requests.read_backend(503, []).is_not_run
+    head = requests.read_backend(200, [(b"keep-alive", b"timeout=5, max=9")])
+    assert head.idle_timeout_ms == 5_000
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,72 @@
+import dataclasses
+
+from cassiapitch import admission
+from cassiapitch.admission import Candidate
+from cassiapitch.raftmessages import ChangeKind, Group, GroupMember
+
+NOW_MS = 100_000
+
+
+def member(number, *, voter=True, disk="a"):
+    name = f"10.0.0.{number}"
+    return GroupMember(name, f"{name}-{disk}", "z", name, 1, voter)
+
+
+def next_change(members, candidates=(), lost=()):
+    contacts = {
+        one.disk_id: NOW_MS - (60_000 if one.name in lost else 0) for one in members
+    }
+    asking = [Candidate(one, NOW_MS) for one in candidates]
+    return admission.next_change(Group(tuple(members)), 5, asking, contacts, NOW_MS)
+
+
+def test_group_grows_to_its_size_one_member_at_a_time():
+    members = [member(1), member(2), member(3)]
+    new = [member(4, voter=False), member(5, voter=False)]
+    steps = []
+    while (change := next_change(members, new)) is not None:
+        steps.append((change.kind, change.name))
+        assert len(steps) < 10
+        if change.kind is ChangeKind.ADD_LEARNER:
+            members.append(change.member)
+        else:
+            members = [
+                dataclasses.replace(one, voter=True) if one.name == change.name else one
+                for one in members
+            ]
+    assert [kind for kind, _ in steps] == [
+        ChangeKind.ADD_LEARNER,
+        ChangeKind.PROMOTE,
+    ] * 2
+    assert all(one.voter for one in members)
+
+
+def test_empty_disk_under_an_old_name_never_inherits_the_vote():
+    members = [member(number) for number in range(1, 6)]
+    empty = member(2, voter=False, disk="b")
+    change = next_change(members, [empty])
+    assert (change.kind, change.name) == (ChangeKind.REMOVE, "10.0.0.2")
+    rest = [one for one in members if one.name != "10.0.0.2"]
+    assert next_change(rest, [empty]).kind is ChangeKind.ADD_LEARNER
+
+
+def test_spare_member_replaces_a_lost_voter_only():
+    members = [member(number) for number in range(1, 6)]
+    spare = member(6, voter=False)
+    assert next_change(members, [spare]) is None
+    assert next_change(members, [spare], lost=["10.0.0.4"]).member == spare
+    with_spare = [*members, spare]
+    change = next_change(with_spare, lost=["10.0.0.4"])
+    assert (change.kind, change.name) == (ChangeKind.REMOVE, "10.0.0.4")
+
+
+def test_full_group_changes_nothing_for_a_silent_voter_without_a_successor():
+    members = [member(number) for number in range(1, 6)]
+    assert next_change(members, lost=["10.0.0.4", "10.0.0.5"]) is None
+
+
+def test_candidate_that_stopped_asking_is_not_admitted():
+    stale = [Candidate(member(4, voter=False), NOW_MS - 60_000)]
+    group = Group((member(1), member(2), member(3)))
+    contacts = {one.disk_id: NOW_MS for one in group.members}
+    assert admission.next_change(group, 5, stale, contacts, NOW_MS) is None
