Take over changed settings, bound the log, serve metrics

Cause: SIGHUP ended a process; a settings file that changed was not read again; log lines went to a pipe that can block; no counters or latency histograms were served.

--- a/cassiapitch/backendlink.py
+++ b/cassiapitch/backendlink.py
@@ -9,7 +9,7 @@
 import anyio.abc
 import h11
 
-from cassiapitch import timers
+from cassiapitch import metrics, timers
 from cassiapitch.types import LifeId
 from cassiapitch.viewitems import BackendItem
 
@@ -173,7 +173,6 @@
     def __init__(self, start_task: StartTask) -> None:
         self._start_task = start_task
         self._idle: dict[LifeId, list[BackendConnection]] = {}
-        self.opened_count = 0
 
     async def open(self, backend: BackendItem) -> BackendConnection:
         """Returns a kept connection or a new one.
@@ -186,7 +185,7 @@
             connection = idle.pop()
             if connection.take():
                 return connection
-        self.opened_count += 1
+        metrics.CONNECTIONS_OPENED.inc()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_MS / 1000):
                 stream = await anyio.connect_tcp(backend.ip, backend.port)
--- a/cassiapitch/configurations.py
+++ b/cassiapitch/configurations.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cassiapitch import admission, bundle, commands, events, group
+from cassiapitch import admission, bundle, commands, events, group, metrics
 from cassiapitch.exceptions import SettingsError
 from cassiapitch.group import Applied, Group, NoLeader
 from cassiapitch.replicated import ReplicatedState
@@ -72,6 +72,7 @@
     async def put(self, content: bytes) -> PutOutcome:
         """Brings a configuration into force unless a higher version is."""
         outcome = await self._put(content)
+        metrics.CONFIGURATIONS.labels(outcome.result.value).inc()
         events.log(
             events.Event.CONFIGURATION_ANSWERED,
             result=outcome.result.value,
--- a/cassiapitch/control.py
+++ b/cassiapitch/control.py
@@ -14,7 +14,7 @@
 from cassiapitch.controlnode import ControlNode, Parts
 from cassiapitch.fleet import FLEET_COMMANDS, Fleet
 from cassiapitch.member import Member
-from cassiapitch.seeds import peers_from_seeds
+from cassiapitch.seeds import SeedList
 from cassiapitch.settings import ControlSettings
 
 MakeApp = Callable[[Fleet, ControlNode], asgi.App]
@@ -25,6 +25,7 @@
     *,
     send_order: SendFunction = dispatch.send_order,
     make_app: MakeApp | None = None,
+    seed_list: SeedList | None = None,
 ) -> Parts:
     """Returns the parts of a member that the log and placement provide.
 
@@ -32,11 +33,12 @@
         settings: The process's settings.
         send_order: Makes an attempt to send an order to an engine.
         make_app: Makes the HTTP application of the administration address.
+        seed_list: Seeds that may change; those of the settings by default.
     """
     fleet = Fleet()
-    seeds = peers_from_seeds(settings.seeds, settings.seed_rpc_port)
-    if seeds:
-        settings = dataclasses.replace(settings, initial_members=seeds)
+    seeds = seed_list or SeedList(settings.seeds, settings.seed_rpc_port)
+    if seeds.peers:
+        settings = dataclasses.replace(settings, initial_members=seeds.peers)
 
     def tasks(member: Member) -> tuple[Callable[[], Awaitable[None]], ...]:
         if settings.tolerated_faults_count is None:
--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -7,7 +7,7 @@
 import anyio
 import anyio.abc
 
-from cassiapitch import dispatch, events
+from cassiapitch import dispatch, events, metrics
 from cassiapitch.announcements import (
     Announcement,
 )
@@ -157,6 +157,7 @@
         life = self._fleet.lives.get(send.order.backend)
         fencing = life is not None and life.fencing
         answer = await self._send_order(send, fencing=fencing)
+        metrics.ORDERS.labels(str(send.order.kind), str(answer)).inc()
         events.log(
             events.Event.ORDER_ANSWERED,
             order_id=send.order.order_id,
--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -7,7 +7,7 @@
 import anyio
 import anyio.abc
 
-from cassiapitch import asgi, dump, group, rpc, timers
+from cassiapitch import asgi, dump, group, metrics, rpc, timers
 from cassiapitch.admin import AdminApi
 from cassiapitch.announcements import (
     Announcement,
@@ -154,6 +154,15 @@
         self._relay.send(announcement)
         return True
 
+    async def _serve_metrics(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        if scope["path"] != metrics.PATH:
+            await asgi.send_json(send, 404, {})
+            return
+        metrics.VIEW_INDEX.set(self.state.index)
+        await metrics.serve(send)
+
     def _status(self) -> Any:
         return dump.status_document(
             self._settings.zone, self.member, self.state, self.hub, timers.now_ms()
@@ -198,6 +207,12 @@
             tasks.start_soon(self._desk.run)
             tasks.start_soon(self._placement.run)
             tasks.start_soon(self._report_load)
+            if self._settings.metrics_address is not None:
+                tasks.start_soon(
+                    asgi.HttpServer(
+                        self._serve_metrics, self._settings.metrics_address
+                    ).run
+                )
             http_ended = anyio.Event()
             tasks.start_soon(_run_http, http, http_ended)
             task_status.started(http.port)
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -117,6 +117,10 @@
             self.state.step_shutdown("stopped")
             group.cancel_scope.cancel()
 
+    def reload(self, settings: EntrySettings) -> None:
+        """Takes over what may change while the process runs: the seeds."""
+        self._plan.learn_seeds(peers_from_seeds(settings.seeds, settings.seed_rpc_port))
+
     def _start_links(self, group: Any) -> None:
         handlers = LinkHandlers(
             hello=self._hello,
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -6,6 +6,8 @@
 
 import eliot
 
+from cassiapitch.logwriter import LogWriter
+
 
 class Event(enum.Enum):
     """Every event that a process logs; docs/events.md explains each one.
@@ -21,6 +23,7 @@
     PROCESS_FAILED = 104
     SETTINGS_REFUSED = 105
     DUMP_SERVED = 106
+    SETTINGS_CHANGED = 107
 
     LOG_OPENED = 201
     GROUP_FORMED = 202
@@ -91,5 +94,7 @@
 
 def write_to(path: str | None) -> None:
     """Sends the log to a file, or to standard error where `path` is None."""
-    stream = sys.stderr if path is None else open(path, "a", encoding="utf-8")  # noqa: SIM115
-    eliot.to_file(stream)
+    if path is None:
+        eliot.to_file(LogWriter(sys.stderr.fileno()))
+    else:
+        eliot.to_file(open(path, "a", encoding="utf-8"))  # noqa: SIM115
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -7,7 +7,7 @@
 import anyio
 import h11
 
-from cassiapitch import budget, events, timers
+from cassiapitch import budget, events, metrics, timers
 from cassiapitch.backendlink import (
     BackendBrokenError,
     BackendConnection,
@@ -370,6 +370,7 @@
         if call.course.state == "sending":
             call.course.written()
         call.sent_count += 1
+        metrics.SENDS.inc()
         call.backends.append(backend.name)
         await connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
@@ -585,6 +586,7 @@
                 call.is_broken = True
 
     def _note(self, call: ForwardCall, backend: BackendItem, reason: str) -> None:
+        metrics.ATTEMPTS_FAILED.inc()
         events.log(
             events.Event.FORWARD_ATTEMPT_FAILED,
             request_id=call.head.request_id,
@@ -641,9 +643,24 @@
     return None if time_ms is None else time_ms - call.arrived_ms
 
 
+def _measure(call: ForwardCall) -> None:
+    route = call.route.name
+    outcome = "cut" if call.outcome.startswith("cut") else call.outcome
+    metrics.REQUESTS.labels(route, str(call.status), outcome).inc()
+    if call.first_byte_ms is not None:
+        waited_ms = call.first_byte_ms - call.arrived_ms
+        metrics.FIRST_BYTE_S.labels(route).observe(waited_ms / 1000)
+    if call.admitted_ms is not None:
+        metrics.ADMISSION_S.observe((call.admitted_ms - call.arrived_ms) / 1000)
+    if call.placed_ms is not None:
+        begun_ms = call.arrived_ms if call.admitted_ms is None else call.admitted_ms
+        metrics.QUEUE_S.observe((call.placed_ms - begun_ms) / 1000)
+
+
 def _log_call(call: ForwardCall, view_index: int) -> None:
     now_ms = timers.now_ms()
     account = call.account
+    _measure(call)
     events.log(
         events.Event.FORWARDED,
         request_id=call.head.request_id,
--- a/cassiapitch/joining.py
+++ b/cassiapitch/joining.py
@@ -5,6 +5,7 @@
 from cassiapitch import admission, events
 from cassiapitch.member import Member
 from cassiapitch.proposals import Committed
+from cassiapitch.seeds import SeedList
 from cassiapitch.settings import Address, ControlPeer
 from cassiapitch.timers import now_ms
 
@@ -13,14 +14,14 @@
 CHANGE_TIMEOUT_MS = 3_000
 
 
-async def ask_for_admission(member: Member, seeds: tuple[ControlPeer, ...]) -> None:
+async def ask_for_admission(member: Member, seeds: SeedList) -> None:
     """Makes this member known to the group while it is outside of it.
 
     Every contact shows the other side who is asking, and returns where the leader is.
     """
     while True:
         if member.node is not None and member.status().role == "waiting":
-            await _introduce(member, seeds)
+            await _introduce(member, seeds.peers)
         await anyio.sleep(ASK_PERIOD_MS / 1000)
 
 
--- a/cassiapitch/link.py
+++ b/cassiapitch/link.py
@@ -55,6 +55,11 @@
             if members and peer.address not in current_addresses
         }
 
+    def learn_seeds(self, seeds: tuple[ControlPeer, ...]) -> None:
+        """Adds members from changed settings."""
+        known = {peer.address for peer in self._members}
+        self._members += tuple(peer for peer in seeds if peer.address not in known)
+
     def choose(self, slot: int, now_ms: int) -> ControlPeer | None:
         """Returns the member for a link, or None if none is to be tried now."""
         others = [peer for key, peer in self._current.items() if key != slot]
--- a/cassiapitch/operatorroutes.py
+++ b/cassiapitch/operatorroutes.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from cassiapitch import asgi, events, timers
+from cassiapitch import asgi, events, metrics, timers
 from cassiapitch.asgi import Receive, Scope, Send
 from cassiapitch.entrystate import EntryState
 from cassiapitch.link import LinkPlan
@@ -23,6 +23,10 @@
         """Serves one request of an operator."""
         if scope["type"] != "http":
             return
+        if (scope["method"], scope["path"]) == ("GET", metrics.PATH):
+            metrics.VIEW_INDEX.set(self._state.catalog.index)
+            await metrics.serve(send)
+            return
         authorization = asgi.header(scope, b"authorization")
         operator = authenticate(self._state.settings.operators, authorization)
         if operator is None:
--- a/cassiapitch/platform/programs.py
+++ b/cassiapitch/platform/programs.py
@@ -7,6 +7,7 @@
 import anyio
 
 from cassiapitch import process
+from cassiapitch.settingswatch import SettingsWatch
 
 ENTRY = "entry"
 CONTROL = "control"
@@ -18,7 +19,9 @@
     from cassiapitch.platform.requests import WIRE
     from cassiapitch.settings import EntrySettings
 
-    async def run(settings: EntrySettings, stop: anyio.Event) -> None:
+    async def run(
+        settings: EntrySettings, stop: anyio.Event, watch: SettingsWatch
+    ) -> None:
         if settings.caller_listen:
             settings = dataclasses.replace(
                 settings, caller_address=seeds.parse_address(settings.caller_listen)
@@ -29,9 +32,12 @@
                 readiness_address=seeds.parse_address(settings.readiness_listen),
             )
         make_callers = functools.partial(forwarding.make_callers, WIRE)
-        await entry.EntryProcess(settings, stop, make_callers).run()
+        program = entry.EntryProcess(settings, stop, make_callers)
+        watch.subscribe(program.reload)
+        await program.run()
 
-    return process.run("cassiapitch-entry", EntrySettings, run, arguments)
+    name = "cassiapitch-entry"
+    return process.run(name, EntrySettings, run, arguments, watched=True)
 
 
 def _run_control(arguments: list[str]) -> int:
@@ -44,7 +50,9 @@
     from cassiapitch.registrations import Registrations
     from cassiapitch.settings import ControlSettings
 
-    async def run(settings: ControlSettings, stop: anyio.Event) -> None:
+    async def run(
+        settings: ControlSettings, stop: anyio.Event, watch: SettingsWatch
+    ) -> None:
         if settings.admin_listen:
             settings = dataclasses.replace(
                 settings, admin_address=seeds.parse_address(settings.admin_listen)
@@ -66,10 +74,15 @@
                 desk, Registrations(node.member, fleet, node.deliver)
             )
 
-        parts = control.make_parts(settings, send_order=send_order, make_app=make_app)
+        seed_list = seeds.SeedList(settings.seeds, settings.seed_rpc_port)
+        watch.subscribe(lambda changed: seed_list.change(changed.seeds))
+        parts = control.make_parts(
+            settings, send_order=send_order, make_app=make_app, seed_list=seed_list
+        )
         await ControlNode(settings, parts, stop).run()
 
-    return process.run("cassiapitch-control", ControlSettings, run, arguments)
+    name = "cassiapitch-control"
+    return process.run(name, ControlSettings, run, arguments, watched=True)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/cassiapitch/process.py
+++ b/cassiapitch/process.py
@@ -11,6 +11,7 @@
 
 from cassiapitch import __version__, config, events
 from cassiapitch.exceptions import CassiapitchError, SettingsError
+from cassiapitch.settingswatch import SettingsWatch
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -20,8 +21,10 @@
 def run(
     program: str,
     settings_class: type,
-    body: Callable[[Any, anyio.Event], Awaitable[None]],
+    body: Callable[..., Awaitable[None]],
     arguments: list[str] | None = None,
+    *,
+    watched: bool = False,
 ) -> int:
     """Reads settings, then runs `body` until it ends; returns an exit code.
 
@@ -31,6 +34,8 @@
         body: Called with the settings and an event that is set by SIGTERM or
             SIGINT, upon which it shuts down gracefully and returns.
         arguments: Command line without the program name.
+        watched: Whether the settings file may change while the process runs; `body`
+            is then called with a `SettingsWatch` as third argument.
     """
     options = _parse(program, arguments)
     try:
@@ -45,8 +50,11 @@
     events.write_to(settings.log_path)
     events.log(events.Event.PROCESS_STARTED, program=program, name=settings.name)
     failures: list[Exception] = []
+    watch = None
+    if watched:
+        watch = SettingsWatch(pathlib.Path(options.settings), settings_class, settings)
     try:
-        anyio.run(_with_signals, body, settings, backend="asyncio")
+        anyio.run(_with_signals, body, settings, watch, backend="asyncio")
     except* CassiapitchError as group:
         failures.extend(_leaves(group))
     if failures:
@@ -84,12 +92,16 @@
 
 
 async def _with_signals(
-    body: Callable[[Any, anyio.Event], Awaitable[None]], settings: Any
+    body: Callable[..., Awaitable[None]], settings: Any, watch: SettingsWatch | None
 ) -> None:
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
         group.start_soon(_watch_signals, stop)
-        await body(settings, stop)
+        if watch is None:
+            await body(settings, stop)
+        else:
+            group.start_soon(watch.run)
+            await body(settings, stop, watch)
         group.cancel_scope.cancel()
 
 
--- a/cassiapitch/registrations.py
+++ b/cassiapitch/registrations.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from cassiapitch import events, group
+from cassiapitch import events, group, metrics
 from cassiapitch.announcements import Announcement
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import (
@@ -44,6 +44,11 @@
 
     async def heartbeat(self, announcement: Announcement) -> bool:
         """Takes a heartbeat; true if it may be acknowledged."""
+        is_taken = await self._take(announcement)
+        metrics.HEARTBEATS.labels(str(is_taken).lower()).inc()
+        return is_taken
+
+    async def _take(self, announcement: Announcement) -> bool:
         if not announcement.leaving or self._is_known_to_leave(announcement):
             return await self._deliver(announcement)
         command = ReportBackends(self._fleet.term, (announcement,))
--- a/cassiapitch/seeds.py
+++ b/cassiapitch/seeds.py
@@ -6,6 +6,18 @@
 from cassiapitch.settings import Address, ControlPeer
 
 
+class SeedList:
+    """Seeds in force; they may change while the process runs."""
+
+    def __init__(self, seeds: tuple[str, ...], rpc_port: int) -> None:
+        self._rpc_port = rpc_port
+        self.peers = peers_from_seeds(seeds, rpc_port)
+
+    def change(self, seeds: tuple[str, ...]) -> None:
+        """Takes over other seeds; an empty list changes nothing."""
+        self.peers = peers_from_seeds(seeds, self._rpc_port) or self.peers
+
+
 def parse_address(text: str) -> Address:
     """Returns the address that `ip:port` means."""
     ip, _, port = text.rpartition(":")
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -84,6 +84,7 @@
             two members never take turns.
         heartbeat_ms: Time between two heartbeats of a backend server.
         admin_listen: `admin_address` as text.
+        metrics_address: Where counters and histograms are served; None for nowhere.
         rate_tolerance_tokens: What all entries together may admit beyond an account's
             rate and burst in a window; grants that are held unused count against it.
         rate_tolerance_share: The same as a share of rate and burst in the window.
@@ -114,6 +115,7 @@
     rate_tolerance_share: Annotated[float, Meta(ge=0, le=1)] = 0.0
     rate_window_s: Annotated[float, Meta(ge=0)] = 0.0
     admin_listen: AddressText | None = None
+    metrics_address: Address | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/cassiapitch/settingswatch.py
@@ -0,0 +1,74 @@
+"""Takes over a settings file that changes while the process runs."""
+
+import pathlib
+import signal
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from cassiapitch import config, events
+from cassiapitch.exceptions import SettingsError
+
+# A change may come without a signal; reading one small file costs little.
+POLL_PERIOD_S = 1.0
+
+Subscriber = Callable[[Any], None]
+
+
+class SettingsWatch:
+    """The settings in force, and who is told of a change."""
+
+    def __init__(self, path: pathlib.Path, settings_class: type, settings: Any) -> None:
+        self._path = path
+        self._class = settings_class
+        self._settings = settings
+        self._text = _read(path)
+        self._subscribers: list[Subscriber] = []
+
+    def subscribe(self, subscriber: Subscriber) -> None:
+        """Has a function called with each new settings object."""
+        self._subscribers.append(subscriber)
+
+    def check(self) -> bool:
+        """Reads the file if it has changed; true if new settings came into force.
+
+        Settings with faults change nothing.
+        """
+        text = _read(self._path)
+        if text is None or text == self._text:
+            return False
+        self._text = text
+        try:
+            settings = config.parse(text, self._class)
+        except SettingsError as error:
+            events.log(events.Event.SETTINGS_REFUSED, faults=error.faults)
+            return False
+        if settings == self._settings:
+            return False
+        self._settings = settings
+        events.log(events.Event.SETTINGS_CHANGED)
+        for subscriber in self._subscribers:
+            subscriber(settings)
+        return True
+
+    async def run(self) -> None:
+        """Watches the file and SIGHUP until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_signal)
+            while True:
+                await anyio.sleep(POLL_PERIOD_S)
+                self.check()
+
+    async def _watch_signal(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGHUP) as received:
+            async for _ in received:
+                self.check()
+
+
+def _read(path: pathlib.Path) -> str | None:
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        events.log(events.Event.SETTINGS_REFUSED, faults=[str(error)])
+        return None
