Count requests in flight over all entries; copies by demand for prompts

Cause: heartbeats of the platform state no load, so that the leader saw idle engines and wanted less than one copy of the hottest model.

Conclusion: entries report their requests in flight; a role may let copies fill the memory in proportion to the tokens asked for; hot adapters get a copy beside each copy of their model.

--- a/cassiapitch/bundle.py
+++ b/cassiapitch/bundle.py
@@ -63,6 +63,10 @@
         unload_delay_ms: Time from the record of an unload until it is sent. Entries
             whose view is older may still send requests; short where engines decline
             requests for what they don't hold.
+        reports_load: Whether announcements state the requests that run and wait;
+            otherwise the entries' counts of their own are added up.
+        fills_memory: Whether copies take all memory in proportion to demand. For
+            engines whose prompts, and not their slots, are what is scarce.
     """
 
     name: Name
@@ -77,6 +81,8 @@
     silence_limit_ms: CountOrZero = 0
     cache_tokens: CountOrZero = 0
     unload_delay_ms: CountOrZero = 2_000
+    fills_memory: bool = False
+    reports_load: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/catalog.py
+++ b/cassiapitch/catalog.py
@@ -181,6 +181,11 @@
         """Requests that were running when backend servers crashed, by digest."""
         return self._tables["suspect"]
 
+    def reports_load(self, role: str) -> bool:
+        """Tells whether backend servers of a role state their load."""
+        item = self.roles.get(role)
+        return item is None or item.reports_load
+
     @property
     def caller_limits(self) -> CallerLimits | None:
         """What forwarded requests may use, if the bundle says so."""
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -41,6 +41,9 @@
 # More than the fleet can record while one member leads.
 ORDERS_PER_TERM = 10**9
 
+# Entries report twice a second; one that has stopped counts no longer.
+IN_FLIGHT_LIFE_MS = 1_500
+
 # Announcements in one command, so that a command stays under a mebibyte.
 REPORTS_PER_COMMAND = 256
 
@@ -125,6 +128,7 @@
         self._answers: list[OrderAnswer] = []
         self._progress: dict[str, _Progress] = {}
         self._loads = LoadTable()
+        self._in_flight: dict[str, tuple[dict[str, int], int]] = {}
         self._next_round_ms = now_ms
         self._last_round_ms = now_ms
 
@@ -143,9 +147,10 @@
             return
         self._heard_ms[life_id] = now_ms
         counts = (announcement.running_count, announcement.waiting_count)
-        self.placement.requests[life_id] = counts
-        prefixes = announcement.cached_prefixes
-        self._loads.put(LoadReport(announcement.name, life_id, *counts, prefixes))
+        if self._states_load(announcement.role):
+            self.placement.requests[life_id] = counts
+            prefixes = announcement.cached_prefixes
+            self._loads.put(LoadReport(announcement.name, life_id, *counts, prefixes))
         durable = dataclasses.replace(
             announcement, running_count=0, waiting_count=0, cached_prefixes=()
         )
@@ -182,9 +187,29 @@
             pause_ms = URGENT_ADAPTER_ROUND_MS if is_quick else URGENT_ROUND_MS
             urgent_ms = self._last_round_ms + pause_ms
             self._next_round_ms = min(self._next_round_ms, urgent_ms)
+        own_counts = {item.life_id: item.count for item in report.in_flight}
+        self._in_flight[report.entry] = (own_counts, now_ms)
         for life_id in report.refused_backends:
             self._refused.setdefault(life_id, {})[report.entry] = now_ms
 
+    def _states_load(self, role: str) -> bool:
+        item = self._fleet.catalog.roles.get(role)
+        return item is None or item.reports_load
+
+    def _add_up_loads(self, now_ms: int) -> None:
+        """Adds up the entries' counts where announcements state no load."""
+        recent = [
+            counts
+            for counts, at_ms in self._in_flight.values()
+            if now_ms - at_ms <= IN_FLIGHT_LIFE_MS
+        ]
+        for life in self._fleet.lives.values():
+            if self._states_load(life.role):
+                continue
+            count = sum(counts.get(life.life_id, 0) for counts in recent)
+            self.placement.requests[life.life_id] = (count, 0)
+            self._loads.put(LoadReport(life.name, life.life_id, count, 0, ()))
+
     def on_response(self, order: Order, attempt: int, answer: str | None) -> None:
         """Takes the end of an attempt; `answer` is None without a response."""
         progress = self._progress.get(order.order_id)
@@ -197,6 +222,7 @@
 
     def load_reports(self, now_ms: int) -> LoadReports:
         """Returns load reports that were not given yet, within a size limit."""
+        self._add_up_loads(now_ms)
         reports, counts = self._loads.take()
         expected_ms = placement_state.expected_ms(self.placement, now_ms)
         return LoadReports(reports, expected_ms, counts)
--- a/cassiapitch/demand.py
+++ b/cassiapitch/demand.py
@@ -4,6 +4,7 @@
 
 from cassiapitch.messages import (
     DemandReport,
+    InFlight,
     ModelDemand,
 )
 from cassiapitch.types import LifeId, ModelName, Priority
@@ -44,13 +45,16 @@
         self._refused_backends.add(life_id)
 
     def report(
-        self, waiting: dict[tuple[ModelName, Priority], tuple[int, int]]
+        self,
+        waiting: dict[tuple[ModelName, Priority], tuple[int, int]],
+        in_flight: tuple[InFlight, ...] = (),
     ) -> DemandReport | None:
         """Returns the next report, or None where two in a row would be empty.
 
         Args:
             waiting: Maps model and priority to the number of waiting requests and
                 the longest wait.
+            in_flight: This entry's requests at each backend server.
         """
         demands: list[ModelDemand] = []
         for key in sorted(self._counts.keys() | waiting.keys()):
@@ -70,11 +74,11 @@
         refused = tuple(sorted(self._refused_backends))
         self._counts.clear()
         self._refused_backends.clear()
-        is_empty = not demands and not refused
+        is_empty = not demands and not refused and not in_flight
         if is_empty and not self._reported_something:
             return None
         self._reported_something = not is_empty
-        return DemandReport(self._entry, tuple(demands), refused)
+        return DemandReport(self._entry, tuple(demands), refused, in_flight)
 
     def _count(self, model: ModelName, priority: Priority) -> _Count:
         return self._counts.setdefault((model, priority), _Count())
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -21,6 +21,7 @@
     Confirmed,
     ControlMembers,
     CrashAnswer,
+    InFlight,
     LinkHello,
     LoadReports,
     RateGrants,
@@ -247,10 +248,20 @@
                 for key, value in self.state.scheduler.waiting().items()
                 if catalog.target(key[0]) is not None
             }
-            report = self.state.demand.report(waiting)
+            report = self.state.demand.report(waiting, self._in_flight())
             if report is not None:
                 self._send_primary(report)
 
+    def _in_flight(self) -> tuple[InFlight, ...]:
+        """Returns own requests at backend servers that don't state their load."""
+        catalog = self.state.catalog
+        counts = self.state.router.in_flight_counts()
+        return tuple(
+            InFlight(backend.life_id, counts[backend.life_id])
+            for backend in catalog.backends.values()
+            if counts.get(backend.life_id) and not catalog.reports_load(backend.role)
+        )
+
     async def _close_on_stop(self) -> None:
         """Leaves the balancer, then stops listening; calls go on to their end."""
         await self._stop.wait()
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -267,6 +267,14 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InFlight:
+    """Requests of one entry that a life of a backend server has."""
+
+    life_id: LifeId
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandReport:
     """An entry's demand and the backend servers that refused its connections."""
@@ -274,6 +282,7 @@
     entry: str
     demands: tuple[ModelDemand, ...]
     refused_backends: tuple[LifeId, ...]
+    in_flight: tuple[InFlight, ...] = ()
 
 
 # Link, control member to entry.
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -7,7 +7,7 @@
 from cassiapitch import placement_fixed, victims
 from cassiapitch.backends import Life
 from cassiapitch.fleet_commands import NewOrder
-from cassiapitch.orders import is_adapter_key, model_key
+from cassiapitch.orders import adapter_key, is_adapter_key, model_key
 from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState, Plan
 from cassiapitch.rooms import Room, Survey
 from cassiapitch.types import OrderKind
@@ -24,6 +24,14 @@
 # Searches for copies to unload in a round; each one looks at every copy of a role.
 FINDS_PER_ROUND = 12
 
+# Demand from which an adapter gets a copy next to each copy of its model: about one
+# request in five seconds.
+SPREAD_TOKENS_PER_S = 200.0
+
+# Adapter places that further copies leave free, so that a first copy waits for no
+# unload.
+SPARE_PLACES_COUNT = 1
+
 # Age on the waiting list from which an engine is held free of other loads.
 HOLD_AFTER_MS = 20_000
 
@@ -126,10 +134,10 @@
 
     def place_adapters(self) -> None:
         """Loads adapters that have no copy next to one of their model's copies."""
+        self._spread_adapters()
         for name, adapter in self._catalog.adapters.items():
             key = f"adapter/{name}"
             if self._has_places(adapter.model):
-                # Places are few, so that only what is asked for takes one.
                 continue
             if not self.may_load(key) or self._search_count >= SEARCHES_PER_ROUND:
                 return
@@ -175,22 +183,57 @@
         elif not fitting:
             self._vacate_place(key, rooms)
 
+    def _spread_adapters(self) -> None:
+        """Fills free places with the adapters that are asked for most.
+
+        Answers the load of adapters in demand: with one copy, all their requests go
+        to one of the engines that hold their model.
+        """
+        rates = {
+            key: self._state.demand.rate(key, self._now_ms)
+            for key in map(adapter_key, self._catalog.adapters)
+        }
+        hot = sorted(
+            (key for key, rate in rates.items() if rate >= SPREAD_TOKENS_PER_S),
+            key=lambda key: -rates[key],
+        )
+        for key in hot:
+            if not self._has_places(self._model_of(key)):
+                continue
+            for room in self._rooms(key):
+                free = self._state.fleet.free_adapter_places(room.life) or 0
+                taken = self._taken_places.get(room.life.life_id, 0)
+                if (
+                    free - taken <= SPARE_PLACES_COUNT
+                    or not self._survey.may_load(room, key)
+                    or not self.may_load(key)
+                    or room.free_mib < self._survey.grown_mib(room, key)
+                ):
+                    continue
+                self._taken_places[room.life.life_id] = taken + 1
+                self.load(room, key)
+
     def _vacate_place(self, key: str, rooms: list[Room]) -> None:
         """Unloads the adapter that is asked for least, unless one is on its way out."""
         waiting = {one for _, one in self._state.demand.waiting()}
-        found: list[tuple[float, str, Room]] = []
+        found: list[tuple[bool, float, str, Room]] = []
         for room in rooms:
             if self._has_open_unload(room.life):
                 return
             found.extend(
-                (self._state.demand.rate(other, self._now_ms), other, room)
+                (
+                    len(self._survey.copies.get(other, ())) <= 1,
+                    self._state.demand.rate(other, self._now_ms),
+                    other,
+                    room,
+                )
                 for other in room.life.ledger.reported
                 if is_adapter_key(other)
                 and other not in waiting
                 and room.life.ledger.open_order(other) is None
             )
         if found:
-            _, victim, room = min(found, key=lambda item: item[:2])
+            _, _, victim, room = min(found, key=lambda item: item[:3])
             self._unload(room.life, victim)
 
     def _place_model_for(self, adapter: str, age_ms: int) -> None:
@@ -389,8 +432,30 @@
         * min(1.0, survey.usage(role, waiting_count) / TARGET_USAGE)
         for role in totals
     }
+    for role in totals:
+        item = state.fleet.catalog.roles.get(role)
+        if item is not None and item.fills_memory:
+            engines[role] = _copies_that_fit(state, survey, role)
     return {
         model_key(name): rates[name] / totals[model.role] * engines[model.role]
         for name, model in state.fleet.catalog.models.items()
         if totals[model.role] > 0
     }
+
+
+def _copies_that_fit(state: PlacementState, survey: Survey, role: str) -> float:
+    """Returns how many copies of a usual size a role's engines hold together.
+
+    Answers the load of long prompts: reading them takes an engine's time long before
+    its slots are taken, so that copies follow the demand for tokens.
+    """
+    sizes = sorted(
+        model.memory_mib
+        for model in state.fleet.catalog.models.values()
+        if model.role == role
+    )
+    if not sizes:
+        return 0.0
+    usual_mib = sizes[len(sizes) // 2]
+    rooms = survey.by_role.get(role, ())
+    return float(sum(room.capacity_mib // usual_mib for room in rooms))
--- a/cassiapitch/replicated.py
+++ b/cassiapitch/replicated.py
@@ -304,6 +304,7 @@
             role.fencing,
             role.connections_limit_count,
             role.cache_tokens,
+            role.reports_load,
         )
     for forward in bundle.forwards:
         items[f"forward/{forward.host}{forward.path_prefix}"] = forward
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -58,6 +58,14 @@
         load = self._loads.get(life_id)
         return 0 if load is None else load.own_count
 
+    def in_flight_counts(self) -> dict[LifeId, int]:
+        """Returns this entry's requests in flight by life."""
+        return {
+            life_id: load.own_count
+            for life_id, load in self._loads.items()
+            if load.own_count
+        }
+
     def report(self, report: LoadReport, now_ms: int) -> None:
         """Takes a backend server's report of its load and cached prefixes."""
         count = report.running_count + report.waiting_count
--- a/cassiapitch/viewitems.py
+++ b/cassiapitch/viewitems.py
@@ -65,6 +65,7 @@
     fencing: bool
     connections_limit_count: int = 0
     cache_tokens: int = 0
+    reports_load: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_logwriter.py
@@ -0,0 +1,38 @@
+import os
+
+from cassiapitch.logwriter import BURST_LINES_COUNT, LogWriter
+
+
+def test_reader_that_does_not_read_blocks_nothing():
+    reader, writer = os.pipe()
+    log = LogWriter(writer, lambda: 0)
+    for _ in range(BURST_LINES_COUNT):
+        log.write(b"x" * 2_000 + b"\n")
+    assert log.omitted_count > 0
+    os.close(reader)
+    os.close(writer)
+
+
+def test_flood_is_cut_and_the_log_says_how_much():
+    reader, writer = os.pipe()
+    now_ms = 0
+    log = LogWriter(writer, lambda: now_ms)
+    for _ in range(BURST_LINES_COUNT + 5):
+        log.write(b"a\n")
+    now_ms = 1_000
+    log.write(b"b\n")
+    lines = os.read(reader, 65_536).splitlines()
+    assert lines.count(b"a") == BURST_LINES_COUNT
+    assert b'"count": 5' in lines[-2]
+    assert lines[-1] == b"b"
+    os.close(reader)
+    os.close(writer)
+
+
+def test_closed_log_does_not_end_the_process():
+    reader, writer = os.pipe()
+    os.close(reader)
+    log = LogWriter(writer, lambda: 0)
+    log.write(b"a\n")
+    assert log.omitted_count == 1
+    os.close(writer)
