Wait for the idle watch before a kept connection is used again

Ruled out: reuse without a watch, since bytes or an end that come while the connection is idle must be seen before a request that may run once is sent.

The test fails without the change. An exception in one caller's connection is logged and ends only that connection. Routing learns failures and slowness from answers.

--- a/cassiapitch/backendlink.py
+++ b/cassiapitch/backendlink.py
@@ -54,7 +54,8 @@
         self.idle_until_ms = 0
         self.is_reused = False
         self.is_closed = False
-        self._idle_scope: anyio.CancelScope | None = None
+        self._idle_scope = anyio.CancelScope()
+        self._idle_ended = anyio.Event()
 
     async def send(
         self,
@@ -133,16 +134,20 @@
     def begin_idle(self, idle_ms: int) -> None:
         """Prepares the connection for the next request."""
         self._http.start_next_cycle()
+        self._idle_scope = anyio.CancelScope()
+        self._idle_ended = anyio.Event()
         self.idle_until_ms = timers.now_ms() + idle_ms
 
     async def watch_idle(self) -> None:
         """Closes the connection if anything arrives on it, or its end."""
-        with anyio.CancelScope() as scope:
-            self._idle_scope = scope
-            wait_ms = max(0, self.idle_until_ms - timers.now_ms())
-            with anyio.move_on_after(wait_ms / 1000):
-                await self._receive_any()
-            await self.close()
+        try:
+            with self._idle_scope:
+                wait_ms = max(0, self.idle_until_ms - timers.now_ms())
+                with anyio.move_on_after(wait_ms / 1000):
+                    await self._receive_any()
+                await self.close()
+        finally:
+            self._idle_ended.set()
 
     async def _receive_any(self) -> None:
         with contextlib.suppress(
@@ -150,15 +155,20 @@
         ):
             await self._stream.receive(1)
 
-    def take(self) -> bool:
-        """Ends the idle time; false if the connection is closed or about to be."""
+    async def take(self) -> bool:
+        """Ends the idle time; false if the connection is closed or about to be.
+
+        Two tasks must not read from the connection, so this waits for the end of
+        the one that watched it.
+        """
         is_late = timers.now_ms() >= self.idle_until_ms
         if self.is_closed or is_late:
             return False
-        if self._idle_scope is not None:
-            self._idle_scope.cancel()
+        self._idle_scope.cancel()
+        with anyio.CancelScope(shield=True):
+            await self._idle_ended.wait()
         self.is_reused = True
-        return True
+        return not self.is_closed
 
     async def close(self) -> None:
         """Closes the connection at once."""
@@ -183,7 +193,7 @@
         idle = self._idle.get(backend.life_id, [])
         while idle:
             connection = idle.pop()
-            if connection.take():
+            if await connection.take():
                 return connection
         metrics.CONNECTIONS_OPENED.inc()
         try:
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -338,7 +338,9 @@
                 self._declined(call, slot, head, backend_head)
                 return False
             if not await self._pass_on(call, slot, caller, connection, head):
+                is_clean = True
                 return False
+            self._learn(call, slot)
             is_clean = True
             return True
         except BackendBrokenError as error:
@@ -380,6 +382,16 @@
             raise BackendBrokenError("the response belongs to another request")
         return head, backend_head
 
+    def _learn(self, call: ForwardCall, slot: Slot) -> None:
+        """Tells routing how long the answer took, or that it was a failure."""
+        now_ms = timers.now_ms()
+        life_id = slot.backend.life_id
+        if call.status >= SERVER_ERROR_STATUS:
+            self._state.router.failed(life_id, now_ms)
+        elif call.first_byte_ms is not None and call.placed_ms is not None:
+            answer_ms = call.first_byte_ms - call.placed_ms
+            self._state.router.succeeded(life_id, answer_ms, now_ms)
+
     def _declined(
         self,
         call: ForwardCall,
@@ -400,6 +412,7 @@
             RefusedError: It must not be sent again.
         """
         slot.wanted.excluded.add(slot.backend.life_id)
+        self._state.router.failed(slot.backend.life_id, timers.now_ms())
         if not call.course.idempotent:
             # The caller may send the same content again, as another request.
             self._state.start_background(self._report_crash, slot)
@@ -486,6 +499,7 @@
         )
         if may_try_again:
             self._note(call, slot.backend, f"failed: {head.status}")
+            self._state.router.failed(slot.backend.life_id, timers.now_ms())
             slot.wanted.excluded.add(slot.backend.life_id)
             call.course.step("retry" if call.course.state == "running" else "resume")
             return False
--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -1,6 +1,7 @@
 """The server of forwarded requests: connections, readiness and the planned stop."""
 
 import random
+import traceback
 
 import anyio
 import anyio.abc
@@ -109,6 +110,13 @@
                 await self._serve_connection(connection)
         except CallerGoneError:
             pass
+        except Exception as error:
+            # One connection's fault must not end the others.
+            events.log(
+                events.Event.CALL_FAILED,
+                reason=repr(error),
+                trace=traceback.format_exc(limit=-8),
+            )
         finally:
             self._connections.discard(connection)
 
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -21,6 +21,18 @@
 # Batch requests leave this share of a backend server's slots free for urgent ones.
 BATCH_SHARE = 0.75
 UNREACHABLE_MS = 1_000
+# A backend server that fails every request costs as much as this many in flight; one
+# that takes twice as long as the others, as much as the second number.
+FAILURE_COST = 24.0
+SLOWNESS_COST = 4.0
+SLOWNESS_LIMIT = 4.0
+# Share of the newest outcome in the averages.
+OUTCOME_WEIGHT = 0.2
+# With fewer answers an average says too little.
+ANSWERS_LEAST_COUNT = 4
+# What was learned loses half its weight in this time, so that a backend server that
+# gets no requests any more is tried again.
+OUTCOME_HALF_LIFE_MS = 4_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +45,10 @@
     reported_ms: int = 0
     prefixes: frozenset[str] = frozenset()
     avoid_until_ms: int = 0
+    failure: float = 0.0
+    answer_ms: float = 0.0
+    answers_count: int = 0
+    outcome_ms: int = 0
 
 
 class Router:
@@ -43,6 +59,7 @@
         self._zone = zone
         self._source = source
         self._loads: dict[LifeId, _Load] = {}
+        self._roles: dict[LifeId, str] = {}
         self._turn = 0
 
     def started(self, life_id: LifeId) -> None:
@@ -92,11 +109,52 @@
         """
         self._load(life_id).avoid_until_ms = now_ms + UNREACHABLE_MS
 
+    def succeeded(self, life_id: LifeId, answer_ms: int, now_ms: int) -> None:
+        """Takes the time until a backend server's answer began."""
+        load = self._load(life_id)
+        load.failure *= 1 - OUTCOME_WEIGHT
+        change = answer_ms - load.answer_ms
+        load.answer_ms += change * (OUTCOME_WEIGHT if load.answers_count else 1.0)
+        load.answers_count += 1
+        load.outcome_ms = now_ms
+
+    def failed(self, life_id: LifeId, now_ms: int) -> None:
+        """Counts a request that a backend server failed or didn't answer."""
+        load = self._load(life_id)
+        load.failure += OUTCOME_WEIGHT * (1 - load.failure)
+        load.outcome_ms = now_ms
+
+    def _outcome_cost(self, backend: BackendItem, load: _Load, now_ms: int) -> float:
+        """Returns what failures and slowness seen here cost.
+
+        Answers the load beside backend servers that fail or delay a part of their
+        requests while they call themselves healthy.
+        """
+        age_ms = max(0, now_ms - load.outcome_ms)
+        weight = 0.5 ** (age_ms / OUTCOME_HALF_LIFE_MS)
+        cost = FAILURE_COST * load.failure * weight
+        usual_ms = self._usual_answer_ms(backend)
+        if usual_ms and load.answers_count >= ANSWERS_LEAST_COUNT:
+            excess = min(SLOWNESS_LIMIT, load.answer_ms / usual_ms) - 1
+            cost += SLOWNESS_COST * max(0.0, excess) * weight
+        return cost
+
+    def _usual_answer_ms(self, backend: BackendItem) -> float:
+        """Returns the lower middle of what backend servers of a role take."""
+        times = sorted(
+            load.answer_ms
+            for life_id, load in self._loads.items()
+            if load.answers_count >= ANSWERS_LEAST_COUNT
+            and self._roles.get(life_id) == backend.role
+        )
+        return times[(len(times) - 1) // 2] if len(times) > 1 else 0.0
+
     def forget_except(self, life_ids: Collection[LifeId]) -> None:
         """Forgets lives that the view no longer holds."""
         for life_id in [key for key in self._loads if key not in life_ids]:
             if self._loads[life_id].own_count == 0:
                 del self._loads[life_id]
+                self._roles.pop(life_id, None)
 
     def has_room(self, backend: BackendItem, priority: Priority, now_ms: int) -> bool:
         """Tells whether a backend server has a slot for one more request.
@@ -159,7 +217,9 @@
         credit = 0.0
         if prefixes:
             credit = PREFIX_CREDIT * _cached_share(prefixes, load.prefixes)
-        return load.own_count + self._others(load, now_ms) - credit + zone_cost
+        self._roles[backend.life_id] = backend.role
+        cost = zone_cost + self._outcome_cost(backend, load, now_ms)
+        return load.own_count + self._others(load, now_ms) - credit + cost
 
     def _others(self, load: _Load, now_ms: int) -> float:
         age_ms = max(0, now_ms - load.reported_ms)
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -64,10 +64,12 @@
     def __init__(self, name, behave):
         self.name, self.behave = name, behave
         self.requests = []
+        self.connections_count = 0
         self.closed = anyio.Event()
 
     async def serve(self, stream):
         http = h11.Connection(h11.SERVER)
+        self.connections_count += 1
         async with stream:
             try:
                 while (request := await self._read(http, stream)) is not None:
--- a/tests/test_entry_decisions.py
+++ b/tests/test_entry_decisions.py
@@ -195,3 +195,33 @@
     assert (item.arrived_count, item.waiting_count, item.tokens) == (1, 3, 12)
     assert demand.report({}).demands == ()
     assert demand.report({}) is None
+
+
+def _routed_counts(behave, requests_count=400):
+    """Plays requests one at a time; returns how many each backend server got."""
+    router = Router("least_cost", "z", random.Random(5))
+    pair = [backend("s1"), backend("s2"), backend("s3")]
+    counts = dict.fromkeys((one.name for one in pair), 0)
+    for now_ms in range(0, requests_count * 20, 20):
+        chosen = router.choose(pair, Priority.URGENT, (), now_ms)
+        counts[chosen.name] += 1
+        took_ms = behave(chosen.name, counts[chosen.name])
+        if took_ms is None:
+            router.failed(chosen.life_id, now_ms)
+        else:
+            router.started(chosen.life_id)
+            router.succeeded(chosen.life_id, took_ms, now_ms)
+            router.ended(chosen.life_id)
+    return counts
+
+
+def test_backend_server_that_fails_part_of_its_requests_gets_few():
+    counts = _routed_counts(
+        lambda name, number: None if name == "s1" and number % 2 else 50
+    )
+    assert 0 < counts["s1"] < 400 / 3 / 3
+
+
+def test_slow_backend_server_gets_fewer_and_is_tried_again():
+    counts = _routed_counts(lambda name, number: 400 if name == "s1" else 50)
+    assert 0 < counts["s1"] < 400 / 3 / 3
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -245,3 +245,20 @@
 
 def _id_lines(reply):
     return [line for line in reply.split(b"\n") if line.startswith(b"id:")]
+
+
+def test_kept_connection_is_used_again_by_one_task_at_a_time():
+    async def scenario(world):
+        async def call(number):
+            reply = await world.call(request_id=f"q{number}")
+            assert reply.startswith(b"HTTP/1.1 200")
+
+        for start in range(0, 12, 3):
+            async with anyio.create_task_group() as group:
+                for number in range(start, start + 3):
+                    group.start_soon(call, number)
+        return world
+
+    world = play(scenario, ONCE, answers)
+    assert len(world.backends[0].requests) == 12
+    assert world.backends[0].connections_count < 12
