--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -76,13 +76,17 @@
         )
         async with anyio.create_task_group() as group:
             async with listener:
-                group.start_soon(listener.serve, self.serve_stream)
-                await self._closed.wait()
-                # A new connection that is already accepted is served.
-                await anyio.lowlevel.checkpoint()
+                with anyio.CancelScope() as accepting:
+                    group.start_soon(self._cancel_when_closed, accepting)
+                    # Connections belong to the outer group and outlive the listener.
+                    await listener.serve(self.serve_stream, task_group=group)
             await self._end_connections()
             group.cancel_scope.cancel()
 
+    async def _cancel_when_closed(self, accepting: anyio.CancelScope) -> None:
+        await self._closed.wait()
+        accepting.cancel()
+
     async def _end_connections(self) -> None:
         """Ends idle connections at once and the others after their answer."""
         until_ms = self._closed_ms
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,91 @@
+import anyio
+
+from cassiapitch.crashes import Crashes
+from cassiapitch.entrystate import EntryState
+from cassiapitch.forwarding import ForwardServer
+from cassiapitch.platform.requests import WIRE
+from cassiapitch.settings import Address, EntrySettings
+from tests.forward_world import (
+    KEY,
+    LIMIT_S,
+    ONCE,
+    World,
+    answer_bytes,
+)
+from tests.test_control import free_ports
+
+REQUEST = (
+    b"POST /charge/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q1\r\n"
+    b"Deadline-Ms: 4000\r\nAuthorization: Bearer " + KEY.encode() + b"\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+async def connect(port):
+    while True:
+        try:
+            return await anyio.connect_tcp("127.0.0.1", port)
+        except OSError:
+            await anyio.sleep(0.01)
+
+
+def test_planned_stop_cuts_no_request_and_ends_without_an_error():
+    """Guards against a stop that ends the process in the middle of answers."""
+    release = anyio.Event()
+
+    async def slow(backend, request, stream):
+        await release.wait()
+        await stream.send(answer_bytes("q1"))
+
+    async def main():
+        (port,) = free_ports(1)
+        settings = EntrySettings(
+            name="entry-1",
+            zone="a",
+            cluster="test",
+            caller_address=Address("127.0.0.1", port),
+            admin_address=Address("127.0.0.1", 0),
+            serve_unconfirmed=True,
+            balancer_delay_ms=0,
+            grace_s=5,
+        )
+        async with anyio.create_task_group() as group:
+            world = World(group, ONCE)
+            await world.start(slow)
+            state = EntryState(settings)
+            state.use_background(group)
+            state.catalog, state.freshness = world.state.catalog, world.state.freshness
+            server = ForwardServer(WIRE, state, Crashes(state))
+            ended = anyio.Event()
+
+            async def run():
+                await server.run()
+                ended.set()
+
+            group.start_soon(run)
+            busy, idle = await connect(port), await connect(port)
+            await busy.send(REQUEST)
+            while not world.backends[0].requests:  # noqa: ASYNC110
+                await anyio.sleep(0.01)
+            state.step_shutdown("stop")
+            server.close()
+            assert await _ends(idle)
+            release.set()
+            reply = await busy.receive()
+            assert reply.startswith(b"HTTP/1.1 200")
+            await ended.wait()
+            group.cancel_scope.cancel()
+
+    async def limited():
+        with anyio.fail_after(LIMIT_S):
+            await main()
+
+    anyio.run(limited)
+
+
+async def _ends(stream):
+    try:
+        await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        return True
+    return False
