Let the least asked model give way early; don't count loads on lost engines

A model whose engines left at 25 s stayed without a copy for ten seconds: the open loads of the two engines occupied both places of the store until they were down, the only copy of a rarely asked model gave way after ten seconds only, and the expected time counted 5 s for a load of 1.2 s, so that requests with 5 s left were refused at once.

Ruled out: a full store bucket (one load a second was sent before), lost orders (all were answered).

--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -163,6 +163,7 @@
             order_id=send.order.order_id,
             backend=send.order.backend,
             kind=send.order.kind,
+            model=send.order.adapter or send.order.model,
             attempt=send.attempt,
             answer=answer,
         )
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -114,12 +114,12 @@
     def loads_in_flight_count(self, *, adapters: bool) -> int:
         """Returns how many open loads count against the store's limit.
 
-        Those of a backend server that is down don't: it has not been heard of for
-        ten seconds, and a dead one would occupy the store for ever.
+        Those of a backend server that doesn't serve don't: a dead one would occupy
+        the store until it is given up, when its models have to be loaded elsewhere.
         """
         kind = OrderKind.LOAD_ADAPTER if adapters else OrderKind.LOAD
         return sum(
-            order.kind == kind and self.lives[order.backend].state != backends.DOWN
+            order.kind == kind and self.lives[order.backend].state == backends.SERVING
             for order in self._open.values()
         )
 
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -23,7 +23,13 @@
 from cassiapitch.outcomes import ANSWERS, ErrorKind, RunOutcome
 from cassiapitch.retries import Course
 from cassiapitch.scheduler import NoSlot, Slot, Wanted
-from cassiapitch.types import AccountName, ModelName, Priority, RequestDigest
+from cassiapitch.types import (
+    AccountName,
+    LifeId,
+    ModelName,
+    Priority,
+    RequestDigest,
+)
 from cassiapitch.viewitems import AccountItem, BackendItem
 from cassiapitch.wire import BackendHead, CallerHead, Sending, Wire
 
@@ -35,6 +41,8 @@
 DEADLINE_GRACE_MS = 60
 # A backend server that runs takes a connection within a few network delays.
 CRASH_PROBE_MS = 400
+# The view learns of a missing model with the engine's next heartbeat.
+MISSING_MS = 1_200
 # Statuses from which a request that may run again is tried elsewhere.
 SERVER_ERROR_STATUS = 500
 
@@ -112,6 +120,7 @@
         self._crashes = crashes
         self._source = source
         self._links = BackendLinks(state.start_background)
+        self._missing: dict[tuple[LifeId, str], int] = {}
         self.is_stopping = False
 
     async def serve(self, request: CallerRequest, caller: CallerConnection) -> None:
@@ -286,7 +295,7 @@
         else:
 
             def candidates() -> list[BackendItem]:
-                return catalog.engines(target)
+                return self._holding(catalog.engines(target), target.name)
 
             def expected_ms() -> int | None:
                 return self._state.expected_ms(ModelName(target.name))
@@ -312,6 +321,26 @@
             prefixes=tuple(part.part_id for part in call.head.prompt_parts),
         )
 
+    def _holding(self, engines: list[BackendItem], name: str) -> list[BackendItem]:
+        """Leaves out engines that have just said that they don't hold a model."""
+        if not self._missing:
+            return engines
+        now_ms = timers.now_ms()
+        return [
+            engine
+            for engine in engines
+            if self._missing.get((engine.life_id, name), 0) <= now_ms
+        ]
+
+    def _note_missing(self, life_id: LifeId, name: str) -> None:
+        now_ms = timers.now_ms()
+        self._missing = {
+            key: until_ms
+            for key, until_ms in self._missing.items()
+            if until_ms > now_ms
+        }
+        self._missing[(life_id, name)] = now_ms + MISSING_MS
+
     async def _attempt(
         self, call: ForwardCall, slot: Slot, caller: CallerConnection
     ) -> bool:
@@ -403,7 +432,8 @@
         self._note(call, slot.backend, f"declined: {head.status}")
         call.course.declined()
         if backend_head.is_other_backend:
-            slot.wanted.excluded.add(slot.backend.life_id)
+            self._note_missing(slot.backend.life_id, slot.wanted.name)
+            self._state.demand_needed.fire()
 
     async def _broken(self, call: ForwardCall, slot: Slot) -> None:
         """The exchange failed; the request may have run.
--- a/cassiapitch/modeldemand.py
+++ b/cassiapitch/modeldemand.py
@@ -23,7 +23,8 @@
 class Demand:
     """Exponentially decaying demand by ledger key, and the waiting list."""
 
-    def __init__(self) -> None:
+    def __init__(self, decay_ms: int = DECAY_MS) -> None:
+        self.decay_ms = decay_ms
         self._levels: dict[str, tuple[float, int]] = {}
         self._waiting: dict[str, int] = {}
         self._entry_waits: dict[str, tuple[int, int]] = {}
@@ -60,7 +61,12 @@
     def rate(self, key: str, now_ms: int) -> float:
         """Returns tokens per second asked of a model or adapter."""
         level, since_ms = self._levels.get(key, (0.0, now_ms))
-        return level * math.exp((since_ms - now_ms) / DECAY_MS) * 1_000 / DECAY_MS
+        return (
+            level
+            * math.exp((since_ms - now_ms) / self.decay_ms)
+            * 1_000
+            / self.decay_ms
+        )
 
     def is_cold(self, key: str, now_ms: int) -> bool:
         """Tells whether hardly anybody asks for a model or adapter."""
@@ -88,10 +94,10 @@
         return sum(
             count
             for count, time_ms in self._entry_waits.values()
-            if time_ms + DECAY_MS > now_ms
+            if time_ms + self.decay_ms > now_ms
         )
 
     def _add(self, key: str, tokens: int, now_ms: int) -> None:
         level, since_ms = self._levels.get(key, (0.0, now_ms))
-        decayed = level * math.exp((since_ms - now_ms) / DECAY_MS)
+        decayed = level * math.exp((since_ms - now_ms) / self.decay_ms)
         self._levels[key] = (decayed + tokens, now_ms)
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from cassiapitch.fleet import Fleet
-from cassiapitch.modeldemand import Demand
+from cassiapitch.modeldemand import DECAY_MS, Demand
 from cassiapitch.orders import model_key
 from cassiapitch.rooms import Survey
 
@@ -25,6 +25,12 @@
 
 DEFAULT_LOAD_MS = 5_000
 
+# Where loads are known to be short, demand is averaged over as many of them.
+DECAY_LOADS_COUNT = 6
+
+# From the end of a load to the engine's report of it and the view at the entries.
+REPORT_DELAY_MS = 300
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
@@ -47,7 +53,7 @@
         """
         self.fleet = fleet
         self.policy = policy
-        self.demand = Demand()
+        self.demand = Demand(_decay_ms(fleet))
         self.requests: dict[str, tuple[int, int]] = {}
         self.store_tokens = 0.0
         self.plans: dict[str, Plan] = {}
@@ -69,6 +75,7 @@
         if self.fleet.catalog.version != self._bundle_version:
             self._bundle_version = self.fleet.catalog.version
             self.bundle_seen_ms = now_ms
+            self.demand.decay_ms = _decay_ms(self.fleet)
             self.demand.keep(lambda key: self.fleet.catalog.role_of(key) is not None)
         is_late = {
             order_id: now_ms - seen_ms > LOAD_PATIENCE_MS + 2 * self.load_ms
@@ -149,6 +156,13 @@
             room.free_mib -= survey.grown_mib(room, key)
 
 
+def _decay_ms(fleet: Fleet) -> int:
+    """Returns the time over which demand is averaged, some loads long."""
+    loads_ms = [model.load_ms for model in fleet.catalog.models.values()]
+    longest_ms = max(loads_ms, default=0)
+    return min(DECAY_MS, DECAY_LOADS_COUNT * longest_ms) if longest_ms else DECAY_MS
+
+
 def _is_alive(plan: Plan, survey: Survey, now_ms: int) -> bool:
     return plan.life_id in survey.rooms and now_ms - plan.since_ms < PLAN_LIFE_MS
 
@@ -169,7 +183,7 @@
     for order in state.fleet.open_orders.values():
         if order.is_load():
             seen_ms = state.order_seen_ms.get(order.order_id, now_ms)
-            rest_ms = int(state.load_ms) - (now_ms - seen_ms)
+            rest_ms = _load_ms(state, order.model) - (now_ms - seen_ms)
             expected[order.adapter or order.model] = max(200, rest_ms)
     gap_ms = 1_000 / catalog.store.loads_per_s
     rank = 0
@@ -179,7 +193,18 @@
             continue
         rank += key == model_key(name)
         model = model_key(catalog.model_of(key) or name)
-        unload_ms = VIEW_DELAY_MS if key in state.plans else 0
+        role = catalog.roles.get(catalog.role_of(key) or "")
+        delay_ms = VIEW_DELAY_MS if role is None else role.unload_delay_ms
+        unload_ms = delay_ms if key in state.plans else 0
         blocked_ms = max(_blocked_ms(state, one, now_ms) for one in (key, model))
-        expected[name] = int(blocked_ms + rank * gap_ms + unload_ms + state.load_ms)
+        load_ms = _load_ms(state, catalog.model_of(key) or "")
+        expected[name] = int(blocked_ms + rank * gap_ms + unload_ms + load_ms)
     return expected
+
+
+def _load_ms(state: PlacementState, model: str) -> int:
+    """Returns the time until a load that is ordered now shows in the view."""
+    item = state.fleet.catalog.models.get(model)
+    if item is None or not item.load_ms:
+        return int(state.load_ms)
+    return item.load_ms + REPORT_DELAY_MS
--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -21,11 +21,21 @@
 GAIN_RATIO = 1.3
 
 
-def class_allowed(age_ms: int) -> int:
+def class_allowed(age_ms: int, hot_after_ms: int = HOT_AFTER_MS) -> int:
     """Returns the last class that gives way for something that waits so long."""
     if age_ms >= PINNED_AFTER_MS:
         return PINNED_CLASS
-    return HOT_CLASS if age_ms >= HOT_AFTER_MS else SERVED_CLASS
+    return HOT_CLASS if age_ms >= hot_after_ms else SERVED_CLASS
+
+
+def hot_after_ms(load_ms: int) -> int:
+    """Returns the age from which the only copy of another model gives way.
+
+    Answers the load of many models that are asked for now and then, beside a memory
+    that holds fewer: where a load is short, the one asked for least gives way before
+    the request's deadline, and not after ten seconds.
+    """
+    return min(HOT_AFTER_MS, load_ms // 2) if load_ms else HOT_AFTER_MS
 
 
 class Victims:
@@ -93,14 +103,16 @@
                 return room, _without_spare(taken[life_id], -needed[life_id])
         return None
 
-    def wait_ms(self, rooms: list[Room], age_ms: int) -> int:
+    def wait_ms(
+        self, rooms: list[Room], age_ms: int, hot_after_ms: int = HOT_AFTER_MS
+    ) -> int:
         """Returns the least time until one of the engines may have to make room."""
         rests_ms = [
             self._state.resident_rest_ms(room.life.life_id, key, self._now_ms)
             for room in rooms
             for key in room.life.ledger.reported
         ]
-        return max(min(rests_ms, default=0), HOT_AFTER_MS - age_ms, 0)
+        return max(min(rests_ms, default=0), hot_after_ms - age_ms, 0)
 
     def _list(self, role: str) -> list[tuple[int, float, str, str]]:
         if role not in self._lists:
