Send prompts where the first token is expected first, and refuse what comes too late

Slots don't tell the load; the tokens of prompts that have not been read do.

Ruled out: a lower limit of requests in flight, since prompts differ tenfold in size.

--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -26,7 +26,6 @@
 from cassiapitch.replicated import FleetState, ReplicatedState
 from cassiapitch.settings import ControlSettings
 
-LOAD_REPORT_PERIOD_S = 1.0
 CLOSE_TIMEOUT_S = 3
 BACKEND_PREFIX = "/backend/"
 
@@ -234,7 +233,7 @@
 
     async def _report_load(self) -> None:
         while True:
-            await anyio.sleep(LOAD_REPORT_PERIOD_S)
+            await anyio.sleep(self._settings.load_period_ms / 1000)
             if group.is_leader(self.member):
                 self._relay.broadcast(self._placement.load_reports())
 
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -25,6 +25,7 @@
 from cassiapitch.loadtable import LoadTable
 from cassiapitch.messages import (
     DemandReport,
+    InFlight,
     LoadReport,
     LoadReports,
 )
@@ -128,7 +129,8 @@
         self._answers: list[OrderAnswer] = []
         self._progress: dict[str, _Progress] = {}
         self._loads = LoadTable()
-        self._in_flight: dict[str, tuple[dict[str, int], int]] = {}
+        self._in_flight: dict[str, tuple[dict[str, InFlight], int]] = {}
+        self._told_loads: dict[str, int] = {}
         self._next_round_ms = now_ms
         self._last_round_ms = now_ms
 
@@ -187,7 +189,7 @@
             pause_ms = URGENT_ADAPTER_ROUND_MS if is_quick else URGENT_ROUND_MS
             urgent_ms = self._last_round_ms + pause_ms
             self._next_round_ms = min(self._next_round_ms, urgent_ms)
-        own_counts = {item.life_id: item.count for item in report.in_flight}
+        own_counts = {item.life_id: item for item in report.in_flight}
         self._in_flight[report.entry] = (own_counts, now_ms)
         for life_id in report.refused_backends:
             self._refused.setdefault(life_id, {})[report.entry] = now_ms
@@ -206,9 +208,14 @@
         for life in self._fleet.lives.values():
             if self._states_load(life.role):
                 continue
-            count = sum(counts.get(life.life_id, 0) for counts in recent)
+            found = [one for counts in recent if (one := counts.get(life.life_id))]
+            count = sum(one.count for one in found)
+            tokens = sum(one.pending_tokens for one in found)
             self.placement.requests[life.life_id] = (count, 0)
-            self._loads.put(LoadReport(life.name, life.life_id, count, 0, ()))
+            report = LoadReport(life.name, life.life_id, count, 0, (), tokens)
+            if count or self._told_loads.get(life.life_id):
+                self._loads.put(report)
+            self._told_loads[life.life_id] = count
 
     def on_response(self, order: Order, attempt: int, answer: str | None) -> None:
         """Takes the end of an attempt; `answer` is None without a response."""
@@ -308,6 +315,7 @@
             self._hold_until_ms,
             self.placement.requests,
             self._loads.full_turns,
+            self._told_loads,
         )
         for table in tables:
             for life_id in [key for key in table if self._fleet.is_ended(key)]:
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from cassiapitch import budget, demand, events, process, timers
+from cassiapitch import budget, events, process, timers
 from cassiapitch.asgi import HttpServer
 from cassiapitch.callers import CallerApplication
 from cassiapitch.catalog import Gap, SnapshotParts
@@ -239,7 +239,7 @@
 
     async def _report_demand(self) -> None:
         while True:
-            await self.state.demand_needed.wait(demand.REPORT_PERIOD_MS)
+            await self.state.demand_needed.wait(self._settings.demand_period_ms)
             if self._send_primary is None:
                 continue
             catalog = self.state.catalog
@@ -257,7 +257,11 @@
         catalog = self.state.catalog
         counts = self.state.router.in_flight_counts()
         return tuple(
-            InFlight(backend.life_id, counts[backend.life_id])
+            InFlight(
+                backend.life_id,
+                counts[backend.life_id],
+                self.state.router.prefill.pending_tokens(backend.life_id),
+            )
             for backend in catalog.backends.values()
             if counts.get(backend.life_id) and not catalog.reports_load(backend.role)
         )
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -247,15 +247,25 @@
             if isinstance(slot, NoSlot):
                 raise RefusedError(slot.kind, slot.retry_after_ms)
             call.placed_ms = timers.now_ms()
+            self._begin_prefill(call, slot)
             completed = False
             try:
                 completed = await self._attempt(call, slot, caller)
             finally:
+                prefill = self._state.router.prefill
+                prefill.ended(slot.backend.life_id, call.request_key)
                 self._state.scheduler.release(slot, completed=completed)
             if completed:
                 return
             await self._prepare_retry(call, wanted, slot)
 
+    def _begin_prefill(self, call: ForwardCall, slot: Slot) -> None:
+        tokens = call.head.prompt_tokens
+        if tokens:
+            life_id = slot.backend.life_id
+            prefill = self._state.router.prefill
+            prefill.sent(life_id, call.request_key, tokens, timers.now_ms())
+
     async def _admit(self, call: ForwardCall) -> None:
         """Takes the request's cost from its account.
 
@@ -319,6 +329,8 @@
             deadline_ms=call.deadline_ms,
             digest=_digest(call),
             prefixes=tuple(part.part_id for part in call.head.prompt_parts),
+            prompt_tokens=call.head.prompt_tokens,
+            first_token_limit_ms=call.route.first_token_limit_ms,
         )
 
     def _holding(self, engines: list[BackendItem], name: str) -> list[BackendItem]:
@@ -518,7 +530,7 @@
         if is_success and (not backend_head.is_signed or _is_encoded(head)):
             raise BackendBrokenError("the response is not signed")
         if call.route.is_stream and is_success:
-            await self._pass_stream(call, caller, connection, head)
+            await self._pass_stream(call, slot, caller, connection, head)
             return True
         body = await self._read_whole(connection)
         may_try_again = (
@@ -566,6 +578,7 @@
     async def _pass_stream(
         self,
         call: ForwardCall,
+        slot: Slot,
         caller: CallerConnection,
         connection: BackendConnection,
         head: ResponseHead,
@@ -595,6 +608,9 @@
                     call.last_event_id = event.event_id
                 whole.append(event.data)
             if whole:
+                self._state.router.prefill.begun(
+                    slot.backend.life_id, call.request_key, timers.now_ms()
+                )
                 call.first_byte_ms = call.first_byte_ms or timers.now_ms()
                 await caller.send_data(b"".join(whole))
         if splitter.rest():
--- a/cassiapitch/forwardroutes.py
+++ b/cassiapitch/forwardroutes.py
@@ -44,6 +44,8 @@
         priority: Rank, 0 first.
         attempts_limit_count: Backend servers that may get one request.
         open: Whether callers need no key.
+        first_token_limit_ms: When callers of a stream leave that has not begun; None
+            where they wait for the deadline.
     """
 
     name: str
@@ -57,6 +59,7 @@
     priority: int = 0
     attempts_limit_count: int = 1
     open: bool = False
+    first_token_limit_ms: int | None = None
 
     @property
     def is_stream(self) -> bool:
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -269,10 +269,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InFlight:
-    """Requests of one entry that a life of a backend server has."""
+    """Requests of one entry that a life of a backend server has.
+
+    Attributes:
+        life_id: The life.
+        count: The requests.
+        pending_tokens: Prompt tokens of those without a first token yet.
+    """
 
     life_id: LifeId
     count: int
+    pending_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -382,6 +389,7 @@
     running_count: int
     waiting_count: int
     cached_prefixes: tuple[str, ...]
+    pending_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/platform/configuration.py
+++ b/cassiapitch/platform/configuration.py
@@ -30,6 +30,10 @@
 # Heartbeats missed in a row until an engine gets no new work.
 MISSED_HEARTBEATS_COUNT = 3
 
+# Callers abandon a stream after the longest of this, four times the objective and eight
+# times the longest pause that is on time.
+LEAST_PATIENCE_MS = 2_000
+
 # Engines decline requests for what they don't hold, so only the view has to arrive.
 UNLOAD_DELAY_MS = 200
 
@@ -246,6 +250,16 @@
         priority=route.priority,
         attempts_limit_count=max(1, route.maxAttempts),
         open=route.authExempt or is_open,
+        first_token_limit_ms=_patience_ms(route),
+    )
+
+
+def _patience_ms(route: _Route) -> int | None:
+    """Returns after which gap callers abandon a stream, also before its start."""
+    if route.kind != "streaming":
+        return None
+    return math.floor(
+        max(LEAST_PATIENCE_MS, 4 * route.targetLatencyMs, 8 * route.gapAimMs)
     )
 
 
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -7,6 +7,7 @@
 from cassiapitch.messages import (
     LoadReport,
 )
+from cassiapitch.prefill import PrefillEstimates
 from cassiapitch.types import LifeId, Priority
 from cassiapitch.viewitems import (
     BackendItem,
@@ -21,6 +22,8 @@
 # Batch requests leave this share of a backend server's slots free for urgent ones.
 BATCH_SHARE = 0.75
 UNREACHABLE_MS = 1_000
+# Time to the first token that weighs as much as one request in flight.
+PREFILL_UNIT_MS = 25.0
 # A backend server that fails every request costs as much as this many in flight; one
 # that takes twice as long as the others, as much as the second number.
 FAILURE_COST = 24.0
@@ -61,6 +64,7 @@
         self._loads: dict[LifeId, _Load] = {}
         self._roles: dict[LifeId, str] = {}
         self._turn = 0
+        self.prefill = PrefillEstimates()
 
     def started(self, life_id: LifeId) -> None:
         """Counts a request as in flight."""
@@ -88,6 +92,7 @@
         count = report.running_count + report.waiting_count
         self.report_count(report.life_id, count, now_ms)
         self._load(report.life_id).prefixes = frozenset(report.cached_prefixes)
+        self.prefill.report(report.life_id, report.pending_tokens, now_ms)
 
     def report_count(self, life_id: LifeId, count: int, now_ms: int) -> None:
         """Takes the requests that a backend server runs or lets wait.
@@ -155,6 +160,7 @@
             if self._loads[life_id].own_count == 0:
                 del self._loads[life_id]
                 self._roles.pop(life_id, None)
+                self.prefill.forget(life_id)
 
     def has_room(self, backend: BackendItem, priority: Priority, now_ms: int) -> bool:
         """Tells whether a backend server has a slot for one more request.
@@ -179,8 +185,12 @@
         priority: Priority,
         prefixes: Sequence[str],
         now_ms: int,
+        prompt_tokens: int = 0,
     ) -> BackendItem | None:
-        """Returns the backend server for a request, or None if none has room."""
+        """Returns the backend server for a request, or None if none has room.
+
+        A request with a prompt goes where its first token is expected first.
+        """
         free = [
             backend
             for backend in candidates
@@ -195,7 +205,9 @@
         if len(free) == 1:
             return free[0]
         scores = {
-            backend.name: self.score(backend, prefixes, now_ms) for backend in free
+            backend.name: self.score(backend, prefixes, now_ms)
+            + self.expected_ms(backend, prompt_tokens, now_ms) / PREFILL_UNIT_MS
+            for backend in free
         }
         free.sort(key=lambda backend: (scores[backend.name], backend.name))
         # Two drawn from the better half: entries that hold the same report would
@@ -206,6 +218,14 @@
             return first
         return second
 
+    def expected_ms(
+        self, backend: BackendItem, prompt_tokens: int, now_ms: int
+    ) -> float:
+        """Returns the expected time to the first token of a prompt."""
+        if not prompt_tokens:
+            return 0.0
+        return self.prefill.expected_ms(backend.life_id, prompt_tokens, now_ms)
+
     def score(
         self, backend: BackendItem, prefixes: Sequence[str], now_ms: int
     ) -> float:
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -9,6 +9,7 @@
 from cassiapitch import timers
 from cassiapitch.fairness import FairQueue, Ticket
 from cassiapitch.outcomes import ErrorKind
+from cassiapitch.prefill import begins_in_time
 from cassiapitch.routing import Router
 from cassiapitch.suspicion import Suspicion
 from cassiapitch.types import AccountName, LifeId, Priority, RequestDigest
@@ -44,6 +45,8 @@
         patient: Whether it waits for a candidate although none is expected yet.
         asked_ms: When it was first asked for.
         denied_count: How often a suspect found its backend server taken by another.
+        prompt_tokens: Tokens of its prompt; 0 for a request without one.
+        first_token_limit_ms: Longest time to the first token; None for no limit.
     """
 
     name: str
@@ -63,6 +66,8 @@
     patient: bool = False
     asked_ms: int | None = None
     denied_count: int = 0
+    prompt_tokens: int = 0
+    first_token_limit_ms: int | None = None
 
     @property
     def suspect(self) -> bool:
@@ -117,9 +122,11 @@
         queue = self._queues.get(wanted.queue)
         if queue is None:
             queue = self._queues[wanted.queue] = FairQueue(self._policy)
-        if not len(queue) and (slot := self._place(wanted, now_ms)) is not None:
-            return slot
         refusal = self._hopeless(wanted, now_ms)
+        if refusal is None and not len(queue):
+            slot = self._place(wanted, now_ms)
+            if slot is not None:
+                return slot
         if refusal is None and queue.is_full():
             refusal = NoSlot(ErrorKind.OVERLOADED, self._return_ms(queue))
         if refusal is not None:
@@ -228,7 +235,11 @@
         if wanted.suspect:
             candidates = self._preferred(candidates, wanted, now_ms)
         backend = self._router.choose(
-            candidates, wanted.priority, wanted.prefixes, now_ms
+            candidates,
+            wanted.priority,
+            wanted.prefixes,
+            now_ms,
+            wanted.prompt_tokens,
         )
         if backend is None:
             return None
@@ -272,7 +283,9 @@
             if backend.life_id not in wanted.excluded
             and not self._suspicion.has_crashed(backend.life_id, now_ms)
         ]
-        if usable or wanted.patient:
+        if usable:
+            return self._too_late(wanted, usable, now_ms)
+        if wanted.patient:
             return None
         expected_ms = wanted.expected_ms()
         if expected_ms is not None:
@@ -282,6 +295,26 @@
             is_late = now_ms > asked_ms + EXPECTATION_LIMIT_MS
         return NoSlot(ErrorKind.MODEL_LOADING, expected_ms) if is_late else None
 
+    def _too_late(
+        self, wanted: Wanted, usable: list[BackendItem], now_ms: int
+    ) -> NoSlot | None:
+        """Returns a refusal where the first token would come after its limit.
+
+        The caller would leave before it, and the engine's time would be lost to the
+        requests behind.
+        """
+        limit_ms = wanted.first_token_limit_ms
+        if limit_ms is None or not wanted.prompt_tokens:
+            return None
+        least_ms = min(
+            self._router.expected_ms(backend, wanted.prompt_tokens, now_ms)
+            for backend in usable
+        )
+        waited_ms = now_ms - (now_ms if wanted.asked_ms is None else wanted.asked_ms)
+        if begins_in_time(waited_ms + least_ms, limit_ms):
+            return None
+        return NoSlot(ErrorKind.OVERLOADED, max(1, int(least_ms - limit_ms / 2)))
+
     def _return_ms(self, queue: FairQueue) -> int | None:
         """Returns when a refused caller should come back."""
         now_ms = timers.now_ms()
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -84,6 +84,7 @@
             two members never take turns.
         heartbeat_ms: Time between two heartbeats of a backend server.
         admin_listen: `admin_address` as text.
+        load_period_ms: Time between two load reports to the entries.
         metrics_address: Where counters and histograms are served; None for nowhere.
         rate_tolerance_tokens: What all entries together may admit beyond an account's
             rate and burst in a window; grants that are held unused count against it.
@@ -116,6 +117,7 @@
     rate_window_s: Annotated[float, Meta(ge=0)] = 0.0
     admin_listen: AddressText | None = None
     metrics_address: Address | None = None
+    load_period_ms: PositiveInt = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,6 +148,7 @@
             with it while no control member can confirm it.
         caller_listen: `caller_address` as text.
         readiness_listen: `readiness_address` as text.
+        demand_period_ms: Time between two reports of demand and requests in flight.
         grace_s: Time from SIGTERM to the end of the process.
     """
 
@@ -176,3 +179,4 @@
     readiness_listen: AddressText | None = None
     serve_unconfirmed: bool = False
     grace_s: Annotated[float, Meta(gt=0)] = 30.0
+    demand_period_ms: PositiveInt = 500
