Stop models from displacing each other; void late orders by the engine's count

An order that was answered with "busy" was sent again after a second. A load without an answer reserved its memory until the life ended, and its room was "unloaded" every second. Requests for an absent model were held until their callers left after 2.4 s (261).

Ruled out: the store's rate (1.1 loads a second, 0.4 used).

Change: an only copy gives way early to what is asked for 1.3 times as much, else after ten seconds as before; "busy" is tried again after 200 ms; each order states how many came before it, so that an earlier late one is void; a stream's request waits no longer than its caller.

--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -63,6 +63,9 @@
 RESEND_UNFENCED_MS = 4_000
 RESEND_LONGEST_MS = 8_000
 
+# An engine that carries out another order is asked again sooner; most end in a second.
+BUSY_RESEND_MS = 200
+
 # An accepted order that isn't settled is repeated, since engines may lose it.
 REPEAT_ACCEPTED_MS = 15_000
 
@@ -97,6 +100,7 @@
     sent_attempt: int = 0
     sent_ms: int = 0
     responded: bool = True
+    is_busy: bool = False
 
 
 class Coordinator:
@@ -222,6 +226,7 @@
         progress = self._progress.get(order.order_id)
         if progress is not None and progress.sent_attempt == attempt:
             progress.responded = True
+            progress.is_busy = answer == "busy"
         if answer is not None:
             self._answers.append(
                 OrderAnswer(order.backend, order.order_id, attempt, answer)
@@ -425,6 +430,8 @@
             return order.attempt_term != self.term
         if progress.sent_attempt < order.attempt_count or not progress.responded:
             return False
+        if progress.is_busy:
+            return now_ms - progress.sent_ms >= BUSY_RESEND_MS
         first_ms = RESEND_MS if life.fencing else RESEND_UNFENCED_MS
         wait_ms = min(RESEND_LONGEST_MS, first_ms * 2 ** (order.attempt_count - 1))
         if order.accepted:
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -393,6 +393,12 @@
         if order is not None and is_stale and not order.accepted:
             life.ledger.refuse(answer.order_id)
             del self._open[answer.order_id]
+        role = self.catalog.roles.get(life.role)
+        is_taken = answer.answer in ("accepted", "done")
+        if is_taken and role is not None and not role.settles_orders:
+            # Each order states how many came before it, so that an earlier one that
+            # is still under way is void once another was taken.
+            life.ledger.late.clear()
         if order is not None and answer.answer in ("done", "failed"):
             outcome = OrderOutcome(answer.answer)
             life.ledger.settle_answered(answer.order_id, outcome)
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -21,6 +21,7 @@
 from cassiapitch.eventstream import EventSplitter, EventTooLargeError
 from cassiapitch.forwardroutes import ForwardRoute, choose_role
 from cassiapitch.outcomes import ANSWERS, ErrorKind, RunOutcome
+from cassiapitch.prefill import PATIENCE_SHARE
 from cassiapitch.retries import Course
 from cassiapitch.scheduler import NoSlot, Slot, Wanted
 from cassiapitch.types import (
@@ -317,6 +318,11 @@
             if not candidates():
                 self._state.demand_needed.fire()
         account = call.account
+        deadline_ms = call.deadline_ms
+        limit_ms = call.route.first_token_limit_ms
+        if limit_ms is not None:
+            patience_ms = int(PATIENCE_SHARE * limit_ms)
+            deadline_ms = min(deadline_ms, call.arrived_ms + patience_ms)
         return Wanted(
             name=queue,
             queue=queue,
@@ -326,7 +332,7 @@
             weight=1 if account is None else account.weight,
             priority=Priority.URGENT,
             cost=max(1, call.head.prompt_tokens + call.head.answer_tokens),
-            deadline_ms=call.deadline_ms,
+            deadline_ms=deadline_ms,
             digest=_digest(call),
             prefixes=tuple(part.part_id for part in call.head.prompt_parts),
             prompt_tokens=call.head.prompt_tokens,
@@ -497,6 +503,12 @@
         """
         if not call.sent_count:
             return
+        if call.first_byte_ms is not None:
+            # The caller waits for the next event as long as it did for the first.
+            limit_ms = call.route.first_token_limit_ms or 0
+            until_ms = timers.now_ms() + int(PATIENCE_SHARE * limit_ms)
+            wanted.deadline_ms = min(call.deadline_ms, until_ms)
+            wanted.asked_ms = None
         if not self._state.retries.take(timers.now_ms()):
             raise RefusedError(
                 ErrorKind.BACKEND_SERVER_FAILED
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -257,12 +257,10 @@
         self._state.blocked_until_ms.pop(key, None)
         if self._place(key, rooms):
             return
-        model = self._catalog.models.get(self._model_of(key))
-        hot_after_ms = victims.hot_after_ms(0 if model is None else model.load_ms)
-        allowed = victims.class_allowed(age_ms, hot_after_ms)
+        allowed = victims.class_allowed(age_ms)
         is_planned = self._plan(key, allowed, rooms, is_first=True)
         if not is_planned:
-            wait_ms = self._victims.wait_ms(rooms, age_ms, hot_after_ms)
+            wait_ms = self._victims.wait_ms(rooms, age_ms)
             self._state.blocked_until_ms[key] = self._now_ms + wait_ms
         if not is_planned and age_ms >= HOLD_AFTER_MS:
             self._hold(key, rooms)
--- a/cassiapitch/platform/orders.py
+++ b/cassiapitch/platform/orders.py
@@ -20,14 +20,29 @@
 _ADAPTER_KINDS = (OrderKind.LOAD_ADAPTER, OrderKind.UNLOAD_ADAPTER)
 
 
-def order_body(send: SendOrder, holder: str) -> bytes:
-    """Returns the JSON body of an order."""
+class _Report(msgspec.Struct):
+    """What an order needs of an engine's report."""
+
+    sequence: int
+    busy: bool = False
+
+
+def order_body(send: SendOrder, holder: str, expected: int) -> bytes:
+    """Returns the JSON body of an order.
+
+    Args:
+        send: The attempt.
+        holder: Name of this member.
+        expected: Orders that the engine has accepted so far; with another number
+            it rejects this one, also if it arrives late.
+    """
     order = send.order
     document = {
         "operation": _OPERATIONS[order.kind],
         "model": order.model,
         "holder": holder,
         "fencingToken": send.fence,
+        "expected": expected,
     }
     if order.kind in _ADAPTER_KINDS:
         document["adapter"] = order.adapter.rpartition("/")[2]
@@ -36,18 +51,40 @@
 
 async def send_order(send: SendOrder, holder: str) -> str | None:
     """Makes one attempt to send an order; returns as `dispatch.send_order`."""
+    report = await _call(send, "GET", names.REPORT_PATH, b"")
+    if isinstance(report, str) or report is None:
+        return "not_sent"
+    if report.status != 200:
+        return _answer(report.status, send.order.kind)
+    try:
+        state = msgspec.json.decode(report.content, type=_Report)
+    except msgspec.MsgspecError:
+        return "not_sent"
+    if state.busy and send.order.kind not in _ADAPTER_KINDS:
+        return "busy"
+    body = order_body(send, holder, state.sequence)
+    response = await _call(send, "POST", names.ORDER_PATH, body)
+    if isinstance(response, str) or response is None:
+        return response
+    return _answer(response.status, send.order.kind)
+
+
+async def _call(
+    send: SendOrder, method: str, path: str, content: bytes
+) -> httpcore.Response | str | None:
+    """Returns the response, `not_sent`, or None where none came."""
     origin = httpcore.Origin(b"http", send.ip.encode(), send.port)
     connection = httpcore.AsyncHTTPConnection(origin)
     try:
-        response = await connection.request(
-            "POST",
-            f"http://{send.ip}:{send.port}{names.ORDER_PATH}",
+        return await connection.request(
+            method,
+            f"http://{send.ip}:{send.port}{path}",
             headers={
                 "Content-Type": "application/json",
                 "Target-Instance": send.order.backend,
                 "Connection": "close",
             },
-            content=order_body(send, holder),
+            content=content,
             extensions={
                 "timeout": {
                     "connect": CONNECT_TIMEOUT_S,
@@ -67,7 +104,6 @@
     finally:
         with anyio.CancelScope(shield=True):
             await connection.aclose()
-    return _answer(response.status, send.order.kind)
 
 
 def _answer(status: int, kind: OrderKind) -> str:
--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -21,21 +21,11 @@
 GAIN_RATIO = 1.3
 
 
-def class_allowed(age_ms: int, hot_after_ms: int = HOT_AFTER_MS) -> int:
+def class_allowed(age_ms: int) -> int:
     """Returns the last class that gives way for something that waits so long."""
     if age_ms >= PINNED_AFTER_MS:
         return PINNED_CLASS
-    return HOT_CLASS if age_ms >= hot_after_ms else SERVED_CLASS
-
-
-def hot_after_ms(load_ms: int) -> int:
-    """Returns the age from which the only copy of another model gives way.
-
-    Answers the load of many models that are asked for now and then, beside a memory
-    that holds fewer: where a load is short, the one asked for least gives way before
-    the request's deadline, and not after ten seconds.
-    """
-    return min(HOT_AFTER_MS, load_ms // 2) if load_ms else HOT_AFTER_MS
+    return HOT_CLASS if age_ms >= HOT_AFTER_MS else SERVED_CLASS
 
 
 class Victims:
@@ -84,13 +74,15 @@
         taken: dict[str, list[tuple[str, int]]] = {}
         for listed, _, life_id, victim in self._list(role):
             # A copy's class only rises while a round unloads others.
-            if listed > allowed:
+            if listed > max(allowed, HOT_CLASS):
                 return None
             if life_id not in needed or victim in (key, base):
                 continue
             room = self._survey.rooms[life_id]
             level = self._class(room.life, victim)
-            if level is None or level > allowed:
+            if level is None:
+                continue
+            if level > allowed and not self._is_worth_less(level, victim, key):
                 continue
             if not is_first and self._outweighs(victim, gain):
                 continue
@@ -103,16 +95,14 @@
                 return room, _without_spare(taken[life_id], -needed[life_id])
         return None
 
-    def wait_ms(
-        self, rooms: list[Room], age_ms: int, hot_after_ms: int = HOT_AFTER_MS
-    ) -> int:
+    def wait_ms(self, rooms: list[Room], age_ms: int) -> int:
         """Returns the least time until one of the engines may have to make room."""
         rests_ms = [
             self._state.resident_rest_ms(room.life.life_id, key, self._now_ms)
             for room in rooms
             for key in room.life.ledger.reported
         ]
-        return max(min(rests_ms, default=0), hot_after_ms - age_ms, 0)
+        return max(min(rests_ms, default=0), HOT_AFTER_MS - age_ms, 0)
 
     def _list(self, role: str) -> list[tuple[int, float, str, str]]:
         if role not in self._lists:
@@ -173,6 +163,17 @@
         own = self._wanted.get(victim, 0.0) / copies_count
         return gain > 0 and gain <= GAIN_RATIO * own
 
+    def _is_worth_less(self, level: int, victim: str, key: str) -> bool:
+        """Tells whether an only copy is asked for much less than what needs its room.
+
+        Answers the loss of engines whose models were in demand: they must not wait
+        behind models that are asked for now and then.
+        """
+        if level != HOT_CLASS or victim in self._waiting:
+            return False
+        rate = self._state.demand.rate(victim, self._now_ms)
+        return rate * GAIN_RATIO < self._state.demand.rate(key, self._now_ms)
+
     def _freed_mib(self, life: Life, key: str) -> int:
         ledger = life.ledger
         unknown_mib = self._state.fleet.catalog.memory_mib(key) or 0
