Let copies give way by the demand that they serve

Ruled out: routing (the model had one copy), the store (0.7 loads a second, for cold models).

Change: where copies fill the memory, they give way in the order of the demand that one copy serves; an only copy gives way to a further copy of three times its demand.

--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -20,6 +20,10 @@
 
 GAIN_RATIO = 1.3
 
+# A further copy displaces an only copy for this many times its demand: the displaced
+# model costs a load and its next caller the time of it.
+ONLY_COPY_RATIO = 3.0
+
 
 def class_allowed(age_ms: int) -> int:
     """Returns the last class that gives way for something that waits so long."""
@@ -82,9 +86,13 @@
             level = self._class(room.life, victim)
             if level is None:
                 continue
-            if level > allowed and not self._is_worth_less(level, victim, key):
+            if self._by_value(role):
+                if not self._gives_way(victim, key, allowed, is_first=is_first):
+                    continue
+            elif level > allowed and not self._is_worth_less(level, victim, key):
                 continue
-            if not is_first and self._outweighs(victim, gain):
+            is_outweighed = self._by_value(role) or not self._outweighs(victim, gain)
+            if not is_first and not is_outweighed:
                 continue
             freed_mib = self._freed_mib(room.life, victim)
             if freed_mib <= 0:
@@ -112,8 +120,9 @@
                 for key in ledger.reported.keys() | ledger.late.keys():
                     level = self._class(room.life, key)
                     if level is not None:
-                        rate = self._state.demand.rate(key, self._now_ms)
-                        found.append((level, rate, room.life.life_id, key))
+                        if self._by_value(role):
+                            level = min(level, SERVED_CLASS)
+                        found.append((level, self._value(key), room.life.life_id, key))
             self._lists[role] = sorted(found)
         return self._lists[role]
 
@@ -163,6 +172,38 @@
         own = self._wanted.get(victim, 0.0) / copies_count
         return gain > 0 and gain <= GAIN_RATIO * own
 
+    def _by_value(self, role: str) -> bool:
+        """Tells whether copies of a role fill its memory by what they are worth."""
+        item = self._state.fleet.catalog.roles.get(role)
+        return item is not None and item.fills_memory
+
+    def _value(self, key: str) -> float:
+        """Returns the demand that one copy serves, by which copies give way."""
+        copies_count = max(1, len(self._survey.copies.get(key, ())))
+        return self._state.demand.rate(key, self._now_ms) / copies_count
+
+    def _gives_way(
+        self, victim: str, key: str, allowed: int, *, is_first: bool
+    ) -> bool:
+        """Tells whether a copy is worth less than what needs its room.
+
+        Answers a few models with most of the demand beside many that are asked for
+        now and then: the many take turns in what room the few leave, and a further
+        copy of one of the few may displace an only copy, which is loaded again when
+        somebody asks for it.
+        """
+        if is_first and allowed >= HOT_CLASS:
+            return True
+        if victim in self._waiting:
+            return False
+        rate = self._state.demand.rate(key, self._now_ms)
+        if is_first:
+            return self._value(victim) < GAIN_RATIO * rate
+        copies_count = len(self._survey.copies.get(key, ()))
+        is_only = len(self._survey.copies.get(victim, ())) <= 1
+        ratio = ONLY_COPY_RATIO if is_only else GAIN_RATIO
+        return ratio * self._value(victim) < rate / (copies_count + 1)
+
     def _is_worth_less(self, level: int, victim: str, key: str) -> bool:
         """Tells whether an only copy is asked for much less than what needs its room.
 
--- /dev/null
+++ b/tests/test_placement_demand.py
@@ -0,0 +1,159 @@
+"""Plays skewed demand for more models than engines hold, against emulated engines."""
+
+import random
+
+from cassiapitch.announcements import Announcement, LoadedModel
+from cassiapitch.bundle import Bundle, Model, Role, Store
+from cassiapitch.coordinator import Coordinator
+from cassiapitch.fleet import Fleet
+from cassiapitch.fleet_commands import (
+    BeginTerm,
+    OrderAnswer,
+    RecordAnswers,
+)
+from cassiapitch.messages import DemandReport, InFlight, ModelDemand
+from cassiapitch.types import OrderKind, Priority, RoleKind
+
+ENGINES_COUNT = 5
+LOAD_MS = 1_200
+CAPACITY_MIB = 200_000
+SIZE_MIB = 66_000
+STEP_MS = 50
+
+
+class World:
+    """Engines that hold three models each, and fourteen models."""
+
+    def __init__(self):
+        self.fleet = Fleet()
+        self.models = [f"m{number}" for number in range(14)]
+        role = Role(
+            "r",
+            RoleKind.ENGINE,
+            fencing=True,
+            memory_limit_mib=CAPACITY_MIB,
+            settles_orders=False,
+            fills_memory=True,
+            reports_load=False,
+            unload_delay_ms=200,
+        )
+        models = tuple(
+            Model(name, "r", SIZE_MIB, load_ms=LOAD_MS) for name in self.models
+        )
+        self.fleet.set_bundle(
+            Bundle(1, (role,), models, store=Store(1.1, 2, 16)),
+        )
+        self._apply(BeginTerm("t"))
+        self.coordinator = Coordinator(self.fleet, "demand", self.fleet.term, 0)
+        self.held = {
+            f"e{number}": {self.models[number], self.models[(number + 5) % 14]}
+            for number in range(ENGINES_COUNT)
+        }
+        self.sequence = 0
+        self.loads = []
+        self.busy = {}
+        self.now_ms = 0
+        self.random = random.Random(4)
+
+    def _apply(self, command):
+        return self.fleet.apply(command, 1, 0)
+
+    def _announce(self, name):
+        self.sequence += 1
+        announcement = Announcement(
+            name=name,
+            life_id=f"{name}@1",
+            role="r",
+            zone="z",
+            ip="10.0.0.1",
+            port=1_000 + int(name[1:]),
+            memory_mib=10**9,
+            max_running_count=64,
+            loaded=tuple(LoadedModel(model, 1) for model in sorted(self.held[name])),
+            sequence=self.sequence,
+        )
+        self.coordinator.on_announcement(announcement, self.now_ms)
+
+    def step(self, shares):
+        self.now_ms += STEP_MS
+        for name, (until_ms, kind, model) in list(self.busy.items()):
+            if self.now_ms >= until_ms:
+                del self.busy[name]
+                change = set.add if kind is OrderKind.LOAD else set.discard
+                change(self.held[name], model)
+                self._announce(name)
+        if self.now_ms % 1_000 == 0:
+            for name in self.held:
+                self._announce(name)
+        demands = tuple(
+            ModelDemand(model, Priority.URGENT, 1, 0, 0, 2_400)
+            for model, share in shares.items()
+            if self.random.random() < share * 25 * STEP_MS / 1_000
+        )
+        report = DemandReport("n1", demands, (), (InFlight("e0@1", 1, 0),))
+        self.coordinator.on_demand(report, self.now_ms)
+        for command in self.coordinator.commands(self.now_ms):
+            self._apply(command)
+        orders = self.coordinator.round(self.now_ms)
+        if orders is not None:
+            self._apply(orders)
+        for send in self.coordinator.sends(self.now_ms):
+            self._take(send)
+
+    def _take(self, send):
+        name, order = send.order.backend, send.order
+        answer = "accepted"
+        if name in self.busy:
+            answer = "busy"
+        else:
+            took_ms = LOAD_MS if order.kind is OrderKind.LOAD else 300
+            self.busy[name] = (self.now_ms + took_ms, order.kind, order.model)
+            if order.kind is OrderKind.LOAD:
+                self.loads.append((self.now_ms, order.model))
+                assert len(self.held[name]) < 3
+        self.coordinator.on_response(order, send.attempt, answer)
+        record = RecordAnswers(
+            (OrderAnswer(name, order.order_id, send.attempt, answer),)
+        )
+        self._apply(record)
+
+    def copies(self, model):
+        return sum(model in held for held in self.held.values())
+
+
+def play(shares, seconds, world=None):
+    world = world or World()
+    end_ms = world.now_ms + seconds * 1_000
+    while world.now_ms < end_ms:
+        world.step(shares)
+    return world
+
+
+def skewed(hot):
+    """Three hot models with most of the demand, the rest asked for now and then."""
+    cold = [f"m{number}" for number in range(14) if f"m{number}" not in hot]
+    shares = dict(zip(hot, (0.5, 0.25, 0.15), strict=True))
+    shares.update(dict.fromkeys(cold, 0.1 / len(cold)))
+    return shares
+
+
+def test_hot_model_gets_copies_although_every_model_is_asked_for():
+    """Guards against one engine that serves most of the demand beside idle ones."""
+    world = play(skewed(("m0", "m1", "m2")), 20)
+    assert world.copies("m0") >= 3
+    assert world.copies("m1") >= 2
+    late_loads = [model for at_ms, model in world.loads if at_ms > 10_000]
+    assert "m0" not in late_loads
+
+
+def test_rarely_asked_models_stay_reachable_in_turn():
+    world = play(skewed(("m0", "m1", "m2")), 40)
+    served = {model for _, model in world.loads} | set().union(*world.held.values())
+    assert served == set(world.models)
+
+
+def test_copies_follow_demand_that_moves_on():
+    world = play(skewed(("m0", "m1", "m2")), 20)
+    play(skewed(("m7", "m8", "m9")), 20, world)
+    assert world.copies("m7") >= 3
+    assert world.copies("m8") >= 2
