--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -15,6 +15,10 @@
 # A change must be worth this much more than what it replaces (section 8).
 GAIN_RATIO = 1.3
 
+# Demand over what its copies serve from which a model's next copy goes before the first
+# copies of others: these come one after the other without an end.
+URGENT_GAIN = 2.0
+
 # Share of the slots that requests should take; the rest absorbs bursts.
 TARGET_USAGE = 0.6
 
@@ -46,6 +50,7 @@
             if choice.may_load(key) and survey.may_load(survey.rooms[life], key):
                 choice.load(survey.rooms[life], key)
         return choice.orders
+    choice.place_gains(URGENT_GAIN)
     choice.place_waiting()
     choice.place_minimums()
     choice.place_gains()
@@ -103,10 +108,28 @@
 
     def place_waiting(self) -> None:
         """Gives each model or adapter that requests wait for its first copy."""
-        for asked_ms, key in self._state.demand.waiting():
+        for asked_ms, key in sorted(self._state.demand.waiting(), key=self._urgency):
             if self._survey.copy_count(key) == 0:
                 self._place_waiting(key, self._now_ms - asked_ms)
 
+    def _fills_memory(self, key: str) -> bool:
+        """Tells whether copies of a key's role follow demand."""
+        role = self._catalog.roles.get(self._catalog.role_of(key) or "")
+        return role is not None and role.fills_memory
+
+    def _urgency(self, waiting: tuple[int, str]) -> tuple[bool, float]:
+        """Returns the rank of what is waited for, the least first.
+
+        Oldest first, so that every model gets its turn. Where copies follow demand,
+        what is asked for most goes before what hasn't waited for long: the loss of
+        engines leaves a model in demand behind a queue of rarely asked ones.
+        """
+        asked_ms, key = waiting
+        is_old = self._now_ms - asked_ms >= victims.HOT_AFTER_MS
+        if is_old or not self._fills_memory(key):
+            return (not is_old, float(asked_ms))
+        return (True, -self._state.demand.rate(key, self._now_ms))
+
     def place_minimums(self) -> None:
         """Loads the copies that the bundle wants resident."""
         for name, model in self._catalog.models.items():
@@ -117,16 +140,22 @@
                 rooms = self._rooms(key)
                 self._plan(key, victims.SERVED_CLASS, rooms, is_first=is_first)
 
-    def place_gains(self) -> None:
-        """Adds copies of models whose demand exceeds what their copies serve."""
+    def place_gains(self, least_gain: float = GAIN_RATIO) -> None:
+        """Adds copies of models whose demand exceeds what their copies serve.
+
+        Args:
+            least_gain: Demand over what the copies serve from which one is added.
+        """
         gains = [
             (wanted / self._survey.copy_count(key), key)
             for key, wanted in self._wanted.items()
             if self._survey.copy_count(key) > 0
         ]
         for gain, key in sorted(gains, reverse=True):
-            if gain <= GAIN_RATIO or not self.may_load(key):
+            if gain <= least_gain or not self.may_load(key):
                 return
+            if least_gain > GAIN_RATIO and not self._fills_memory(key):
+                continue
             if key not in self._state.plans and not self._place(key):
                 self._plan(key, victims.SERVED_CLASS, self._rooms(key), gain)
             elif key in self._state.plans:
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -157,3 +157,16 @@
     play(skewed(("m7", "m8", "m9")), 20, world)
     assert world.copies("m7") >= 3
     assert world.copies("m8") >= 2
+
+
+def test_model_in_demand_is_loaded_before_rarely_asked_ones():
+    """Guards against a queue of cold models before the one that is lost."""
+    world = play(skewed(("m0", "m1", "m2")), 15)
+    for held in world.held.values():
+        held.clear()
+    for name in world.held:
+        world._announce(name)
+    start = len(world.loads)
+    play(skewed(("m0", "m1", "m2")), 4, world)
+    first = [model for _, model in world.loads[start : start + 3]]
+    assert "m0" in first
