Split forwarding by job; ranks at engines; no promise that nobody made

Engines got no rank, so that valued streams waited behind the rest.

Ruled out: trusting the signature of such an answer; a failing engine signs too.

Before: the new test got 503. After: 502 of the entry's own.

--- /dev/null
+++ b/cassiapitch/forwardanswers.py
@@ -0,0 +1,169 @@
+"""Passes a backend server's answer on to its caller, or gives the entry's own."""
+
+import h11
+
+from cassiapitch import timers
+from cassiapitch.backendlink import (
+    BackendBrokenError,
+    BackendConnection,
+    ResponseHead,
+)
+from cassiapitch.callerlink import CallerConnection, CallerGoneError
+from cassiapitch.entrystate import EntryState
+from cassiapitch.eventstream import EventSplitter, EventTooLargeError
+from cassiapitch.forwardlog import note_failure
+from cassiapitch.forwardplaces import has_other
+from cassiapitch.forwardtypes import (
+    PROMISE_STATUSES,
+    SERVER_ERROR_STATUS,
+    ForwardCall,
+    RefusedError,
+    StreamCutError,
+    refusal_status,
+)
+from cassiapitch.outcomes import ANSWERS
+from cassiapitch.scheduler import Slot
+from cassiapitch.wire import CallerHead, Wire
+
+# Responses to requests that aren't streams are passed on whole.
+ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
+
+
+class AnswerRelay:
+    """Answers to callers of one entry."""
+
+    def __init__(self, wire: Wire, state: EntryState) -> None:
+        self._wire = wire
+        self._state = state
+        self.is_stopping = False
+
+    async def pass_on(
+        self,
+        call: ForwardCall,
+        slot: Slot,
+        caller: CallerConnection,
+        connection: BackendConnection,
+        head: ResponseHead,
+    ) -> bool:
+        """Passes a response on; false if the request is to be sent again."""
+        backend_head = self._wire.read_backend(head.status, head.headers)
+        is_success = 200 <= head.status < 300
+        if is_success and (not backend_head.is_signed or _is_encoded(head)):
+            raise BackendBrokenError("the response is not signed")
+        if head.status in PROMISE_STATUSES:
+            # Passed on, it would say that the request has not run; nobody knows.
+            raise BackendBrokenError(f"status {head.status} without a statement")
+        if call.route.is_stream and is_success:
+            await self._pass_stream(call, slot, caller, connection, head)
+            return True
+        body = await self._read_whole(connection)
+        may_try_again = (
+            head.status >= SERVER_ERROR_STATUS
+            and call.course.idempotent
+            and call.sent_count < call.route.attempts_limit_count
+            and has_other(slot)
+        )
+        if may_try_again:
+            note_failure(call, slot.backend, f"failed: {head.status}")
+            self._state.router.failed(slot.backend.life_id, timers.now_ms())
+            slot.wanted.excluded.add(slot.backend.life_id)
+            call.course.step("retry" if call.course.state == "running" else "resume")
+            return False
+        if caller.has_answered:
+            raise StreamCutError(f"resumed with status {head.status}")
+        call.status = head.status
+        call.first_byte_ms = timers.now_ms()
+        await caller.answer(
+            head.status,
+            self._wire.write_caller(head.headers),
+            body,
+            reason=head.reason,
+            close=self.is_stopping,
+        )
+        call.outcome = "answered"
+        return True
+
+    async def _read_whole(self, connection: BackendConnection) -> bytes:
+        parts: list[bytes] = []
+        size_bytes = 0
+        while (data := await connection.read_data()) is not None:
+            parts.append(data)
+            size_bytes += len(data)
+            if size_bytes > ANSWER_LIMIT_BYTES:
+                raise BackendBrokenError("the response is too large")
+        return b"".join(parts)
+
+    async def _pass_stream(
+        self,
+        call: ForwardCall,
+        slot: Slot,
+        caller: CallerConnection,
+        connection: BackendConnection,
+        head: ResponseHead,
+    ) -> None:
+        """Passes events on as they come, whole ones only."""
+        splitter = EventSplitter()
+        if not caller.has_answered:
+            call.status = head.status
+            await caller.begin_answer(
+                head.status,
+                self._wire.write_caller(head.headers),
+                length=None,
+                reason=head.reason,
+                close=self.is_stopping,
+            )
+        while (data := await connection.read_data()) is not None:
+            try:
+                found = splitter.feed(data)
+            except EventTooLargeError:
+                raise BackendBrokenError("an event is too large") from None
+            whole = []
+            for event in found:
+                if event.event_id is not None:
+                    last = call.last_event_id
+                    if last is not None and event.event_id <= last:
+                        continue
+                    call.last_event_id = event.event_id
+                whole.append(event.data)
+            if whole:
+                self._state.router.prefill.begun(
+                    slot.backend.life_id, call.request_key, timers.now_ms()
+                )
+                call.first_byte_ms = call.first_byte_ms or timers.now_ms()
+                await caller.send_data(b"".join(whole))
+        if splitter.rest():
+            raise BackendBrokenError("the stream ends in the middle of an event")
+        await caller.end_answer()
+        call.outcome = "answered"
+
+    async def refuse(
+        self,
+        caller: CallerConnection,
+        head: CallerHead,
+        error: RefusedError,
+        call: ForwardCall | None = None,
+    ) -> None:
+        """Gives the final answer to a request that is not served."""
+        may_have_run = call is not None and call.course.may_have_left
+        status = refusal_status(error.kind, may_have_run=may_have_run)
+        headers = self._wire.refusal_headers(head.request_id)
+        retry_ms = error.retry_after_ms
+        if retry_ms is None and status in (429, 503):
+            table_s = ANSWERS[error.kind].retry_after_s
+            retry_ms = None if table_s is None else table_s * 1_000
+        if retry_ms is not None and status in (429, 503):
+            headers.append((b"Retry-After", f"{retry_ms / 1000:.3f}".encode()))
+        if call is not None:
+            call.status = status
+            call.outcome = error.kind.value
+        body = b'{"error":"%s"}' % error.kind.value.encode()
+        headers.append((b"Content-Type", b"application/json"))
+        try:
+            await caller.answer(status, headers, body, close=self.is_stopping)
+        except (CallerGoneError, h11.LocalProtocolError):
+            if call is not None:
+                call.is_broken = True
+
+
+def _is_encoded(head: ResponseHead) -> bool:
+    return any(name.lower() == b"content-encoding" for name, _ in head.headers)
--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -66,7 +66,7 @@
         """Answers tell callers to leave the connection once the stop has begun."""
         while self._state.shutdown == "running":
             await self._state.confirmed.wait(STOP_POLL_MS)
-        self._forwarder.is_stopping = True
+        self._forwarder.answers.is_stopping = True
 
     async def _serve_connections(self) -> None:
         listener = await anyio.create_tcp_listener(
--- /dev/null
+++ b/cassiapitch/forwardlog.py
@@ -0,0 +1,78 @@
+"""Log lines and metrics of forwarded requests."""
+
+from cassiapitch import events, metrics, timers
+from cassiapitch.callerlink import CallerRequest
+from cassiapitch.forwardtypes import ForwardCall, RefusedError
+from cassiapitch.viewitems import BackendItem
+from cassiapitch.wire import CallerHead
+
+
+def note_failure(call: ForwardCall, backend: BackendItem, reason: str) -> None:
+    """Logs and counts an attempt that did not answer the request."""
+    metrics.ATTEMPTS_FAILED.inc()
+    events.log(
+        events.Event.FORWARD_ATTEMPT_FAILED,
+        request_id=call.head.request_id,
+        backend=backend.name,
+        reason=reason,
+        sent_count=call.sent_count,
+        left_ms=call.left_ms(),
+    )
+
+
+def log_refused(
+    request: CallerRequest, head: CallerHead, error: RefusedError, view_index: int
+) -> None:
+    """Logs a request that has no route or no account."""
+    events.log(
+        events.Event.FORWARD_REFUSED,
+        request_id=head.request_id,
+        host=request.host,
+        path=request.path,
+        reason=error.kind.value,
+        view_index=view_index,
+    )
+
+
+def _since(time_ms: int | None, call: ForwardCall) -> int | None:
+    return None if time_ms is None else time_ms - call.arrived_ms
+
+
+def _measure(call: ForwardCall) -> None:
+    route = call.route.name
+    outcome = "cut" if call.outcome.startswith("cut") else call.outcome
+    metrics.REQUESTS.labels(route, str(call.status), outcome).inc()
+    if call.first_byte_ms is not None:
+        waited_ms = call.first_byte_ms - call.arrived_ms
+        metrics.FIRST_BYTE_S.labels(route).observe(waited_ms / 1000)
+    if call.admitted_ms is not None:
+        metrics.ADMISSION_S.observe((call.admitted_ms - call.arrived_ms) / 1000)
+    if call.placed_ms is not None:
+        begun_ms = call.arrived_ms if call.admitted_ms is None else call.admitted_ms
+        metrics.QUEUE_S.observe((call.placed_ms - begun_ms) / 1000)
+
+
+def log_call(call: ForwardCall, view_index: int) -> None:
+    """Logs and measures a request that has ended."""
+    now_ms = timers.now_ms()
+    account = call.account
+    _measure(call)
+    events.log(
+        events.Event.FORWARDED,
+        request_id=call.head.request_id,
+        route=call.route.name,
+        account=None if call.account is None else call.account.name,
+        model=call.head.model,
+        backends=call.backends,
+        status=call.status,
+        outcome=call.outcome,
+        sent_count=call.sent_count,
+        cost_tokens=call.cost_tokens,
+        rate_tokens_per_s=None if account is None else account.rate_tokens_per_s,
+        admitted_ms=_since(call.admitted_ms, call),
+        placed_ms=_since(call.placed_ms, call),
+        first_byte_ms=_since(call.first_byte_ms, call),
+        took_ms=now_ms - call.arrived_ms,
+        left_ms=call.deadline_ms - now_ms,
+        view_index=view_index,
+    )
--- /dev/null
+++ b/cassiapitch/forwardplaces.py
@@ -0,0 +1,138 @@
+"""Where a forwarded request may run, and what its answer teaches routing."""
+
+import random
+
+from cassiapitch import timers
+from cassiapitch.entrystate import EntryState
+from cassiapitch.forwardroutes import ForwardRoute, choose_role
+from cassiapitch.forwardtypes import (
+    SERVER_ERROR_STATUS,
+    ForwardCall,
+    request_digest,
+)
+from cassiapitch.prefill import PATIENCE_SHARE
+from cassiapitch.scheduler import Slot, Wanted
+from cassiapitch.types import AccountName, LifeId, ModelName, Priority
+from cassiapitch.viewitems import AccountItem, BackendItem
+
+# The view learns of a missing model with the engine's next heartbeat.
+MISSING_MS = 1_200
+# Ranks that an engine knows, and those that one priority of accounts takes.
+LAST_RANK = 9
+RANKS_PER_ACCOUNT = 3
+
+
+class Places:
+    """Candidates for requests of one entry."""
+
+    def __init__(self, state: EntryState, source: random.Random) -> None:
+        self._state = state
+        self._source = source
+        self._missing: dict[tuple[LifeId, str], int] = {}
+
+    def wanted(self, call: ForwardCall) -> Wanted:
+        """Returns what a request needs of a backend server."""
+        role = choose_role(call.route.targets, self._source)
+        catalog = self._state.catalog
+        model = call.head.model
+        target = None if model is None else catalog.target(model)
+        if target is None:
+
+            def candidates() -> list[BackendItem]:
+                return catalog.services(role)
+
+            def expected_ms() -> int | None:
+                return None
+
+            queue = role
+        else:
+
+            def candidates() -> list[BackendItem]:
+                return self._holding(catalog.engines(target), target.name)
+
+            def expected_ms() -> int | None:
+                return self._state.expected_ms(ModelName(target.name))
+
+            queue = str(target.name)
+            self._state.demand.arrived(ModelName(target.name), Priority.URGENT)
+            tokens = call.head.prompt_tokens + call.head.answer_tokens
+            self._state.demand.used(ModelName(target.name), Priority.URGENT, tokens)
+            if not candidates():
+                self._state.demand_needed.fire()
+        account = call.account
+        deadline_ms = call.deadline_ms
+        limit_ms = call.route.first_token_limit_ms
+        if limit_ms is not None:
+            patience_ms = int(PATIENCE_SHARE * limit_ms)
+            deadline_ms = min(deadline_ms, call.arrived_ms + patience_ms)
+        return Wanted(
+            name=queue,
+            queue=queue,
+            candidates=candidates,
+            expected_ms=expected_ms,
+            account=AccountName("" if account is None else account.name),
+            weight=1 if account is None else account.weight,
+            priority=Priority.URGENT,
+            cost=max(1, call.head.prompt_tokens + call.head.answer_tokens),
+            deadline_ms=deadline_ms,
+            digest=request_digest(call),
+            prefixes=tuple(part.part_id for part in call.head.prompt_parts),
+            prompt_tokens=call.head.prompt_tokens,
+            first_token_limit_ms=call.route.first_token_limit_ms,
+        )
+
+    def _holding(self, engines: list[BackendItem], name: str) -> list[BackendItem]:
+        """Leaves out engines that have just said that they don't hold a model."""
+        if not self._missing:
+            return engines
+        now_ms = timers.now_ms()
+        return [
+            engine
+            for engine in engines
+            if self._missing.get((engine.life_id, name), 0) <= now_ms
+        ]
+
+    def note_missing(self, life_id: LifeId, name: str) -> None:
+        """Notes that an engine doesn't hold what the view says."""
+        now_ms = timers.now_ms()
+        self._missing = {
+            key: until_ms
+            for key, until_ms in self._missing.items()
+            if until_ms > now_ms
+        }
+        self._missing[(life_id, name)] = now_ms + MISSING_MS
+
+    def begin_prefill(self, call: ForwardCall, slot: Slot) -> None:
+        """Counts a prompt that an engine has to read."""
+        tokens = call.head.prompt_tokens
+        if tokens:
+            life_id = slot.backend.life_id
+            prefill = self._state.router.prefill
+            prefill.sent(life_id, call.request_key, tokens, timers.now_ms())
+
+    def learn(self, call: ForwardCall, slot: Slot) -> None:
+        """Tells routing how long the answer took, or that it was a failure."""
+        now_ms = timers.now_ms()
+        life_id = slot.backend.life_id
+        if call.status >= SERVER_ERROR_STATUS:
+            self._state.router.failed(life_id, now_ms)
+        elif call.first_byte_ms is not None and call.placed_ms is not None:
+            answer_ms = call.first_byte_ms - call.placed_ms
+            self._state.router.succeeded(life_id, answer_ms, now_ms)
+
+
+def engine_rank(account: AccountItem | None, route: ForwardRoute) -> int | None:
+    """Returns a request's rank at an engine, 0 first; None for plain services.
+
+    The account's priority goes before the route's.
+    """
+    if not route.is_stream:
+        return None
+    first = 0 if account is None or account.priority is None else account.priority
+    return min(LAST_RANK, RANKS_PER_ACCOUNT * first + route.priority)
+
+
+def has_other(slot: Slot) -> bool:
+    """Tells whether another backend server may get the request."""
+    excluded = slot.wanted.excluded | {slot.backend.life_id}
+    return any(backend.life_id not in excluded for backend in slot.wanted.candidates())
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -262,3 +262,15 @@
     world = play(scenario, ONCE, answers)
     assert len(world.backends[0].requests) == 12
     assert world.backends[0].connections_count < 12
+
+
+def test_promise_without_a_statement_of_the_backend_server_is_not_passed_on():
+    """Guards against "not run" for a request that may have run."""
+
+    async def sheds(backend, request, stream):
+        await stream.send(answer_bytes(request_id(request), b"", status=503))
+
+    reply, world = play(call, ONCE, sheds)
+    assert reply.startswith(b"HTTP/1.1 502")
+    assert b"seal" not in reply
+    assert runs(world) == [1]
