--- /dev/null
+++ b/tests/platform/test_orders.py
@@ -0,0 +1,104 @@
+import json
+
+import anyio
+import h11
+import pytest
+
+from cassiapitch.coordinator import SendOrder
+from cassiapitch.orders import Order
+from cassiapitch.platform import orders
+from cassiapitch.types import OrderKind
+
+
+def order(kind=OrderKind.LOAD, adapter=""):
+    return Order("o1", 1, 7, kind, "i-1", "i-1@1", "model/m", "m", 1, adapter, 10)
+
+
+def play(report, status, send_order=None):
+    """Sends an order to an engine; returns the outcome and what the engine got."""
+    seen = []
+
+    async def serve(stream):
+        async with stream:
+            http = h11.Connection(h11.SERVER)
+            method, body = b"", b""
+            while True:
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    http.receive_data(await stream.receive())
+                elif isinstance(event, h11.Request):
+                    method = bytes(event.method)
+                elif isinstance(event, h11.Data):
+                    body += bytes(event.data)
+                else:
+                    break
+            seen.append((method, body))
+            answer = json.dumps(report).encode() if method == b"GET" else b""
+            code = 200 if method == b"GET" else status
+            await stream.send(
+                b"HTTP/1.1 %d X\r\nContent-Length: %d\r\nConnection: close\r\n\r\n"
+                % (code, len(answer))
+                + answer
+            )
+
+    async def main():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            send = SendOrder(send_order or order(), 1, "127.0.0.1", port, 1_007)
+            with anyio.fail_after(10):
+                outcome = await orders.send_order(send, "member-1")
+            group.cancel_scope.cancel()
+        return outcome
+
+    return anyio.run(main), seen
+
+
+def test_order_states_how_many_came_before_it():
+    """Guards against an earlier order that is carried out after this one."""
+    outcome, seen = play({"sequence": 41, "busy": False}, 202)
+    assert outcome == "accepted"
+    body = json.loads(seen[1][1])
+    assert body == {
+        "operation": "load",
+        "model": "m",
+        "holder": "member-1",
+        "fencingToken": 1_007,
+        "expected": 41,
+    }
+
+
+def test_busy_engine_gets_no_order():
+    outcome, seen = play({"sequence": 1, "busy": True}, 202)
+    assert outcome == "busy"
+    assert [method for method, _ in seen] == [b"GET"]
+
+
+def test_adapter_is_there_with_its_acceptance():
+    adapter = order(OrderKind.LOAD_ADAPTER, "m/a3")
+    outcome, seen = play({"sequence": 1, "busy": True}, 202, adapter)
+    assert outcome == "done"
+    assert json.loads(seen[1][1])["adapter"] == "a3"
+
+
+@pytest.mark.parametrize(
+    ("status", "expected"),
+    [
+        (200, "done"),
+        (409, "busy"),
+        (412, "stale_fence"),
+        (421, "other_life"),
+        (400, "failed"),
+    ],
+)
+def test_answers_are_told_apart(status, expected):
+    assert play({"sequence": 1}, status)[0] == expected
+
+
+def test_engine_that_is_gone_got_nothing():
+    async def main():
+        send = SendOrder(order(), 1, "127.0.0.1", 1, 1)
+        return await orders.send_order(send, "member-1")
+
+    assert anyio.run(main) == "not_sent"
--- /dev/null
+++ b/tests/test_joining.py
@@ -0,0 +1,160 @@
+"""A group that forms from seeds, without a list of its members, over real sockets."""
+
+import shutil
+
+import anyio
+
+from cassiapitch import joining, rpc
+from cassiapitch.member import Member
+from cassiapitch.proposals import Committed
+from cassiapitch.seeds import SeedList
+from cassiapitch.settings import Address, ControlSettings
+from tests.log_member import free_port_on_all
+
+LIMIT_S = 60
+IPS = [f"127.0.0.{number}" for number in range(1, 7)]
+
+
+class Machine:
+    """Counts what was applied."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, time_ms, command):
+        self.commands.append(command)
+        return b""
+
+    def snapshot(self):
+        return b"\n".join(self.commands)
+
+    def restore(self, data):
+        self.commands = data.split(b"\n")
+
+
+class Group:
+    def __init__(self, tasks, folder):
+        self.tasks, self.folder = tasks, folder
+        self.port = free_port_on_all(IPS)
+        self.seeds = tuple(f"{ip}:9" for ip in IPS[:3])
+        self.members, self.scopes, self.ended = {}, {}, {}
+
+    async def start(self, ip, *, bootstrap=True):
+        path = self.folder / ip
+        path.mkdir(exist_ok=True)
+        seeds = SeedList(self.seeds, self.port)
+        address = Address(ip, self.port)
+        settings = ControlSettings(
+            ip,
+            "z",
+            "c",
+            str(path),
+            address,
+            address,
+            initial_members=seeds.peers,
+            bootstrap=bootstrap,
+        )
+        member = Member(settings, Machine(), lambda index: None)
+        self.members[ip] = member
+        self.scopes[ip], self.ended[ip] = anyio.CancelScope(), anyio.Event()
+        self.tasks.start_soon(self._run, ip, member, seeds)
+
+    async def _run(self, ip, member, seeds):
+        server = await rpc.serve(
+            member.serve_handlers(), member.settings.rpc_address, None
+        )
+        with self.scopes[ip]:
+            async with anyio.create_task_group() as group:
+                group.start_soon(member.run)
+                group.start_soon(joining.ask_for_admission, member, seeds)
+                group.start_soon(joining.keep_group_size, member, 2)
+        with anyio.CancelScope(shield=True):
+            await server.close()
+        self.ended[ip].set()
+
+    async def stop(self, ip):
+        self.scopes[ip].cancel()
+        await self.ended[ip].wait()
+        del self.members[ip]
+
+    def groups(self):
+        return {
+            ip: {one.disk_id for one in member.status().members if one.voter}
+            for ip, member in self.members.items()
+        }
+
+    async def until(self, condition):
+        while not condition():  # noqa: ASYNC110
+            await anyio.sleep(0.05)
+
+    def is_whole(self, count):
+        groups = list(self.groups().values())
+        return all(len(one) == count and one == groups[0] for one in groups)
+
+
+def play(scenario, folder):
+    async def main():
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as tasks:
+                group = Group(tasks, folder)
+                await scenario(group)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_group_forms_once_in_any_order_and_grows_to_its_size(tmp_path):
+    async def scenario(group):
+        for ip in (IPS[4], IPS[2], IPS[0], IPS[3], IPS[1]):
+            await group.start(ip)
+        await group.until(lambda: group.is_whole(5))
+        outcome = await group.members[IPS[4]].propose(b"a", 5_000)
+        assert isinstance(outcome, Committed)
+
+    play(scenario, tmp_path)
+
+
+def test_two_lost_disks_are_replaced_without_losing_what_was_acknowledged(tmp_path):
+    """Guards against an empty disk that votes, and a group that stays too small."""
+
+    async def scenario(group):
+        for ip in IPS[:5]:
+            await group.start(ip)
+        await group.until(lambda: group.is_whole(5))
+        outcome = await group.members[IPS[1]].propose(b"kept", 5_000)
+        assert isinstance(outcome, Committed)
+        before = group.groups()[IPS[0]]
+        for ip in (IPS[0], IPS[3]):
+            await group.stop(ip)
+            shutil.rmtree(group.folder / ip)
+        for ip in (IPS[0], IPS[3]):
+            await group.start(ip, bootstrap=False)
+        await group.until(
+            lambda: group.is_whole(5) and group.groups()[IPS[0]] != before
+        )
+        assert len(group.groups()[IPS[0]] - before) == 2
+        await group.until(
+            lambda: all(
+                b"kept" in one._machine.commands for one in group.members.values()
+            )
+        )
+
+    play(scenario, tmp_path)
+
+
+def test_another_machine_takes_the_place_of_a_lost_member(tmp_path):
+    async def scenario(group):
+        for ip in IPS[:5]:
+            await group.start(ip)
+        await group.until(lambda: group.is_whole(5))
+        await group.stop(IPS[2])
+        await group.start(IPS[5], bootstrap=False)
+        names = set(IPS) - {IPS[2]}
+        await group.until(
+            lambda: all(
+                {one.name for one in member.status().members if one.voter} == names
+                for member in group.members.values()
+            )
+        )
+
+    play(scenario, tmp_path)
