--- a/cassiapitch/budget.py
+++ b/cassiapitch/budget.py
@@ -91,13 +91,15 @@
     call: str
     tokens: int
     since_ms: int
+    limit_ms: int = WAIT_LIMIT_MS
     answered_ms: int | None = None
 
     def until_ms(self) -> int:
         """Returns when the call is given up."""
         if self.answered_ms is None:
             return self.since_ms + UNANSWERED_LIMIT_MS
-        return max(self.since_ms + WAIT_LIMIT_MS, self.answered_ms + ANSWERED_WAIT_MS)
+        answered_wait_ms = min(ANSWERED_WAIT_MS, self.limit_ms)
+        return max(self.since_ms + self.limit_ms, self.answered_ms + answered_wait_ms)
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,9 +145,22 @@
         self._decided: list[tuple[str, Decision]] = []
 
     def request(
-        self, call: str, account: AccountItem, tokens: int, now_ms: int
+        self,
+        call: str,
+        account: AccountItem,
+        tokens: int,
+        now_ms: int,
+        limit_ms: int = WAIT_LIMIT_MS,
     ) -> Decision | Waiting:
-        """Decides on a call, or lets it wait; waiting calls are served in order."""
+        """Decides on a call, or lets it wait; waiting calls are served in order.
+
+        Args:
+            call: The call's identity.
+            account: Its account.
+            tokens: Its cost.
+            now_ms: The current time.
+            limit_ms: Longest wait for tokens once a granter has answered.
+        """
         if tokens > largest_cost(account):
             return OverBurst(largest_cost(account))
         state = self._accounts.setdefault(account.name, _AccountBudget())
@@ -153,7 +168,7 @@
         self._drop_expired(account.name, state, now_ms)
         if not state.waiters and state.held_tokens() >= tokens + state.debt_tokens:
             return self._admit(account.name, state, tokens)
-        state.waiters.append(_Waiter(call, tokens, now_ms))
+        state.waiters.append(_Waiter(call, tokens, now_ms, limit_ms))
         return Waiting()
 
     def withdraw(self, call: str, account: AccountName) -> None:
@@ -188,11 +203,10 @@
         """Ends waits that lasted too long and returns expired grants."""
         for name, state in self._accounts.items():
             self._drop_expired(name, state, now_ms)
-            while state.waiters:
-                waiter = state.waiters[0]
-                if now_ms < waiter.until_ms():
-                    break
-                state.waiters.pop(0)
+            # Their limits differ, so that a later one may end first.
+            ended = [one for one in state.waiters if now_ms >= one.until_ms()]
+            for waiter in ended:
+                state.waiters.remove(waiter)
                 self._decided.append((waiter.call, _give_up(waiter)))
         self._asked = {
             sequence: asked
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -11,6 +11,7 @@
 from cassiapitch import events, loadtable, timers
 from cassiapitch.asgi import BodyRoom
 from cassiapitch.budget import (
+    WAIT_LIMIT_MS,
     Admitted,
     Budget,
     Decision,
@@ -191,10 +192,16 @@
         return await self.admit_cost(call.request_id, call.account, tokens)
 
     async def admit_cost(
-        self, request_id: str, account: AccountItem, tokens: int
+        self,
+        request_id: str,
+        account: AccountItem,
+        tokens: int,
+        limit_ms: int = WAIT_LIMIT_MS,
     ) -> Decision:
         """Takes tokens from an account for a request; see `admit`."""
-        decision = self.budget.request(request_id, account, tokens, timers.now_ms())
+        decision = self.budget.request(
+            request_id, account, tokens, timers.now_ms(), limit_ms
+        )
         if not isinstance(decision, Waiting):
             return decision
         event, decisions = anyio.Event(), list[Decision]()
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -18,7 +18,7 @@
 from cassiapitch.entrystate import EntryState
 from cassiapitch.forwardanswers import AnswerRelay
 from cassiapitch.forwardlog import log_call, log_refused, note_failure
-from cassiapitch.forwardplaces import Places, engine_rank
+from cassiapitch.forwardplaces import Places, admission_limit_ms, engine_rank
 from cassiapitch.forwardtypes import ForwardCall, RefusedError, StreamCutError
 from cassiapitch.outcomes import ErrorKind
 from cassiapitch.prefill import PATIENCE_SHARE
@@ -197,7 +197,9 @@
         if account.counts_tokens and call.head.has_tokens:
             cost = call.head.prompt_tokens + call.head.answer_tokens
         call.cost_tokens = cost
-        decision = await self._state.admit_cost(call.request_key, account, cost)
+        decision = await self._state.admit_cost(
+            call.request_key, account, cost, admission_limit_ms(call.route)
+        )
         call.admitted_ms = timers.now_ms()
         if isinstance(decision, budget.RateExceeded):
             raise RefusedError(ErrorKind.RATE_EXCEEDED, decision.retry_after_ms)
--- a/cassiapitch/forwardplaces.py
+++ b/cassiapitch/forwardplaces.py
@@ -2,7 +2,7 @@
 
 import random
 
-from cassiapitch import timers
+from cassiapitch import budget, timers
 from cassiapitch.entrystate import EntryState
 from cassiapitch.forwardroutes import ForwardRoute, choose_role
 from cassiapitch.forwardtypes import (
@@ -17,6 +17,11 @@
 
 # The view learns of a missing model with the engine's next heartbeat.
 MISSING_MS = 1_200
+# The wait for tokens takes at most this part of the objective; reading the prompt takes
+# the rest.
+ADMISSION_PART = 3
+# Less than an exchange with the leader would refuse calls within the rate.
+ADMISSION_LEAST_MS = 150
 # Ranks that an engine knows, and those that one priority of accounts takes.
 LAST_RANK = 9
 RANKS_PER_ACCOUNT = 3
@@ -132,6 +137,19 @@
     return min(LAST_RANK, RANKS_PER_ACCOUNT * first + route.priority)
 
 
+def admission_limit_ms(route: ForwardRoute) -> int:
+    """Returns how long a request may wait for tokens of its account.
+
+    Answers an account that asks for more than its rate: tokens spent on prompts that
+    have waited too long for their objective are lost to those that could still be on
+    time. What the account gets in all is the same.
+    """
+    if not route.is_stream or not route.objective_ms:
+        return budget.WAIT_LIMIT_MS
+    share_ms = route.objective_ms // ADMISSION_PART
+    return min(budget.WAIT_LIMIT_MS, max(ADMISSION_LEAST_MS, share_ms))
+
+
 def has_other(slot: Slot) -> bool:
     """Tells whether another backend server may get the request."""
     excluded = slot.wanted.excluded | {slot.backend.life_id}
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -69,3 +69,20 @@
     assert budget.decisions() == []
     budget.tick(800)
     assert isinstance(budget.decisions()[0][1], RateExceeded)
+
+
+def test_call_with_a_short_wait_is_refused_before_the_usual_limit():
+    """Guards against tokens that are spent on calls that are late anyway."""
+    from cassiapitch import budget as budgets
+    from cassiapitch.messages import Grant, RateGrants
+    from cassiapitch.viewitems import AccountItem
+
+    account = AccountItem("acme", 1_000, 10_000, 1)
+    held = budgets.Budget("e1", "life")
+    for call, limit_ms in (("usual", budgets.WAIT_LIMIT_MS), ("short", 200)):
+        held.request(call, account, 500, 0, limit_ms)
+    ask = held.ask(10, periodic=False)
+    empty = Grant("acme", 0, 1_000, 1, 10, 100)
+    held.grants(RateGrants(ask.sequence, (empty,)), 20)
+    held.tick(230)
+    assert [call for call, _ in held.decisions()] == ["short"]
