--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -4,6 +4,8 @@
 wait for (oldest first), minimum copies, and further copies by demand.
 """
 
+import math
+
 from cassiapitch import placement_fixed, victims
 from cassiapitch.backends import Life
 from cassiapitch.fleet_commands import NewOrder
@@ -17,7 +19,7 @@
 
 # Demand over what its copies serve from which a model's next copy goes before the first
 # copies of others: these come one after the other without an end.
-URGENT_GAIN = 2.0
+URGENT_GAIN = 1.6
 
 # Share of the slots that requests should take; the rest absorbs bursts.
 TARGET_USAGE = 0.6
@@ -96,6 +98,7 @@
         self._new_loads[is_adapter] += 1
         if not is_adapter:
             self._state.store_tokens -= 1
+            self._state.loads_count += 1
         kind = OrderKind.LOAD_ADAPTER if is_adapter else OrderKind.LOAD
         self._order(kind, room.life, key)
 
@@ -121,13 +124,12 @@
         """Returns the rank of what is waited for, the least first.
 
         Oldest first, so that every model gets its turn. Where copies follow demand,
-        what is asked for most goes before what hasn't waited for long: the loss of
-        engines leaves a model in demand behind a queue of rarely asked ones.
+        every second load is of what is asked for most: the loss of engines leaves a
+        model in demand behind a queue of rarely asked ones that never ends.
         """
         asked_ms, key = waiting
-        is_old = self._now_ms - asked_ms >= victims.HOT_AFTER_MS
-        if is_old or not self._fills_memory(key):
-            return (not is_old, float(asked_ms))
+        if self._state.loads_count % 2 or not self._fills_memory(key):
+            return (False, float(asked_ms))
         return (True, -self._state.demand.rate(key, self._now_ms))
 
     def place_minimums(self) -> None:
@@ -461,23 +463,45 @@
         * min(1.0, survey.usage(role, waiting_count) / TARGET_USAGE)
         for role in totals
     }
+    wanted: dict[str, float] = {}
     for role in totals:
         item = state.fleet.catalog.roles.get(role)
         if item is not None and item.fills_memory:
-            engines[role] = _copies_that_fit(state, survey, role)
-    return {
+            wanted.update(_share_memory(state, survey, role, rates))
+    others = {
         model_key(name): rates[name] / totals[model.role] * engines[model.role]
         for name, model in state.fleet.catalog.models.items()
-        if totals[model.role] > 0
+        if totals[model.role] > 0 and model_key(name) not in wanted
     }
+    return {**others, **wanted}
 
 
-def _copies_that_fit(state: PlacementState, survey: Survey, role: str) -> float:
-    """Returns how many copies of a usual size a role's engines hold together.
+def _share_memory(
+    state: PlacementState, survey: Survey, role: str, rates: dict[str, float]
+) -> dict[str, float]:
+    """Returns the copies of a role's models that fill its engines' memory.
 
     Answers the load of long prompts: reading them takes an engine's time long before
-    its slots are taken, so that copies follow the demand for tokens.
+    its slots are taken. Copies follow the square root of the demand for tokens: in
+    proportion to it a few models would take all the room, and each of the many others
+    would be loaded and displaced again for every request.
     """
+    fitting_count = _copies_that_fit(state, survey, role)
+    roots = {
+        name: math.sqrt(rates[name])
+        for name, model in state.fleet.catalog.models.items()
+        if model.role == role
+    }
+    total = sum(roots.values())
+    if not total:
+        return {}
+    return {
+        model_key(name): root / total * fitting_count for name, root in roots.items()
+    }
+
+
+def _copies_that_fit(state: PlacementState, survey: Survey, role: str) -> float:
+    """Returns how many copies of a usual size a role's engines hold together."""
     sizes = sorted(
         model.memory_mib
         for model in state.fleet.catalog.models.values()
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -56,6 +56,7 @@
         self.demand = Demand(_decay_ms(fleet))
         self.requests: dict[str, tuple[int, int]] = {}
         self.store_tokens = 0.0
+        self.loads_count = 0
         self.plans: dict[str, Plan] = {}
         self.holds: dict[str, tuple[str, Plan]] = {}
         self.load_ms = float(DEFAULT_LOAD_MS)
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -170,3 +170,11 @@
     play(skewed(("m0", "m1", "m2")), 4, world)
     first = [model for _, model in world.loads[start : start + 3]]
     assert "m0" in first
+
+
+def test_rarely_asked_models_keep_room_beside_those_in_demand():
+    """Guards against a few models that take all memory although they need less."""
+    world = play(skewed(("m0", "m1", "m2")), 40)
+    cold = [f"m{number}" for number in range(3, 14)]
+    assert sum(world.copies(model) > 0 for model in cold) >= 4
+    assert world.copies("m0") + world.copies("m1") + world.copies("m2") >= 6
