--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -217,6 +217,7 @@
             count = sum(one.count for one in found)
             tokens = sum(one.pending_tokens for one in found)
             self.placement.requests[life.life_id] = (count, 0)
+            self.placement.note_backlog(life.life_id, tokens)
             report = LoadReport(life.name, life.life_id, count, 0, (), tokens)
             if count or self._told_loads.get(life.life_id):
                 self._loads.put(report)
@@ -320,6 +321,7 @@
             self._refused,
             self._hold_until_ms,
             self.placement.requests,
+            self.placement.backlogs,
             self._loads.full_turns,
             self._told_loads,
         )
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -13,6 +13,9 @@
 # Where the time of a load is known, a copy stays for as many loads.
 RESIDENT_LOADS_COUNT = 5
 
+# Weight of the newest report in an engine's backlog; reports come every 0.3 to 1 s.
+BACKLOG_WEIGHT = 0.3
+
 # An open load that is older than this is no longer counted as a coming copy, so
 # that an engine that ignores its orders can't make a model unreachable.
 LOAD_PATIENCE_MS = 30_000
@@ -55,6 +58,7 @@
         self.policy = policy
         self.demand = Demand(_decay_ms(fleet))
         self.requests: dict[str, tuple[int, int]] = {}
+        self.backlogs: dict[str, float] = {}
         self.store_tokens = 0.0
         self.loads_count = 0
         self.plans: dict[str, Plan] = {}
@@ -89,6 +93,11 @@
         self._age_plans(survey, now_ms)
         return survey
 
+    def note_backlog(self, life_id: str, tokens: int) -> None:
+        """Averages the prompt tokens that wait to be read at an engine."""
+        old = self.backlogs.get(life_id, 0.0)
+        self.backlogs[life_id] = old + BACKLOG_WEIGHT * (tokens - old)
+
     def resident_long(self, life_id: str, key: str, now_ms: int) -> bool:
         """Tells whether a copy has been resident for the time of the hysteresis."""
         since_ms = (self._resident_ms or {}).get((life_id, key), now_ms)
--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -24,6 +24,10 @@
 # model costs a load and its next caller the time of it.
 ONLY_COPY_RATIO = 3.0
 
+# Backlog of prompt tokens from which an engine counts as loaded: one long prompt waits
+# on the average.
+LOADED_TOKENS = 2_500.0
+
 
 def class_allowed(age_ms: int) -> int:
     """Returns the last class that gives way for something that waits so long."""
@@ -199,11 +203,24 @@
         rate = self._state.demand.rate(key, self._now_ms)
         if is_first:
             return self._value(victim) < GAIN_RATIO * rate
+        if not self._is_loaded(key):
+            return False
         copies_count = len(self._survey.copies.get(key, ()))
         is_only = len(self._survey.copies.get(victim, ())) <= 1
         ratio = ONLY_COPY_RATIO if is_only else GAIN_RATIO
         return ratio * self._value(victim) < rate / (copies_count + 1)
 
+    def _is_loaded(self, key: str) -> bool:
+        """Tells whether prompts wait at every engine that holds a model.
+
+        A further copy is worth a load, and another model's room, only then.
+        """
+        backlogs = [
+            self._state.backlogs.get(life.life_id, 0.0)
+            for life in self._survey.copies.get(key, ())
+        ]
+        return bool(backlogs) and min(backlogs) >= LOADED_TOKENS
+
     def _is_worth_less(self, level: int, victim: str, key: str) -> bool:
         """Tells whether an only copy is asked for much less than what needs its room.
 
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -19,6 +19,7 @@
 CAPACITY_MIB = 200_000
 SIZE_MIB = 66_000
 STEP_MS = 50
+SPEED_TOKENS_PER_S = 25_800
 
 
 class World:
@@ -90,8 +91,10 @@
             for model, share in shares.items()
             if self.random.random() < share * 25 * STEP_MS / 1_000
         )
-        report = DemandReport("n1", demands, (), (InFlight("e0@1", 1, 0),))
+        report = DemandReport("n1", demands, (), self._in_flight(shares))
         self.coordinator.on_demand(report, self.now_ms)
+        if self.now_ms % 500 == 0:
+            self.coordinator.load_reports(self.now_ms)
         for command in self.coordinator.commands(self.now_ms):
             self._apply(command)
         orders = self.coordinator.round(self.now_ms)
@@ -117,6 +120,18 @@
         )
         self._apply(record)
 
+    def _in_flight(self, shares):
+        """Prompts wait at engines that get more tokens than they read."""
+        found = []
+        for name, held in self.held.items():
+            tokens_per_s = sum(
+                shares.get(model, 0) * 25 * 2_400 / self.copies(model) for model in held
+            )
+            usage = tokens_per_s / SPEED_TOKENS_PER_S
+            pending = int(8_000 * usage) if usage > 0.4 else 0
+            found.append(InFlight(f"{name}@1", 1 + pending // 2_400, pending))
+        return tuple(found)
+
     def copies(self, model):
         return sum(model in held for held in self.held.values())
 
@@ -178,3 +193,14 @@
     cold = [f"m{number}" for number in range(3, 14)]
     assert sum(world.copies(model) > 0 for model in cold) >= 4
     assert world.copies("m0") + world.copies("m1") + world.copies("m2") >= 6
+
+
+def test_idle_engines_move_nothing_for_further_copies():
+    """Guards against a calm day on which models displace each other for nothing."""
+    calm = {model: share / 10 for model, share in skewed(("m0", "m1", "m2")).items()}
+    calm = {model: share for model, share in calm.items() if model in MODELS_HELD}
+    world = play(calm, 30)
+    assert len(world.loads) <= 5
+
+
+MODELS_HELD = {f"m{number}" for number in range(10)}
