Reserve the ports of test groups while the test process runs

Cause: tests of control groups and forwarding picked free ports and gave them back before their servers had bound them, so that an outgoing connection or another test worker could take them; a control test then read bytes of another program. The suite also could not end: two loops of test_three_members_serve_an_operator_and_an_entry_through_a_leader_change had no bound, and that test was running when a run of 4 workers stood still.

Conclusion: ports come from ReservedPorts, also on several addresses, and the loops are bounded. What the hanging run waited for is not traced yet.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -12,7 +12,7 @@
 import anyio
 
 from cassiapitch.timers import now_ms
-from tests.member_group import ProcessMember, free_ports
+from tests.member_group import ProcessMember, named_ports
 
 Members = dict[str, ProcessMember]
 
@@ -57,7 +57,7 @@
 
 
 async def main(options: argparse.Namespace, folder: pathlib.Path) -> None:
-    ports = free_ports("abc")
+    ports = named_ports("abc")
     members = {name: ProcessMember(name, ports, folder) for name in ports}
     async with anyio.create_task_group() as tasks:
         for member in members.values():
--- a/tests/log_member.py
+++ b/tests/log_member.py
@@ -4,10 +4,8 @@
 with the same number. Started by tests and by bench/log_cost.py.
 """
 
-import contextlib
 import dataclasses
 import json
-import socket
 import sys
 import time
 
@@ -146,19 +144,3 @@
 if __name__ == "__main__":
     events.write_to("/dev/null")
     anyio.run(main, sys.argv[1])
-
-
-def free_port_on_all(ips):
-    """Returns a port that is free on each of several loopback addresses."""
-    for _ in range(100):
-        with contextlib.ExitStack() as stack:
-            first = stack.enter_context(socket.socket())
-            first.bind((ips[0], 0))
-            port = first.getsockname()[1]
-            try:
-                for ip in ips[1:]:
-                    stack.enter_context(socket.socket()).bind((ip, port))
-            except OSError:
-                continue
-            return port
-    raise OSError("no port is free on all addresses")
--- a/tests/member_group.py
+++ b/tests/member_group.py
@@ -4,26 +4,20 @@
 import itertools
 import json
 import pathlib
-import socket
 import sys
 
 import anyio
 import anyio.streams.text
 
 from tests.log_member import Server, make_settings
+from tests.reserved import reserve_ports
 
 ROOT = pathlib.Path(__file__).parent.parent
 LIMIT_S = 30
 
 
-def free_ports(names):
-    with contextlib.ExitStack() as stack:
-        ports = {}
-        for name in names:
-            opened = stack.enter_context(socket.socket())
-            opened.bind(("127.0.0.1", 0))
-            ports[name] = opened.getsockname()[1]
-        return ports
+def named_ports(names):
+    return dict(zip(names, reserve_ports(len(names)), strict=True))
 
 
 async def until(condition):
@@ -42,7 +36,7 @@
     def __init__(self, tasks, folder, names="abc", **options):
         self.tasks = tasks
         self.folder = folder
-        self.ports = free_ports(names)
+        self.ports = named_ports(names)
         self.options = options
         self.servers = {}
         self.scopes = {}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,9 +1,7 @@
 """Tests of real control members over loopback: log, state, hub and placement."""
 
-import contextlib
 import hashlib
 import json
-import socket
 
 import anyio
 import httpcore
@@ -12,6 +10,7 @@
 from cassiapitch import codec, control, messages, rpc, signing
 from cassiapitch.controlnode import ControlNode
 from cassiapitch.settings import Address, ControlPeer, ControlSettings, Operator
+from tests.reserved import reserve_ports
 
 TOKEN = "operator token"
 PRIVATE = bytes(range(32))
@@ -27,16 +26,8 @@
     return "asyncio"
 
 
-def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-
-
 def make_settings(folder):
-    ports = free_ports(6)
+    ports = reserve_ports(6)
     peers = tuple(
         ControlPeer(f"c{n}", f"z{n}", Address("127.0.0.1", ports[n])) for n in range(3)
     )
@@ -118,14 +109,15 @@
 async def ask_until_granted(stream, sequence):
     """Returns the grant of 50 tokens, which may come from the next leader."""
     need = messages.GrantAsk("acme", 50, 0, 50)
-    while True:
-        ask = messages.RateAsk("e1", "life", sequence, (need,), ())
-        await stream.send_message(ask)
-        sequence += 1
-        with anyio.move_on_after(0.2):
-            grants = (await receive(stream, messages.RateGrants)).grants
-            if grants and grants[0].tokens == 50:
-                return grants[0]
+    with anyio.fail_after(WAIT_S):
+        while True:
+            ask = messages.RateAsk("e1", "life", sequence, (need,), ())
+            await stream.send_message(ask)
+            sequence += 1
+            with anyio.move_on_after(0.2):
+                grants = (await receive(stream, messages.RateGrants)).grants
+                if grants and grants[0].tokens == 50:
+                    return grants[0]
 
 
 @pytest.mark.anyio
@@ -176,9 +168,10 @@
             report = messages.DemandReport("e1", (), ())
             await stream.send_message(report)
             first = await ask_until_granted(stream, 1)
-            while not demands[leader.name]:
-                await stream.send_message(report)
-                await receive(stream, messages.LoadReports)
+            with anyio.fail_after(WAIT_S):
+                while not demands[leader.name]:
+                    await stream.send_message(report)
+                    await receive(stream, messages.LoadReports)
             assert demands[leader.name][0] == report
             assert not any(demands[one.name] for one in followers)
             withdrawn = await call(leader, "POST", "/keys/withdraw", {"sha256": KEY})
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,7 +12,7 @@
     World,
     answer_bytes,
 )
-from tests.test_control import free_ports
+from tests.reserved import reserve_ports
 
 REQUEST = (
     b"POST /charge/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q1\r\n"
@@ -38,7 +38,7 @@
         await stream.send(answer_bytes("q1"))
 
     async def main():
-        (port,) = free_ports(1)
+        (port,) = reserve_ports(1)
         settings = EntrySettings(
             name="entry-1",
             zone="a",
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -9,7 +9,7 @@
 from cassiapitch.proposals import Committed
 from cassiapitch.seeds import SeedList
 from cassiapitch.settings import Address, ControlSettings
-from tests.log_member import free_port_on_all
+from tests.reserved import reserve_ports
 
 LIMIT_S = 60
 IPS = [f"127.0.0.{number}" for number in range(1, 7)]
@@ -35,7 +35,7 @@
 class Group:
     def __init__(self, tasks, folder):
         self.tasks, self.folder = tasks, folder
-        self.port = free_port_on_all(IPS)
+        (self.port,) = reserve_ports(1, IPS)
         self.seeds = tuple(f"{ip}:9" for ip in IPS[:3])
         self.members, self.scopes, self.ended = {}, {}, {}
 
--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -14,7 +14,7 @@
 from tests.member_group import (
     ProcessMember,
     TaskGroupOfMembers,
-    free_ports,
+    named_ports,
     until,
 )
 from tests.memory_disk import MemoryDisk
@@ -250,7 +250,7 @@
 
 def test_killed_leader_loses_nothing_acknowledged(tmp_path):
     """Guards against lost commands when processes are killed without warning."""
-    ports = free_ports("abc")
+    ports = named_ports("abc")
     members = {name: ProcessMember(name, ports, tmp_path) for name in ports}
     acknowledged = []
 
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -37,6 +37,16 @@
     reserved.close()
 
 
+def test_port_is_reserved_on_each_address():
+    """Guards against a group whose port another test has on one of its addresses."""
+    ips = ["127.0.0.1", "127.0.0.2"]
+    reserved = ReservedPorts(1, ips)
+    for ip in ips:
+        with socket.socket() as stranger, pytest.raises(OSError):
+            stranger.bind((ip, reserved.ports[0]))
+    reserved.close()
+
+
 def test_group_ends_its_processes_when_a_script_fails(tmp_path):
     """Guards against processes that outlive a failed demo or test."""
     process = _standin(tmp_path)
