Load models from engines' disks and host memory as such

Cause: placement took every load for one from the weight store: it waited for the store's rate, chose engines without the weights, and told entries 3 to 6 s for loads that an engine's disk makes in 1.2 s. Entries were also told the time of a whole model for an adapter whose model was loaded, and refused its requests as hopeless; adapters are there within milliseconds.

--- a/cassiapitch/announce.py
+++ b/cassiapitch/announce.py
@@ -18,7 +18,7 @@
 )
 from cassiapitch.operators import bearer_token
 from cassiapitch.settings import Address, Name, NaturalInt
-from cassiapitch.types import BackendName, LifeId
+from cassiapitch.types import BackendName, LifeId, ModelName
 
 ANNOUNCE_PATH = "/backend/v1/announce"
 
@@ -61,6 +61,8 @@
     cache_events: Annotated[tuple[Text, ...], Meta(max_length=512)] = ()
     sequence: NaturalInt = 0
     started_ms: NaturalInt = 0
+    warm_models: Annotated[tuple[ModelName, ...], Meta(max_length=512)] = ()
+    disk_models: Annotated[tuple[ModelName, ...], Meta(max_length=512)] = ()
 
 
 def encode(announcement: Announcement) -> bytes:
@@ -102,6 +104,8 @@
         cached_prefixes=body.cache_events,
         sequence=body.sequence,
         started_ms=body.started_ms,
+        warm_models=body.warm_models,
+        disk_models=body.disk_models,
     )
 
 
--- a/cassiapitch/announcements.py
+++ b/cassiapitch/announcements.py
@@ -61,6 +61,8 @@
         started_ms: Start of this life by the backend server's clock, 0 if it doesn't
             say. Of two lives under one name or address the later one is the present
             one; other clocks are never compared with it.
+        warm_models: Models whose weights are in its host's memory.
+        disk_models: Models whose weights are on its disk.
     """
 
     name: BackendName
@@ -82,6 +84,8 @@
     cached_prefixes: tuple[str, ...] = ()
     sequence: int = 0
     started_ms: int = 0
+    warm_models: tuple[ModelName, ...] = ()
+    disk_models: tuple[ModelName, ...] = ()
 
 
 ALL = (Announcement,)
--- a/cassiapitch/backends.py
+++ b/cassiapitch/backends.py
@@ -7,7 +7,7 @@
     Announcement,
 )
 from cassiapitch.orders import Ledger, adapter_key, model_key
-from cassiapitch.types import BackendName, LifeId
+from cassiapitch.types import BackendName, LifeId, ModelName
 
 _CHART = statechart.load_chart("backend_server")
 
@@ -49,6 +49,8 @@
         ledger: What it may hold.
         charged_mib: Sum of the ledger's charges.
         started_ms: Its start by its own clock, 0 if it doesn't say.
+        warm_models: Models whose weights are in its host's memory.
+        disk_models: Models whose weights are on its disk.
     """
 
     name: BackendName
@@ -67,6 +69,8 @@
     ledger: Ledger = dataclasses.field(default_factory=Ledger)
     charged_mib: int = 0
     started_ms: int = 0
+    warm_models: tuple[ModelName, ...] = ()
+    disk_models: tuple[ModelName, ...] = ()
 
     def allows(self, event: str) -> bool:
         """Tells whether the chart has a transition for an event."""
@@ -113,6 +117,8 @@
     life.memory_mib = announcement.memory_mib
     life.max_running_count = announcement.max_running_count
     life.started_ms = announcement.started_ms
+    life.warm_models = announcement.warm_models
+    life.disk_models = announcement.disk_models
     fence = (announcement.fence_term, announcement.fence_number)
     life.fence_term, life.fence_number = max(life.fence(), fence)
     event = announcement_event(
--- a/cassiapitch/bundle.py
+++ b/cassiapitch/bundle.py
@@ -96,6 +96,8 @@
         minimum_copies: Copies that stay loaded.
         context_tokens: Longest prompt and answer together.
         load_ms: Time of a load from the weight store; 0 if unknown.
+        warm_load_ms: Time of a load from the host's memory; 0 if unknown.
+        disk_load_ms: Time of a load from the engine's disk; 0 if unknown.
     """
 
     name: ItemName
@@ -104,6 +106,8 @@
     minimum_copies: CountOrZero = 0
     context_tokens: Count = 8_192
     load_ms: CountOrZero = 0
+    warm_load_ms: CountOrZero = 0
+    disk_load_ms: CountOrZero = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cassiapitch import backends, fleet_view
+from cassiapitch import backends, fleet_view, loadtimes
 from cassiapitch.announcements import (
     Announcement,
 )
@@ -119,7 +119,9 @@
         """
         kind = OrderKind.LOAD_ADAPTER if adapters else OrderKind.LOAD
         return sum(
-            order.kind == kind and self.lives[order.backend].state == backends.SERVING
+            order.kind == kind
+            and order.from_store
+            and self.lives[order.backend].state == backends.SERVING
             for order in self._open.values()
         )
 
@@ -315,6 +317,7 @@
             adapter=name_of(new.item) if is_adapter else "",
             memory_mib=self.catalog.memory_mib(new.item) or 0,
             attempt_term=self.term,
+            from_store=is_adapter or not loadtimes.is_at_hand(life, name_of(new.item)),
         )
         life.ledger.orders[order.order_id] = order
         if order.is_load():
@@ -348,7 +351,9 @@
             if is_adapter
             else store.loads_in_flight_count
         )
-        if self.loads_in_flight_count(adapters=is_adapter) >= limit_count:
+        is_from_store = is_adapter or not loadtimes.is_at_hand(life, name_of(new.item))
+        in_flight_count = self.loads_in_flight_count(adapters=is_adapter)
+        if is_from_store and in_flight_count >= limit_count:
             return "the weight store's limit is reached"
         if is_adapter and not self._is_usable(
             life, model_key(self.catalog.model_of(new.item) or "")
--- a/cassiapitch/orders.py
+++ b/cassiapitch/orders.py
@@ -61,6 +61,7 @@
         attempt_term: Controller term that may send the last attempt.
         unanswered: Attempts whose HTTP response was not received.
         accepted: Whether the engine accepted an attempt.
+        from_store: Whether it is a load that counts against the store's limits.
     """
 
     order_id: str
@@ -79,6 +80,7 @@
     attempt_term: int = 0
     unanswered: list[int] = dataclasses.field(default_factory=lambda: [1])
     accepted: bool = False
+    from_store: bool = True
 
     def is_load(self) -> bool:
         """Tells whether the order occupies memory."""
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -4,10 +4,10 @@
 wait for (oldest first), minimum copies, and further copies by demand.
 """
 
-from cassiapitch import copies, placement_fixed, victims
+from cassiapitch import copies, loadtimes, placement_fixed, victims
 from cassiapitch.backends import Life
 from cassiapitch.fleet_commands import NewOrder
-from cassiapitch.orders import adapter_key, is_adapter_key, model_key
+from cassiapitch.orders import adapter_key, is_adapter_key, model_key, name_of
 from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState, Plan
 from cassiapitch.rooms import Room, Survey
 from cassiapitch.types import OrderKind
@@ -44,8 +44,9 @@
     choice.unload_strays()
     if state.policy == "fixed":
         for life, key in placement_fixed.missing(state.fleet, survey):
-            if choice.may_load(key) and survey.may_load(survey.rooms[life], key):
-                choice.load(survey.rooms[life], key)
+            room = survey.rooms[life]
+            if choice.may_load(key, room) and survey.may_load(room, key):
+                choice.load(room, key)
         return choice.orders
     choice.place_gains(URGENT_GAIN)
     choice.place_waiting()
@@ -72,7 +73,21 @@
         self._wanted = copies.wanted_copies(state, survey, now_ms)
         self._victims = victims.Victims(state, survey, self._wanted, now_ms)
 
-    def may_load(self, key: str) -> bool:
+    def may_load(self, key: str, room: Room) -> bool:
+        """Tells whether an engine may load without going over the store's limits."""
+        return self._is_at_hand(room, key) or self._store_allows(key)
+
+    def _may_load_in(self, key: str, rooms: list[Room]) -> bool:
+        """Tells whether any of these engines may load."""
+        at_hand = any(self._is_at_hand(room, key) for room in rooms)
+        return at_hand or self._store_allows(key)
+
+    def _is_at_hand(self, room: Room, key: str) -> bool:
+        if is_adapter_key(key):
+            return False
+        return loadtimes.is_at_hand(room.life, name_of(key))
+
+    def _store_allows(self, key: str) -> bool:
         """Tells whether the store has room for one more load."""
         is_adapter = is_adapter_key(key)
         store = self._catalog.store
@@ -90,9 +105,11 @@
         """Decides a load."""
         is_adapter = is_adapter_key(key)
         room.free_mib -= self._survey.grown_mib(room, key)
-        self._new_loads[is_adapter] += 1
+        if not self._is_at_hand(room, key):
+            self._new_loads[is_adapter] += 1
+            if not is_adapter:
+                self._state.store_tokens -= 1
         if not is_adapter:
-            self._state.store_tokens -= 1
             self._state.loads_count += 1
         kind = OrderKind.LOAD_ADAPTER if is_adapter else OrderKind.LOAD
         self._order(kind, room.life, key)
@@ -149,10 +166,12 @@
             if self._survey.copy_count(key) > 0
         ]
         for gain, key in sorted(gains, reverse=True):
-            if gain <= least_gain or not self.may_load(key):
+            if gain <= least_gain:
                 return
             if least_gain > GAIN_RATIO and not self._fills_memory(key):
                 continue
+            if not self._may_load_in(key, self._rooms(key)):
+                continue
             if key not in self._state.plans and not self._place(key):
                 self._plan(key, victims.SERVED_CLASS, self._rooms(key), gain)
             elif key in self._state.plans:
@@ -165,7 +184,9 @@
             key = f"adapter/{name}"
             if self._has_places(adapter.model):
                 continue
-            if not self.may_load(key) or self._search_count >= SEARCHES_PER_ROUND:
+            if not self._store_allows(key):
+                return
+            if self._search_count >= SEARCHES_PER_ROUND:
                 return
             if self._survey.copy_count(key) == 0 and key not in self._state.plans:
                 self._place(key)
@@ -201,7 +222,7 @@
             and self._taken_places.get(room.life.life_id, 0)
             < (self._state.fleet.free_adapter_places(room.life) or 0)
         ]
-        if fitting and self.may_load(key):
+        if fitting and self._store_allows(key):
             room = min(fitting, key=lambda room: room.busy_ratio)
             taken = self._taken_places.get(room.life.life_id, 0)
             self._taken_places[room.life.life_id] = taken + 1
@@ -232,7 +253,7 @@
                 if (
                     free - taken <= SPARE_PLACES_COUNT
                     or not self._survey.may_load(room, key)
-                    or not self.may_load(key)
+                    or not self._store_allows(key)
                     or room.free_mib < self._survey.grown_mib(room, key)
                 ):
                     continue
@@ -301,7 +322,7 @@
         room = self._best_room(key, self._rooms(key) if rooms is None else rooms)
         if room is None:
             return False
-        if self.may_load(key):
+        if self.may_load(key, room):
             self.load(room, key)
         return True
 
@@ -316,7 +337,7 @@
             return True
         # The survey took the plan's own memory off the room.
         grown_mib = self._survey.grown_mib(room, key)
-        if room.free_mib >= 0 and self.may_load(key):
+        if room.free_mib >= 0 and self.may_load(key, room):
             room.free_mib += grown_mib
             del self._state.plans[key]
             self.load(room, key)
@@ -343,14 +364,16 @@
         late = {id(room) for room in survey.late_rooms.get(key, ())}
         held = self._held_life(key)
         needed_mib = self._catalog.memory_mib(key) or 0
-        best: tuple[bool, bool, int] | None = None
+        best: tuple[bool, bool, bool, int] | None = None
         chosen = None
         for room in rooms:
             is_reserved = id(room) in late
             grown_mib = survey.grown_mib(room, key) if is_reserved else needed_mib
             if room.free_mib < grown_mib or room.life.life_id == held:
                 continue
-            rank = (is_reserved, room.life.zone not in zones, room.free_mib)
+            is_at_hand = self._is_at_hand(room, key)
+            is_new_zone = room.life.zone not in zones
+            rank = (is_reserved, is_at_hand, is_new_zone, room.free_mib)
             if (best is None or rank > best) and survey.may_load(room, key):
                 best, chosen = rank, room
         return chosen
@@ -399,7 +422,12 @@
         self._find_count += 1
         held = self._held_life(key)
         open_rooms = [room for room in rooms if room.life.life_id != held]
-        found = self._victims.find(key, allowed, open_rooms, gain, is_first=is_first)
+        at_hand = [room for room in open_rooms if self._is_at_hand(room, key)]
+        found = self._victims.find(key, allowed, at_hand, gain, is_first=is_first)
+        if found is None:
+            found = self._victims.find(
+                key, allowed, open_rooms, gain, is_first=is_first
+            )
         if found is None:
             return False
         room, keys = found
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
+from cassiapitch import backends, loadtimes
+from cassiapitch.backends import Life
 from cassiapitch.fleet import Fleet
 from cassiapitch.modeldemand import DECAY_MS, Demand
-from cassiapitch.orders import model_key
+from cassiapitch.orders import Order, is_adapter_key, model_key
 from cassiapitch.rooms import Survey
 
 # Hysteresis of section 8: a copy stays at least this long.
@@ -34,6 +36,12 @@
 # From the end of a load to the engine's report of it and the view at the entries.
 REPORT_DELAY_MS = 300
 
+# An adapter is there milliseconds after its order, which may wait for an unload.
+ADAPTER_READY_MS = 300
+
+# What is said of a load that should have ended.
+LEAST_REST_MS = 200
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
@@ -93,6 +101,14 @@
         self._age_plans(survey, now_ms)
         return survey
 
+    def role_lives(self, role: str) -> list[Life]:
+        """Returns the engines of a role that serve."""
+        return [
+            life
+            for life in self.fleet.lives.values()
+            if life.role == role and life.state == backends.SERVING
+        ]
+
     def note_backlog(self, life_id: str, tokens: int) -> None:
         """Averages the prompt tokens that wait to be read at an engine."""
         old = self.backlogs.get(life_id, 0.0)
@@ -113,7 +129,7 @@
         model = self.fleet.catalog.models.get(self.fleet.catalog.model_of(key) or "")
         if model is None or not model.load_ms:
             return RESIDENT_MS
-        return min(RESIDENT_MS, RESIDENT_LOADS_COUNT * model.load_ms)
+        return min(RESIDENT_MS, RESIDENT_LOADS_COUNT * loadtimes.reload_ms(model))
 
     def _refill(self, now_ms: int) -> None:
         rate = self.fleet.catalog.store.loads_per_s
@@ -193,28 +209,46 @@
     for order in state.fleet.open_orders.values():
         if order.is_load():
             seen_ms = state.order_seen_ms.get(order.order_id, now_ms)
-            rest_ms = _load_ms(state, order.model) - (now_ms - seen_ms)
-            expected[order.adapter or order.model] = max(200, rest_ms)
+            rest_ms = _order_ms(state, order) - (now_ms - seen_ms)
+            expected[order.adapter or order.model] = max(LEAST_REST_MS, rest_ms)
     gap_ms = 1_000 / catalog.store.loads_per_s
     rank = 0
+    served = state.served
     for _, key in state.demand.waiting():
         name = key.split("/", 1)[1]
         if name in expected:
             continue
-        rank += key == model_key(name)
-        model = model_key(catalog.model_of(key) or name)
+        if is_adapter_key(key) and model_key(catalog.model_of(key) or "") in served:
+            expected[name] = _blocked_ms(state, key, now_ms) + ADAPTER_READY_MS
+            continue
+        base = catalog.model_of(key) or ""
+        lives = state.role_lives(catalog.role_of(key) or "")
+        is_at_hand = any(loadtimes.is_at_hand(life, base) for life in lives)
+        rank += key == model_key(name) and not is_at_hand
+        model = model_key(base or name)
         role = catalog.roles.get(catalog.role_of(key) or "")
         delay_ms = VIEW_DELAY_MS if role is None else role.unload_delay_ms
         unload_ms = delay_ms if key in state.plans else 0
         blocked_ms = max(_blocked_ms(state, one, now_ms) for one in (key, model))
-        load_ms = _load_ms(state, catalog.model_of(key) or "")
-        expected[name] = int(blocked_ms + rank * gap_ms + unload_ms + load_ms)
+        store_ms = 0 if is_at_hand else rank * gap_ms
+        load_ms = _load_ms(state, base, lives)
+        expected[name] = int(blocked_ms + store_ms + unload_ms + load_ms)
     return expected
 
 
-def _load_ms(state: PlacementState, model: str) -> int:
+def _order_ms(state: PlacementState, order: Order) -> int:
+    """Returns the time until a load that was ordered shows in the view."""
+    if order.adapter:
+        return ADAPTER_READY_MS
+    item = state.fleet.catalog.models.get(order.model)
+    if item is None or not item.load_ms:
+        return int(state.load_ms)
+    return loadtimes.order_ms(item, order) + REPORT_DELAY_MS
+
+
+def _load_ms(state: PlacementState, model: str, lives: list[Life]) -> int:
     """Returns the time until a load that is ordered now shows in the view."""
     item = state.fleet.catalog.models.get(model)
     if item is None or not item.load_ms:
         return int(state.load_ms)
-    return item.load_ms + REPORT_DELAY_MS
+    return loadtimes.shortest_load_ms(item, lives) + REPORT_DELAY_MS
--- a/cassiapitch/platform/configuration.py
+++ b/cassiapitch/platform/configuration.py
@@ -44,6 +44,8 @@
     loadS: float = 0.0  # noqa: N815
     adapters: int = 0
     adapterMb: float = 0.0  # noqa: N815
+    warmS: float = 0.0  # noqa: N815
+    diskS: float = 0.0  # noqa: N815
 
 
 class _Engine(msgspec.Struct):
@@ -197,6 +199,8 @@
         role=role,
         memory_mib=_mib(model.weightsMb),
         load_ms=math.ceil(model.loadS * 1_000),
+        warm_load_ms=math.ceil(model.warmS * 1_000),
+        disk_load_ms=math.ceil(model.diskS * 1_000),
     )
 
 
--- a/cassiapitch/platform/heartbeats.py
+++ b/cassiapitch/platform/heartbeats.py
@@ -20,6 +20,13 @@
     adapters: list[str] = []
 
 
+class _AtHand(msgspec.Struct):
+    """Models whose weights an engine loads without the weight store."""
+
+    inMemory: list[str] = []  # noqa: N815
+    onDisk: list[str] = []  # noqa: N815
+
+
 class _Heartbeat(msgspec.Struct):
     service: Annotated[str, Meta(min_length=1)]
     address: str
@@ -29,6 +36,7 @@
     sequence: Natural
     born: Natural = 0
     models: list[_Model] = []
+    atHand: _AtHand = msgspec.field(default_factory=_AtHand)  # noqa: N815
 
 
 def decode(name: str, content: bytes) -> Announcement:
@@ -65,4 +73,6 @@
         leaving=beat.state == "draining",
         sequence=beat.sequence,
         started_ms=beat.born,
+        warm_models=tuple(map(ModelName, beat.atHand.inMemory)),
+        disk_models=tuple(map(ModelName, beat.atHand.onDisk)),
     )
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -31,6 +31,8 @@
     "loadS": 1.2,
     "adapters": 2,
     "adapterMb": 12.0,
+    "warmS": 0.57,
+    "diskS": 0.74,
 }
 ENGINE = {
     "weightsMb": 200000.0,
@@ -73,6 +75,8 @@
     assert found.forwards[0].repeat is Repeat.RESUMABLE_STREAM
     assert found.roles[0].silence_limit_ms == 3_600
     assert found.store.loads_in_flight_count == 2
+    assert (found.models[0].load_ms, found.models[0].disk_load_ms) == (1_200, 740)
+    assert found.models[0].warm_load_ms == 570
 
 
 def test_kind_that_is_not_known_runs_once():
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -26,6 +26,13 @@
     assert not found.leaving
 
 
+def test_models_at_hand_are_taken_from_a_heartbeat():
+    """Guards against loads from the store of what an engine has on its disk."""
+    beat = {**BEAT, "atHand": {"inMemory": ["m"], "onDisk": ["m", "n"]}}
+    found = heartbeats.decode("i-1", json.dumps(beat).encode())
+    assert (found.warm_models, found.disk_models) == (("m",), ("m", "n"))
+
+
 def test_second_start_under_one_id_is_another_life():
     later = {**BEAT, "born": BEAT["born"] + 1}
     first = heartbeats.decode("i-1", json.dumps(BEAT).encode())
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -22,10 +22,22 @@
 SPEED_TOKENS_PER_S = 25_800
 
 
+DISK_COUNT = 5
+
+
 class World:
     """Engines that hold three models each, and fourteen models."""
 
-    def __init__(self):
+    def __init__(self, load_ms=LOAD_MS, disk_load_ms=0, adapters=()):
+        """Starts the engines.
+
+        Args:
+            load_ms: Time of a load from the weight store.
+            disk_load_ms: Time of one from an engine's disk, which keeps the last few
+                models; 0 for engines that don't keep them.
+            adapters: Adapters of the bundle.
+        """
+        self.load_ms, self.disk_load_ms = load_ms, disk_load_ms
         self.fleet = Fleet()
         self.models = [f"m{number}" for number in range(14)]
         role = Role(
@@ -39,10 +51,11 @@
             unload_delay_ms=200,
         )
         models = tuple(
-            Model(name, "r", SIZE_MIB, load_ms=LOAD_MS) for name in self.models
+            Model(name, "r", SIZE_MIB, load_ms=load_ms, disk_load_ms=disk_load_ms)
+            for name in self.models
         )
         self.fleet.set_bundle(
-            Bundle(1, (role,), models, store=Store(1.1, 2, 16)),
+            Bundle(1, (role,), models, tuple(adapters), store=Store(1.1, 2, 16)),
         )
         self._apply(BeginTerm("t"))
         self.coordinator = Coordinator(self.fleet, "demand", self.fleet.term, 0)
@@ -50,8 +63,13 @@
             f"e{number}": {self.models[number], self.models[(number + 5) % 14]}
             for number in range(ENGINES_COUNT)
         }
+        self.disks = {
+            f"e{number}": [self.models[(number * 3 + i) % 14] for i in range(5)]
+            for number in range(ENGINES_COUNT)
+        }
         self.sequence = 0
         self.loads = []
+        self.store_loads = []
         self.busy = {}
         self.now_ms = 0
         self.random = random.Random(4)
@@ -72,6 +90,7 @@
             max_running_count=64,
             loaded=tuple(LoadedModel(model, 1) for model in sorted(self.held[name])),
             sequence=self.sequence,
+            disk_models=tuple(self.disks[name]) if self.disk_load_ms else (),
         )
         self.coordinator.on_announcement(announcement, self.now_ms)
 
@@ -82,6 +101,8 @@
                 del self.busy[name]
                 change = set.add if kind is OrderKind.LOAD else set.discard
                 change(self.held[name], model)
+                if kind is OrderKind.LOAD:
+                    self._keep_on_disk(name, model)
                 self._announce(name)
         if self.now_ms % 1_000 == 0:
             for name in self.held:
@@ -109,10 +130,14 @@
         if name in self.busy:
             answer = "busy"
         else:
-            took_ms = LOAD_MS if order.kind is OrderKind.LOAD else 300
+            is_on_disk = self.disk_load_ms and order.model in self.disks[name]
+            load_ms = self.disk_load_ms if is_on_disk else self.load_ms
+            took_ms = load_ms if order.kind is OrderKind.LOAD else 300
             self.busy[name] = (self.now_ms + took_ms, order.kind, order.model)
             if order.kind is OrderKind.LOAD:
                 self.loads.append((self.now_ms, order.model))
+                if not is_on_disk:
+                    self.store_loads.append(self.now_ms)
                 assert len(self.held[name]) < 3
         self.coordinator.on_response(order, send.attempt, answer)
         record = RecordAnswers(
@@ -120,6 +145,10 @@
         )
         self._apply(record)
 
+    def _keep_on_disk(self, name, model):
+        disk = [one for one in self.disks[name] if one != model]
+        self.disks[name] = [*disk, model][-DISK_COUNT:]
+
     def _in_flight(self, shares):
         """Prompts wait at engines that get more tokens than they read."""
         found = []
