Order nothing on an engine that carries out another order

Cause: an engine rejects an order while a load or unload of a model is under way.

Ruled out: the store's rate, and the residence of copies (both had room).

Both new tests in test_placement_demand.py fail with the flag off.

--- a/cassiapitch/bundle.py
+++ b/cassiapitch/bundle.py
@@ -65,6 +65,8 @@
             requests for what they don't hold.
         reports_load: Whether announcements state the requests that run and wait;
             otherwise the entries' counts of their own are added up.
+        orders_one_by_one: Whether its engines reject an order while another load or
+            unload of a model is under way.
         fills_memory: Whether copies take all memory in proportion to demand. For
             engines whose prompts, and not their slots, are what is scarce.
     """
@@ -81,6 +83,7 @@
     silence_limit_ms: CountOrZero = 0
     cache_tokens: CountOrZero = 0
     unload_delay_ms: CountOrZero = 2_000
+    orders_one_by_one: bool = False
     fills_memory: bool = False
     reports_load: bool = True
 
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -111,6 +111,7 @@
                 self._state.store_tokens -= 1
         if not is_adapter:
             self._state.loads_count += 1
+            self._survey.note_order(room)
         kind = OrderKind.LOAD_ADAPTER if is_adapter else OrderKind.LOAD
         self._order(kind, room.life, key)
 
@@ -265,8 +266,10 @@
         waiting = {one for _, one in self._state.demand.waiting()}
         found: list[tuple[bool, float, str, Room]] = []
         for room in rooms:
-            if self._has_open_unload(room.life):
+            if self._has_open_unload(room.life, adapters=True):
                 return
+            if room.is_ordered:
+                continue
             found.extend(
                 (
                     len(self._survey.copies.get(other, ())) <= 1,
@@ -332,12 +335,13 @@
         if plan.since_ms == self._now_ms:
             return True
         room = self._survey.rooms[plan.life_id]
-        if not self._survey.may_load(room, key):
+        if not self._survey.lacks(room, key):
             del self._state.plans[key]
             return True
         # The survey took the plan's own memory off the room.
         grown_mib = self._survey.grown_mib(room, key)
-        if room.free_mib >= 0 and self.may_load(key, room):
+        is_free = room.free_mib >= 0 and not room.is_ordered
+        if is_free and self.may_load(key, room):
             room.free_mib += grown_mib
             del self._state.plans[key]
             self.load(room, key)
@@ -347,8 +351,12 @@
             del self._state.plans[key]
         return True
 
-    def _has_open_unload(self, life: Life) -> bool:
-        return any(not order.is_load() for order in life.ledger.orders.values())
+    def _has_open_unload(self, life: Life, *, adapters: bool = False) -> bool:
+        """Tells whether an engine unloads anything, or any adapter."""
+        return any(
+            not order.is_load() and (bool(order.adapter) or not adapters)
+            for order in life.ledger.orders.values()
+        )
 
     def _rooms(self, key: str) -> list[Room]:
         """Returns the engines on which a model or adapter may be loaded."""
@@ -433,6 +441,7 @@
         room, keys = found
         for victim in keys:
             self._unload(room.life, victim)
+        self._survey.note_order(room)
         room.free_mib -= self._survey.grown_mib(room, key)
         self._state.plans[key] = Plan(room.life.life_id, self._now_ms)
         return True
--- a/cassiapitch/platform/configuration.py
+++ b/cassiapitch/platform/configuration.py
@@ -187,6 +187,7 @@
         connections_limit_count=service.maxConnections,
         silence_limit_ms=deployment.silence_ms,
         unload_delay_ms=UNLOAD_DELAY_MS,
+        orders_one_by_one=True,
         fills_memory=True,
         reports_load=False,
         cache_tokens=0 if engine is None else engine.kvCapacityTokens,
--- a/cassiapitch/rooms.py
+++ b/cassiapitch/rooms.py
@@ -22,12 +22,14 @@
         capacity_mib: Memory that may be used on it.
         free_mib: Memory that neither the ledger nor a plan takes.
         busy_ratio: Requests that it runs and that wait there, by its limit.
+        is_ordered: Whether it would reject an order, since it carries out another.
     """
 
     life: Life
     capacity_mib: int
     free_mib: int
     busy_ratio: float
+    is_ordered: bool = False
 
 
 class Survey:
@@ -66,6 +68,9 @@
         capacity_mib = self.fleet.capacity_mib(life)
         busy_ratio = sum(requests) / max(1, life.max_running_count)
         room = Room(life, capacity_mib, capacity_mib - life.charged_mib, busy_ratio)
+        room.is_ordered = self._is_one_by_one(life.role) and any(
+            not order.adapter for order in life.ledger.orders.values()
+        )
         self.rooms[life.life_id] = room
         self.by_role[life.role].append(room)
         usable = self.fleet.usable_keys(life)
@@ -77,6 +82,14 @@
         if len(usable) < len(life.ledger.reported):
             self._find_strays(life)
 
+    def _is_one_by_one(self, role: str) -> bool:
+        item = self.fleet.catalog.roles.get(role)
+        return item is not None and item.orders_one_by_one
+
+    def note_order(self, room: Room) -> None:
+        """Notes that a load or unload of a model was decided for an engine."""
+        room.is_ordered = self._is_one_by_one(room.life.role)
+
     def _has_model(self, key: str, usable: list[str]) -> bool:
         return model_key(self.fleet.catalog.model_of(key) or "") in usable
 
@@ -106,6 +119,10 @@
         return max(0, needed_mib - room.life.ledger.late_mib(key))
 
     def may_load(self, room: Room, key: str) -> bool:
+        """Tells whether an engine lacks a model or adapter and would take an order."""
+        return not room.is_ordered and self.lacks(room, key)
+
+    def lacks(self, room: Room, key: str) -> bool:
         """Tells whether an engine lacks a model or adapter and has no order on it."""
         ledger = room.life.ledger
         if is_adapter_key(key) and not self.fleet.has_adapter_place(room.life):
--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -114,7 +114,11 @@
             for room in rooms
             for key in room.life.ledger.reported
         ]
-        return max(min(rests_ms, default=0), HOT_AFTER_MS - age_ms, 0)
+        rest_ms = min(rests_ms, default=0)
+        if any(room.is_ordered for room in rooms):
+            # It may make room once it has carried out its order.
+            return rest_ms
+        return max(rest_ms, HOT_AFTER_MS - age_ms, 0)
 
     def _list(self, role: str) -> list[tuple[int, float, str, str]]:
         if role not in self._lists:
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -3,7 +3,7 @@
 import random
 
 from cassiapitch.announcements import Announcement, LoadedModel
-from cassiapitch.bundle import Bundle, Model, Role, Store
+from cassiapitch.bundle import Adapter, Bundle, Model, Role, Store
 from cassiapitch.coordinator import Coordinator
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import (
@@ -49,6 +49,8 @@
             fills_memory=True,
             reports_load=False,
             unload_delay_ms=200,
+            orders_one_by_one=True,
+            adapter_places_count=5,
         )
         models = tuple(
             Model(name, "r", SIZE_MIB, load_ms=load_ms, disk_load_ms=disk_load_ms)
@@ -68,6 +70,8 @@
             for number in range(ENGINES_COUNT)
         }
         self.sequence = 0
+        self.adapters = {name: set() for name in self.held}
+        self.declined = []
         self.loads = []
         self.store_loads = []
         self.busy = {}
@@ -90,6 +94,7 @@
             max_running_count=64,
             loaded=tuple(LoadedModel(model, 1) for model in sorted(self.held[name])),
             sequence=self.sequence,
+            adapters=tuple(sorted(self.adapters[name])),
             disk_models=tuple(self.disks[name]) if self.disk_load_ms else (),
         )
         self.coordinator.on_announcement(announcement, self.now_ms)
@@ -103,6 +108,12 @@
                 change(self.held[name], model)
                 if kind is OrderKind.LOAD:
                     self._keep_on_disk(name, model)
+                else:
+                    self.adapters[name] = {
+                        one
+                        for one in self.adapters[name]
+                        if not one.startswith(f"{model}/")
+                    }
                 self._announce(name)
         if self.now_ms % 1_000 == 0:
             for name in self.held:
@@ -129,6 +140,11 @@
         answer = "accepted"
         if name in self.busy:
             answer = "busy"
+            self.declined.append(order)
+        elif order.adapter:
+            answer = "done"
+            change = set.add if order.is_load() else set.discard
+            change(self.adapters[name], order.adapter)
         else:
             is_on_disk = self.disk_load_ms and order.model in self.disks[name]
             load_ms = self.disk_load_ms if is_on_disk else self.load_ms
@@ -232,4 +248,25 @@
     assert len(world.loads) <= 5
 
 
+def test_no_load_is_ordered_where_another_order_is_under_way():
+    """Guards against a model in demand that waits behind a rare one's slow load."""
+    world = World(6_400, 1_300)
+    play(skewed(("m0", "m1", "m2")), 15, world)
+    play(skewed(("m7", "m8", "m9")), 25, world)
+    assert [order for order in world.declined if order.is_load()] == []
+    assert world.loads
+
+
+def test_adapters_are_loaded_where_no_other_order_is_under_way():
+    """Guards against requests that wait for an adapter until a model is loaded."""
+    names = [f"m0/a{number}" for number in range(1, 21)]
+    world = World(6_400, 1_300, tuple(Adapter(name, "m0", 1) for name in names))
+    hot = skewed(("m0", "m1", "m2"))
+    play(hot, 15, world)
+    play({**hot, **dict.fromkeys(names, 0.02)}, 25, world)
+    declined = [order for order in world.declined if order.adapter]
+    assert declined == []
+    assert sum(map(len, world.adapters.values())) >= 5
+
+
 MODELS_HELD = {f"m{number}" for number in range(10)}
