Keep only copies while demand is unknown, and spare no copy for its adapters

And a waiting adapter kept every copy of its model, not only the last.

Change: near the beginning a model's demand counts as the mean, more so the less time it was observed; waiting protects a last copy alone.

Ruled out: residence (what a new leader finds may go at once, as it should).

--- a/cassiapitch/modeldemand.py
+++ b/cassiapitch/modeldemand.py
@@ -1,8 +1,10 @@
 """Demand for models and adapters, and the list of those that requests wait for."""
 
+import dataclasses
 import math
 from collections.abc import Callable
 
+from cassiapitch.fleet_catalog import Catalog
 from cassiapitch.messages import (
     DemandReport,
 )
@@ -28,6 +30,7 @@
         self._levels: dict[str, tuple[float, int]] = {}
         self._waiting: dict[str, int] = {}
         self._entry_waits: dict[str, tuple[int, int]] = {}
+        self._first_ms: int | None = None
 
     def note(
         self, report: DemandReport, adapters: dict[str, str], now_ms: int
@@ -58,6 +61,15 @@
         self._entry_waits[report.entry] = (waiting_count, now_ms)
         return new
 
+    def follow(self, earlier: "Demand") -> None:
+        """Takes over the rates that were observed before."""
+        self._levels = dict(earlier._levels)
+        self._first_ms = earlier._first_ms
+
+    def observed_ms(self, now_ms: int) -> int:
+        """Returns the time since the first request was reported; 0 before."""
+        return 0 if self._first_ms is None else now_ms - self._first_ms
+
     def rate(self, key: str, now_ms: int) -> float:
         """Returns tokens per second asked of a model or adapter."""
         level, since_ms = self._levels.get(key, (0.0, now_ms))
@@ -98,6 +110,27 @@
         )
 
     def _add(self, key: str, tokens: int, now_ms: int) -> None:
+        if self._first_ms is None:
+            self._first_ms = now_ms
         level, since_ms = self._levels.get(key, (0.0, now_ms))
         decayed = level * math.exp((since_ms - now_ms) / self.decay_ms)
         self._levels[key] = (decayed + tokens, now_ms)
+
+
+def note_report(
+    demand: Demand, report: DemandReport, catalog: Catalog, now_ms: int
+) -> set[str]:
+    """Takes what a report says of models of the bundle; returns as `Demand.note`."""
+    adapters = {
+        item.model: catalog.adapters[item.model].model
+        for item in report.demands
+        if item.model in catalog.adapters
+    }
+    # An entry may be a bundle behind, or ahead.
+    known = tuple(
+        item
+        for item in report.demands
+        if item.model in catalog.models or item.model in adapters
+    )
+    report = dataclasses.replace(report, demands=known)
+    return demand.note(report, adapters, now_ms)
--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -1,5 +1,7 @@
 """Which copies give way when an engine must make room."""
 
+import math
+
 from cassiapitch.backends import Life
 from cassiapitch.orders import is_adapter_key, model_key
 from cassiapitch.placement_state import PlacementState
@@ -24,6 +26,9 @@
 # model costs a load and its next caller the time of it.
 ONLY_COPY_RATIO = 3.0
 
+# Time constant in which demand becomes known: half of that over which it is averaged.
+OBSERVATION_MS = 10_000
+
 # Backlog of prompt tokens from which an engine counts as loaded: one long prompt waits
 # on the average.
 LOADED_TOKENS = 2_500.0
@@ -52,6 +57,7 @@
         self._wanted = wanted
         self._now_ms = now_ms
         self._lists: dict[str, list[tuple[int, float, str, str]]] = {}
+        self._mean_rates: dict[str, float] = {}
         # An adapter that is waited for needs its model as well.
         waiting = [key for _, key in state.demand.waiting()]
         models = [state.fleet.catalog.model_of(key) or "" for key in waiting]
@@ -128,8 +134,8 @@
                 for key in ledger.reported.keys() | ledger.late.keys():
                     level = self._class(room.life, key)
                     if level is not None:
-                        if self._by_value(role):
-                            level = min(level, SERVED_CLASS)
+                        if self._by_value(role) and level != ORPHAN_CLASS:
+                            level = SERVED_CLASS
                         found.append((level, self._value(key), room.life.life_id, key))
             self._lists[role] = sorted(found)
         return self._lists[role]
@@ -187,8 +193,35 @@
 
     def _value(self, key: str) -> float:
         """Returns the demand that one copy serves, by which copies give way."""
-        copies_count = max(1, len(self._survey.copies.get(key, ())))
-        return self._state.demand.rate(key, self._now_ms) / copies_count
+        return self._rate(key) / max(1, len(self._survey.copies.get(key, ())))
+
+    def _rate(self, key: str) -> float:
+        """Returns the demand for a model, near the mean as long as little is known.
+
+        Answers the first seconds of traffic or of a leader's term: a model that nobody
+        has asked for yet may be the one in demand, so that further copies of others
+        give way before its only one.
+        """
+        rate = self._state.demand.rate(key, self._now_ms)
+        if is_adapter_key(key):
+            return rate
+        observed_ms = self._state.demand.observed_ms(self._now_ms)
+        unknown = math.exp(-observed_ms / OBSERVATION_MS)
+        return rate + unknown * (self._mean_rate(key) - rate)
+
+    def _mean_rate(self, key: str) -> float:
+        role = self._state.fleet.catalog.role_of(key) or ""
+        if role not in self._mean_rates:
+            names = [
+                name
+                for name, model in self._state.fleet.catalog.models.items()
+                if model.role == role
+            ]
+            total = sum(
+                self._state.demand.rate(model_key(name), self._now_ms) for name in names
+            )
+            self._mean_rates[role] = total / max(1, len(names))
+        return self._mean_rates[role]
 
     def _gives_way(
         self, victim: str, key: str, allowed: int, *, is_first: bool
@@ -202,15 +235,15 @@
         """
         if is_first and allowed >= HOT_CLASS:
             return True
-        if victim in self._waiting:
+        is_only = len(self._survey.copies.get(victim, ())) <= 1
+        if is_only and victim in self._waiting:
             return False
-        rate = self._state.demand.rate(key, self._now_ms)
+        rate = self._rate(key)
         if is_first:
             return self._value(victim) < GAIN_RATIO * rate
         if not self._is_loaded(key):
             return False
         copies_count = len(self._survey.copies.get(key, ()))
-        is_only = len(self._survey.copies.get(victim, ())) <= 1
         ratio = ONLY_COPY_RATIO if is_only else GAIN_RATIO
         return ratio * self._value(victim) < rate / (copies_count + 1)
 
