Let a new leader know demand and order engines that nobody has just ordered

Cause: a term began with no demand, so that whoever asked first displaced models in demand, and gave no orders for leaseMs; orders that it decided meanwhile were sent 3 s later, from what was known at the start.

Change: every member adds up the demand of the entries linked to it and notes when each engine was last ordered; a term starts from both. An engine is held for leaseMs and a margin after the last order, answer or open unanswered order of another leader, the others not at all, and placement decides nothing for held ones.

Ruled out: holding from the record of an attempt only: a recorded order may be sent later, behind another one.

--- a/cassiapitch/backends.py
+++ b/cassiapitch/backends.py
@@ -51,6 +51,7 @@
         started_ms: Its start by its own clock, 0 if it doesn't say.
         warm_models: Models whose weights are in its host's memory.
         disk_models: Models whose weights are on its disk.
+        order_steps_count: Attempts of orders, and answers to them, that were recorded.
     """
 
     name: BackendName
@@ -71,6 +72,7 @@
     started_ms: int = 0
     warm_models: tuple[ModelName, ...] = ()
     disk_models: tuple[ModelName, ...] = ()
+    order_steps_count: int = 0
 
     def allows(self, event: str) -> bool:
         """Tells whether the chart has a transition for an event."""
--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -14,6 +14,7 @@
 from cassiapitch.coordinator import Coordinator, SendOrder
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import BeginTerm, MarkBackends, RecordOrders
+from cassiapitch.handover import Handover
 from cassiapitch.messages import (
     DemandReport,
     LoadReports,
@@ -51,10 +52,11 @@
             policy: Placement policy, `demand` or `fixed`.
             random: Source of the terms' tokens.
             send_order: Makes an attempt to send an order.
-            lease_ms: How long a new term sends no orders.
+            lease_ms: How long after an earlier leader's order to an engine a new term
+                sends it none.
         """
         self._send_order = send_order
-        self._lease_ms = lease_ms
+        self._handover = Handover(fleet, lease_ms)
         self._propose = propose
         self._fleet = fleet
         self._is_leader = is_leader
@@ -72,6 +74,10 @@
             if self._coordinator.has_reports():
                 self._poked.set()
 
+    def on_own_demand(self, report: DemandReport) -> None:
+        """Takes the demand of an entry that is linked to this member."""
+        self._handover.on_demand(report, self._now_ms())
+
     def on_demand(self, report: DemandReport) -> None:
         """Takes an entry's demand report."""
         if self._coordinator is not None:
@@ -102,6 +108,7 @@
     async def _turn(self, group: anyio.abc.TaskGroup) -> None:
         if not self._is_leader():
             self._coordinator = None
+            self._handover.watch(self._now_ms())
             return
         if self._coordinator is None or self._fleet.term_token != self._token:
             await self._begin_term()
@@ -115,8 +122,14 @@
         if self._fleet.term_token != self._token:
             return
         term = self._fleet.term
+        self._handover.watch(self._now_ms())
         self._coordinator = Coordinator(
-            self._fleet, self._policy, term, self._now_ms(), self._lease_ms
+            self._fleet,
+            self._policy,
+            term,
+            self._now_ms(),
+            demand=self._handover.demand,
+            held_until_ms=self._handover.held_until_ms(),
         )
         events.log(events.Event.TERM_BEGUN, term=term)
 
--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -49,6 +49,9 @@
     def on_demand(self, report: DemandReport) -> None:
         """Takes an entry's demand."""
 
+    def on_own_demand(self, report: DemandReport) -> None:
+        """Takes the demand of an entry that is linked to this member."""
+
     def load_reports(self) -> LoadReports:
         """Returns what is new since the last call."""
 
@@ -114,7 +117,7 @@
             self.state,
             self.member,
             self._proposals,
-            self._relay.send,
+            self._pass_on,
         )
         self._placement = parts.make_placement(self.member)
         self._admin = AdminApi(
@@ -130,6 +133,12 @@
     def _on_applied(self, index: int) -> None:
         self.hub.on_applied(index)
 
+    def _pass_on(self, message: Any) -> None:
+        """Passes an entry's message to the leader."""
+        if isinstance(message, DemandReport):
+            self._placement.on_own_demand(message)
+        self._relay.send(message)
+
     def _on_leader(self, message: Any, reply: Callable[[Any], None]) -> None:
         match message:
             case RateAsk():
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -29,6 +29,7 @@
     LoadReport,
     LoadReports,
 )
+from cassiapitch.modeldemand import Demand, note_report
 from cassiapitch.orders import Order, is_adapter_key
 from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState
 
@@ -108,7 +109,14 @@
     """State of one controller term, in memory."""
 
     def __init__(
-        self, fleet: Fleet, policy: str, term: int, now_ms: int, lease_ms: int = 0
+        self,
+        fleet: Fleet,
+        policy: str,
+        term: int,
+        now_ms: int,
+        *,
+        demand: Demand | None = None,
+        held_until_ms: dict[str, int] | None = None,
     ) -> None:
         """Begins a term that is already in force in the fleet.
 
@@ -117,12 +125,15 @@
             policy: Placement policy.
             term: The term.
             now_ms: The current time.
-            lease_ms: How long an earlier leader's orders may still count as current;
-                this term sends none before.
+            demand: Demand that this member has seen before.
+            held_until_ms: Times, by life, until which an earlier leader's orders may
+                still count as current; this term sends none before.
         """
         self.term = term
-        self._lease_ms = lease_ms
         self.placement = PlacementState(fleet, policy, now_ms)
+        self.placement.held_until_ms = held_until_ms or {}
+        if demand is not None:
+            self.placement.demand.follow(demand)
         self._fleet = fleet
         self._begun_ms = now_ms
         self._heard_ms: dict[str, int] = {}
@@ -174,20 +185,7 @@
 
     def on_demand(self, report: DemandReport, now_ms: int) -> None:
         """Takes an entry's demand and the connections that it was refused."""
-        catalog = self._fleet.catalog
-        adapters = {
-            item.model: catalog.adapters[item.model].model
-            for item in report.demands
-            if item.model in catalog.adapters
-        }
-        # An entry may be a bundle behind, or ahead.
-        known = tuple(
-            item
-            for item in report.demands
-            if item.model in catalog.models or item.model in adapters
-        )
-        report = dataclasses.replace(report, demands=known)
-        new = self.placement.demand.note(report, adapters, now_ms)
+        new = note_report(self.placement.demand, report, self._fleet.catalog, now_ms)
         unserved = [key for key in new if key not in self.placement.served]
         if unserved:
             is_quick = any(is_adapter_key(key) for key in unserved)
@@ -279,9 +277,11 @@
         """
         self._forget_settled()
         found: list[SendOrder] = []
-        if now_ms - self._begun_ms < self._lease_ms:
-            return found
-        blocked: set[str] = set()
+        blocked = {
+            life_id
+            for life_id, until_ms in self.placement.held_until_ms.items()
+            if until_ms > now_ms
+        }
         for order in self._fleet.open_orders.values():
             life = self._fleet.lives[order.backend]
             progress = self._progress.setdefault(order.order_id, _Progress(now_ms))
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -320,6 +320,7 @@
             from_store=is_adapter or not loadtimes.is_at_hand(life, name_of(new.item)),
         )
         life.ledger.orders[order.order_id] = order
+        life.order_steps_count += 1
         if order.is_load():
             life.ledger.sizes[order.key] = order.memory_mib
         self._open[order.order_id] = order
@@ -386,12 +387,14 @@
             order.attempt_count = attempt.attempt
             order.attempt_term = self.term
             order.unanswered.append(attempt.attempt)
+            self.lives[order.backend].order_steps_count += 1
 
     def _answer(self, answer: OrderAnswer) -> None:
         order = self._open.get(answer.order_id)
         life = self.lives.get(answer.backend)
         if life is None:
             return
+        life.order_steps_count += 1
         is_accepted = answer.answer == "accepted"
         life.ledger.answer(answer.order_id, answer.attempt, accepted=is_accepted)
         is_stale = answer.answer == "stale_fence" and life.fencing
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -75,6 +75,8 @@
         self.order_seen_ms: dict[str, int] = {}
         self.bundle_seen_ms = now_ms
         self.blocked_until_ms: dict[str, int] = {}
+        # Lives that another leader may still be ordering.
+        self.held_until_ms: dict[str, int] = {}
         self.served: set[str] = set()
         self._bundle_version = fleet.catalog.version
         self._resident_ms: dict[tuple[str, str], int] | None = None
@@ -94,7 +96,12 @@
             order_id: now_ms - seen_ms > LOAD_PATIENCE_MS + 2 * self.load_ms
             for order_id, seen_ms in self.order_seen_ms.items()
         }
-        survey = Survey(self.fleet, self.requests, is_late)
+        held = {
+            life_id
+            for life_id, until_ms in self.held_until_ms.items()
+            if until_ms > now_ms
+        }
+        survey = Survey(self.fleet, self.requests, is_late, held)
         self.served = {key for key, copies in survey.copies.items() if copies}
         self._age_residents(survey, now_ms)
         self._age_waiting(survey)
--- a/cassiapitch/rooms.py
+++ b/cassiapitch/rooms.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Collection
 
 from cassiapitch import backends
 from cassiapitch.backends import Life
@@ -22,7 +23,8 @@
         capacity_mib: Memory that may be used on it.
         free_mib: Memory that neither the ledger nor a plan takes.
         busy_ratio: Requests that it runs and that wait there, by its limit.
-        is_ordered: Whether it would reject an order, since it carries out another.
+        is_ordered: Whether it may get no order now, for instance since it would reject
+            one while it carries out another.
     """
 
     life: Life
@@ -40,6 +42,7 @@
         fleet: Fleet,
         requests: dict[str, tuple[int, int]],
         is_late: dict[str, bool],
+        held: Collection[str] = (),
     ) -> None:
         """Reads the fleet.
 
@@ -48,7 +51,9 @@
             requests: Running and waiting requests by life id, as announced.
             is_late: Tells for each open order whether it has been open for so
                 long that its engine is no longer counted on.
+            held: Lives that may not get orders yet.
         """
+        self._held = held
         self.fleet = fleet
         self.rooms: dict[str, Room] = {}
         self.by_role: dict[str, list[Room]] = collections.defaultdict(list)
@@ -68,8 +73,9 @@
         capacity_mib = self.fleet.capacity_mib(life)
         busy_ratio = sum(requests) / max(1, life.max_running_count)
         room = Room(life, capacity_mib, capacity_mib - life.charged_mib, busy_ratio)
-        room.is_ordered = self._is_one_by_one(life.role) and any(
-            not order.adapter for order in life.ledger.orders.values()
+        is_busy = any(not order.adapter for order in life.ledger.orders.values())
+        room.is_ordered = life.life_id in self._held or (
+            is_busy and self._is_one_by_one(life.role)
         )
         self.rooms[life.life_id] = room
         self.by_role[life.role].append(room)
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -80,8 +80,8 @@
         seed_rpc_port: Where the peers of every member reach it, for `seeds`.
         tolerated_faults_count: Members that may be lost at once; the group then
             admits and replaces members by itself. None leaves that to operators.
-        order_lease_ms: How long a new leader gives no orders to engines, so that
-            two members never take turns.
+        order_lease_ms: How long after another leader's order to an engine a new
+            leader sends it none, so that two members never take turns.
         heartbeat_ms: Time between two heartbeats of a backend server.
         admin_listen: `admin_address` as text.
         load_period_ms: Time between two load reports to the entries.
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,76 @@
+"""Plays the loss of a leader beside skewed demand."""
+
+from cassiapitch.handover import Handover
+from tests.test_placement_demand import World, play, skewed
+
+LEASE_MS = 3_000
+HOT = ("m0", "m1", "m2")
+
+
+def make_world():
+    world = World()
+    handover = Handover(world.fleet, LEASE_MS)
+    world.on_report = handover.on_demand
+    return world, handover
+
+
+def run(world, handover, seconds):
+    for _ in range(10 * seconds):
+        play(skewed(HOT), 0.1, world)
+        handover.watch(world.now_ms)
+
+
+def test_models_in_demand_keep_their_copies_after_a_change_of_the_leader():
+    """Guards against a new leader to which all models look alike."""
+    world, handover = make_world()
+    run(world, handover, 25)
+    before = {model: world.copies(model) for model in HOT}
+    world.change_leader(demand=handover.demand, held_until_ms=handover.held_until_ms())
+    # The first reports that reach it happen to be of rarely asked models.
+    absent = [model for model in world.models if not world.copies(model)]
+    play(dict.fromkeys(absent, 0.1), 1, world)
+    play(skewed(HOT), 1, world)
+    assert {model: world.copies(model) for model in HOT} == before
+
+
+def test_engine_gets_no_orders_of_two_leaders_within_the_lease():
+    """Guards against holders that take turns at an engine."""
+    world, handover = make_world()
+    for _ in range(4):
+        run(world, handover, 7)
+        world.change_leader(
+            demand=handover.demand, held_until_ms=handover.held_until_ms()
+        )
+    last = {}
+    for at_ms, send, term in world.sent:
+        earlier = last.get(send.order.backend)
+        if earlier is not None and earlier[1] != term:
+            assert at_ms - earlier[0] >= LEASE_MS
+        last[send.order.backend] = (at_ms, term)
+    assert len({term for _, _, term in world.sent}) > 2
+
+
+def test_new_leader_orders_engines_at_once_that_nobody_has_ordered():
+    """Guards against seconds without orders after each change of the leader."""
+    world, handover = make_world()
+    run(world, handover, 20)
+    busy = {send.order.backend for at_ms, send, _ in world.sent if at_ms > 14_000}
+    idle = next(name for name in world.held if name not in busy)
+    handover.watch(world.now_ms)
+    world.change_leader(demand=handover.demand, held_until_ms=handover.held_until_ms())
+    world.held[idle].clear()
+    world._announce(idle)
+    begun_ms = world.now_ms
+    play(skewed(HOT), 2, world)
+    assert [send for at_ms, send, _ in world.sent if at_ms > begun_ms]
+
+
+def test_engine_without_known_attempts_is_held_after_a_snapshot():
+    """Guards against a member that learns of an order late and orders at once."""
+    world, handover = make_world()
+    run(world, handover, 10)
+    late = Handover(world.fleet, LEASE_MS)
+    late.watch(world.now_ms)
+    ordered = {send.order.life_id for _, send, _ in world.sent}
+    assert late.held_until_ms().keys() == ordered
+    assert all(until_ms > world.now_ms for until_ms in late.held_until_ms().values())
