--- a/cassiapitch/logwriter.py
+++ b/cassiapitch/logwriter.py
@@ -23,10 +23,13 @@
         """Makes a writer.
 
         Args:
-            descriptor: Where to write; a pipe whose reader is slow loses lines.
+            descriptor: Where to write; a pipe whose reader is slow loses lines. The
+                writer keeps a duplicate of its own.
             now_ms: The clock.
         """
-        self._descriptor = descriptor
+        # A number that its owner closes may be given to a connection, into which log
+        # lines would go.
+        self._descriptor = os.dup(descriptor)
         self._now_ms = now_ms
         self._lines = float(BURST_LINES_COUNT)
         self._refilled_ms = now_ms()
--- a/tests/test_logwriter.py
+++ b/tests/test_logwriter.py
@@ -1,5 +1,7 @@
 import os
 
+import pytest
+
 from cassiapitch.logwriter import BURST_LINES_COUNT, LogWriter
 
 
@@ -36,3 +38,18 @@
     log.write(b"a\n")
     assert log.omitted_count == 1
     os.close(writer)
+
+
+def test_lines_never_go_into_what_gets_the_number_of_a_closed_descriptor():
+    """Guards against log lines in the middle of a request to a backend server."""
+    reader, writer = os.pipe()
+    other_reader, other_writer = os.pipe()
+    log = LogWriter(writer, lambda: 0)
+    os.dup2(other_writer, writer)
+    log.write(b"a\n")
+    os.set_blocking(other_reader, False)
+    with pytest.raises(BlockingIOError):
+        os.read(other_reader, 100)
+    assert os.read(reader, 100) == b"a\n"
+    for descriptor in (reader, writer, other_reader, other_writer):
+        os.close(descriptor)
