Hold no tokens ahead that admit no whole call

Cause: an entry asks for twice what it admits in a period, ahead of calls. Where an account's calls are few, large and spread over many entries, that is a fraction of a call: it lies unused for a second at entries that can admit nothing with it and is missing where a call waits.

Change: an entry asks ahead only for as much as a usual call of the account costs, or more.

Ruled out: the wait for a record of floors (20 ms), the burst (one central bucket of it refuses half as many).

--- a/cassiapitch/budget.py
+++ b/cassiapitch/budget.py
@@ -115,6 +115,7 @@
     debt_tokens: int = 0
     period_tokens: int = 0
     average_tokens: float = 0.0
+    usual_cost_tokens: float = 0.0
 
     def held_tokens(self) -> int:
         return sum(grant.tokens for grant in self.grants)
@@ -165,6 +166,7 @@
             return OverBurst(largest_cost(account))
         state = self._accounts.setdefault(account.name, _AccountBudget())
         state.period_tokens += tokens
+        _note_cost(state, tokens)
         self._drop_expired(account.name, state, now_ms)
         if not state.waiters and state.held_tokens() >= tokens + state.debt_tokens:
             return self._admit(account.name, state, tokens)
@@ -291,7 +293,7 @@
         covered = state.held_tokens() + self._open_tokens(name, now_ms)
         needed = max(0, waiting - covered)
         spare = max(0, covered - waiting)
-        expected = max(0, int(2 * state.average_tokens) - spare)
+        expected = max(0, _expected_tokens(state) - spare)
         if needed == 0 and expected == 0:
             return None
         # Tokens held already don't have to be in the share for the largest call.
@@ -398,6 +400,23 @@
     return draws
 
 
+def _note_cost(state: _AccountBudget, tokens: int) -> None:
+    if not state.usual_cost_tokens:
+        state.usual_cost_tokens = float(tokens)
+    change = tokens - state.usual_cost_tokens
+    state.usual_cost_tokens += AVERAGE_WEIGHT * change
+
+
+def _expected_tokens(state: _AccountBudget) -> int:
+    """Returns what to hold ahead for calls that are likely in the next two periods.
+
+    Answers few large calls spread over many entries: less than one whole call admits
+    nothing and is missing where a call waits.
+    """
+    expected = 2 * state.average_tokens
+    return int(expected) if expected >= state.usual_cost_tokens else 0
+
+
 def _close_period(state: _AccountBudget) -> None:
     change = state.period_tokens - state.average_tokens
     state.average_tokens += AVERAGE_WEIGHT * change
