Write standard error under its own number

Change: standard descriptors are written as they are; others are duplicated. The new test fails without the change; the one against reused numbers passes.

--- a/cassiapitch/logwriter.py
+++ b/cassiapitch/logwriter.py
@@ -12,6 +12,8 @@
 LINES_PER_S = 400
 BURST_LINES_COUNT = 1_200
 PENDING_LIMIT_BYTES = 512 * 1024
+# Standard output and standard error.
+STANDARD_DESCRIPTORS = (1, 2)
 
 
 class LogWriter:
@@ -24,12 +26,14 @@
 
         Args:
             descriptor: Where to write; a pipe whose reader is slow loses lines. The
-                writer keeps a duplicate of its own.
+                writer keeps a duplicate of its own, unless it is a standard one.
             now_ms: The clock.
         """
         # A number that its owner closes may be given to a connection, into which log
-        # lines would go.
-        self._descriptor = os.dup(descriptor)
+        # lines would go. Standard ones stay open, and collectors know their numbers.
+        self._descriptor = (
+            descriptor if descriptor in STANDARD_DESCRIPTORS else os.dup(descriptor)
+        )
         self._now_ms = now_ms
         self._lines = float(BURST_LINES_COUNT)
         self._refilled_ms = now_ms()
--- a/tests/test_logwriter.py
+++ b/tests/test_logwriter.py
@@ -1,4 +1,6 @@
 import os
+import subprocess
+import sys
 
 import pytest
 
@@ -53,3 +55,17 @@
     assert os.read(reader, 100) == b"a\n"
     for descriptor in (reader, writer, other_reader, other_writer):
         os.close(descriptor)
+
+
+def test_standard_error_is_written_under_its_own_number():
+    """Guards against a log that a collector of standard error does not see."""
+    program = (
+        "import os\n"
+        "from cassiapitch.logwriter import LogWriter\n"
+        "log = LogWriter(2, lambda: 0)\n"
+        "write = os.write\n"
+        "os.write = lambda number, data: write(1, b'%d' % number) and len(data)\n"
+        "log.write(b'a')\n"
+    )
+    done = subprocess.run([sys.executable, "-c", program], capture_output=True)
+    assert done.stdout == b"2"
