Average followed demand as placement does

Ruled out: nothing else; found by reading the diff.

Change: the table takes the time constant of the bundle and forgets what the bundle no longer has. The new test fails without the change.

--- a/cassiapitch/handover.py
+++ b/cassiapitch/handover.py
@@ -8,6 +8,7 @@
 from cassiapitch.fleet import Fleet
 from cassiapitch.messages import DemandReport
 from cassiapitch.modeldemand import Demand, note_report
+from cassiapitch.placement_state import demand_decay_ms
 
 # An answer is recorded this long after its order at most, as long as the member that
 # sent it still leads.
@@ -28,6 +29,7 @@
         self._lease_ms = lease_ms
         self._steps: dict[str, int] = {}
         self._ordered_ms: dict[str, int] = {}
+        self._bundle_version = 0
         self.demand = Demand()
 
     def on_demand(self, report: DemandReport, now_ms: int) -> None:
@@ -38,7 +40,12 @@
         note_report(self.demand, report, self._fleet.catalog, now_ms)
 
     def watch(self, now_ms: int) -> None:
-        """Notes which engines were ordered since the last call."""
+        """Notes which engines were ordered since the last call, and a new bundle."""
+        catalog = self._fleet.catalog
+        if catalog.version != self._bundle_version:
+            self._bundle_version = catalog.version
+            self.demand.decay_ms = demand_decay_ms(self._fleet)
+            self.demand.keep(lambda key: catalog.role_of(key) is not None)
         lives = {life.life_id: life for life in self._fleet.lives.values()}
         for table in (self._steps, self._ordered_ms):
             for life_id in table.keys() - lives.keys():
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -68,7 +68,7 @@
         """
         self.fleet = fleet
         self.policy = policy
-        self.demand = Demand(_decay_ms(fleet))
+        self.demand = Demand(demand_decay_ms(fleet))
         self.requests: dict[str, tuple[int, int]] = {}
         self.backlogs: dict[str, float] = {}
         self.store_tokens = 0.0
@@ -94,7 +94,7 @@
         if self.fleet.catalog.version != self._bundle_version:
             self._bundle_version = self.fleet.catalog.version
             self.bundle_seen_ms = now_ms
-            self.demand.decay_ms = _decay_ms(self.fleet)
+            self.demand.decay_ms = demand_decay_ms(self.fleet)
             self.demand.keep(lambda key: self.fleet.catalog.role_of(key) is not None)
         is_late = {
             order_id: now_ms - seen_ms > LOAD_PATIENCE_MS + 2 * self.load_ms
@@ -201,7 +201,7 @@
             room.free_mib -= survey.grown_mib(room, key)
 
 
-def _decay_ms(fleet: Fleet) -> int:
+def demand_decay_ms(fleet: Fleet) -> int:
     """Returns the time over which demand is averaged, some loads long."""
     loads_ms = [model.load_ms for model in fleet.catalog.models.values()]
     longest_ms = max(loads_ms, default=0)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -74,3 +74,24 @@
     ordered = {send.order.life_id for _, send, _ in world.sent}
     assert late.held_until_ms().keys() == ordered
     assert all(until_ms > world.now_ms for until_ms in late.held_until_ms().values())
+
+
+def test_demand_is_averaged_as_placement_does_and_forgets_what_is_gone():
+    """Guards against rates that change with the leader although nobody asks more."""
+    world, handover = make_world()
+    run(world, handover, 20)
+    placement = world.coordinator.placement
+    assert handover.demand.decay_ms == placement.demand.decay_ms
+    own, followed = placement.demand, handover.demand
+    rates = [
+        (
+            own.rate(f"model/{m}", world.now_ms),
+            followed.rate(f"model/{m}", world.now_ms),
+        )
+        for m in HOT
+    ]
+    assert all(abs(a - b) <= 0.1 * a for a, b in rates)
+    world.fleet.catalog.models.pop("m0")
+    world.fleet.catalog.version += 1
+    handover.watch(world.now_ms)
+    assert followed.rate("model/m0", world.now_ms) == 0
