Answer what still waits at the end of a planned stop

Only requests that waited longer than the rest of the grace were hit, on sites whose callers wait that long.

Ruled out: ending earlier what waits, since a model may still come within the grace.

Before and after: the new test in test_forwarding.py fails without the change.

--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -47,6 +47,14 @@
         self._places = Places(state, source)
         self.answers = AnswerRelay(wire, state)
         self._links = BackendLinks(state.start_background)
+        self._running: set[anyio.CancelScope] = set()
+        self._has_ended = False
+
+    def end_calls(self) -> None:
+        """Gives every request that has no answer yet its final one, at a stop."""
+        self._has_ended = True
+        for scope in list(self._running):
+            scope.cancel()
 
     async def serve(self, request: CallerRequest, caller: CallerConnection) -> None:
         """Answers one request; afterwards the connection may be reused or not."""
@@ -116,32 +124,45 @@
         # A backend server that ends its run at the deadline answers just after it.
         left_s = max(0, call.left_ms() + DEADLINE_GRACE_MS) / 1000
         is_gone = False
+        if self._has_ended:
+            left_s = 0
         with anyio.move_on_after(left_s) as limit:
-            async with anyio.create_task_group() as group:
-
-                async def watch() -> None:
-                    nonlocal is_gone
-                    await caller.watch()
-                    is_gone = True
-                    group.cancel_scope.cancel()
-
-                group.start_soon(watch)
-                await self._serve_caught(call, caller)
-                group.cancel_scope.cancel()
+            self._running.add(limit)
+            try:
+                is_gone = await self._serve_watched(call, caller)
+            finally:
+                self._running.discard(limit)
         if is_gone:
             call.outcome = call.outcome or "caller_gone"
             call.is_broken = True
         elif limit.cancelled_caught:
-            call.outcome = "deadline"
-            await self._end_at_deadline(call, caller)
+            is_late = call.left_ms() + DEADLINE_GRACE_MS <= 0
+            call.outcome = "deadline" if is_late else "stopped"
+            kind = ErrorKind.DEADLINE_EXCEEDED if is_late else ErrorKind.NOT_READY
+            await self._end_unanswered(call, caller, RefusedError(kind))
 
-    async def _end_at_deadline(
-        self, call: ForwardCall, caller: CallerConnection
+    async def _serve_watched(self, call: ForwardCall, caller: CallerConnection) -> bool:
+        """Serves a request unless its caller goes away; returns whether it did."""
+        is_gone = False
+        async with anyio.create_task_group() as group:
+
+            async def watch() -> None:
+                nonlocal is_gone
+                await caller.watch()
+                is_gone = True
+                group.cancel_scope.cancel()
+
+            group.start_soon(watch)
+            await self._serve_caught(call, caller)
+            group.cancel_scope.cancel()
+        return is_gone
+
+    async def _end_unanswered(
+        self, call: ForwardCall, caller: CallerConnection, error: RefusedError
     ) -> None:
         if caller.has_answered:
             call.is_broken = True
             return
-        error = RefusedError(ErrorKind.DEADLINE_EXCEEDED)
         await self.answers.refuse(caller, call.head, error, call)
 
     async def _serve_caught(self, call: ForwardCall, caller: CallerConnection) -> None:
--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -26,6 +26,8 @@
 LISTEN_BACKLOG = 1_024
 # The end of the process itself takes a moment.
 STOP_MARGIN_MS = 600
+# Part of that margin in which the last answers are written.
+LAST_ANSWERS_MS = 200
 STOP_POLL_MS = 100
 
 
@@ -88,8 +90,16 @@
         accepting.cancel()
 
     async def _end_connections(self) -> None:
-        """Ends idle connections at once and the others after their answer."""
-        until_ms = self._closed_ms
+        """Ends idle connections at once and the others after their answer.
+
+        What waits when the time is over, for instance for a model that is being
+        loaded, is answered as well: its connection must not end without an answer.
+        """
+        await self._drain_until(self._closed_ms)
+        self._forwarder.end_calls()
+        await self._drain_until(timers.now_ms() + LAST_ANSWERS_MS)
+
+    async def _drain_until(self, until_ms: int) -> None:
         while self._connections and timers.now_ms() < until_ms:
             for connection in list(self._connections):
                 if connection.is_idle:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -29,6 +29,56 @@
             await anyio.sleep(0.01)
 
 
+def test_request_that_still_waits_at_the_end_of_a_planned_stop_is_answered():
+    """Guards against a connection that ends without an answer because its request
+    waits for a model that nobody loads in time."""
+
+    async def silent(backend, request, stream):
+        raise AssertionError("the request was sent")
+
+    async def main():
+        (port,) = reserve_ports(1)
+        settings = EntrySettings(
+            name="entry-1",
+            zone="a",
+            cluster="test",
+            caller_address=Address("127.0.0.1", port),
+            admin_address=Address("127.0.0.1", 0),
+            serve_unconfirmed=True,
+            balancer_delay_ms=0,
+            grace_s=1,
+        )
+        async with anyio.create_task_group() as group:
+            world = World(group, ONCE)
+            await world.start(silent)
+            state = EntryState(settings)
+            state.use_background(group)
+            state.catalog, state.freshness = world.state.catalog, world.state.freshness
+
+            async def wait_for_ever(wanted):
+                await anyio.sleep_forever()
+
+            state.scheduler.acquire = wait_for_ever
+            server = ForwardServer(WIRE, state, Crashes(state))
+            group.start_soon(server.run)
+            waiting = await connect(port)
+            await waiting.send(REQUEST)
+            await anyio.sleep(0.2)
+            state.step_shutdown("stop")
+            server.close()
+            reply = await waiting.receive()
+            assert reply.startswith(b"HTTP/1.1 503")
+            assert b"connection: close" in reply.lower()
+            assert await _ends(waiting)
+            group.cancel_scope.cancel()
+
+    async def limited():
+        with anyio.fail_after(LIMIT_S):
+            await main()
+
+    anyio.run(limited)
+
+
 def test_planned_stop_cuts_no_request_and_ends_without_an_error():
     """Guards against a stop that ends the process in the middle of answers."""
     release = anyio.Event()
