Rename Room.is_ordered to is_occupied

Cause: it is also set for engines that another leader has ordered, and the old name reads like a sort order. Ruled out: is_held, which placement uses for the engine kept free for a large model. No behaviour changes; tests of placement, fleet and handover pass.

--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -268,7 +268,7 @@
         for room in rooms:
             if self._has_open_unload(room.life, adapters=True):
                 return
-            if room.is_ordered:
+            if room.is_occupied:
                 continue
             found.extend(
                 (
@@ -340,7 +340,7 @@
             return True
         # The survey took the plan's own memory off the room.
         grown_mib = self._survey.grown_mib(room, key)
-        is_free = room.free_mib >= 0 and not room.is_ordered
+        is_free = room.free_mib >= 0 and not room.is_occupied
         if is_free and self.may_load(key, room):
             room.free_mib += grown_mib
             del self._state.plans[key]
--- a/cassiapitch/rooms.py
+++ b/cassiapitch/rooms.py
@@ -23,7 +23,7 @@
         capacity_mib: Memory that may be used on it.
         free_mib: Memory that neither the ledger nor a plan takes.
         busy_ratio: Requests that it runs and that wait there, by its limit.
-        is_ordered: Whether it may get no order now, for instance since it would reject
+        is_occupied: Whether it may get no order now, for instance since it would reject
             one while it carries out another.
     """
 
@@ -31,7 +31,7 @@
     capacity_mib: int
     free_mib: int
     busy_ratio: float
-    is_ordered: bool = False
+    is_occupied: bool = False
 
 
 class Survey:
@@ -74,7 +74,7 @@
         busy_ratio = sum(requests) / max(1, life.max_running_count)
         room = Room(life, capacity_mib, capacity_mib - life.charged_mib, busy_ratio)
         is_busy = any(not order.adapter for order in life.ledger.orders.values())
-        room.is_ordered = life.life_id in self._held or (
+        room.is_occupied = life.life_id in self._held or (
             is_busy and self._is_one_by_one(life.role)
         )
         self.rooms[life.life_id] = room
@@ -94,7 +94,7 @@
 
     def note_order(self, room: Room) -> None:
         """Notes that a load or unload of a model was decided for an engine."""
-        room.is_ordered = self._is_one_by_one(room.life.role)
+        room.is_occupied = self._is_one_by_one(room.life.role)
 
     def _has_model(self, key: str, usable: list[str]) -> bool:
         return model_key(self.fleet.catalog.model_of(key) or "") in usable
@@ -126,7 +126,7 @@
 
     def may_load(self, room: Room, key: str) -> bool:
         """Tells whether an engine lacks a model or adapter and would take an order."""
-        return not room.is_ordered and self.lacks(room, key)
+        return not room.is_occupied and self.lacks(room, key)
 
     def lacks(self, room: Room, key: str) -> bool:
         """Tells whether an engine lacks a model or adapter and has no order on it."""
--- a/cassiapitch/victims.py
+++ b/cassiapitch/victims.py
@@ -121,7 +121,7 @@
             for key in room.life.ledger.reported
         ]
         rest_ms = min(rests_ms, default=0)
-        if any(room.is_ordered for room in rooms):
+        if any(room.is_occupied for room in rooms):
             # It may make room once it has carried out its order.
             return rest_ms
         return max(rest_ms, HOT_AFTER_MS - age_ms, 0)
