--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -29,6 +29,27 @@
             await anyio.sleep(0.01)
 
 
+async def start_entry(group, behave, *, grace_s):
+    """Returns one backend server's world, and an entry's state and port."""
+    (port,) = reserve_ports(1)
+    settings = EntrySettings(
+        name="entry-1",
+        zone="a",
+        cluster="test",
+        caller_address=Address("127.0.0.1", port),
+        admin_address=Address("127.0.0.1", 0),
+        serve_unconfirmed=True,
+        balancer_delay_ms=0,
+        grace_s=grace_s,
+    )
+    world = World(group, ONCE)
+    await world.start(behave)
+    state = EntryState(settings)
+    state.use_background(group)
+    state.catalog, state.freshness = world.state.catalog, world.state.freshness
+    return world, state, port
+
+
 def test_request_that_still_waits_at_the_end_of_a_planned_stop_is_answered():
     """Guards against a connection that ends without an answer because its request
     waits for a model that nobody loads in time."""
@@ -37,23 +58,8 @@
         raise AssertionError("the request was sent")
 
     async def main():
-        (port,) = reserve_ports(1)
-        settings = EntrySettings(
-            name="entry-1",
-            zone="a",
-            cluster="test",
-            caller_address=Address("127.0.0.1", port),
-            admin_address=Address("127.0.0.1", 0),
-            serve_unconfirmed=True,
-            balancer_delay_ms=0,
-            grace_s=1,
-        )
         async with anyio.create_task_group() as group:
-            world = World(group, ONCE)
-            await world.start(silent)
-            state = EntryState(settings)
-            state.use_background(group)
-            state.catalog, state.freshness = world.state.catalog, world.state.freshness
+            _, state, port = await start_entry(group, silent, grace_s=1)
 
             async def wait_for_ever(wanted):
                 await anyio.sleep_forever()
@@ -88,23 +94,8 @@
         await stream.send(answer_bytes("q1"))
 
     async def main():
-        (port,) = reserve_ports(1)
-        settings = EntrySettings(
-            name="entry-1",
-            zone="a",
-            cluster="test",
-            caller_address=Address("127.0.0.1", port),
-            admin_address=Address("127.0.0.1", 0),
-            serve_unconfirmed=True,
-            balancer_delay_ms=0,
-            grace_s=5,
-        )
         async with anyio.create_task_group() as group:
-            world = World(group, ONCE)
-            await world.start(slow)
-            state = EntryState(settings)
-            state.use_background(group)
-            state.catalog, state.freshness = world.state.catalog, world.state.freshness
+            world, state, port = await start_entry(group, slow, grace_s=5)
             server = ForwardServer(WIRE, state, Crashes(state))
             ended = anyio.Event()
 
