--- a/bench/synthetic.py
+++ b/bench/synthetic.py
@@ -59,26 +59,24 @@
         self._hello = LinkHello(entry, life_id, cluster, "zone-1", 0, primary)
         self._accounts = [AccountName(name) for name in accounts]
         self._channel = rpc.open_channel(address, tls)
+        self._stream: rpc.Stream | None = None
 
     def traffic(self) -> tuple[int, int]:
         """Returns the bytes sent and received on the connection, TLS included."""
-        protocol = self._channel._protocol
-        assert protocol is not None
-        transport = protocol.connection._transport
+        assert self._stream is not None
+        transport = self._stream._writer.transport
         return tcp_bytes(transport.get_extra_info("socket"))
 
     async def run(self) -> None:
         """Keeps the link open until cancelled."""
-        try:
-            async with rpc.open_stream(self._channel, "Hub", "Link") as stream:
-                await stream.send_message(self._hello)
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._confirm, stream)
-                    if self.primary:
-                        tasks.start_soon(self._ask_rates, stream)
-                    await self._receive(stream)
-        finally:
-            self._channel.close()
+        async with rpc.open_stream(self._channel, "Hub", "Link") as stream:
+            self._stream = stream
+            await stream.send_message(self._hello)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._confirm, stream)
+                if self.primary:
+                    tasks.start_soon(self._ask_rates, stream)
+                await self._receive(stream)
 
     async def _confirm(self, stream: Any) -> None:
         for sequence in itertools.count(1):
--- a/cassiapitch/backendlink.py
+++ b/cassiapitch/backendlink.py
@@ -2,19 +2,18 @@
 
 import contextlib
 import dataclasses
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from typing import Any
 
 import anyio
-import anyio.abc
 import h11
 
-from cassiapitch import metrics, timers
+from cassiapitch import bytestream, metrics, timers
+from cassiapitch.bytestream import ByteStream
 from cassiapitch.types import LifeId
 from cassiapitch.viewitems import BackendItem
 
 CONNECT_TIMEOUT_MS = 700
-READ_BYTES = 65_536
 # Kept connections are given up before the backend server closes them: what is sent
 # while it closes may or may not have been read.
 IDLE_MARGIN_MS = 800
@@ -22,8 +21,6 @@
 IDLE_LIMIT_COUNT = 16
 HEAD_LIMIT_BYTES = 64 * 1024
 
-StartTask = Callable[..., None]
-
 
 class BackendUnreachableError(Exception):
     """No connection came about, so that nothing was sent."""
@@ -45,7 +42,7 @@
 class BackendConnection:
     """One connection to one life of a backend server."""
 
-    def __init__(self, life_id: LifeId, stream: anyio.abc.SocketStream) -> None:
+    def __init__(self, life_id: LifeId, stream: ByteStream) -> None:
         self.life_id = life_id
         self._stream = stream
         self._http = h11.Connection(
@@ -53,9 +50,6 @@
         )
         self.idle_until_ms = 0
         self.is_reused = False
-        self.is_closed = False
-        self._idle_scope = anyio.CancelScope()
-        self._idle_ended = anyio.Event()
 
     async def send(
         self,
@@ -77,7 +71,7 @@
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        with contextlib.suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
+        with contextlib.suppress(OSError):
             await self._stream.send(data)
 
     async def read_head(self) -> ResponseHead:
@@ -118,70 +112,52 @@
 
     async def _receive(self) -> bytes:
         try:
-            return await self._stream.receive(READ_BYTES)
-        except anyio.EndOfStream:
-            return b""
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return await self._stream.receive()
+        except OSError:
             raise BackendBrokenError("the connection was reset") from None
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection is closed or about to be."""
+        return self._stream.is_closing
+
     def may_be_kept(self) -> bool:
         """Tells whether the exchange ended cleanly; foreign bytes forbid reuse."""
         states = (self._http.our_state, self._http.their_state)
         is_done = states == (h11.DONE, h11.DONE)
         data, is_closed = self._http.trailing_data
-        return is_done and not data and not is_closed and not self.is_closed
+        is_quiet = not data and not self._stream.has_input
+        return is_done and is_quiet and not is_closed and not self.is_closed
 
     def begin_idle(self, idle_ms: int) -> None:
-        """Prepares the connection for the next request."""
+        """Prepares the connection for the next request.
+
+        Whatever arrives meanwhile belongs to no request and ends the connection.
+        """
         self._http.start_next_cycle()
-        self._idle_scope = anyio.CancelScope()
-        self._idle_ended = anyio.Event()
+        self._stream.on_input = self.close
         self.idle_until_ms = timers.now_ms() + idle_ms
 
-    async def watch_idle(self) -> None:
-        """Closes the connection if anything arrives on it, or its end."""
-        try:
-            with self._idle_scope:
-                wait_ms = max(0, self.idle_until_ms - timers.now_ms())
-                with anyio.move_on_after(wait_ms / 1000):
-                    await self._receive_any()
-                await self.close()
-        finally:
-            self._idle_ended.set()
-
-    async def _receive_any(self) -> None:
-        with contextlib.suppress(
-            anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError
-        ):
-            await self._stream.receive(1)
-
-    async def take(self) -> bool:
-        """Ends the idle time; false if the connection is closed or about to be.
-
-        Two tasks must not read from the connection, so this waits for the end of
-        the one that watched it.
-        """
+    def take(self) -> bool:
+        """Ends the idle time; false if the connection is closed or about to be."""
+        self._stream.on_input = None
         is_late = timers.now_ms() >= self.idle_until_ms
-        if self.is_closed or is_late:
+        if self.is_closed or is_late or self._stream.has_input:
+            self.close()
             return False
-        self._idle_scope.cancel()
-        with anyio.CancelScope(shield=True):
-            await self._idle_ended.wait()
         self.is_reused = True
-        return not self.is_closed
+        return True
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes the connection at once."""
-        self.is_closed = True
-        with anyio.CancelScope(shield=True):
-            await self._stream.aclose()
+        self._stream.on_input = None
+        self._stream.abort()
 
 
 class BackendLinks:
     """Kept connections by life of a backend server."""
 
-    def __init__(self, start_task: StartTask) -> None:
-        self._start_task = start_task
+    def __init__(self) -> None:
         self._idle: dict[LifeId, list[BackendConnection]] = {}
 
     async def open(self, backend: BackendItem) -> BackendConnection:
@@ -193,34 +169,46 @@
         idle = self._idle.get(backend.life_id, [])
         while idle:
             connection = idle.pop()
-            if await connection.take():
+            if connection.take():
                 return connection
         metrics.CONNECTIONS_OPENED.inc()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_MS / 1000):
-                stream = await anyio.connect_tcp(backend.ip, backend.port)
+                stream = await bytestream.connect(backend.ip, backend.port)
         except (OSError, TimeoutError) as error:
             raise BackendUnreachableError(str(error) or "timeout") from None
         return BackendConnection(backend.life_id, stream)
 
-    async def give_back(
+    def give_back(
         self, connection: BackendConnection, idle_timeout_ms: int | None
     ) -> None:
         """Keeps a connection for the next request, or closes it."""
         stated_ms = UNSTATED_IDLE_MS if idle_timeout_ms is None else idle_timeout_ms
         idle_ms = stated_ms - IDLE_MARGIN_MS
+        self._close_late()
         kept = self._idle.setdefault(connection.life_id, [])
-        kept[:] = [one for one in kept if not one.is_closed]
         is_full = len(kept) >= IDLE_LIMIT_COUNT
         if is_full or idle_ms <= 0 or not connection.may_be_kept():
-            await connection.close()
+            connection.close()
             return
         connection.begin_idle(idle_ms)
         kept.append(connection)
-        self._start_task(connection.watch_idle)
 
-    async def forget_except(self, life_ids: Collection[LifeId]) -> None:
+    def forget_except(self, life_ids: Collection[LifeId]) -> None:
         """Closes kept connections to lives that the view no longer holds."""
         for life_id in [key for key in self._idle if key not in life_ids]:
-            for connection in self._idle.pop(life_id):
-                await connection.close()
+            self.forget(life_id)
+
+    def forget(self, life_id: LifeId) -> None:
+        """Closes kept connections to a life."""
+        for connection in self._idle.pop(life_id, ()):
+            connection.close()
+
+    def _close_late(self) -> None:
+        """Closes connections that have rested for too long."""
+        now_ms = timers.now_ms()
+        for kept in self._idle.values():
+            for connection in kept:
+                if connection.idle_until_ms <= now_ms:
+                    connection.close()
+            kept[:] = [one for one in kept if not one.is_closed]
--- a/cassiapitch/budget.py
+++ b/cassiapitch/budget.py
@@ -221,6 +221,17 @@
         decided, self._decided = self._decided, []
         return decided
 
+    def is_quiet(self) -> bool:
+        """Tells whether there is nothing to ask for, to average or to return."""
+        return not self._refunds and not any(
+            state.grants
+            or state.waiters
+            or state.debt_tokens
+            or state.period_tokens
+            or state.average_tokens >= 1
+            for state in self._accounts.values()
+        )
+
     def needs_ask(self, now_ms: int) -> bool:
         """Tells whether calls wait for tokens that no open ask covers."""
         return any(
--- /dev/null
+++ b/cassiapitch/bytestream.py
@@ -0,0 +1,223 @@
+"""TCP connections on `asyncio`'s own transports.
+
+A read that finds data and a write that the kernel takes cost no turn of the event
+loop: an entry passes on each event of a stream by one of each.
+"""
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import anyio
+
+from cassiapitch.settings import Address
+
+# Received bytes that wait for the reader before the peer is held up.
+INPUT_LIMIT_BYTES = 256 * 1024
+LISTEN_BACKLOG = 1_024
+# What was written last has this long to leave after a close.
+LINGER_S = 5.0
+# Turns of the event loop in which the kernel's queue of connections is emptied.
+ACCEPT_TURNS_COUNT = 4
+
+OnMade = Callable[["ByteStream"], None]
+
+
+class ByteStream(asyncio.Protocol):
+    """One connection; one task reads and one task writes at a time."""
+
+    def __init__(self, on_made: OnMade | None = None) -> None:
+        """Waits for its transport.
+
+        Args:
+            on_made: Called once the connection is there.
+        """
+        self._on_made = on_made
+        self._transport: asyncio.Transport | None = None
+        self._input: list[bytes] = []
+        self._input_bytes = 0
+        self._is_paused = False
+        self._is_ended = False
+        self._error: Exception | None = None
+        self._reader: asyncio.Future[None] | None = None
+        self._writer: asyncio.Future[None] | None = None
+        # Called when bytes or the end arrive, before anybody reads them.
+        self.on_input: Callable[[], None] | None = None
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Takes the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        if self._on_made is not None:
+            self._on_made(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Keeps bytes for the reader."""
+        self._input.append(data)
+        self._input_bytes += len(data)
+        if self._input_bytes > INPUT_LIMIT_BYTES and not self._is_paused:
+            self._is_paused = True
+            self._present().pause_reading()
+        self._note_input()
+
+    def eof_received(self) -> bool:
+        """Notes that the peer writes nothing more; the other way stays open."""
+        self._is_ended = True
+        self._note_input()
+        return True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Notes the end of both ways."""
+        self._is_ended = True
+        self._error = exc
+        self._note_input()
+        if self._writer is not None and not self._writer.done():
+            self._writer.set_result(None)
+
+    def pause_writing(self) -> None:
+        """Holds up the writer until the peer has taken more."""
+        if self._writer is None:
+            self._writer = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Lets the writer go on."""
+        writer, self._writer = self._writer, None
+        if writer is not None and not writer.done():
+            writer.set_result(None)
+
+    def _note_input(self) -> None:
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+        if self.on_input is not None:
+            self.on_input()
+
+    def _present(self) -> asyncio.Transport:
+        assert self._transport is not None
+        return self._transport
+
+    # Called by the owner.
+
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes or the end have arrived that nobody has read yet."""
+        return bool(self._input) or self._is_ended
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection is closed or about to be."""
+        return self._present().is_closing()
+
+    async def receive(self) -> bytes:
+        """Returns what has arrived, at least one byte; none at the peer's end.
+
+        Raises:
+            OSError: The connection was reset.
+        """
+        while not self._input:
+            if self._error is not None:
+                raise ConnectionResetError(str(self._error) or repr(self._error))
+            if self._is_ended:
+                return b""
+            self._reader = asyncio.get_running_loop().create_future()
+            try:
+                await self._reader
+            finally:
+                self._reader = None
+        data = self._input[0] if len(self._input) == 1 else b"".join(self._input)
+        self._input.clear()
+        self._input_bytes = 0
+        if self._is_paused:
+            self._is_paused = False
+            if not self._present().is_closing():
+                self._present().resume_reading()
+        return data
+
+    async def send(self, data: bytes, timeout_s: float | None = None) -> None:
+        """Writes bytes; waits only while the peer takes too little.
+
+        Args:
+            data: The bytes.
+            timeout_s: Longest wait for the peer.
+
+        Raises:
+            OSError: The connection is closed.
+            TimeoutError: The peer took too little for too long.
+        """
+        transport = self._present()
+        if transport.is_closing():
+            raise ConnectionResetError("the connection is closed")
+        transport.write(data)
+        if self._writer is not None:
+            with anyio.fail_after(timeout_s):
+                await asyncio.shield(self._writer)
+            if transport.is_closing():
+                raise ConnectionResetError("the connection is closed")
+
+    def close(self) -> None:
+        """Closes the connection after what was written has left."""
+        transport = self._present()
+        if transport.is_closing():
+            return
+        transport.close()
+        if transport.get_write_buffer_size():
+            asyncio.get_running_loop().call_later(LINGER_S, transport.abort)
+
+    def abort(self) -> None:
+        """Closes the connection and drops what has not left."""
+        self._present().abort()
+
+
+async def connect(ip: str, port: int) -> ByteStream:
+    """Opens a connection.
+
+    Raises:
+        OSError: It did not come about.
+    """
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(ByteStream, ip, port)
+    return stream
+
+
+class Listener:
+    """A listening socket whose connections go to a function."""
+
+    def __init__(self, address: Address, on_made: OnMade) -> None:
+        """Binds the address; port 0 takes a free one, see `port`.
+
+        Args:
+            address: Where to listen.
+            on_made: Called with each accepted connection.
+        """
+        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+        # asyncio turns off Nagle's algorithm only for sockets that name TCP.
+        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((address.ip, address.port))
+        self._socket.listen(LISTEN_BACKLOG)
+        self._socket.setblocking(False)
+        self.port: int = self._socket.getsockname()[1]
+        self._on_made = on_made
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> None:
+        """Begins to accept connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ByteStream(self._on_made),
+            sock=self._socket,
+            backlog=LISTEN_BACKLOG,
+        )
+
+    async def close(self) -> None:
+        """Accepts what has already connected, then stops listening.
+
+        Answers a planned stop under load: connections that the kernel has taken are
+        reset with the listening socket, although their callers have sent requests.
+        """
+        for _ in range(ACCEPT_TURNS_COUNT):
+            await asyncio.sleep(0)
+        if self._server is not None:
+            self._server.close()
+        self._socket.close()
--- a/cassiapitch/callerlink.py
+++ b/cassiapitch/callerlink.py
@@ -1,18 +1,16 @@
 """Connections of callers whose requests are forwarded, by `h11`."""
 
-import contextlib
 import dataclasses
 from collections.abc import Callable
 from typing import Any
 
 import anyio
-import anyio.abc
 import h11
 
 from cassiapitch.asgi import BodyRoom, BodyShare
+from cassiapitch.bytestream import ByteStream
 from cassiapitch.forwardroutes import CallerLimits
 
-READ_BYTES = 65_536
 # A caller that takes nothing for this long is taken for gone.
 SEND_TIMEOUT_S = 10
 BODY_TIMEOUT_S = 15
@@ -71,7 +69,7 @@
 
     def __init__(
         self,
-        stream: anyio.abc.SocketStream,
+        stream: ByteStream,
         limits: Callable[[], CallerLimits],
         room: BodyRoom,
     ) -> None:
@@ -90,6 +88,7 @@
         )
         self.is_idle = True
         self.has_answered = False
+        self.has_served = False
         self.share: BodyShare | None = None
         self._is_gone = False
 
@@ -251,6 +250,7 @@
         if self.share is not None:
             self.share.release()
             self.share = None
+        self.has_served = True
         states = (self._http.our_state, self._http.their_state)
         if states != (h11.DONE, h11.DONE) or self._is_gone:
             return False
@@ -258,22 +258,18 @@
         self.is_idle = not self._http.trailing_data[0]
         return True
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Ends the connection; an answer that is not complete stays incomplete."""
         if self.share is not None:
             self.share.release()
             self.share = None
-        with anyio.CancelScope(shield=True):
-            await self._stream.aclose()
+        self._stream.close()
 
     async def _receive(self) -> bytes:
         try:
-            return await self._stream.receive(READ_BYTES)
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-        ):
+            return await self._stream.receive()
+        except OSError:
+            # To the server a reset is the end of the caller.
             return b""
 
     async def _send(self, event: Any) -> None:
@@ -283,13 +279,8 @@
 
     async def _write(self, data: bytes) -> None:
         try:
-            with anyio.fail_after(SEND_TIMEOUT_S):
-                await self._stream.send(data)
-        except (
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            TimeoutError,
-        ):
+            await self._stream.send(data, SEND_TIMEOUT_S)
+        except (OSError, TimeoutError):
             self._is_gone = True
             raise CallerGoneError from None
 
@@ -303,12 +294,3 @@
     names = [name for name, _ in headers]
     if b"content-length" in names and b"transfer-encoding" in names:
         raise BadRequestError(400, "both Content-Length and Transfer-Encoding")
-
-
-@contextlib.asynccontextmanager
-async def closing(connection: CallerConnection) -> Any:
-    """Closes a connection at the end of a block."""
-    try:
-        yield connection
-    finally:
-        await connection.close()
--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -7,7 +7,7 @@
 import anyio
 import anyio.abc
 
-from cassiapitch import asgi, dump, group, metrics, rpc, timers
+from cassiapitch import asgi, dump, group, metrics, plainhttp, rpc, timers
 from cassiapitch.admin import AdminApi
 from cassiapitch.announcements import (
     Announcement,
@@ -196,7 +196,7 @@
             app = _route(self._admin, self._announce)
         else:
             app = self._make_app(self)
-        http = asgi.HttpServer(app, self._settings.admin_address)
+        http = plainhttp.PlainHttpServer(app, self._settings.admin_address)
         # The member's peers reach it through this server, also for forming the
         # group, so it listens before the member runs.
         server = await rpc.serve(
@@ -217,7 +217,7 @@
             tasks.start_soon(self._report_load)
             if self._settings.metrics_address is not None:
                 tasks.start_soon(
-                    asgi.HttpServer(
+                    plainhttp.PlainHttpServer(
                         self._serve_metrics, self._settings.metrics_address
                     ).run
                 )
@@ -232,7 +232,7 @@
         with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
             await server.close()
 
-    async def _shut_down(self, http: asgi.HttpServer) -> None:
+    async def _shut_down(self, http: plainhttp.PlainHttpServer) -> None:
         """Hands over leadership before entries and operators lose this member."""
         with anyio.move_on_after(CLOSE_TIMEOUT_S):
             if group.is_leader(self.member):
@@ -247,7 +247,7 @@
                 self._relay.broadcast(self._placement.load_reports())
 
 
-async def _run_http(http: asgi.HttpServer, ended: anyio.Event) -> None:
+async def _run_http(http: plainhttp.PlainHttpServer, ended: anyio.Event) -> None:
     await http.run()
     ended.set()
 
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -8,8 +8,6 @@
 import anyio
 
 from cassiapitch import budget, events, process, timers
-from cassiapitch.asgi import HttpServer
-from cassiapitch.callers import CallerApplication
 from cassiapitch.catalog import Gap, SnapshotParts
 from cassiapitch.crashes import Crashes
 from cassiapitch.entrystate import EntryState
@@ -30,12 +28,14 @@
     ViewSnapshot,
 )
 from cassiapitch.operatorroutes import OperatorApplication
+from cassiapitch.plainhttp import PlainHttpServer
 from cassiapitch.seeds import peers_from_seeds
 from cassiapitch.settings import EntrySettings
 
 PRIMARY = 0
-LINKS_COUNT = 2
 TICK_MS = 100
+# Without a waiting call only what has expired is given back.
+IDLE_TICK_MS = 1_000
 # A wake for a waiting call asks at once, but calls that come together ask together.
 RATE_ASK_SPACING_MS = 5
 RETURN_WAIT_MS = 100
@@ -49,6 +49,9 @@
     async def run(self) -> None:
         """Serves until `close`, and then to the end of every call."""
 
+    def begin_stop(self) -> None:
+        """Has every further answer tell its caller to leave the connection."""
+
     def close(self) -> None:
         """Stops listening."""
 
@@ -57,6 +60,10 @@
 
 
 def _openai_callers(state: EntryState, crashes: Crashes) -> CallerServer:
+    # An entry that forwards requests leaves these out, which halves its start.
+    from cassiapitch.callers import CallerApplication
+    from cassiapitch.httpserver import HttpServer
+
     application = CallerApplication(state, crashes)
     return HttpServer(
         application,
@@ -91,11 +98,11 @@
             settings.seeds, settings.seed_rpc_port
         )
         self._plan = LinkPlan(self._control, settings.zone, settings.name)
-        self._parts = {slot: SnapshotParts() for slot in range(LINKS_COUNT)}
+        self._parts = {slot: SnapshotParts() for slot in range(settings.links_count)}
         self._send_primary: Any = None
         self.callers = (make_callers or _openai_callers)(self.state, self._crashes)
         operators = OperatorApplication(self.state, self._plan, stop)
-        self.operators = HttpServer(operators, settings.admin_address)
+        self.operators = PlainHttpServer(operators, settings.admin_address)
 
     async def run(self) -> None:
         """Serves until the stop event, then finishes every call and returns."""
@@ -130,8 +137,11 @@
             received=self._received,
             closed=self._closed,
         )
-        for slot in range(min(LINKS_COUNT, len(self._control))):
-            link = Link(slot, self._plan, handlers, self._settings.tls)
+        settings = self._settings
+        for slot in range(min(settings.links_count, len(self._control))):
+            link = Link(
+                slot, self._plan, handlers, settings.tls, settings.confirm_period_ms
+            )
             group.start_soon(link.run)
 
     def _hello(self, slot: int) -> LinkHello:
@@ -203,8 +213,12 @@
 
     async def _tick(self) -> None:
         """Ends what lasted too long."""
+        state = self.state
         while True:
-            await anyio.sleep(TICK_MS / 1000)
+            if state.has_waiting():
+                await anyio.sleep(TICK_MS / 1000)
+            else:
+                await state.waiting_begun.wait(IDLE_TICK_MS)
             now_ms = timers.now_ms()
             ended_count = self.state.authorization.end_unauthorised(now_ms)
             if ended_count:
@@ -221,7 +235,10 @@
         """Asks for grants every period, and at once when a call waits for one."""
         due_ms = timers.now_ms() + budget.ASK_PERIOD_MS
         while True:
-            await self.state.rate_needed.wait(due_ms - timers.now_ms())
+            if self.state.budget.is_quiet():
+                await self.state.rate_needed.wait(IDLE_TICK_MS)
+            else:
+                await self.state.rate_needed.wait(due_ms - timers.now_ms())
             now_ms = timers.now_ms()
             is_due = now_ms >= due_ms
             if is_due:
@@ -270,6 +287,7 @@
         """Leaves the balancer, then stops listening; calls go on to their end."""
         await self._stop.wait()
         self.state.step_shutdown("stop")
+        self.callers.begin_stop()
         events.log(events.Event.ENTRY_DRAINING, operator=None)
         await anyio.sleep(self._settings.balancer_delay_ms / 1000)
         self.state.step_shutdown("balancer_left")
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -1,9 +1,10 @@
 """The state that the tasks of one entry share."""
 
+import functools
 import random
 import secrets
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 import anyio.abc
@@ -21,7 +22,6 @@
 from cassiapitch.catalog import Applied, ApplyOutcome, Catalog
 from cassiapitch.controlasks import ControlAsks
 from cassiapitch.demand import Demand
-from cassiapitch.forward import Connections
 from cassiapitch.freshness import NEW_CALL_WAIT_MS, Freshness
 from cassiapitch.messages import (
     Confirmed,
@@ -34,9 +34,12 @@
 from cassiapitch.settings import EntrySettings
 from cassiapitch.statechart import load_chart
 from cassiapitch.suspicion import Suspicion
-from cassiapitch.types import ModelName
+from cassiapitch.types import LifeId, ModelName
 from cassiapitch.viewitems import AccountItem
 
+if TYPE_CHECKING:
+    from cassiapitch.forward import Connections
+
 
 class Signal:
     """Wakes every task that waits for the next change."""
@@ -70,15 +73,22 @@
             settings.routing_policy, settings.zone, random.Random(settings.seed)
         )
         self.suspicion = Suspicion()
-        self.scheduler = Scheduler(settings.queue_policy, self.router, self.suspicion)
+        self.waiting_begun = Signal()
+        self.scheduler = Scheduler(
+            settings.queue_policy,
+            self.router,
+            self.suspicion,
+            self.waiting_begun.fire,
+        )
         self.retries = RetryBudget()
         self.demand = Demand(settings.name)
         self.asks = ControlAsks()
-        self.connections = Connections()
         self.body_room = BodyRoom(settings.buffered_bodies_limit_bytes)
         self.confirmed = Signal()
         self.rate_needed = Signal()
         self.demand_needed = Signal()
+        # Told which lives of backend servers are left when some have gone.
+        self.on_lives: list[Callable[[set[LifeId]], None]] = []
         self.shutdown = load_chart("shutdown").initial
         self.requests_count = 0
         self._expected: dict[ModelName, int] = {}
@@ -96,6 +106,26 @@
         if self._background is not None:
             self._background.start_soon(work, *arguments)
 
+    @functools.cached_property
+    def connections(self) -> "Connections":
+        """Connections of the OpenAI-compatible interface to backend servers."""
+        # An entry that forwards requests doesn't import the HTTP client.
+        from cassiapitch.forward import Connections
+
+        connections = Connections()
+        self.on_lives.append(
+            lambda lives: self.start_background(connections.forget_except, lives)
+        )
+        return connections
+
+    def has_waiting(self) -> bool:
+        """Tells whether calls wait for tokens, for a place or to be ended."""
+        return bool(
+            self._budget_waits
+            or self.scheduler.has_waiting()
+            or len(self.authorization)
+        )
+
     def next_request_id(self) -> str:
         """Returns a request identity that is unique over all entries."""
         self.requests_count += 1
@@ -103,6 +133,8 @@
 
     def step_shutdown(self, event: str) -> None:
         """Follows `charts/shutdown.json`."""
+        # Told which lives of backend servers are left when some have gone.
+        self.on_lives: list[Callable[[set[LifeId]], None]] = []
         self.shutdown = load_chart("shutdown").next_state(self.shutdown, event)
 
     def applied(self, outcome: ApplyOutcome) -> None:
@@ -121,7 +153,8 @@
             lives = {item.life_id for item in self.catalog.backends.values()}
             self.router.forget_except(lives)
             self.suspicion.forget_except(lives)
-            self.start_background(self.connections.forget_except, lives)
+            for forget in self.on_lives:
+                forget(lives)
             self.scheduler.pump()
         self.confirmed.fire()
 
@@ -207,6 +240,7 @@
         event, decisions = anyio.Event(), list[Decision]()
         self._budget_waits[request_id] = (event, decisions)
         self.rate_needed.fire()
+        self.waiting_begun.fire()
         try:
             await event.wait()
         except BaseException:
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -1,10 +1,12 @@
-"""Numbered log events, written as JSON lines by `eliot`."""
+"""Numbered log events, written as JSON lines."""
 
 import enum
 import sys
+import time
+from collections.abc import Callable
 from typing import Any
 
-import eliot
+import msgspec
 
 from cassiapitch.logwriter import LogWriter
 
@@ -36,6 +38,7 @@
     PEER_LOST = 209
     PEER_REFUSED = 210
     STORAGE_FAILED = 211
+    STREAM_FAILED = 212
 
     LINK_OPENED = 301
     LINK_CLOSED = 302
@@ -80,21 +83,33 @@
     HEARTBEAT_REFUSED = 511
 
 
+_encoder = msgspec.json.Encoder(enc_hook=repr)
+_write: Callable[[bytes], Any] | None = None
+
+
 def log(event: Event, /, **fields: Any) -> None:
-    """Writes one event.
+    """Writes one event; nothing before `write_to` has said where to.
 
     Args:
         event: The numbered event.
         **fields: What it concerns. Never a caller's key or a request's content.
     """
-    eliot.log_message(
-        message_type=event.name.lower(), event_number=event.value, **fields
-    )
+    if _write is None:
+        return
+    line = {
+        "timestamp": time.time(),
+        "message_type": event.name.lower(),
+        "event_number": event.value,
+        **fields,
+    }
+    _write(_encoder.encode(line) + b"\n")
 
 
 def write_to(path: str | None) -> None:
-    """Sends the log to a file, or to standard error where `path` is None."""
+    """Sends the log to a file, or to standard output where `path` is None."""
+    global _write
     if path is None:
-        eliot.to_file(LogWriter(sys.stderr.fileno()))
+        _write = LogWriter(sys.stdout.fileno()).write
     else:
-        eliot.to_file(open(path, "a", encoding="utf-8"))  # noqa: SIM115
+        # Unbuffered: what is written before a crash tells its cause.
+        _write = open(path, "ab", buffering=0).write  # noqa: SIM115
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from cassiapitch import budget, events, metrics, timers
+from cassiapitch import budget, bytestream, events, metrics, timers
 from cassiapitch.backendlink import (
     BackendBrokenError,
     BackendConnection,
@@ -46,7 +46,8 @@
         self._crashes = crashes
         self._places = Places(state, source)
         self.answers = AnswerRelay(wire, state)
-        self._links = BackendLinks(state.start_background)
+        self._links = BackendLinks()
+        state.on_lives.append(self._links.forget_except)
         self._running: set[anyio.CancelScope] = set()
         self._has_ended = False
 
@@ -266,9 +267,9 @@
             return False
         finally:
             if is_clean:
-                await self._links.give_back(connection, idle_ms)
+                self._links.give_back(connection, idle_ms)
             else:
-                await connection.close()
+                connection.close()
 
     async def _send(
         self, call: ForwardCall, backend: BackendItem, connection: BackendConnection
@@ -339,7 +340,7 @@
         backend = slot.backend
         try:
             with anyio.fail_after(CRASH_PROBE_MS / 1000):
-                stream = await anyio.connect_tcp(backend.ip, backend.port)
+                stream = await bytestream.connect(backend.ip, backend.port)
         except (OSError, TimeoutError):
             self._state.router.unreachable(backend.life_id, timers.now_ms())
             self._state.demand.backend_refused(backend.life_id)
@@ -351,7 +352,7 @@
                 verdict=verdict.value,
             )
             return verdict
-        await stream.aclose()
+        stream.abort()
         return None
 
     async def _prepare_retry(
--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -5,30 +5,28 @@
 
 import anyio
 import anyio.abc
-import anyio.lowlevel
 
-from cassiapitch import events, timers
+from cassiapitch import bytestream, events, timers
 from cassiapitch.callerlink import (
     DEFAULT_LIMITS,
     BadRequestError,
     CallerConnection,
     CallerGoneError,
-    closing,
 )
 from cassiapitch.crashes import Crashes
 from cassiapitch.entrystate import EntryState
 from cassiapitch.forwardcall import Forwarder
 from cassiapitch.forwardroutes import CallerLimits
 from cassiapitch.readiness import Readiness
-from cassiapitch.settings import Address
 from cassiapitch.wire import Wire
 
-LISTEN_BACKLOG = 1_024
 # The end of the process itself takes a moment.
 STOP_MARGIN_MS = 600
 # Part of that margin in which the last answers are written.
 LAST_ANSWERS_MS = 200
-STOP_POLL_MS = 100
+# A connection that has just come gets this long for its first request at a stop.
+FIRST_REQUEST_MS = 1_000
+STOP_POLL_S = 0.02
 
 
 class ForwardServer:
@@ -37,14 +35,15 @@
     def __init__(self, wire: Wire, state: EntryState, crashes: Crashes) -> None:
         self._state = state
         settings = state.settings
-        self._address: Address = settings.caller_address
-        self.port = settings.caller_address.port
+        self._listener = bytestream.Listener(settings.caller_address, self.made)
+        self.port = self._listener.port
         source = random.Random(f"{settings.name}-{state.life_id}")
         self._forwarder = Forwarder(wire, state, crashes, source)
         self._readiness = Readiness(
             settings.readiness_address, wire.readiness_path, self._is_ready
         )
-        self._connections: set[CallerConnection] = set()
+        self._connections: dict[CallerConnection, int] = {}
+        self._group: anyio.abc.TaskGroup | None = None
         self._closed = anyio.Event()
         self._closed_ms = 0
 
@@ -59,35 +58,20 @@
     async def run(self) -> None:
         """Serves until `close`, and then to the end of every call."""
         async with anyio.create_task_group() as group:
+            self._group = group
             group.start_soon(self._readiness.run)
-            group.start_soon(self._watch_stop)
-            await self._serve_connections()
-            group.cancel_scope.cancel()
-
-    async def _watch_stop(self) -> None:
-        """Answers tell callers to leave the connection once the stop has begun."""
-        while self._state.shutdown == "running":
-            await self._state.confirmed.wait(STOP_POLL_MS)
-        self._forwarder.answers.is_stopping = True
-
-    async def _serve_connections(self) -> None:
-        listener = await anyio.create_tcp_listener(
-            local_host=self._address.ip,
-            local_port=self._address.port,
-            backlog=LISTEN_BACKLOG,
-        )
-        async with anyio.create_task_group() as group:
-            async with listener:
-                with anyio.CancelScope() as accepting:
-                    group.start_soon(self._cancel_when_closed, accepting)
-                    # Connections belong to the outer group and outlive the listener.
-                    await listener.serve(self.serve_stream, task_group=group)
+            await self._listener.open()
+            try:
+                await self._closed.wait()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await self._listener.close()
             await self._end_connections()
             group.cancel_scope.cancel()
 
-    async def _cancel_when_closed(self, accepting: anyio.CancelScope) -> None:
-        await self._closed.wait()
-        accepting.cancel()
+    def begin_stop(self) -> None:
+        """Has every further answer tell its caller to leave the connection."""
+        self._forwarder.answers.is_stopping = True
 
     async def _end_connections(self) -> None:
         """Ends idle connections at once and the others after their answer.
@@ -100,28 +84,36 @@
         await self._drain_until(timers.now_ms() + LAST_ANSWERS_MS)
 
     async def _drain_until(self, until_ms: int) -> None:
-        while self._connections and timers.now_ms() < until_ms:
-            for connection in list(self._connections):
+        while self._connections and (now_ms := timers.now_ms()) < until_ms:
+            for connection, made_ms in list(self._connections.items()):
+                is_new = not connection.has_served
+                if is_new and now_ms - made_ms < FIRST_REQUEST_MS:
+                    continue
                 if connection.is_idle:
-                    await connection.close()
-                    self._connections.discard(connection)
-            await anyio.sleep(0.02)
+                    connection.close()
+                    del self._connections[connection]
+            await anyio.sleep(STOP_POLL_S)
 
     def close(self) -> None:
         """Stops listening; calls in progress are completed."""
+        self.begin_stop()
         settings = self._state.settings
         grace_ms = int(settings.grace_s * 1_000)
         rest_ms = grace_ms - settings.balancer_delay_ms - STOP_MARGIN_MS
         self._closed_ms = timers.now_ms() + max(0, rest_ms)
         self._closed.set()
 
-    async def serve_stream(self, stream: anyio.abc.SocketStream) -> None:
-        """Serves one caller's connection to its end."""
+    def made(self, stream: bytestream.ByteStream) -> None:
+        """Takes over a connection that a caller has made."""
         connection = CallerConnection(stream, self._limits, self._state.body_room)
-        self._connections.add(connection)
+        self._connections[connection] = timers.now_ms()
+        assert self._group is not None
+        self._group.start_soon(self._serve_caught, connection)
+
+    async def _serve_caught(self, connection: CallerConnection) -> None:
+        """Serves one caller's connection to its end."""
         try:
-            async with closing(connection):
-                await self._serve_connection(connection)
+            await self._serve_connection(connection)
         except CallerGoneError:
             pass
         except Exception as error:
@@ -132,7 +124,8 @@
                 trace=traceback.format_exc(limit=-8),
             )
         finally:
-            self._connections.discard(connection)
+            self._connections.pop(connection, None)
+            connection.close()
 
     async def _serve_connection(self, connection: CallerConnection) -> None:
         while True:
--- a/cassiapitch/freshness.py
+++ b/cassiapitch/freshness.py
@@ -8,7 +8,6 @@
 # A withdrawn key must stop working within 2,000 ms of the operator's answer. A
 # confirmation counts from when it was asked for, so 200 ms remain for ending calls.
 LIMIT_MS = 1_800
-ASK_PERIOD_MS = 250
 NEW_CALL_WAIT_MS = 400
 
 
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -7,8 +7,6 @@
 
 import anyio
 import anyio.abc
-import grpclib.exceptions
-import grpclib.server
 
 from cassiapitch import commands, confirmations, events, group, linkstate, rpc
 from cassiapitch import view as views
@@ -52,7 +50,6 @@
 LINKS_LIMIT_COUNT = 4_096
 MEMBERS_PERIOD_S = 0.5
 
-Stream = grpclib.server.Stream[Any, Any]
 PRIMARY_ONLY = (
     RateAsk,
     ClaimAsk,
@@ -152,7 +149,7 @@
             link.reason = "this member stops"
             link.scope.cancel()
 
-    async def serve_link(self, stream: Stream) -> None:
+    async def serve_link(self, stream: rpc.Stream) -> None:
         """Serves one link until either side ends it."""
         hello = None
         with anyio.move_on_after(HELLO_TIMEOUT_S):
@@ -172,7 +169,7 @@
             return "too many links"
         return None
 
-    async def _serve_accepted(self, stream: Stream, hello: LinkHello) -> None:
+    async def _serve_accepted(self, stream: rpc.Stream, hello: LinkHello) -> None:
         with anyio.CancelScope() as scope:
             link = Link(linkstate.open_link(hello), anyio.Event(), scope)
             self._add(link)
@@ -181,7 +178,7 @@
                     tasks.start_soon(self._write, stream, link)
                     await self._read(stream, link)
                     tasks.cancel_scope.cancel()
-            except* (grpclib.exceptions.StreamTerminatedError, OSError) as errors:
+            except* OSError as errors:
                 link.reason = str(errors.exceptions[0])
             except* CodecError as errors:
                 link.reason = f"malformed message: {errors.exceptions[0]}"
@@ -231,7 +228,7 @@
             del self._primary[(hello.entry, hello.life_id)]
         events.log(Event.LINK_CLOSED, entry=hello.entry, reason=link.reason)
 
-    async def _write(self, stream: Stream, link: Link) -> None:
+    async def _write(self, stream: rpc.Stream, link: Link) -> None:
         while True:
             await link.wake.wait()
             link.wake = anyio.Event()
@@ -244,7 +241,7 @@
                     self._close(link, "the entry takes messages too slowly")
                     return
 
-    async def _read(self, stream: Stream, link: Link) -> None:
+    async def _read(self, stream: rpc.Stream, link: Link) -> None:
         while (message := await stream.recv_message()) is not None:
             self._dispatch(link, message)
 
--- a/cassiapitch/leadership.py
+++ b/cassiapitch/leadership.py
@@ -19,6 +19,7 @@
 from cassiapitch.replicated import ReplicatedState
 
 POLL_S = 0.02
+QUIET_POLL_S = 0.1
 # Asks that arrive within this time are divided together.
 GATHER_S = 0.002
 PROPOSE_TIMEOUT_MS = 1_000
@@ -75,7 +76,14 @@
             tasks.start_soon(self._expire)
             while True:
                 await self._follow_leadership()
-                await anyio.sleep(POLL_S)
+                await anyio.sleep(POLL_S if self._is_urgent() else QUIET_POLL_S)
+
+    def _is_urgent(self) -> bool:
+        """Tells whether a record is due as soon as it may be proposed."""
+        current = self._granter
+        if not isinstance(current, Granter):
+            return False
+        return bool(current.wanted) or current.pending is not None
 
     async def _follow_leadership(self) -> None:
         status = self._member.status()
--- a/cassiapitch/link.py
+++ b/cassiapitch/link.py
@@ -1,16 +1,15 @@
 """Links of an entry to control members, and which member each one goes to."""
 
+import contextlib
 import dataclasses
 import zlib
 from collections.abc import Callable
 from typing import Any
 
 import anyio
-import grpclib.exceptions
 
 from cassiapitch import events, rpc, timers
 from cassiapitch.exceptions import CodecError
-from cassiapitch.freshness import ASK_PERIOD_MS
 from cassiapitch.messages import (
     ConfirmAsk,
     Confirmed,
@@ -131,9 +130,6 @@
     CodecError,
     OSError,
     anyio.WouldBlock,
-    grpclib.exceptions.GRPCError,
-    grpclib.exceptions.ProtocolError,
-    grpclib.exceptions.StreamTerminatedError,
 )
 
 
@@ -146,11 +142,13 @@
         plan: LinkPlan,
         handlers: LinkHandlers,
         tls: TlsSettings | None,
+        confirm_period_ms: int,
     ) -> None:
         self._slot = slot
         self._plan = plan
         self._handlers = handlers
         self._tls = tls
+        self._confirm_period_ms = confirm_period_ms
         self._heard_ms = 0
 
     async def run(self) -> None:
@@ -179,13 +177,14 @@
             if not all(isinstance(leaf, EXPECTED_ERRORS) for leaf in leaves):
                 raise
             return f"{type(leaves[0]).__name__}: {leaves[0]}"
-        finally:
-            channel.close()
         return "ended by the member"
 
     async def _serve(self, channel: Any, peer: ControlPeer) -> None:
-        async with rpc.open_stream(channel, "Hub", "Link") as stream:
+        async with contextlib.AsyncExitStack() as stack:
             with anyio.fail_after(CONNECT_LIMIT_MS / 1000):
+                stream = await stack.enter_async_context(
+                    rpc.open_stream(channel, "Hub", "Link")
+                )
                 await stream.send_message(self._handlers.hello(self._slot))
             sender, outgoing = anyio.create_memory_object_stream[Any](
                 OUTGOING_LIMIT_COUNT
@@ -211,7 +210,7 @@
             if timers.now_ms() - self._heard_ms > SILENCE_LIMIT_MS:
                 raise LinkError("no confirmation in time")
             sender.send_nowait(self._handlers.confirm_ask())
-            await anyio.sleep(ASK_PERIOD_MS / 1000)
+            await anyio.sleep(self._confirm_period_ms / 1000)
 
     async def _receive(self, stream: Any) -> None:
         while (message := await stream.recv_message()) is not None:
--- a/cassiapitch/peers.py
+++ b/cassiapitch/peers.py
@@ -6,15 +6,13 @@
 """
 
 import collections
+import contextlib
 import dataclasses
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import anyio
 import anyio.abc
-import grpclib.client
-import grpclib.exceptions
-import grpclib.server
 
 from cassiapitch import codec, events, rpc
 from cassiapitch.exceptions import CodecError
@@ -40,9 +38,6 @@
     OSError,
     TimeoutError,
     CodecError,
-    grpclib.exceptions.GRPCError,
-    grpclib.exceptions.StreamTerminatedError,
-    grpclib.exceptions.ProtocolError,
 )
 
 
@@ -164,30 +159,35 @@
         return ", ".join(reasons)
 
     async def _connect(self, link: _Link) -> None:
-        channel = rpc.open_channel(link.address, self._tls)
-        try:
-            async with rpc.open_stream(channel, SERVICE, METHOD) as stream:
-                hello = await self._exchange(stream)
-                if hello.disk_id != link.target:
-                    raise PeerRefusedError(f"{hello.name} has another disk")
-                fields = {"name": hello.name, "target": link.target}
-                events.log(events.Event.PEER_CONNECTED, **fields)
-                link.unanswered_ms = None
-                async with anyio.create_task_group() as group:
-                    group.start_soon(self._watch, link, stream)
-                    await self._send_all(link, stream)
-        finally:
-            channel.close()
+        async with self._opened(link.address) as stream:
+            hello = await self._exchange(stream)
+            if hello.disk_id != link.target:
+                raise PeerRefusedError(f"{hello.name} has another disk")
+            fields = {"name": hello.name, "target": link.target}
+            events.log(events.Event.PEER_CONNECTED, **fields)
+            link.unanswered_ms = None
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch, link, stream)
+                await self._send_all(link, stream)
 
-    async def _watch(
-        self, link: _Link, stream: grpclib.client.Stream[Any, Any]
-    ) -> None:
+    @contextlib.asynccontextmanager
+    async def _opened(self, address: Address) -> AsyncIterator[rpc.Stream]:
+        """Opens a stream; a member that is gone takes no longer than the limit."""
+        channel = rpc.open_channel(address, self._tls)
+        async with contextlib.AsyncExitStack() as stack:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await stack.enter_async_context(
+                    rpc.open_stream(channel, SERVICE, METHOD)
+                )
+            yield stream
+
+    async def _watch(self, link: _Link, stream: rpc.Stream) -> None:
         # Without reading, the end of a stream on a live connection goes unnoticed.
         while await stream.recv_message() is not None:
             link.unanswered_ms = None
         raise TimeoutError("the member ended the stream")
 
-    async def _exchange(self, stream: grpclib.client.Stream[Any, Any]) -> PeerHello:
+    async def _exchange(self, stream: rpc.Stream) -> PeerHello:
         own = self._hello()
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             await stream.send_message(own)
@@ -196,9 +196,7 @@
             raise PeerRefusedError("not a member of this deployment")
         return hello
 
-    async def _send_all(
-        self, link: _Link, stream: grpclib.client.Stream[Any, Any]
-    ) -> None:
+    async def _send_all(self, link: _Link, stream: rpc.Stream) -> None:
         while True:
             if not link.waiting:
                 link.changed = anyio.Event()
@@ -224,19 +222,15 @@
 
     async def probe(self, address: Address) -> PeerHello | None:
         """Asks the member at an address who it is; None if it doesn't answer."""
-        channel = rpc.open_channel(address, self._tls)
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                async with rpc.open_stream(channel, SERVICE, METHOD) as stream:
-                    hello = await self._exchange(stream)
-                    await stream.end()
+            async with self._opened(address) as stream:
+                hello = await self._exchange(stream)
+                await stream.end()
             return hello
         except (*LOST, PeerRefusedError):
             return None
-        finally:
-            channel.close()
 
-    async def serve(self, stream: grpclib.server.Stream[Any, Any]) -> None:
+    async def serve(self, stream: rpc.Stream) -> None:
         """Receives another member's messages."""
         hello = await stream.recv_message()
         own = self._hello()
@@ -256,9 +250,7 @@
                 del self._connected[hello.disk_id]
                 self._close_unless_member(hello.disk_id)
 
-    async def _receive(
-        self, sender: str, stream: grpclib.server.Stream[Any, Any]
-    ) -> None:
+    async def _receive(self, sender: str, stream: rpc.Stream) -> None:
         alive_ms = now_ms()
         async for batch in stream:
             if not isinstance(batch, PeerBatch):
--- /dev/null
+++ b/cassiapitch/plainhttp.py
@@ -0,0 +1,139 @@
+"""A small HTTP server for an application's few calls, on `callerlink`.
+
+It serves the balancer's question, metrics, heartbeats and configurations on the
+platform, where the programs leave `uvicorn` out: importing it takes a fifth of an
+entry's start.
+"""
+
+import traceback
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from cassiapitch import asgi, bytestream, events
+from cassiapitch.asgi import BodyRoom
+from cassiapitch.callerlink import (
+    BadRequestError,
+    CallerConnection,
+    CallerGoneError,
+    CallerRequest,
+)
+from cassiapitch.forwardroutes import CallerLimits
+from cassiapitch.settings import Address
+
+LIMITS = CallerLimits(
+    head_bytes=32 * 1024,
+    body_bytes=32 * 1024 * 1024,
+    head_timeout_ms=10_000,
+    idle_timeout_ms=75_000,
+)
+BUFFERED_LIMIT_BYTES = 64 * 1024 * 1024
+CONNECTIONS_LIMIT_COUNT = 1_024
+
+
+class PlainHttpServer:
+    """One listening server; `run` serves until `close` or cancellation."""
+
+    def __init__(self, app: asgi.App, address: Address) -> None:
+        """Binds the address; port 0 takes a free one, see `port`.
+
+        Args:
+            app: Serves the requests; each gets its body in one piece.
+            address: Where to listen.
+        """
+        self._app = app
+        self._room = BodyRoom(BUFFERED_LIMIT_BYTES)
+        self._listener = bytestream.Listener(address, self._made)
+        self.port = self._listener.port
+        self._group: anyio.abc.TaskGroup | None = None
+        self._connections: set[CallerConnection] = set()
+        self._closed = anyio.Event()
+
+    async def run(self) -> None:
+        """Serves; after `close`, ends once the last response is complete."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await self._listener.open()
+            try:
+                await self._closed.wait()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await self._listener.close()
+            for connection in list(self._connections):
+                if connection.is_idle:
+                    connection.close()
+
+    def close(self) -> None:
+        """Stops listening; responses in progress are completed."""
+        self._closed.set()
+
+    def _made(self, stream: bytestream.ByteStream) -> None:
+        if len(self._connections) >= CONNECTIONS_LIMIT_COUNT or self._group is None:
+            stream.abort()
+            return
+        connection = CallerConnection(stream, lambda: LIMITS, self._room)
+        self._connections.add(connection)
+        self._group.start_soon(self._serve, connection)
+
+    async def _serve(self, connection: CallerConnection) -> None:
+        try:
+            await self._serve_requests(connection)
+        except CallerGoneError:
+            pass
+        except Exception as error:
+            # One connection's fault must not end the others.
+            events.log(
+                events.Event.CALL_FAILED,
+                reason=repr(error),
+                trace=traceback.format_exc(limit=-8),
+            )
+        finally:
+            self._connections.discard(connection)
+            connection.close()
+
+    async def _serve_requests(self, connection: CallerConnection) -> None:
+        while True:
+            try:
+                request = await connection.read_request()
+            except BadRequestError as error:
+                await connection.answer(error.status, [], b"", close=True)
+                return
+            if request is None:
+                return
+            status, headers, body = await self._call(request)
+            is_last = self._closed.is_set()
+            await connection.answer(status, headers, body, close=is_last)
+            if not connection.begin_next() or is_last:
+                return
+
+    async def _call(self, request: CallerRequest) -> tuple[int, asgi.Headers, bytes]:
+        """Has the application answer one request."""
+        path, _, query = request.target.partition(b"?")
+        scope = {
+            "type": "http",
+            "method": request.method.decode("latin-1"),
+            "path": path.decode("latin-1"),
+            "query_string": query,
+            "headers": request.headers,
+        }
+        status = 500
+        headers: asgi.Headers = []
+        parts: list[bytes] = []
+
+        async def receive() -> dict[str, Any]:
+            return {"type": "http.request", "body": request.body, "more_body": False}
+
+        async def send(message: asgi.AsgiMessage) -> None:
+            nonlocal status, headers
+            if message["type"] == "http.response.start":
+                status = message["status"]
+                # The connection states the length itself.
+                headers = [
+                    item for item in message["headers"] if item[0] != b"content-length"
+                ]
+            else:
+                parts.append(message.get("body", b""))
+
+        await self._app(scope, receive, send)
+        return status, headers, b"".join(parts)
--- a/cassiapitch/readiness.py
+++ b/cassiapitch/readiness.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from cassiapitch import asgi
+from cassiapitch import asgi, plainhttp
 from cassiapitch.settings import Address
 
 
@@ -25,7 +25,7 @@
         self._is_ready = is_ready
         self._server = None
         if address is not None:
-            self._server = asgi.HttpServer(self._serve, address)
+            self._server = plainhttp.PlainHttpServer(self._serve, address)
 
     async def run(self) -> None:
         """Serves until cancelled."""
--- a/cassiapitch/relay.py
+++ b/cassiapitch/relay.py
@@ -1,13 +1,12 @@
 """Passes on to the leader what only the leader handles, and its answers back."""
 
 import collections
+import contextlib
 from collections.abc import Callable
 from typing import Any
 
 import anyio
 import anyio.abc
-import grpclib.exceptions
-import grpclib.server
 
 from cassiapitch import codec, events, group, rpc, timers
 from cassiapitch.events import Event
@@ -30,7 +29,6 @@
 RETRY_PAUSE_S = 0.1
 LEADER_POLL_S = 0.05
 
-Stream = grpclib.server.Stream[Any, Any]
 Reply = Callable[[Any], None]
 
 
@@ -123,7 +121,7 @@
         for outbox in self._followers:
             outbox.push(message)
 
-    async def serve(self, stream: Stream) -> None:
+    async def serve(self, stream: rpc.Stream) -> None:
         """Serves a follower's stream on the leader."""
         hello = await stream.recv_message()
         is_ours = isinstance(hello, RelayHello) and hello.cluster == self._hello.cluster
@@ -137,16 +135,12 @@
                 tasks.start_soon(_send_batches, stream, outbox)
                 await self._receive_from_follower(stream, outbox)
                 tasks.cancel_scope.cancel()
-        except* (
-            grpclib.exceptions.StreamTerminatedError,
-            OSError,
-            CodecError,
-        ) as error:
+        except* (OSError, CodecError) as error:
             events.log(Event.RELAY_CLOSED, member=hello.member, reason=str(error))
         finally:
             self._followers.discard(outbox)
 
-    async def _receive_from_follower(self, stream: Stream, outbox: Outbox) -> None:
+    async def _receive_from_follower(self, stream: rpc.Stream, outbox: Outbox) -> None:
         while isinstance(batch := await stream.recv_message(), RelayBatch):
             if not group.is_leader(self._member):
                 return
@@ -163,13 +157,7 @@
             name, address = leader
             try:
                 await self._run_stream(name, address)
-            except* (
-                grpclib.exceptions.StreamTerminatedError,
-                grpclib.exceptions.GRPCError,
-                grpclib.exceptions.ProtocolError,
-                OSError,
-                CodecError,
-            ) as error:
+            except* (OSError, CodecError) as error:
                 reason = str(error.exceptions[0])
                 events.log(Event.RELAY_CLOSED, leader=name, reason=reason)
             self._outbox.clear()
@@ -177,21 +165,21 @@
 
     async def _run_stream(self, leader: str, address: Address) -> None:
         channel = rpc.open_channel(address, self._tls)
-        try:
-            async with rpc.open_stream(channel, "Relay", "Messages") as stream:
-                with anyio.fail_after(CONNECT_TIMEOUT_S):
-                    await stream.send_message(self._hello)
-                events.log(Event.RELAY_OPENED, leader=leader)
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(_send_batches, stream, self._outbox)
-                    tasks.start_soon(self._watch_leader, leader, tasks.cancel_scope)
-                    while isinstance(batch := await stream.recv_message(), RelayBatch):
-                        for data in batch.messages:
-                            self._on_answer(codec.decode(data))
-                    tasks.cancel_scope.cancel()
-                await stream.cancel()
-        finally:
-            channel.close()
+        async with contextlib.AsyncExitStack() as stack:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await stack.enter_async_context(
+                    rpc.open_stream(channel, "Relay", "Messages")
+                )
+                await stream.send_message(self._hello)
+            events.log(Event.RELAY_OPENED, leader=leader)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_send_batches, stream, self._outbox)
+                tasks.start_soon(self._watch_leader, leader, tasks.cancel_scope)
+                while isinstance(batch := await stream.recv_message(), RelayBatch):
+                    for data in batch.messages:
+                        self._on_answer(codec.decode(data))
+                tasks.cancel_scope.cancel()
+            await stream.cancel()
 
     async def _watch_leader(self, leader: str, scope: anyio.CancelScope) -> None:
         while True:
--- a/cassiapitch/rpc.py
+++ b/cassiapitch/rpc.py
@@ -1,15 +1,23 @@
-"""`grpclib` between the system's own processes, over mutual TLS where set."""
+"""Streams of messages between the system's own processes, over mutual TLS where set.
 
+A connection carries one stream: the name of a method, then messages both ways, each one
+a byte string of MessagePack, which the library's streaming decoder takes apart.
+"""
+
+import asyncio
+import contextlib
 import dataclasses
 import ssl
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from typing import Any
 
-import grpclib.client
-import grpclib.const
-import grpclib.server
+import anyio
+import msgpack
+import msgspec
 
+from cassiapitch import events
 from cassiapitch.codec import MessageCodec
+from cassiapitch.exceptions import CodecError
 from cassiapitch.messages import (
     LoadReports,
     ViewDelta,
@@ -19,73 +27,249 @@
 # Messages that a hub sends alike over all its links.
 SHARED_TYPES = (LoadReports, ViewDelta)
 
-RpcMethod = Callable[[grpclib.server.Stream[Any, Any]], Awaitable[None]]
+READ_BYTES = 65_536
+# A snapshot of the replicated state is the largest message.
+MESSAGE_LIMIT_BYTES = 64 * 1024 * 1024
+METHOD_LIMIT_BYTES = 256
+METHOD_TIMEOUT_S = 5
+# What was written last has this long to leave after the end of a stream.
+LINGER_S = 2.0
+LISTEN_BACKLOG = 1_024
 
 
-class Handler:
-    """The methods of one service, as `grpclib` expects them."""
+class StreamError(ConnectionError):
+    """A stream failed, or its end came in the middle of a message."""
+
+
+class Stream:
+    """One stream of messages; reads and writes may be made by different tasks."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        codec: MessageCodec,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._codec = codec
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MESSAGE_LIMIT_BYTES, raw=True)
 
-    def __init__(self, service: str, methods: dict[str, RpcMethod]) -> None:
-        """Makes every method a stream of messages both ways.
+    async def send_message(self, message: Any) -> None:
+        """Writes a message; waits while the peer takes too little.
 
-        Args:
-            service: Service name, for instance `Hub`.
-            methods: Maps a method name to the function that serves its streams.
+        Raises:
+            StreamError: The stream has ended.
         """
-        self._service = service
-        self._methods = methods
-
-    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
-        """Returns `grpclib`'s table of paths."""
-        return {
-            f"/cassiapitch.{self._service}/{name}": grpclib.const.Handler(
-                method, grpclib.const.Cardinality.STREAM_STREAM, object, object
-            )
-            for name, method in self._methods.items()
-        }
+        await self._write(self._codec.encode(message))
+
+    async def recv_message(self) -> Any | None:
+        """Returns the next message, or None at the end of the stream.
+
+        Raises:
+            StreamError: The stream failed.
+            CodecError: What came is no message.
+        """
+        data = await self.read_bytes()
+        return None if data is None else self._codec.decode(data)
+
+    async def __aiter__(self) -> AsyncIterator[Any]:
+        """Yields messages up to the end of the stream."""
+        while (message := await self.recv_message()) is not None:
+            yield message
+
+    async def read_bytes(self) -> bytes | None:
+        """Returns the next byte string, or None at the end of the stream.
+
+        Raises:
+            StreamError: The stream failed.
+            CodecError: What came is no byte string.
+        """
+        while True:
+            try:
+                found = self._unpacker.unpack()
+            except msgpack.OutOfData:
+                data = await self._receive()
+                if not data:
+                    return None
+                self._feed(data)
+                continue
+            except (ValueError, msgpack.UnpackException) as error:
+                raise CodecError(f"malformed stream: {error!r}") from None
+            if not isinstance(found, bytes):
+                raise CodecError("malformed stream: not a byte string")
+            return found
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._unpacker.feed(data)
+        except msgpack.BufferFull:
+            raise CodecError("a message is too large") from None
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._reader.read(READ_BYTES)
+        except OSError as error:
+            raise StreamError(str(error) or repr(error)) from None
+
+    async def write_bytes(self, data: bytes) -> None:
+        """Writes a byte string, see `send_message`."""
+        await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        # Writes to a closing transport would be dropped without an error.
+        if self._writer.transport.is_closing():
+            raise StreamError("the connection is closed")
+        self._writer.write(msgspec.msgpack.encode(data))
+        try:
+            await self._writer.drain()
+        except OSError as error:
+            raise StreamError(str(error) or repr(error)) from None
+
+    async def end(self) -> None:
+        """Says that no message follows."""
+        with contextlib.suppress(OSError):
+            if self._writer.can_write_eof():
+                self._writer.write_eof()
+
+    async def cancel(self) -> None:
+        """Ends the stream at once."""
+        self._writer.transport.abort()
+
+    def close(self) -> None:
+        """Ends the stream after what was written has left."""
+        transport = self._writer.transport
+        if not transport.is_closing():
+            transport.close()
+            asyncio.get_running_loop().call_later(LINGER_S, transport.abort)
+
+
+RpcMethod = Callable[[Stream], Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handler:
+    """The methods of one service.
+
+    Attributes:
+        service: Service name, for instance `Hub`.
+        methods: Maps a method name to the function that serves its streams.
+    """
+
+    service: str
+    methods: dict[str, RpcMethod]
 
 
-@dataclasses.dataclass(slots=True)
 class RpcServer:
     """A listening server; `close` ends it."""
 
-    server: grpclib.server.Server
+    def __init__(self, handlers: Iterable[Handler]) -> None:
+        self._methods = {
+            _path(handler.service, name): method
+            for handler in handlers
+            for name, method in handler.methods.items()
+        }
+        self._codec = MessageCodec(SHARED_TYPES)
+        self._streams: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: Address, tls: TlsSettings | None) -> None:
+        """Starts to listen."""
+        context = None if tls is None else server_context(tls)
+        self._server = await asyncio.start_server(
+            self._serve,
+            address.ip,
+            address.port,
+            ssl=context,
+            backlog=LISTEN_BACKLOG,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._streams.add(task)
+        stream = Stream(reader, writer, self._codec)
+        try:
+            with anyio.move_on_after(METHOD_TIMEOUT_S):
+                path = await stream.read_bytes()
+                method = self._methods.get(path or b"")
+            if method is not None:
+                await method(stream)
+        except (OSError, CodecError) as error:
+            events.log(events.Event.STREAM_FAILED, reason=str(error) or repr(error))
+        except asyncio.CancelledError:
+            # The end of the server; asyncio would print it as an error.
+            pass
+        finally:
+            self._streams.discard(task)
+            stream.close()
 
     async def close(self) -> None:
-        """Stops listening and waits for the end of the calls in progress."""
-        self.server.close()
-        await self.server.wait_closed()
+        """Stops listening and ends the streams in progress."""
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._streams):
+            task.cancel()
+        while self._streams:
+            await asyncio.wait(self._streams)
 
 
 async def serve(
-    handlers: list[Handler], address: Address, tls: TlsSettings | None
+    handlers: Iterable[Handler], address: Address, tls: TlsSettings | None
 ) -> RpcServer:
     """Starts a server for `handlers` on `address`."""
-    codec = MessageCodec(SHARED_TYPES)
-    server = grpclib.server.Server(handlers, codec=codec)
-    context = None if tls is None else server_context(tls)
-    await server.start(address.ip, address.port, ssl=context)
-    return RpcServer(server)
+    server = RpcServer(handlers)
+    await server.listen(address, tls)
+    return server
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Channel:
+    """Where streams are opened to; see `open_stream`."""
+
+    address: Address
+    tls: TlsSettings | None
 
 
-def open_channel(address: Address, tls: TlsSettings | None) -> grpclib.client.Channel:
-    """Returns a channel; the connection is made with its first call."""
-    context = None if tls is None else client_context(tls)
-    return grpclib.client.Channel(
-        address.ip, address.port, codec=MessageCodec(), ssl=context
-    )
+def open_channel(address: Address, tls: TlsSettings | None) -> Channel:
+    """Returns a channel; each stream on it is a connection."""
+    return Channel(address, tls)
+
+
+@contextlib.asynccontextmanager
+async def open_stream(
+    channel: Channel, service: str, method: str
+) -> AsyncIterator[Stream]:
+    """Opens a stream of messages both ways for the length of a block.
+
+    Raises:
+        StreamError: No connection came about.
+    """
+    context = None if channel.tls is None else client_context(channel.tls)
+    try:
+        reader, writer = await asyncio.open_connection(
+            channel.address.ip, channel.address.port, ssl=context
+        )
+    except OSError as error:
+        raise StreamError(str(error) or repr(error)) from None
+    stream = Stream(reader, writer, MessageCodec())
+    try:
+        await stream.write_bytes(_path(service, method))
+        yield stream
+    finally:
+        stream.close()
 
 
-def open_stream(
-    channel: grpclib.client.Channel, service: str, method: str
-) -> grpclib.client.Stream[Any, Any]:
-    """Returns a stream of messages both ways; use it with `async with`."""
-    return channel.request(
-        f"/cassiapitch.{service}/{method}",
-        grpclib.const.Cardinality.STREAM_STREAM,
-        object,
-        object,
-    )
+def _path(service: str, method: str) -> bytes:
+    return f"{service}/{method}".encode()
 
 
 def server_context(tls: TlsSettings) -> ssl.SSLContext:
@@ -95,7 +279,6 @@
     context.load_cert_chain(tls.certificate_path, tls.key_path)
     context.load_verify_locations(tls.ca_path)
     context.verify_mode = ssl.CERT_REQUIRED
-    context.set_alpn_protocols(["h2"])
     return context
 
 
@@ -110,5 +293,4 @@
     context.check_hostname = False
     context.load_cert_chain(tls.certificate_path, tls.key_path)
     context.load_verify_locations(tls.ca_path)
-    context.set_alpn_protocols(["h2"])
     return context
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -107,7 +107,22 @@
 class Scheduler:
     """Queues by model, and the requests in flight."""
 
-    def __init__(self, policy: str, router: Router, suspicion: Suspicion) -> None:
+    def __init__(
+        self,
+        policy: str,
+        router: Router,
+        suspicion: Suspicion,
+        on_waiting: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Makes an empty scheduler.
+
+        Args:
+            policy: Queue policy.
+            router: Chooses backend servers.
+            suspicion: What is known of requests that crash them.
+            on_waiting: Called when a request begins to wait; `tick` is due then.
+        """
+        self._on_waiting = on_waiting
         self._policy = policy
         self._router = router
         self._suspicion = suspicion
@@ -161,6 +176,10 @@
                 self._finish(queue, ticket, refusal)
         self.pump()
 
+    def has_waiting(self) -> bool:
+        """Tells whether requests wait for a backend server."""
+        return bool(self._waiters)
+
     def waiting(self) -> dict[tuple[str, Priority], tuple[int, int]]:
         """Returns the waiting requests' number and longest wait by what they need."""
         now_ms = timers.now_ms()
@@ -190,6 +209,7 @@
             return NoSlot(ErrorKind.DEADLINE_EXCEEDED, wait_ms)
         waiter = _Waiter(wanted, ticket, anyio.Event())
         self._waiters[ticket] = waiter
+        self._on_waiting()
         self._pump_queue(queue, wanted.priority, now_ms)
         try:
             await waiter.done.wait()
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -150,6 +150,9 @@
         readiness_listen: `readiness_address` as text.
         demand_period_ms: Time between two reports of demand and requests in flight.
         grace_s: Time from SIGTERM to the end of the process.
+        links_count: Control members that it is linked to at once; a second link
+            keeps keyed calls confirmed while the member of the first is lost.
+        confirm_period_ms: Time between two asks for a confirmation of its view.
     """
 
     name: Name
@@ -180,3 +183,5 @@
     serve_unconfirmed: bool = False
     grace_s: Annotated[float, Meta(gt=0)] = 30.0
     demand_period_ms: PositiveInt = 500
+    links_count: Annotated[int, Meta(ge=1, le=2)] = 2
+    confirm_period_ms: Annotated[int, Meta(ge=50, le=500)] = 250
--- a/cassiapitch/standin.py
+++ b/cassiapitch/standin.py
@@ -7,7 +7,7 @@
 import anyio
 import httpcore
 
-from cassiapitch import announce, asgi, events, process, timers
+from cassiapitch import announce, events, httpserver, process, timers
 from cassiapitch.settings import Address
 from cassiapitch.standin_engine import Engine
 from cassiapitch.standin_service import Service
@@ -34,7 +34,7 @@
         backend = Engine(settings, life_id, crash=lambda: os._exit(CRASH_EXIT_CODE))
     else:
         backend = Service(settings, life_id)
-    server = asgi.HttpServer(backend, settings.address)
+    server = httpserver.HttpServer(backend, settings.address)
     address = Address(settings.address.ip, server.port)
     events.log(
         events.Event.STANDIN_LISTENING,
--- a/cassiapitch/standin_settings.py
+++ b/cassiapitch/standin_settings.py
@@ -38,7 +38,7 @@
         resume_ms: How long a stream goes on without a connection.
         leave_ms: Shortest time between announcing `leaving` and the exit.
         seed: Seed of the cache gaps.
-        log_path: Log file; None for standard error.
+        log_path: Log file; None for standard output.
     """
 
     name: Name
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -8,7 +8,7 @@
 import anyio.lowlevel
 import httpcore
 
-from cassiapitch import asgi, codec, messages, rpc, settings, viewitems
+from cassiapitch import asgi, codec, httpserver, messages, rpc, settings, viewitems
 from cassiapitch.entry import EntryProcess
 from cassiapitch.types import ClaimState, Priority, RoleKind, SuspectRun
 
@@ -46,8 +46,7 @@
     async def start(self):
         handler = rpc.Handler("Hub", {"Link": self.link})
         self.server = await rpc.serve([handler], LOOPBACK, None)
-        sockets = self.server.server._server.sockets
-        self.address = settings.Address("127.0.0.1", sockets[0].getsockname()[1])
+        self.address = settings.Address("127.0.0.1", self.server.port)
 
     def put(self, item, name):
         self.items[name] = codec.encode(item)
@@ -151,7 +150,7 @@
 
     def __init__(self, name, life_id, zone="a"):
         self.name, self.life_id, self.zone = name, life_id, zone
-        self.http = asgi.HttpServer(self.app, LOOPBACK)
+        self.http = httpserver.HttpServer(self.app, LOOPBACK)
         self.seen = []
         self.transports = set()
 
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -142,9 +142,8 @@
             backend.port = listener.extra(anyio.abc.SocketAttribute.local_port)
             self.group.start_soon(listener.serve, backend.serve)
             self.backends.append(backend)
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        self.group.start_soon(listener.serve, self.server.serve_stream)
+        self.port = self.server.port
+        self.group.start_soon(self.server.run)
         self._apply_view()
 
     def _apply_view(self):
--- a/tests/log_member.py
+++ b/tests/log_member.py
@@ -79,7 +79,8 @@
         try:
             await self.member.run(task_status=task_status)
         finally:
-            server.server.close()
+            with anyio.CancelScope(shield=True):
+                await server.close()
 
     async def do(self, operation, *arguments):
         member = self.member
--- a/tests/test_backendlink.py
+++ b/tests/test_backendlink.py
@@ -18,7 +18,7 @@
     return head.status
 
 
-def test_connection_is_used_again_before_its_watch_has_begun():
+def test_connection_is_used_again_at_once():
     """Guards against two tasks that read from one connection."""
 
     async def main():
@@ -31,12 +31,12 @@
         with anyio.fail_after(LIMIT_S):
             async with anyio.create_task_group() as group:
                 group.start_soon(listener.serve, backend.serve)
-                links = BackendLinks(group.start_soon)
+                links = BackendLinks()
                 for number in range(3):
                     connection = await links.open(item)
                     status = await exchange(connection, b"q%d" % number)
                     assert status == 200
-                    await links.give_back(connection, None)
+                    links.give_back(connection, None)
                 group.cancel_scope.cancel()
         assert backend.connections_count == 1
 
--- /dev/null
+++ b/tests/test_bytestream.py
@@ -0,0 +1,153 @@
+import asyncio
+import socket
+
+import anyio
+import pytest
+
+from cassiapitch import bytestream
+from cassiapitch.bytestream import INPUT_LIMIT_BYTES, ByteStream, Listener
+from cassiapitch.settings import Address
+
+LIMIT_S = 10
+
+
+def play(scenario):
+    """Runs a scenario with a listener, the streams that it accepts, and a client."""
+
+    async def main():
+        made = []
+        listener = Listener(Address("127.0.0.1", 0), made.append)
+        with anyio.fail_after(LIMIT_S):
+            await scenario(listener, made)
+
+    anyio.run(main)
+
+
+async def until(condition):
+    while not condition():  # noqa: ASYNC110
+        await anyio.sleep(0.005)
+
+
+async def pair(listener, made):
+    """Returns both ends of a connection."""
+    await listener.open()
+    client = await bytestream.connect("127.0.0.1", listener.port)
+    await until(lambda: made)
+    return client, made[0]
+
+
+def test_bytes_arrive_in_order_and_the_end_after_them():
+    async def scenario(listener, made):
+        client, server = await pair(listener, made)
+        await client.send(b"one")
+        await client.send(b"two")
+        client.close()
+        received = b""
+        while data := await server.receive():
+            received += data
+        assert received == b"onetwo"
+
+    play(scenario)
+
+
+def test_reset_is_no_end():
+    """Guards against an answer that was reset on its way and passes for a whole one."""
+
+    async def scenario(listener, made):
+        client, server = await pair(listener, made)
+        await server.send(b"half")
+        assert await client.receive() == b"half"
+        server.abort()
+        # Unread bytes at the closing side make the kernel reset the connection.
+        raw = server._transport.get_extra_info("socket")
+        assert raw is not None
+        client.connection_lost(ConnectionResetError())
+        with pytest.raises(OSError):
+            await client.receive()
+
+    play(scenario)
+
+
+def test_bytes_without_end_are_held_up_and_take_bounded_memory():
+    async def scenario(listener, made):
+        client, server = await pair(listener, made)
+        sent = 0
+        with anyio.move_on_after(1.0):
+            while True:
+                await client.send(b"x" * 65_536)
+                sent += 65_536
+        assert server._input_bytes <= INPUT_LIMIT_BYTES + 300_000
+        received = 0
+        while received < INPUT_LIMIT_BYTES:
+            received += len(await server.receive())
+        client.abort()
+
+    play(scenario)
+
+
+def test_writer_waits_no_longer_than_its_limit_for_a_peer_that_takes_nothing():
+    async def scenario(listener, made):
+        client, server = await pair(listener, made)
+        server._transport.pause_reading()
+        with pytest.raises(TimeoutError):
+            await client.send(b"x" * 64 * 1024 * 1024, timeout_s=0.2)
+
+    play(scenario)
+
+
+def test_write_to_a_closed_connection_fails():
+    async def scenario(listener, made):
+        client, _ = await pair(listener, made)
+        client.abort()
+        with pytest.raises(OSError):
+            await client.send(b"x")
+
+    play(scenario)
+
+
+def test_connections_that_the_kernel_has_taken_are_served_when_the_listener_closes():
+    """Guards against requests that are reset at a planned stop under load."""
+
+    async def scenario(listener, made):
+        await listener.open()
+        callers = [socket.create_connection(("127.0.0.1", listener.port))]
+        callers += [
+            socket.create_connection(("127.0.0.1", listener.port)) for _ in range(20)
+        ]
+        for caller in callers:
+            caller.sendall(b"request")
+        # The event loop has had no turn since they connected.
+        await listener.close()
+        await until(lambda: len(made) == len(callers))
+        assert [await one.receive() for one in made] == [b"request"] * len(made)
+        for caller in callers:
+            caller.close()
+
+    play(scenario)
+
+
+def test_input_on_a_resting_connection_is_told_at_once():
+    async def scenario(listener, made):
+        client, server = await pair(listener, made)
+        told = asyncio.Event()
+        client.on_input = told.set
+        await server.send(b"late")
+        await told.wait()
+        assert client.has_input
+
+    play(scenario)
+
+
+def test_connect_to_nobody_fails():
+    async def scenario(listener, made):
+        port = listener.port
+        await listener.close()
+        with pytest.raises(OSError):
+            await bytestream.connect("127.0.0.1", port)
+
+    play(scenario)
+
+
+def test_stream_without_a_transport_is_not_used():
+    with pytest.raises(AssertionError):
+        ByteStream().close()
--- a/tests/test_common.py
+++ b/tests/test_common.py
@@ -73,11 +73,11 @@
     shared = codec.MessageCodec((messages.ViewDelta,))
     delta = messages.ViewDelta(1, 2, {"key/1": b"x"}, ())
     other = messages.ViewDelta(1, 3, {"key/1": b"y"}, ())
-    data = shared.encode(delta, object)
-    assert shared.encode(messages.Confirmed(1, 2), object) != data
-    assert shared.encode(delta, object) is data
+    data = shared.encode(delta)
+    assert shared.encode(messages.Confirmed(1, 2)) != data
+    assert shared.encode(delta) is data
     for message in (other, delta, other):
-        assert codec.decode(shared.encode(message, object)) == message
+        assert codec.decode(shared.encode(message)) == message
 
 
 def test_codec_refuses_damaged_messages():
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -182,7 +182,6 @@
             second = await ask_until_granted(stream, 1_000)
             assert second.term > first.term
             await stream.cancel()
-        channel.close()
 
         await until(find_leader)
         again = await call(followers[1], "POST", "/keys/withdraw", {"sha256": KEY})
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 
-from cassiapitch import asgi, timers
+from cassiapitch import httpserver, timers
 from cassiapitch.announce import AnnounceRoute, encode
 from cassiapitch.bundle import Adapter, Bundle, Model, Role, Store
 from cassiapitch.controller import Controller
@@ -96,7 +96,7 @@
     control = Control()
     control.fleet.set_bundle(bundle())
     engine = Engine(settings(), "life", crash=lambda: None)
-    server = asgi.HttpServer(engine, Address("127.0.0.1", 0))
+    server = httpserver.HttpServer(engine, Address("127.0.0.1", 0))
     async with anyio.create_task_group() as group:
         for task in (server.run, engine.run, control.controller.run):
             group.start_soon(task)
@@ -124,7 +124,7 @@
     control.fleet.set_bundle(bundle(minimum_copies=1, models=("a",)))
     engine = Engine(settings(), "life", crash=lambda: None)
     engine.faults.lose_orders = 2
-    server = asgi.HttpServer(engine, Address("127.0.0.1", 0))
+    server = httpserver.HttpServer(engine, Address("127.0.0.1", 0))
     async with anyio.create_task_group() as group:
         for task in (server.run, engine.run, control.controller.run):
             group.start_soon(task)
--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -7,7 +7,7 @@
 import httpcore
 import pytest
 
-from cassiapitch import asgi, callers, callerstream, messages, timers
+from cassiapitch import callers, callerstream, httpserver, messages, timers
 from tests.entryfakes import (
     KEY,
     FakeEngine,
@@ -382,4 +382,4 @@
         status, _, body = await w.chat(3)
         assert (status, error(body)) == (500, ("internal", "not_run"))
         assert b"secret" not in body
-        assert asgi.KEEP_ALIVE_S > 0
+        assert httpserver.KEEP_ALIVE_S > 0
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from cassiapitch import asgi
+from cassiapitch import httpserver
 from tests.entryfakes import KEY, FakeEngine, error, world
 
 PATH = "/v1/chat/completions"
@@ -30,7 +30,7 @@
 async def test_connections_over_the_limit_get_the_usual_refusal(monkeypatch):
     """Guards against a refusal that callers can't read, and against refusing calls
     on connections within the limit."""
-    monkeypatch.setattr(asgi, "REFUSED_LIMIT_COUNT", 1)
+    monkeypatch.setattr(httpserver, "REFUSED_LIMIT_COUNT", 1)
     async with world(FakeEngine("n1", "l1"), connections_limit_count=2) as w:
         port = w.entry.callers.port
         held = [await anyio.connect_tcp("127.0.0.1", port) for _ in range(2)]
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,4 +1,5 @@
 import anyio
+import pytest
 
 from cassiapitch.crashes import Crashes
 from cassiapitch.entrystate import EntryState
@@ -130,3 +131,35 @@
     except (anyio.EndOfStream, anyio.BrokenResourceError):
         return True
     return False
+
+
+def test_connection_that_has_just_come_is_answered_at_a_planned_stop():
+    """Guards against a request that is cut off since its connection was taken a moment
+    before the stop, when nothing of it had been read."""
+
+    async def answers(backend, request, stream):
+        await stream.send(answer_bytes(request[2]["request-id"]))
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            _, state, port = await start_entry(group, answers, grace_s=5)
+            server = ForwardServer(WIRE, state, Crashes(state))
+            group.start_soon(server.run)
+            async with await connect(port) as early, await connect(port) as late:
+                await early.send(REQUEST)
+                assert (await early.receive()).startswith(b"HTTP/1.1 200")
+                server.close()
+                await anyio.sleep(0.1)
+                await late.send(REQUEST)
+                reply = await late.receive()
+                assert reply.startswith(b"HTTP/1.1 200")
+                assert b"connection: close" in reply.lower()
+                with pytest.raises(anyio.EndOfStream):
+                    await early.receive()
+            group.cancel_scope.cancel()
+
+    async def limited():
+        with anyio.fail_after(LIMIT_S):
+            await main()
+
+    anyio.run(limited)
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -6,7 +6,7 @@
 import httpcore
 import pytest
 
-from cassiapitch import asgi
+from cassiapitch import asgi, httpserver
 from cassiapitch.settings import Address
 
 
@@ -25,7 +25,7 @@
         await go_on.wait()
         await asgi.send_json(send, 200, {"ok": True})
 
-    server = asgi.HttpServer(app, Address("127.0.0.1", 0))
+    server = httpserver.HttpServer(app, Address("127.0.0.1", 0))
     answers = []
 
     async def call():
@@ -64,7 +64,7 @@
         options.append(accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
         await asgi.send_json(send, 200, {})
 
-    server = asgi.HttpServer(app, Address("127.0.0.1", 0))
+    server = httpserver.HttpServer(app, Address("127.0.0.1", 0))
     async with anyio.create_task_group() as group:
         group.start_soon(server.run)
         async with httpcore.AsyncConnectionPool() as pool:
@@ -77,12 +77,12 @@
 @pytest.mark.parametrize("begin", [b"", b"GET / HTTP/1.1\r\nHost"])
 async def test_head_that_does_not_arrive_ends_the_connection(monkeypatch, begin):
     """Guards against callers that hold connections by sending heads slowly."""
-    monkeypatch.setattr(asgi, "HEAD_LIMIT_S", 0.1)
+    monkeypatch.setattr(httpserver, "HEAD_LIMIT_S", 0.1)
 
     async def app(scope, receive, send):
         await asgi.send_json(send, 200, {})
 
-    server = asgi.HttpServer(app, Address("127.0.0.1", 0))
+    server = httpserver.HttpServer(app, Address("127.0.0.1", 0))
     async with anyio.create_task_group() as group:
         group.start_soon(server.run)
         stream = await anyio.connect_tcp("127.0.0.1", server.port)
@@ -97,13 +97,13 @@
 @pytest.mark.anyio
 async def test_slow_response_is_not_cut_by_the_limit_for_heads(monkeypatch):
     """Guards against a limit that goes on after the head has arrived."""
-    monkeypatch.setattr(asgi, "HEAD_LIMIT_S", 0.1)
+    monkeypatch.setattr(httpserver, "HEAD_LIMIT_S", 0.1)
 
     async def app(scope, receive, send):
         await anyio.sleep(0.3)
         await asgi.send_json(send, 200, {})
 
-    server = asgi.HttpServer(app, Address("127.0.0.1", 0))
+    server = httpserver.HttpServer(app, Address("127.0.0.1", 0))
     async with anyio.create_task_group() as group:
         group.start_soon(server.run)
         async with httpcore.AsyncConnectionPool() as pool:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -7,7 +7,15 @@
 import msgspec
 import pytest
 
-from cassiapitch import asgi, config, load, loadreport, loadrun, standin_streams
+from cassiapitch import (
+    asgi,
+    config,
+    httpserver,
+    load,
+    loadreport,
+    loadrun,
+    standin_streams,
+)
 from cassiapitch.arrivals import Call
 from cassiapitch.experiment import Experiment
 from cassiapitch.loadcaller import CallResult, Ending
@@ -83,7 +91,7 @@
 
 def _run(answer, **changes):
     async def body():
-        server = asgi.HttpServer(_entry(answer), Address("127.0.0.1", 0))
+        server = httpserver.HttpServer(_entry(answer), Address("127.0.0.1", 0))
         async with anyio.create_task_group() as group:
             group.start_soon(server.run)
             plan = _plan(server.port, **changes)
@@ -165,7 +173,7 @@
 
     async def body():
         address = Address("127.0.0.1", 0)
-        servers = [asgi.HttpServer(item, address) for item in (app, leaving)]
+        servers = [httpserver.HttpServer(item, address) for item in (app, leaving)]
         async with anyio.create_task_group() as group:
             for server in servers:
                 group.start_soon(server.run)
--- /dev/null
+++ b/tests/test_plainhttp.py
@@ -0,0 +1,95 @@
+import anyio
+
+from cassiapitch import asgi
+from cassiapitch.plainhttp import PlainHttpServer
+from cassiapitch.settings import Address
+
+LIMIT_S = 10
+REQUEST = b"PUT /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+
+
+async def echo(scope, receive, send):
+    body = await asgi.read_body(receive, 100, 1_000)
+    data = body.data if isinstance(body, asgi.Body) else b"?"
+    name = f"{scope['method']} {scope['path']} {scope['query_string'].decode()} "
+    await asgi.send_response(send, 200, name.encode() + data)
+
+
+def play(app, scenario):
+    async def main():
+        server = PlainHttpServer(app, Address("127.0.0.1", 0))
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(server.run)
+                await scenario(server)
+                server.close()
+
+    anyio.run(main)
+
+
+async def receive_all(stream):
+    data = b""
+    while True:
+        try:
+            data += await stream.receive()
+        except anyio.EndOfStream:
+            return data
+
+
+def test_application_gets_the_request_and_its_answer_arrives_whole():
+    async def scenario(server):
+        async with await anyio.connect_tcp("127.0.0.1", server.port) as stream:
+            for _ in range(2):
+                await stream.send(REQUEST)
+                reply = await stream.receive()
+                assert reply.startswith(b"HTTP/1.1 200")
+                assert reply.endswith(b"PUT /a/b c=1 body")
+
+    play(echo, scenario)
+
+
+def test_fault_of_the_application_ends_its_connection_only():
+    async def faulty(scope, receive, send):
+        if scope["path"] == "/a/b":
+            raise ValueError("fault")
+        await echo(scope, receive, send)
+
+    async def scenario(server):
+        async with await anyio.connect_tcp("127.0.0.1", server.port) as stream:
+            await stream.send(REQUEST)
+            assert not (await receive_all(stream)).startswith(b"HTTP/1.1 200")
+        async with await anyio.connect_tcp("127.0.0.1", server.port) as stream:
+            await stream.send(REQUEST.replace(b"/a/b", b"/x"))
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+
+    play(faulty, scenario)
+
+
+def test_answer_in_progress_is_completed_after_close():
+    begun, go_on = anyio.Event(), anyio.Event()
+
+    async def slow(scope, receive, send):
+        begun.set()
+        await go_on.wait()
+        await echo(scope, receive, send)
+
+    async def scenario(server):
+        async with await anyio.connect_tcp("127.0.0.1", server.port) as stream:
+            await stream.send(REQUEST)
+            await begun.wait()
+            server.close()
+            go_on.set()
+            reply = await receive_all(stream)
+            assert reply.endswith(b"body")
+            assert b"connection: close" in reply.lower()
+
+    play(slow, scenario)
+
+
+def test_request_that_can_not_be_read_is_refused():
+    async def scenario(server):
+        async with await anyio.connect_tcp("127.0.0.1", server.port) as stream:
+            await stream.send(b"no request\r\n\r\n")
+            assert (await receive_all(stream)).startswith(b"HTTP/1.1 400")
+
+    play(echo, scenario)
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -8,7 +8,7 @@
 import httpcore
 import pytest
 
-from cassiapitch import asgi, standin, timers
+from cassiapitch import httpserver, standin, timers
 from cassiapitch.announce import AnnounceRoute
 from cassiapitch.settings import Address
 from cassiapitch.standin_engine import Engine
@@ -104,7 +104,7 @@
         if self.cls is Engine:
             arguments["crash"] = lambda: self.crashes.append(True)
         backend = self.cls(self.settings, "life", **arguments)
-        self.server = asgi.HttpServer(backend, Address("127.0.0.1", 0))
+        self.server = httpserver.HttpServer(backend, Address("127.0.0.1", 0))
         self.group = anyio.create_task_group()
         await self.group.__aenter__()
         self.group.start_soon(self.server.run)
@@ -310,7 +310,7 @@
 
     digest = "2e7d2c03a9507ae265ecf5b5356885a53393a2029d241394997265a1a25aefc6"
     route = AnnounceRoute(lambda: {"r": digest}, deliver)
-    member = asgi.HttpServer(route, Address("127.0.0.1", 0))
+    member = httpserver.HttpServer(route, Address("127.0.0.1", 0))
     settings = StandinSettings(
         name="b",
         kind=kind,
--- a/tests/test_system_isolation.py
+++ b/tests/test_system_isolation.py
@@ -52,16 +52,13 @@
         )
         port = self.world.deployment.rpc_port(self.member)
         channel = rpc.open_channel(Address("127.0.0.1", port), tls)
-        try:
-            async with rpc.open_stream(channel, "Hub", "Link") as stream:
-                hello = LinkHello("probe", "probe-life", CLUSTER, "zone-1", 0, True)
-                await stream.send_message(hello)
-                async with anyio.create_task_group() as group:
-                    group.start_soon(self._ask, stream)
-                    while (message := await stream.recv_message()) is not None:
-                        self._take(message)
-        finally:
-            channel.close()
+        async with rpc.open_stream(channel, "Hub", "Link") as stream:
+            hello = LinkHello("probe", "probe-life", CLUSTER, "zone-1", 0, True)
+            await stream.send_message(hello)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._ask, stream)
+                while (message := await stream.recv_message()) is not None:
+                    self._take(message)
 
     def _take(self, message):
         # The number of an ask is the moment when it was sent.
