--- a/cassiapitch/backendlink.py
+++ b/cassiapitch/backendlink.py
@@ -20,6 +20,8 @@
 UNSTATED_IDLE_MS = 4_000
 IDLE_LIMIT_COUNT = 16
 HEAD_LIMIT_BYTES = 64 * 1024
+# Interim responses before the final one; each is as large as a head at most.
+INTERIM_LIMIT_COUNT = 8
 
 
 class BackendUnreachableError(Exception):
@@ -50,6 +52,8 @@
         )
         self.idle_until_ms = 0
         self.is_reused = False
+        # Set where its backend server leaves.
+        self.is_last = False
 
     async def send(
         self,
@@ -80,13 +84,14 @@
         Raises:
             BackendBrokenError: No whole head came.
         """
-        while True:
+        for _ in range(INTERIM_LIMIT_COUNT + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = [(bytes(name), bytes(value)) for name, value in event.headers]
                 return ResponseHead(event.status_code, bytes(event.reason), headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise BackendBrokenError(f"unexpected {type(event).__name__}")
+        raise BackendBrokenError("interim responses without end")
 
     async def read_data(self) -> bytes | None:
         """Returns the next bytes of the body, or None at its end.
@@ -127,7 +132,8 @@
         is_done = states == (h11.DONE, h11.DONE)
         data, is_closed = self._http.trailing_data
         is_quiet = not data and not self._stream.has_input
-        return is_done and is_quiet and not is_closed and not self.is_closed
+        is_open = not is_closed and not self.is_closed and not self.is_last
+        return is_done and is_quiet and is_open
 
     def begin_idle(self, idle_ms: int) -> None:
         """Prepares the connection for the next request.
@@ -160,14 +166,20 @@
     def __init__(self) -> None:
         self._idle: dict[LifeId, list[BackendConnection]] = {}
 
-    async def open(self, backend: BackendItem) -> BackendConnection:
+    async def open(
+        self, backend: BackendItem, *, fresh: bool = False
+    ) -> BackendConnection:
         """Returns a kept connection or a new one.
 
+        Args:
+            backend: The backend server.
+            fresh: Whether it must be a new one.
+
         Raises:
             BackendUnreachableError: The backend server takes no connection in time.
         """
         idle = self._idle.get(backend.life_id, [])
-        while idle:
+        while idle and not fresh:
             connection = idle.pop()
             if connection.take():
                 return connection
--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -169,7 +169,12 @@
     async def _send(self, coordinator: Coordinator, send: SendOrder) -> None:
         life = self._fleet.lives.get(send.order.backend)
         fencing = life is not None and life.fencing
-        answer = await self._send_order(send, fencing=fencing)
+
+        def may_send() -> bool:
+            is_current = self._fleet.term == coordinator.term
+            return is_current and self._is_leader()
+
+        answer = await self._send_order(send, fencing=fencing, may_send=may_send)
         metrics.ORDERS.labels(str(send.order.kind), str(answer)).inc()
         events.log(
             events.Event.ORDER_ANSWERED,
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -141,6 +141,8 @@
         self._recorded: dict[str, Announcement] = {}
         self._pending: dict[str, Announcement] = {}
         self._refused: dict[str, dict[str, int]] = {}
+        # Lives that said in an answer that they leave, whatever heartbeats say.
+        self._said_leaving: dict[str, int] = {}
         self._hold_until_ms: dict[str, int] = {}
         self._answers: list[OrderAnswer] = []
         self._progress: dict[str, _Progress] = {}
@@ -155,6 +157,8 @@
         life_id = announcement.life_id
         if self._fleet.is_ended(life_id):
             return
+        if life_id in self._said_leaving:
+            announcement = dataclasses.replace(announcement, leaving=True)
         known = self._sequences.get(life_id, 0)
         if announcement.sequence and announcement.sequence <= known:
             return
@@ -194,6 +198,8 @@
             self._next_round_ms = min(self._next_round_ms, urgent_ms)
         own_counts = {item.life_id: item for item in report.in_flight}
         self._in_flight[report.entry] = (own_counts, now_ms)
+        for life_id in report.leaving_backends:
+            self._said_leaving.setdefault(life_id, now_ms)
         for life_id in report.refused_backends:
             self._refused.setdefault(life_id, {})[report.entry] = now_ms
 
@@ -319,6 +325,7 @@
             self._sequences,
             self._recorded,
             self._refused,
+            self._said_leaving,
             self._hold_until_ms,
             self.placement.requests,
             self.placement.backlogs,
--- a/cassiapitch/demand.py
+++ b/cassiapitch/demand.py
@@ -26,6 +26,7 @@
         self._entry = entry
         self._counts: dict[tuple[ModelName, Priority], _Count] = {}
         self._refused_backends: set[LifeId] = set()
+        self._leaving_backends: set[LifeId] = set()
         self._reported_something = False
 
     def arrived(self, model: ModelName, priority: Priority) -> None:
@@ -44,6 +45,10 @@
         """Notes a backend server that refused a connection."""
         self._refused_backends.add(life_id)
 
+    def backend_leaves(self, life_id: LifeId) -> None:
+        """Notes a backend server that has said in an answer that it leaves."""
+        self._leaving_backends.add(life_id)
+
     def report(
         self,
         waiting: dict[tuple[ModelName, Priority], tuple[int, int]],
@@ -73,12 +78,14 @@
             demands.append(demand)
         refused = tuple(sorted(self._refused_backends))
         self._counts.clear()
+        leaving = tuple(sorted(self._leaving_backends))
         self._refused_backends.clear()
-        is_empty = not demands and not refused and not in_flight
+        self._leaving_backends.clear()
+        is_empty = not demands and not refused and not in_flight and not leaving
         if is_empty and not self._reported_something:
             return None
         self._reported_something = not is_empty
-        return DemandReport(self._entry, tuple(demands), refused, in_flight)
+        return DemandReport(self._entry, tuple(demands), refused, in_flight, leaving)
 
     def _count(self, model: ModelName, priority: Priority) -> _Count:
         return self._counts.setdefault((model, priority), _Count())
--- a/cassiapitch/dispatch.py
+++ b/cassiapitch/dispatch.py
@@ -1,5 +1,7 @@
 """Sends recorded orders to engines over HTTP; used on the leader only."""
 
+from collections.abc import Callable
+
 import anyio
 import httpcore
 import msgspec
@@ -34,9 +36,17 @@
     )
 
 
-async def send_order(send: SendOrder, *, fencing: bool) -> str | None:
+async def send_order(
+    send: SendOrder, *, fencing: bool, may_send: Callable[[], bool]
+) -> str | None:
     """Makes one attempt to send an order.
 
+    Args:
+        send: The attempt.
+        fencing: Whether the engine rejects stale fences.
+        may_send: Tells whether this member may still order; asked just before the
+            order leaves, since the process may have been stopped in between.
+
     Returns:
         `accepted`, `stale_fence`, `other_life`, `refused` for any other response,
         `not_sent` if no connection came about, or None if no response came, so
@@ -46,6 +56,8 @@
     origin = httpcore.Origin(b"http", send.ip.encode(), send.port)
     connection = httpcore.AsyncHTTPConnection(origin)
     host = f"[{send.ip}]" if ":" in send.ip else send.ip
+    if not may_send():
+        return "not_sent"
     try:
         response = await connection.request(
             "POST",
--- a/cassiapitch/engines.py
+++ b/cassiapitch/engines.py
@@ -121,6 +121,11 @@
     return max(1, call.deadline_ms - timers.now_ms())
 
 
+def stall_limit_s(priority: Priority) -> float:
+    """Returns the longest time between two chunks of an engine's stream."""
+    return STALL_LIMIT_MS[priority] / 1_000
+
+
 def part_limit_ms(answer: Answer, call: Call) -> int:
     """Returns the longest time between two parts of an engine's stream."""
     if answer.next_position:
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -39,6 +39,7 @@
     PEER_REFUSED = 210
     STORAGE_FAILED = 211
     STREAM_FAILED = 212
+    STORAGE_RETURNED = 213
 
     LINK_OPENED = 301
     LINK_CLOSED = 302
@@ -71,6 +72,7 @@
     FORWARDED = 415
     FORWARD_REFUSED = 416
     FORWARD_ATTEMPT_FAILED = 417
+    FORWARD_BODY_LEFT = 418
 
     STANDIN_LISTENING = 501
     TERM_BEGUN = 502
@@ -81,6 +83,7 @@
     BACKEND_LEAVES = 509
     BACKEND_DEPARTED = 510
     HEARTBEAT_REFUSED = 511
+    BACKEND_SAID_LEAVING = 512
 
 
 _encoder = msgspec.json.Encoder(enc_hook=repr)
--- a/cassiapitch/exceptions.py
+++ b/cassiapitch/exceptions.py
@@ -17,6 +17,10 @@
     """The data folder is damaged, or a write to it didn't succeed."""
 
 
+class StorageRefusedError(StorageError):
+    """The disk refuses writes for now, for instance since it is full."""
+
+
 class ChartError(CassiapitchError):
     """A state chart file is inconsistent, or got an event that it doesn't allow."""
 
--- a/cassiapitch/forward.py
+++ b/cassiapitch/forward.py
@@ -7,7 +7,8 @@
 import anyio
 import httpcore
 
-from cassiapitch import timers
+from cassiapitch import bytestream, timers
+from cassiapitch.bytestream import ByteStream
 from cassiapitch.types import LifeId
 from cassiapitch.viewitems import (
     BackendItem,
@@ -44,23 +45,36 @@
     process that was stopped there would send on an authorisation that is over.
     """
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+    def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
         self.guard: Callable[[], None] | None = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        return await self._stream.read(max_bytes, timeout)
+        try:
+            with anyio.fail_after(timeout):
+                return await self._stream.receive()
+        except TimeoutError as error:
+            raise httpcore.ReadTimeout(str(error)) from error
+        except OSError as error:
+            raise httpcore.ReadError(str(error)) from error
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         if self.guard is not None:
             self.guard()
-        await self._stream.write(buffer, timeout)
+        try:
+            await self._stream.send(buffer, timeout)
+        except TimeoutError as error:
+            raise httpcore.WriteTimeout(str(error)) from error
+        except OSError as error:
+            raise httpcore.WriteError(str(error)) from error
 
     async def aclose(self) -> None:
-        await self._stream.aclose()
+        self._stream.close()
 
     def get_extra_info(self, info: str) -> Any:
-        return self._stream.get_extra_info(info)
+        # What arrives on a resting connection belongs to no request; `httpcore`
+        # gives up a connection for which this is true.
+        return self._stream.has_input if info == "is_readable" else None
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,7 +115,6 @@
     """Idle connections, kept for the next request to the same life."""
 
     def __init__(self) -> None:
-        self._backend = httpcore.AnyIOBackend()
         self._idle: dict[tuple[LifeId, str, int], list[Connection]] = {}
 
     async def open(
@@ -119,12 +132,11 @@
                 return connection
             await _close(connection)
         try:
-            stream = await self._backend.connect_tcp(
-                backend.ip, backend.port, timeout=CONNECT_LIMIT_MS / 1000
-            )
-        except httpcore.ConnectTimeout:
+            with anyio.fail_after(CONNECT_LIMIT_MS / 1000):
+                stream = await bytestream.connect(backend.ip, backend.port)
+        except TimeoutError:
             return NotConnected(refused=False)
-        except httpcore.ConnectError:
+        except OSError:
             return NotConnected(refused=True)
         guarded = _GuardedStream(stream)
         host = backend.ip.encode()
@@ -142,6 +154,9 @@
     async def give_back(self, connection: Connection) -> None:
         """Keeps a connection if its last response was read to the end."""
         connection.stream.guard = None
+        if _has_leftover(connection):
+            await _close(connection)
+            return
         idle = self._idle.setdefault((connection.life_id, *connection.address), [])
         if connection.http.is_available() and len(idle) < IDLE_LIMIT_COUNT:
             idle.append(connection)
@@ -231,6 +246,13 @@
     return b"".join(parts)
 
 
+def _has_leftover(connection: Connection) -> bool:
+    """Tells whether bytes came behind a response, for instance a second copy of it."""
+    # httpcore would take them for the response to the next request.
+    state = getattr(connection.http, "_h11_state", None)
+    return state is None or bool(state.trailing_data[0])
+
+
 async def _close(connection: Connection) -> None:
     with anyio.CancelScope(shield=True):
         await connection.http.aclose()
--- a/cassiapitch/forwardanswers.py
+++ b/cassiapitch/forwardanswers.py
@@ -3,6 +3,7 @@
 import h11
 
 from cassiapitch import timers
+from cassiapitch.asgi import BodyRoom, BodyShare
 from cassiapitch.backendlink import (
     BackendBrokenError,
     BackendConnection,
@@ -27,6 +28,10 @@
 
 # Responses to requests that aren't streams are passed on whole.
 ANSWER_LIMIT_BYTES = 8 * 1024 * 1024
+# All of them together, so that backend servers that never end take bounded memory.
+ANSWERS_LIMIT_BYTES = 24 * 1024 * 1024
+# Bytes of events without a number, such as comments, between two that have one.
+UNNUMBERED_LIMIT_BYTES = 64 * 1024
 
 
 class AnswerRelay:
@@ -36,6 +41,7 @@
         self._wire = wire
         self._state = state
         self.is_stopping = False
+        self._room = BodyRoom(ANSWERS_LIMIT_BYTES)
 
     async def pass_on(
         self,
@@ -56,7 +62,22 @@
         if call.route.is_stream and is_success:
             await self._pass_stream(call, slot, caller, connection, head)
             return True
-        body = await self._read_whole(connection)
+        share = BodyShare(self._room)
+        try:
+            body = await self._read_whole(connection, share)
+            return await self._pass_whole(call, slot, caller, head, body)
+        finally:
+            share.release()
+
+    async def _pass_whole(
+        self,
+        call: ForwardCall,
+        slot: Slot,
+        caller: CallerConnection,
+        head: ResponseHead,
+        body: bytes,
+    ) -> bool:
+        """Passes a whole response on; false if the request is to be sent again."""
         may_try_again = (
             head.status >= SERVER_ERROR_STATUS
             and call.course.idempotent
@@ -83,13 +104,15 @@
         call.outcome = "answered"
         return True
 
-    async def _read_whole(self, connection: BackendConnection) -> bytes:
+    async def _read_whole(
+        self, connection: BackendConnection, share: BodyShare
+    ) -> bytes:
         parts: list[bytes] = []
         size_bytes = 0
         while (data := await connection.read_data()) is not None:
             parts.append(data)
             size_bytes += len(data)
-            if size_bytes > ANSWER_LIMIT_BYTES:
+            if size_bytes > ANSWER_LIMIT_BYTES or not share.take(len(data)):
                 raise BackendBrokenError("the response is too large")
         return b"".join(parts)
 
@@ -103,6 +126,7 @@
     ) -> None:
         """Passes events on as they come, whole ones only."""
         splitter = EventSplitter()
+        unnumbered_bytes = 0
         if not caller.has_answered:
             call.status = head.status
             await caller.begin_answer(
@@ -124,6 +148,11 @@
                     if last is not None and event.event_id <= last:
                         continue
                     call.last_event_id = event.event_id
+                    unnumbered_bytes = 0
+                else:
+                    unnumbered_bytes += len(event.data)
+                    if unnumbered_bytes > UNNUMBERED_LIMIT_BYTES:
+                        raise BackendBrokenError("the stream holds no events")
                 whole.append(event.data)
             if whole:
                 self._state.router.prefill.begun(
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -31,6 +31,9 @@
 UNSTATED_LEFT_MS = 60_000
 DECLINED_PAUSE_MS = 40
 DEADLINE_GRACE_MS = 60
+# Responses that are not passed on are read so far, to keep their connection.
+SKIP_LIMIT_BYTES = 64 * 1024
+SKIP_LIMIT_MS = 250
 # A backend server that runs takes a connection within a few network delays.
 CRASH_PROBE_MS = 400
 
@@ -237,7 +240,9 @@
         call.course.step("route")
         backend = slot.backend
         try:
-            connection = await self._links.open(backend)
+            # Only its number tells a response from a late one to an earlier request.
+            is_numbered = call.head.request_id is not None
+            connection = await self._links.open(backend, fresh=not is_numbered)
         except BackendUnreachableError as error:
             note_failure(call, backend, f"unreachable: {error}")
             self._state.router.unreachable(backend.life_id, timers.now_ms())
@@ -251,8 +256,7 @@
             head, backend_head = await self._send(call, backend, connection)
             idle_ms = backend_head.idle_timeout_ms
             if backend_head.is_not_run:
-                await self._skip_body(connection)
-                is_clean = True
+                is_clean = await self._skip_body(connection)
                 self._declined(call, slot, head, backend_head)
                 return False
             if not await self.answers.pass_on(call, slot, caller, connection, head):
@@ -296,11 +300,37 @@
         await connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
         backend_head = self._wire.read_backend(head.status, head.headers)
+        self._note_state(backend, connection, backend_head)
         expected = call.head.request_id
-        if expected is not None and backend_head.request_id not in (expected, None):
+        connection.is_last = connection.is_last or expected is None
+        found = backend_head.request_id
+        is_unnumbered = found is None and not connection.is_reused
+        if expected is not None and found != expected and not is_unnumbered:
             raise BackendBrokenError("the response belongs to another request")
         return head, backend_head
 
+    def _note_state(
+        self,
+        backend: BackendItem,
+        connection: BackendConnection,
+        backend_head: BackendHead,
+    ) -> None:
+        """Acts on what a response says of its backend server, at once and only here.
+
+        The view learns of a departure with a heartbeat, and of a pause never.
+        """
+        now_ms = timers.now_ms()
+        if backend_head.is_leaving:
+            connection.is_last = True
+            if not self._state.router.is_leaving(backend.life_id):
+                events.log(events.Event.BACKEND_SAID_LEAVING, name=backend.name)
+                self._state.router.leave(backend.life_id)
+                self._links.forget(backend.life_id)
+                self._state.demand.backend_leaves(backend.life_id)
+                self._state.demand_needed.fire()
+        if backend_head.pause_ms:
+            self._state.router.pause(backend.life_id, backend_head.pause_ms, now_ms)
+
     def _declined(
         self,
         call: ForwardCall,
@@ -386,6 +416,17 @@
             wanted.excluded.clear()
             await anyio.sleep(DECLINED_PAUSE_MS / 1000)
 
-    async def _skip_body(self, connection: BackendConnection) -> None:
-        while await connection.read_data() is not None:
-            pass
+    async def _skip_body(self, connection: BackendConnection) -> bool:
+        """Reads to the end of a response; false if that doesn't come soon enough."""
+        size_bytes = 0
+        with anyio.move_on_after(SKIP_LIMIT_MS / 1000):
+            try:
+                while (data := await connection.read_data()) is not None:
+                    size_bytes += len(data)
+                    if size_bytes > SKIP_LIMIT_BYTES:
+                        return False
+            except BackendBrokenError as error:
+                events.log(events.Event.FORWARD_BODY_LEFT, reason=str(error))
+                return False
+            return True
+        return False
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -18,6 +18,7 @@
     head_limit_ms,
     is_other_life,
     part_limit_ms,
+    stall_limit_s,
 )
 from cassiapitch.entrystate import EntryState
 from cassiapitch.forward import (
@@ -316,19 +317,30 @@
         return End.FAILED
 
     async def _read(self, response: Response) -> End:
-        """Reads a stream; returns COMPLETE or BROKEN."""
+        """Reads a stream; returns COMPLETE or BROKEN.
+
+        Only chunks count as progress: bytes that are none would otherwise keep a
+        stalled stream open for ever.
+        """
         splitter = EventSplitter()
-        limit_s: float | None = None
         if self.answer.next_position == 0:
             limit_s = max(0, self._call.deadline_ms - timers.now_ms()) / 1000
+        else:
+            limit_s = stall_limit_s(self._call.priority)
+        until_s = anyio.current_time() + limit_s
         try:
-            with anyio.move_on_after(limit_s) as scope:
+            with anyio.CancelScope(deadline=until_s) as scope:
                 async for part in response.parts:
+                    # The caller's pace is limited elsewhere.
+                    scope.deadline = float("inf")
+                    position = self.answer.next_position
                     for raw in splitter.feed(part):
                         if not await self._take_event(raw):
                             return End.BROKEN
-                    if self.answer.next_position:
-                        scope.deadline = float("inf")
+                    if self.answer.next_position > position:
+                        limit_s = stall_limit_s(self._call.priority)
+                        until_s = anyio.current_time() + limit_s
+                    scope.deadline = until_s
         except (
             httpcore.NetworkError,
             httpcore.TimeoutException,
--- a/cassiapitch/journal.py
+++ b/cassiapitch/journal.py
@@ -5,18 +5,23 @@
 Each segment begins with the term and vote, so that older ones can be deleted.
 """
 
+import errno
 import struct
 import zlib
 from collections.abc import Iterator
 
 import msgspec
 
-from cassiapitch.exceptions import StorageError
+from cassiapitch.exceptions import StorageError, StorageRefusedError
 from cassiapitch.files import Files, write_atomically
 from cassiapitch.node import Recovered, SaveEntries, SaveSnapshot, SaveVote, Write
 from cassiapitch.raftmessages import Entry
 
 SEGMENT_BYTES = 4 * 1024 * 1024
+# Refusals that may end by themselves; others, such as a missing folder, stay.
+PASSING_ERRNOS = frozenset(
+    {errno.ENOSPC, errno.EDQUOT, errno.EIO, errno.EAGAIN, errno.ETIMEDOUT}
+)
 _MAGIC = b"\xc5pLg"
 _HEADER = struct.Struct("<4sII")
 _SEGMENT_PREFIX = "segment-"
@@ -35,6 +40,13 @@
 _decoder = msgspec.msgpack.Decoder(tuple[_Record, ...])
 
 
+def storage_error(doing: str, error: OSError) -> StorageError:
+    """Returns the exception for what a disk refused."""
+    is_passing = error.errno in PASSING_ERRNOS
+    kind = StorageRefusedError if is_passing else StorageError
+    return kind(f"{doing} failed: {error}")
+
+
 def frame(payload: bytes) -> bytes:
     """Returns a payload with magic, length and checksum."""
     length = struct.pack("<I", len(payload))
@@ -92,6 +104,9 @@
         self._files = files
         self._number = 0
         self._size_bytes = 0
+        # What is certain to be on the disk of the current segment.
+        self._synced_bytes = 0
+        self._needs_repair = False
         self._vote: tuple[int, str | None] = (0, None)
         # Highest entry index of each older segment, by segment number.
         self._highest: dict[int, int] = {}
@@ -101,19 +116,33 @@
     def write(self, writes: list[Write]) -> None:
         """Writes a batch; it is durable after `sync`.
 
+        After a failure of this or of `sync`, write the whole batch again.
+
         Raises:
-            StorageError: The disk refused; nothing may be written any more.
+            StorageRefusedError: The disk refused it for now.
+            StorageError: The disk refused it.
         """
         try:
+            if self._needs_repair:
+                self._repair()
+            self._needs_repair = True
             self._write(writes)
         except OSError as error:
-            raise StorageError(f"write to the data folder failed: {error}") from error
+            raise storage_error("write to the data folder", error) from error
+
+    def _repair(self) -> None:
+        """Cuts off what a failed batch may have left behind the last sync."""
+        name = _segment_name(self._number)
+        self._files.truncate(name, self._synced_bytes)
+        self._files.sync(name)
+        self._size_bytes = self._synced_bytes
 
     def sync(self) -> None:
         """Makes everything written durable, then deletes what is obsolete.
 
         Raises:
-            StorageError: The disk refused; nothing may be written any more.
+            StorageRefusedError: The disk refused it for now.
+            StorageError: The disk refused it.
         """
         try:
             self._files.sync(_segment_name(self._number))
@@ -121,7 +150,9 @@
             if self._size_bytes > SEGMENT_BYTES:
                 self.start_segment(self._number + 1)
         except OSError as error:
-            raise StorageError(f"sync of the data folder failed: {error}") from error
+            raise storage_error("sync of the data folder", error) from error
+        self._synced_bytes = self._size_bytes
+        self._needs_repair = False
 
     def _write(self, writes: list[Write]) -> None:
         records: list[_Record] = []
@@ -150,11 +181,15 @@
             self._highest[self._number] = self._current_highest
         data = frame(_encoder.encode([_Record(vote=self._vote, reset=reset)]))
         name = _segment_name(number)
+        if name in self._files.list_names():
+            # Left by an attempt that the disk refused.
+            self._files.remove(name)
         self._files.append(name, data)
         self._files.sync(name)
         self._files.sync_folder()
         self._number = number
         self._size_bytes = len(data)
+        self._synced_bytes = len(data)
         self._current_highest = 0
 
     def _delete_obsolete(self) -> None:
@@ -282,7 +317,7 @@
     try:
         return journal, journal.load()
     except OSError as error:
-        raise StorageError(f"data folder can't be opened: {error}") from error
+        raise storage_error("opening the data folder", error) from error
 
 
 def _segment_name(number: int) -> str:
--- a/cassiapitch/member.py
+++ b/cassiapitch/member.py
@@ -26,7 +26,7 @@
     rpc,
     snapshots,
 )
-from cassiapitch.exceptions import StorageError
+from cassiapitch.exceptions import StorageRefusedError
 from cassiapitch.membertypes import (
     MemberStatus,
     StateMachine,
@@ -71,6 +71,7 @@
 ]
 
 TICK_MS = 25
+OPEN_RETRY_S = 0.5
 APPLY_BATCH_COUNT = 256
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 SNAPSHOT_COUNT = 8_192
@@ -136,10 +137,10 @@
         """Takes part in the group until cancelled.
 
         Raises:
-            StorageError: The data folder is damaged or a write to it failed; the
-                member must not go on, since it can't keep what it promises.
+            StorageError: The data folder is damaged or a write to it failed for good;
+                the member must not go on, since it can't keep what it promises.
         """
-        await anyio.to_thread.run_sync(self._open)
+        await self._open_patiently()
         async with anyio.create_task_group() as group:
             group.start_soon(self.peers.run)
             group.start_soon(self._writer.run, self._journal)
@@ -153,6 +154,17 @@
             self.pump()
             task_status.started()
 
+    async def _open_patiently(self) -> None:
+        """Opens the data folder, again and again while the disk refuses that."""
+        while True:
+            try:
+                await anyio.to_thread.run_sync(self._open)
+            except StorageRefusedError as error:
+                events.log(events.Event.STORAGE_FAILED, reason=str(error))
+                await anyio.sleep(OPEN_RETRY_S)
+            else:
+                return
+
     def _open(self) -> None:
         settings = self.settings
         try:
@@ -162,7 +174,7 @@
                 self._files, settings.cluster, settings.name, secrets.token_hex(16)
             )
         except OSError as error:
-            raise StorageError(f"data folder can't be opened: {error}") from error
+            raise journal.storage_error("opening the data folder", error) from error
         self._journal, recovered = journal.open_journal(self._files)
         source = random.Random(secrets.randbits(64))
         self.node = Node(self._identity.disk_id, recovered, source, now_ms())
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -284,12 +284,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandReport:
-    """An entry's demand and the backend servers that refused its connections."""
+    """An entry's demand, and what it has learned of backend servers.
+
+    Attributes:
+        entry: The entry's name.
+        demands: Demand by model and priority.
+        refused_backends: Lives that refused connections.
+        in_flight: Its requests at lives.
+        leaving_backends: Lives that said in an answer that they leave.
+    """
 
     entry: str
     demands: tuple[ModelDemand, ...]
     refused_backends: tuple[LifeId, ...]
     in_flight: tuple[InFlight, ...] = ()
+    leaving_backends: tuple[LifeId, ...] = ()
 
 
 # Link, control member to entry.
--- a/cassiapitch/metrics.py
+++ b/cassiapitch/metrics.py
@@ -57,6 +57,11 @@
     "Log index of the view or state that this process has applied",
     registry=REGISTRY,
 )
+STORAGE_REFUSED = Gauge(
+    "cassiapitch_storage_refused",
+    "Whether the disk refuses writes now; the member votes and acknowledges nothing",
+    registry=REGISTRY,
+)
 CONFIGURATIONS = Counter(
     "cassiapitch_configurations",
     "Configurations offered to this member by the result",
--- a/cassiapitch/platform/names.py
+++ b/cassiapitch/platform/names.py
@@ -13,6 +13,8 @@
 EXPECTED_VERSION = b"expected-version"
 NOT_EXECUTED = b"not-executed"
 SERVER_SEAL = b"server-seal"
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 
 # Headers by which an engine is told what only the system may decide.
@@ -46,5 +48,6 @@
 REPORT_PATH = "/-/report"
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 STALE_FENCE_STATUS = 412
 BUSY_STATUS = 409
--- a/cassiapitch/platform/orders.py
+++ b/cassiapitch/platform/orders.py
@@ -1,5 +1,7 @@
 """Sends orders to engines."""
 
+from collections.abc import Callable
+
 import anyio
 import httpcore
 import msgspec
@@ -55,19 +57,24 @@
     return msgspec.json.encode(document)
 
 
-async def send_order(send: SendOrder, holder: str) -> str | None:
-    """Makes one attempt to send an order; returns as `dispatch.send_order`."""
+async def send_order(
+    send: SendOrder, holder: str, may_send: Callable[[], bool]
+) -> str | None:
+    """Makes one attempt to send an order; see `dispatch.send_order`."""
     origin = httpcore.Origin(b"http", send.ip.encode(), send.port)
     connection = httpcore.AsyncHTTPConnection(origin)
     try:
-        return await _send(connection, send, holder)
+        return await _send(connection, send, holder, may_send)
     finally:
         with anyio.CancelScope(shield=True):
             await connection.aclose()
 
 
 async def _send(
-    connection: httpcore.AsyncHTTPConnection, send: SendOrder, holder: str
+    connection: httpcore.AsyncHTTPConnection,
+    send: SendOrder,
+    holder: str,
+    may_send: Callable[[], bool],
 ) -> str | None:
     try:
         report = await _call(connection, send, "GET", names.REPORT_PATH, b"")
@@ -81,6 +88,9 @@
         return "not_sent"
     if state.busy and send.order.kind not in _ADAPTER_KINDS:
         return "busy"
+    if not may_send():
+        # The report may have taken longer than this member's lease.
+        return "not_sent"
     body = order_body(send, holder, state.sequence)
     try:
         response = await _call(connection, send, "POST", names.ORDER_PATH, body)
--- a/cassiapitch/platform/programs.py
+++ b/cassiapitch/platform/programs.py
@@ -3,6 +3,7 @@
 import dataclasses
 import functools
 import sys
+from collections.abc import Callable
 
 import anyio
 
@@ -58,8 +59,10 @@
                 settings, admin_address=seeds.parse_address(settings.admin_listen)
             )
 
-        async def send_order(send: SendOrder, *, fencing: bool) -> str | None:
-            return await orders.send_order(send, settings.name)
+        async def send_order(
+            send: SendOrder, *, fencing: bool, may_send: Callable[[], bool]
+        ) -> str | None:
+            return await orders.send_order(send, settings.name, may_send)
 
         def make_app(fleet: Fleet, node: ControlNode) -> asgi.App:
             decode = configuration.decoder(settings)
--- a/cassiapitch/platform/requests.py
+++ b/cassiapitch/platform/requests.py
@@ -11,6 +11,8 @@
 )
 
 BEARER = b"bearer "
+# A longer pause than this is taken for a fault of its sender.
+LONGEST_PAUSE_S = 300.0
 
 # What callers send under these names is not passed on: the entry sets them itself.
 _REPLACED = names.HOP_BY_HOP | {
@@ -75,6 +77,8 @@
         is_other_backend=is_other,
         is_signed=names.SERVER_SEAL in found,
         idle_timeout_ms=_keep_alive_ms(found.get(b"keep-alive")),
+        is_leaving=found.get(names.SERVER_LEAVING, b"").strip() == b"1",
+        pause_ms=_pause_ms(status, found.get(names.RETRY_AFTER)),
     )
 
 
@@ -135,6 +139,17 @@
     return tuple(parts)
 
 
+def _pause_ms(status: int, value: bytes | None) -> int:
+    """Returns how long an engine that is full wants nothing; seconds with fractions."""
+    if status != names.UNAVAILABLE_STATUS or value is None:
+        return 0
+    try:
+        seconds = float(value)
+    except ValueError:
+        return 0
+    return round(seconds * 1_000) if 0 < seconds <= LONGEST_PAUSE_S else 0
+
+
 def _keep_alive_ms(value: bytes | None) -> int | None:
     for part in (value or b"").split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -48,6 +48,8 @@
     reported_ms: int = 0
     prefixes: frozenset[str] = frozenset()
     avoid_until_ms: int = 0
+    paused_until_ms: int = 0
+    is_leaving: bool = False
     failure: float = 0.0
     answer_ms: float = 0.0
     answers_count: int = 0
@@ -114,6 +116,25 @@
         """
         self._load(life_id).avoid_until_ms = now_ms + UNREACHABLE_MS
 
+    def pause(self, life_id: LifeId, pause_ms: int, now_ms: int) -> None:
+        """Sends nothing to a backend server for as long as it has asked for."""
+        load = self._load(life_id)
+        load.paused_until_ms = max(load.paused_until_ms, now_ms + pause_ms)
+
+    def leave(self, life_id: LifeId) -> None:
+        """Sends nothing more to a backend server that has said that it leaves."""
+        self._load(life_id).is_leaving = True
+
+    def is_leaving(self, life_id: LifeId) -> bool:
+        """Tells whether a backend server has said that it leaves."""
+        load = self._loads.get(life_id)
+        return load is not None and load.is_leaving
+
+    def pause_rest_ms(self, life_id: LifeId, now_ms: int) -> int:
+        """Returns how long a backend server still wants nothing; 0 if it takes work."""
+        load = self._loads.get(life_id)
+        return 0 if load is None else max(0, load.paused_until_ms - now_ms)
+
     def succeeded(self, life_id: LifeId, answer_ms: int, now_ms: int) -> None:
         """Takes the time until a backend server's answer began."""
         load = self._load(life_id)
@@ -171,7 +192,7 @@
         load = self._loads.get(backend.life_id)
         if load is None:
             return True
-        if now_ms < load.avoid_until_ms:
+        if load.is_leaving or now_ms < max(load.avoid_until_ms, load.paused_until_ms):
             return False
         if load.own_count == 0 and priority is Priority.URGENT:
             return True
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -302,9 +302,11 @@
             for backend in wanted.candidates()
             if backend.life_id not in wanted.excluded
             and not self._suspicion.has_crashed(backend.life_id, now_ms)
+            and not self._router.is_leaving(backend.life_id)
         ]
         if usable:
-            return self._too_late(wanted, usable, now_ms)
+            paused = self._all_paused(usable, now_ms)
+            return paused or self._too_late(wanted, usable, now_ms)
         if wanted.patient:
             return None
         expected_ms = wanted.expected_ms()
@@ -315,6 +317,16 @@
             is_late = now_ms > asked_ms + EXPECTATION_LIMIT_MS
         return NoSlot(ErrorKind.MODEL_LOADING, expected_ms) if is_late else None
 
+    def _all_paused(self, usable: list[BackendItem], now_ms: int) -> NoSlot | None:
+        """Returns a refusal where every backend server wants nothing for a while.
+
+        Answers a role that is full: its callers learn at once when to come back.
+        """
+        rest_ms = min(
+            self._router.pause_rest_ms(backend.life_id, now_ms) for backend in usable
+        )
+        return NoSlot(ErrorKind.OVERLOADED, rest_ms) if rest_ms else None
+
     def _too_late(
         self, wanted: Wanted, usable: list[BackendItem], now_ms: int
     ) -> NoSlot | None:
--- a/cassiapitch/wire.py
+++ b/cassiapitch/wire.py
@@ -74,6 +74,8 @@
         is_other_backend: Whether another backend server has the address now.
         is_signed: Whether it carries the backend server's signature.
         idle_timeout_ms: How long the connection may stay idle; None if unstated.
+        is_leaving: Whether it says that the backend server leaves.
+        pause_ms: How long it wants nothing more from this entry; 0 if unstated.
     """
 
     request_id: str | None
@@ -81,6 +83,8 @@
     is_other_backend: bool
     is_signed: bool
     idle_timeout_ms: int | None
+    is_leaving: bool = False
+    pause_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -198,6 +198,7 @@
         self.die_at = None
         self.hold_at = None
         self.noise = False
+        self.drip = False
         self.decline = None
         self.pad = ""
         self.go_on = anyio.Event()
@@ -238,7 +239,7 @@
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         for position in range(first, count):
             if position == self.hold_at:
-                await self.go_on.wait()
+                await self.hold(send)
             if position == self.die_at:
                 self.die()
                 return
@@ -254,6 +255,14 @@
             await anyio.lowlevel.checkpoint()
         await send({"type": "http.response.body", "body": b"data: [DONE]\n\n"})
 
+    async def hold(self, send):
+        """Waits for `go_on`; with `drip`, sends bytes that are no chunk meanwhile."""
+        body = {"type": "http.response.body", "body": b":\n", "more_body": True}
+        while self.drip and not self.go_on.is_set():
+            await send(body)
+            await anyio.sleep(0.05)
+        await self.go_on.wait()
+
     def event(self, request_id, position, count):
         is_last = position == count - 1
         choice = {"index": 0, "delta": {"content": f"t{position} {self.pad}"}}
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -59,3 +59,12 @@
     assert not requests.read_backend(503, []).is_not_run
     head = requests.read_backend(200, [(b"keep-alive", b"timeout=5, max=9")])
     assert head.idle_timeout_ms == 5_000
+
+
+def test_engine_that_leaves_or_is_full_says_so():
+    head = requests.read_backend(200, [(b"Server-Leaving", b"1")])
+    assert head.is_leaving
+    assert requests.read_backend(503, [(b"Retry-After", b"0.25")]).pause_ms == 250
+    assert requests.read_backend(500, [(b"Retry-After", b"0.25")]).pause_ms == 0
+    for value in (b"soon", b"-1", b"nan", b"1e9"):
+        assert requests.read_backend(503, [(b"Retry-After", value)]).pause_ms == 0
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -55,6 +55,19 @@
     assert state(world) == "serving"
 
 
+def test_server_that_says_in_an_answer_that_it_leaves_leaves_for_all_entries():
+    """Guards against the other entries' requests to a server that leaves before it
+    tells the control group, and against its heartbeats that say otherwise."""
+    world = make_world()
+    assert state(world) == "serving"
+    report = DemandReport("n1", (), (), leaving_backends=("e0-1",))
+    world.coordinator.on_demand(report, world.now_ms)
+    world.run(1_500)
+    assert state(world) == "leaving"
+    world.run(3_000)
+    assert state(world) == "leaving"
+
+
 def test_next_life_follows_after_silence_and_late_announcements_do_nothing():
     """Guards against a late announcement that displaces the current life."""
     world = make_world()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -186,6 +186,18 @@
         assert w.hub.of(messages.CrashReport) == []
 
 
+@pytest.mark.anyio
+async def test_engine_that_stalls_but_sends_a_byte_now_and_then_is_left(monkeypatch):
+    """Guards against a stream without progress that a few bytes keep open for ever."""
+    monkeypatch.setitem(engines.STALL_LIMIT_MS, Priority.URGENT, 300)
+    first, second = FakeEngine("n1", "l1"), FakeEngine("n2", "l2", zone="b")
+    first.hold_at, first.drip = 3, True
+    async with world(first, second) as w:
+        with anyio.fail_after(5):
+            assert await w.stream_chat(6) == (expected_text(6), True, None)
+        assert json.loads(second.seen[-1][1])["continue_position"] == 3
+
+
 @pytest.mark.anyio
 async def test_request_that_crashes_two_lives_is_not_run_on_a_third():
     """Guards against one request that takes down every engine."""
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,74 @@
+"""Kept connections of the OpenAI-compatible interface."""
+
+import contextlib
+
+import anyio
+import pytest
+
+from cassiapitch.forward import Connections, Response, exchange, read_all
+from cassiapitch.viewitems import BackendItem
+
+LIMIT_S = 10
+
+
+def answer(body):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+def test_second_copy_of_a_response_answers_no_later_request(delay_s):
+    """Guards against a caller that gets the answer to an earlier call: its copy came
+    with it, or while the connection rested."""
+    counts = []
+
+    async def serve(stream):
+        counts.append(0)
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    await stream.receive()
+                    counts[-1] += 1
+                    number = sum(counts)
+                    own = answer(b"answer %d" % number)
+                    if delay_s:
+                        await stream.send(own)
+                        await anyio.sleep(delay_s)
+                        await stream.send(own)
+                    else:
+                        await stream.send(own + own)
+
+    async def call(connections, item):
+        connection = await connections.open(item, fresh=False)
+        response = await exchange(
+            connection,
+            "GET",
+            "/",
+            [],
+            b"",
+            guard=None,
+            head_limit_ms=2_000,
+            part_limit_ms=2_000,
+        )
+        assert isinstance(response, Response)
+        body = await read_all(response, 1_000)
+        await response.close()
+        await connections.give_back(connection)
+        return body
+
+    async def main():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        item = BackendItem(
+            "b", "b@1", "r", "z", "127.0.0.1", port, "serving", (), (), 8
+        )
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, serve)
+                connections = Connections()
+                for number in range(1, 4):
+                    assert await call(connections, item) == b"answer %d" % number
+                    await anyio.sleep(2 * delay_s)
+                await connections.close()
+                group.cancel_scope.cancel()
+
+    anyio.run(main)
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -274,3 +274,124 @@
     assert reply.startswith(b"HTTP/1.1 502")
     assert b"seal" not in reply
     assert runs(world) == [1]
+
+
+def leaving(body=b"done"):
+    async def answers_and_leaves(backend, request, stream):
+        extra = ["Server-Leaving: 1"]
+        await stream.send(answer_bytes(request_id(request), body, headers=extra))
+
+    return answers_and_leaves
+
+
+def test_backend_server_that_says_it_leaves_gets_nothing_more():
+    """Guards against requests that reach a backend server after it has told this entry
+    that it leaves, while the view still calls it serving."""
+
+    async def scenario(world):
+        for number in range(6):
+            reply = await world.call(request_id=f"q{number}")
+            assert reply.startswith(b"HTTP/1.1 200")
+        return world
+
+    world = play(scenario, ONCE, leaving(), answers)
+    assert len(world.backends[0].requests) <= 1
+    assert world.backends[0].closed.is_set() or not world.backends[0].requests
+
+
+def pauses(seconds, *, not_run=True):
+    async def declines_for_a_while(backend, request, stream):
+        extra = [f"Retry-After: {seconds}"]
+        if not_run:
+            extra.append("Not-Executed: 1")
+        await stream.send(
+            answer_bytes(request_id(request), b"", status=503, headers=extra)
+        )
+
+    return declines_for_a_while
+
+
+def test_backend_server_that_asks_for_a_pause_gets_nothing_until_its_end():
+    async def scenario(world):
+        for number in range(6):
+            reply = await world.call(request_id=f"q{number}")
+            assert reply.startswith(b"HTTP/1.1 200")
+        return world
+
+    world = play(scenario, ONCE, pauses("2.5"), answers)
+    assert len(world.backends[0].requests) <= 1
+
+
+def test_caller_learns_at_once_when_all_backend_servers_take_work_again():
+    """Guards against callers that are held, or told nothing, while a role is full."""
+
+    async def scenario(world):
+        await world.call(request_id="q0")
+        begun = anyio.current_time()
+        reply = await world.call(request_id="q1")
+        return reply, anyio.current_time() - begun, world
+
+    reply, took_s, world = play(scenario, ONCE, pauses("2.5"), pauses("1.5"))
+    assert reply.startswith(b"HTTP/1.1 503")
+    retry_after = reply.lower().split(b"retry-after: ")[1].split(b"\r\n")[0]
+    assert 0.5 < float(retry_after) <= 1.5
+    assert took_s < 0.5
+    assert runs(world) == [1, 1]
+
+
+def test_paused_backend_server_is_used_again_after_its_pause():
+    async def scenario(world):
+        first = await world.call(request_id="q0")
+        await anyio.sleep(0.35)
+        return first, await world.call(request_id="q1"), world
+
+    first, _, world = play(scenario, ONCE, pauses("0.3"))
+    assert first.startswith(b"HTTP/1.1 503")
+    assert runs(world) == [2]
+
+
+def test_late_second_copy_of_an_answer_reaches_no_other_caller():
+    """Guards against a caller that gets the answer to an earlier request, whose copy
+    arrives on a kept connection that is in use again."""
+    copies = {}
+
+    async def answers_late_again(backend, request, stream):
+        copy = answer_bytes(request_id(request), b"not yours")
+        copy = copy.replace(f"Request-Id: {request_id(request)}\r\n".encode(), b"")
+        if stream in copies:
+            await stream.send(copies.pop(stream))
+        copies[stream] = copy
+        await stream.send(answer_bytes(request_id(request)))
+
+    async def scenario(world):
+        replies = [await world.call(request_id=f"q{number}") for number in range(6)]
+        return replies, world
+
+    replies, world = play(scenario, ONCE, answers_late_again)
+    assert world.backends[0].connections_count > 1
+    assert all(b"not yours" not in reply for reply in replies)
+
+
+def test_request_without_a_number_gets_a_connection_of_its_own():
+    """Guards against a late answer that nothing tells from the caller's own."""
+
+    async def answers_anybody(backend, request, stream):
+        name = request[2].get("request-id")
+        reply = answer_bytes(name or "", b"done")
+        if name is None:
+            reply = reply.replace(b"Request-Id: \r\n", b"")
+        await stream.send(reply)
+
+    async def scenario(world):
+        data = (
+            b"POST /charge/1 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"Authorization: Bearer " + KEY.encode() + b"\r\n"
+            b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+        )
+        for _ in range(2):
+            assert (await world.exchange(data)).startswith(b"HTTP/1.1 200")
+            assert (await world.call()).startswith(b"HTTP/1.1 200")
+        return world
+
+    world = play(scenario, ONCE, answers_anybody)
+    assert world.backends[0].connections_count == 3
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cassiapitch import codec, files, identity, journal
-from cassiapitch.exceptions import StorageError
+from cassiapitch.exceptions import StorageError, StorageRefusedError
 from cassiapitch.node import SaveEntries, SaveSnapshot, SaveVote
 from cassiapitch.raftmessages import Entry, EntryKind, Group, Snapshot
 from tests.memory_disk import MemoryDisk
@@ -151,6 +151,29 @@
     assert recovered.entries[:3] == entries(1, 3)
 
 
+@pytest.mark.parametrize("failure", ["is_full", "sync_fails"])
+@pytest.mark.parametrize("seed", range(20))
+def test_batch_that_the_disk_refused_is_written_again_whole(failure, seed, monkeypatch):
+    """Guards against a torn frame in the middle of a segment, and against entries that
+    are lost or doubled when a disk takes writes again."""
+    monkeypatch.setattr(journal, "SEGMENT_BYTES", 300)
+    source = random.Random(seed)
+    disk = MemoryDisk()
+    opened, _ = journal.open_journal(disk.files)
+    for index in range(1, 40):
+        batch = [SaveVote(index, "me"), SaveEntries(entries(index, index))]
+        for _ in range(source.choice((0, 0, 1, 3))):
+            setattr(disk, failure, True)
+            with pytest.raises(StorageRefusedError):
+                store(opened, *batch)
+        setattr(disk, failure, False)
+        store(opened, *batch)
+    disk.crash(source)
+    _, recovered = journal.open_journal(disk.files)
+    assert (recovered.term, recovered.vote) == (39, "me")
+    assert recovered.entries == entries(1, 39)
+
+
 def test_snapshot_allows_old_segments_to_go(monkeypatch):
     """Guards against a data folder that grows without bound."""
     monkeypatch.setattr(journal, "SEGMENT_BYTES", 500)
