Serve accounts into what the users tolerate; give back tokens of what has not run

Changed: limits_within widens rate and burst so that all grants of any window, those held by entries included, stay below the tolerance less a twentieth; what has certainly not run is given back.

--- a/cassiapitch/bucket.py
+++ b/cassiapitch/bucket.py
@@ -10,6 +10,8 @@
 
 MICROTOKENS = 1_000_000
 GRANT_LIFE_MS = 1_000
+# Part of a tolerance that is used; the rest covers clocks that differ.
+USED_SHARE = 0.95
 # Older headroom records are merged; a refund of such a grant then gets the least
 # headroom of the merged span, which credits too little and never too much.
 HEADROOMS_LIMIT_COUNT = 512
@@ -41,18 +43,28 @@
     window_s: float
 
 
-def burst_for_cap(
+def limits_within(
     rate_tokens_per_s: int, burst_tokens: int, tolerance: RateTolerance
-) -> int:
-    """Returns the burst whose bucket holds a stated burst, as far as tolerated.
-
-    Grants that entries hold can be in use beside a full bucket, so that a bucket is
-    smaller than its burst. Where a deployment tolerates as much beyond the burst as
-    such grants amount to, the bucket may hold the stated burst.
+) -> tuple[int, int]:
+    """Returns the rate and burst to keep so that a tolerance is used and not exceeded.
+
+    Answers accounts that ask for somewhat more than their rate while engines have
+    room: what a deployment tolerates in its window is served, the rest is refused. Over
+    any window T all grants admit at most burst + rate x T of what is returned, grants
+    that entries hold included, and over the deployment's window no more than it
+    tolerates, less a margin. Neither is ever below what is stated.
     """
+    if not tolerance.window_s:
+        return rate_tokens_per_s, burst_tokens
     window_tokens = rate_tokens_per_s * tolerance.window_s + burst_tokens
-    tolerated = tolerance.tokens + int(window_tokens * tolerance.share)
-    return burst_tokens + min(rate_tokens_per_s, burst_tokens, tolerated)
+    tolerated = int((tolerance.tokens + window_tokens * tolerance.share) * USED_SHARE)
+    # Grants that entries hold can be in use beside a full bucket; a burst that is wider
+    # by them lets the bucket hold the stated one.
+    held = min(rate_tokens_per_s * GRANT_LIFE_MS // 1_000, burst_tokens, tolerated)
+    spread_s = tolerance.window_s + GRANT_LIFE_MS / 1_000
+    more = int((tolerated - held) / spread_s)
+    rate = rate_tokens_per_s + more
+    return rate, burst_tokens + held + more * GRANT_LIFE_MS // 1_000
 
 
 @dataclasses.dataclass(slots=True)
--- a/cassiapitch/codec.py
+++ b/cassiapitch/codec.py
@@ -22,9 +22,9 @@
 
 
 def register(types: Iterable[type]) -> None:
-    """Makes data classes known by name to `encode` and `decode`."""
+    """Makes data classes and structs known by name to `encode` and `decode`."""
     for cls in types:
-        if not dataclasses.is_dataclass(cls):
+        if not (dataclasses.is_dataclass(cls) or issubclass(cls, msgspec.Struct)):
             raise CodecError(f"{cls!r} is not a data class")
         _types[cls.__name__] = cls
         _decoders.pop(cls.__name__, None)
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -76,6 +76,9 @@
         try:
             await self._serve_until_deadline(call, caller)
         finally:
+            if call.admitted is not None and not call.course.may_have_left:
+                # What has certainly not run costs its account nothing.
+                self._state.budget.settle(call.admitted, 0)
             log_call(call, self._state.catalog.index)
 
     def _accept(self, request: CallerRequest, head: CallerHead) -> ForwardCall:
@@ -226,6 +229,8 @@
             call.request_key, account, cost, admission_limit_ms(call.route)
         )
         call.admitted_ms = timers.now_ms()
+        if isinstance(decision, budget.Admitted):
+            call.admitted = decision
         if isinstance(decision, budget.RateExceeded):
             raise RefusedError(ErrorKind.RATE_EXCEEDED, decision.retry_after_ms)
         if isinstance(decision, budget.OverBurst):
--- a/cassiapitch/forwardtypes.py
+++ b/cassiapitch/forwardtypes.py
@@ -4,6 +4,7 @@
 import hashlib
 
 from cassiapitch import timers
+from cassiapitch.budget import Admitted
 from cassiapitch.callerlink import CallerRequest
 from cassiapitch.forwardroutes import ForwardRoute
 from cassiapitch.outcomes import ANSWERS, ErrorKind, RunOutcome
@@ -53,6 +54,7 @@
         request_key: Identity that is unique in this entry.
         cost_tokens: What it took of its account.
         admitted_ms: When its account had the tokens, or hadn't.
+        admitted: What it took of its account's grants.
         placed_ms: When it got its last place at a backend server.
     """
 
@@ -73,6 +75,7 @@
     request_key: str = ""
     cost_tokens: int = 0
     admitted_ms: int | None = None
+    admitted: Admitted | None = None
     placed_ms: int | None = None
 
     def left_ms(self) -> int:
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -4,7 +4,7 @@
 `Hub/Link` between an entry and a control member.
 """
 
-import dataclasses
+import msgspec
 
 from cassiapitch import codec
 from cassiapitch.settings import ControlPeer
@@ -22,8 +22,7 @@
 # The view: what entries know of the replicated state.
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ViewSnapshot:
+class ViewSnapshot(msgspec.Struct, frozen=True, array_like=True):
     """The whole view as of `index`; `last` is false on all parts but the final one.
 
     Attributes:
@@ -39,8 +38,7 @@
     last: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ViewDelta:
+class ViewDelta(msgspec.Struct, frozen=True, array_like=True):
     """What one or more log entries changed; applied as a whole.
 
     Attributes:
@@ -59,8 +57,7 @@
 # Link, entry to control member.
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LinkHello:
+class LinkHello(msgspec.Struct, frozen=True, array_like=True):
     """First message of a link.
 
     Attributes:
@@ -82,22 +79,19 @@
     wants_members: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ControlMembers:
+class ControlMembers(msgspec.Struct, frozen=True, array_like=True):
     """The members of the control group, for entries that know only some."""
 
     members: tuple[ControlPeer, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfirmAsk:
+class ConfirmAsk(msgspec.Struct, frozen=True, array_like=True):
     """Asks for a confirmation that the entry's view is current."""
 
     sequence: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GrantAsk:
+class GrantAsk(msgspec.Struct, frozen=True, array_like=True):
     """What one account needs at one entry.
 
     Attributes:
@@ -113,8 +107,7 @@
     largest_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refund:
+class Refund(msgspec.Struct, frozen=True, array_like=True):
     """Tokens of a grant that were not used.
 
     Attributes:
@@ -130,8 +123,7 @@
     granted_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RateAsk:
+class RateAsk(msgspec.Struct, frozen=True, array_like=True):
     """Asks the granter for tokens and returns unused ones.
 
     Attributes:
@@ -150,8 +142,7 @@
     refunds: tuple[Refund, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimAsk:
+class ClaimAsk(msgspec.Struct, frozen=True, array_like=True):
     """Claims an idempotency key before a non-idempotent call is sent.
 
     Attributes:
@@ -171,8 +162,7 @@
     lifetime_ms: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimFinish:
+class ClaimFinish(msgspec.Struct, frozen=True, array_like=True):
     """Stores the outcome of a claimed call."""
 
     sequence: int
@@ -184,8 +174,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimRelease:
+class ClaimRelease(msgspec.Struct, frozen=True, array_like=True):
     """Gives a claim back: the call provably did not run."""
 
     sequence: int
@@ -194,8 +183,7 @@
     holder: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashReport:
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
     """A backend server crashed while these requests ran on it."""
 
     sequence: int
@@ -204,8 +192,7 @@
     digests: tuple[RequestDigest, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectCleared:
+class SuspectCleared(msgspec.Struct, frozen=True, array_like=True):
     """A suspect ran to its end without a crash.
 
     Attributes:
@@ -220,8 +207,7 @@
     lives: tuple[LifeId, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectRunAsk:
+class SuspectRunAsk(msgspec.Struct, frozen=True, array_like=True):
     """Claims a life of a backend server before a suspect is sent to it.
 
     Attributes:
@@ -237,8 +223,7 @@
     holder: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectRunEnded:
+class SuspectRunEnded(msgspec.Struct, frozen=True, array_like=True):
     """Ends the claim of a suspect's run."""
 
     sequence: int
@@ -246,8 +231,7 @@
     holder: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelDemand:
+class ModelDemand(msgspec.Struct, frozen=True, array_like=True):
     """Demand for one model at one entry since its last report.
 
     Attributes:
@@ -267,8 +251,7 @@
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InFlight:
+class InFlight(msgspec.Struct, frozen=True, array_like=True):
     """Requests of one entry that a life of a backend server has.
 
     Attributes:
@@ -282,8 +265,7 @@
     pending_tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DemandReport:
+class DemandReport(msgspec.Struct, frozen=True, array_like=True):
     """An entry's demand, and what it has learned of backend servers.
 
     Attributes:
@@ -304,16 +286,14 @@
 # Link, control member to entry.
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Confirmed:
+class Confirmed(msgspec.Struct, frozen=True, array_like=True):
     """A quorum confirmed after the ask that `index` is current."""
 
     sequence: int
     index: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
+class Grant(msgspec.Struct, frozen=True, array_like=True):
     """Tokens that an entry may admit for an account.
 
     Attributes:
@@ -334,16 +314,14 @@
     wait_ms: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RateGrants:
+class RateGrants(msgspec.Struct, frozen=True, array_like=True):
     """Answers the `RateAsk` with the same sequence."""
 
     sequence: int
     grants: tuple[Grant, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimAnswer:
+class ClaimAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Answers `ClaimAsk`, `ClaimFinish` and `ClaimRelease`.
 
     Attributes:
@@ -361,8 +339,7 @@
     body: bytes | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashAnswer:
+class CrashAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Answers `CrashReport` and `SuspectCleared`.
 
     Attributes:
@@ -376,8 +353,7 @@
     crash_counts: tuple[int, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectRunAnswer:
+class SuspectRunAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Answers `SuspectRunAsk` and `SuspectRunEnded`.
 
     Attributes:
@@ -389,8 +365,7 @@
     outcome: SuspectRun | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """A backend server's own, lagging report."""
 
     name: BackendName
@@ -401,8 +376,7 @@
     pending_tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReports:
+class LoadReports(msgspec.Struct, frozen=True, array_like=True):
     """Reports that are new since the last message, and loads under way.
 
     Attributes:
@@ -418,8 +392,7 @@
     counts: bytes = b""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LinkRefused:
+class LinkRefused(msgspec.Struct, frozen=True, array_like=True):
     """The member can't serve this link; `reason` says why."""
 
     reason: str
@@ -428,16 +401,14 @@
 # Relay, between control members: a member passes on what only the leader handles.
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayHello:
+class RelayHello(msgspec.Struct, frozen=True, array_like=True):
     """First message of a relay stream, from a member to the leader."""
 
     member: str
     cluster: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayBatch:
+class RelayBatch(msgspec.Struct, frozen=True, array_like=True):
     """Encoded messages in one, in either direction.
 
     To the leader: `RateAsk`, `DemandReport` and `Announcement`. From the leader:
@@ -447,8 +418,7 @@
     messages: tuple[bytes, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayedGrants:
+class RelayedGrants(msgspec.Struct, frozen=True, array_like=True):
     """The answer to a relayed `RateAsk`, to be passed on to the entry's link."""
 
     entry: str
--- a/cassiapitch/modeldemand.py
+++ b/cassiapitch/modeldemand.py
@@ -1,9 +1,10 @@
 """Demand for models and adapters, and the list of those that requests wait for."""
 
-import dataclasses
 import math
 from collections.abc import Callable
 
+import msgspec
+
 from cassiapitch.fleet_catalog import Catalog
 from cassiapitch.messages import (
     DemandReport,
@@ -132,5 +133,5 @@
         for item in report.demands
         if item.model in catalog.models or item.model in adapters
     )
-    report = dataclasses.replace(report, demands=known)
+    report = msgspec.structs.replace(report, demands=known)
     return demand.note(report, adapters, now_ms)
--- a/cassiapitch/platform/configuration.py
+++ b/cassiapitch/platform/configuration.py
@@ -214,10 +214,11 @@
     rate = math.floor(tenant.ratePerS or 0.0)
     burst = math.floor(tenant.burst or rate)
     is_limited = rate > 0 or burst > 0
+    rate, burst = bucket.limits_within(max(1, rate), max(1, burst), tolerance)
     return ClientAccount(
         name=tenant.name,
-        rate_tokens_per_s=max(1, rate),
-        burst_tokens=max(1, bucket.burst_for_cap(rate, burst, tolerance)),
+        rate_tokens_per_s=rate,
+        burst_tokens=burst,
         is_limited=is_limited,
         counts_tokens=tenant.unit == "tokens",
         plain_cost_tokens=tenant.plainTokens if tenant.unit == "tokens" else 1,
--- a/cassiapitch/viewitems.py
+++ b/cassiapitch/viewitems.py
@@ -1,6 +1,6 @@
 """Values of the view's items: what entries know of the replicated state."""
 
-import dataclasses
+import msgspec
 
 from cassiapitch import codec
 from cassiapitch.forwardroutes import CallerLimits, ForwardRoute
@@ -13,8 +13,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BundleItem:
+class BundleItem(msgspec.Struct, frozen=True, array_like=True):
     """`bundle`: the bundle in force."""
 
     version: int
@@ -22,8 +21,7 @@
     author: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelItem:
+class ModelItem(msgspec.Struct, frozen=True, array_like=True):
     """`model/<name>`."""
 
     name: ModelName
@@ -33,8 +31,7 @@
     context_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdapterItem:
+class AdapterItem(msgspec.Struct, frozen=True, array_like=True):
     """`adapter/<name>`: fine-tuned weights on top of `model`."""
 
     name: str
@@ -42,8 +39,7 @@
     memory_mib: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AccountItem:
+class AccountItem(msgspec.Struct, frozen=True, array_like=True):
     """`account/<name>`: a client account with its rate over the whole fleet."""
 
     name: AccountName
@@ -56,8 +52,7 @@
     priority: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RoleItem:
+class RoleItem(msgspec.Struct, frozen=True, array_like=True):
     """`role/<name>`: a group of backend servers."""
 
     name: str
@@ -68,8 +63,7 @@
     reports_load: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RouteItem:
+class RouteItem(msgspec.Struct, frozen=True, array_like=True):
     """`route/<method> <path>`: a plain service's call.
 
     Attributes:
@@ -91,15 +85,13 @@
     cost_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyItem:
+class KeyItem(msgspec.Struct, frozen=True, array_like=True):
     """`key/<sha256 hex>`: a key that works. A withdrawn key has no item."""
 
     account: AccountName
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BackendItem:
+class BackendItem(msgspec.Struct, frozen=True, array_like=True):
     """`backend/<name>`: a backend server.
 
     Attributes:
@@ -127,8 +119,7 @@
     max_running_count: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectItem:
+class SuspectItem(msgspec.Struct, frozen=True, array_like=True):
     """`suspect/<digest>`: a request that was running when backend servers crashed.
 
     Attributes:
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -12,7 +12,7 @@
 from cassiapitch.entrystate import EntryState
 from cassiapitch.forwarding import ForwardServer
 from cassiapitch.forwardroutes import CallerLimits, ForwardRoute, Repeat, WeightedRole
-from cassiapitch.messages import Confirmed
+from cassiapitch.messages import Confirmed, Grant, RateGrants, ViewDelta
 from cassiapitch.platform.requests import WIRE
 from cassiapitch.settings import Address, EntrySettings
 from cassiapitch.types import RoleKind
@@ -175,6 +175,27 @@
         self.state.applied(outcome)
         self.state.take_confirmation(Confirmed(ask.sequence, 1))
 
+    async def limit_account(self, rate, burst):
+        """Limits the account; a granter gives each call what it asks for."""
+        item = AccountItem("jersey", rate, burst, 1)
+        previous, index = self.state.catalog.index, self.state.catalog.index + 1
+        delta = ViewDelta(previous, index, {"account/jersey": codec.encode(item)}, ())
+        self.state.applied(self.state.catalog.apply_delta(delta))
+        self.group.start_soon(self._grant)
+
+    async def _grant(self):
+        while True:
+            await self.state.rate_needed.wait(50)
+            now_ms = timers.now_ms()
+            if not self.state.budget.needs_ask(now_ms):
+                continue
+            ask = self.state.budget.ask(now_ms, periodic=False)
+            grants = tuple(
+                Grant(one.account, one.needed_tokens, 500, 1, now_ms)
+                for one in ask.asks
+            )
+            self.state.take_grants(RateGrants(ask.sequence, grants))
+
     async def connect(self):
         return await anyio.connect_tcp("127.0.0.1", self.port)
 
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -395,3 +395,28 @@
 
     world = play(scenario, ONCE, answers_anybody)
     assert world.backends[0].connections_count == 3
+
+
+def test_request_that_has_not_run_gives_its_tokens_back():
+    """Guards against an account that is refused since refusals have used its rate."""
+
+    async def scenario(world):
+        await world.limit_account(rate=1_000, burst=1_000)
+        refused = await world.call(request_id="q0")
+        returned = world.state.budget.unreturned_tokens()
+        return refused, returned
+
+    refused, returned = play(scenario, ONCE, declines)
+    assert refused.startswith(b"HTTP/1.1 503")
+    assert returned == 1
+
+
+def test_request_that_may_have_run_keeps_its_tokens():
+    async def scenario(world):
+        await world.limit_account(rate=1_000, burst=1_000)
+        broken = await world.call(request_id="q0")
+        return broken, world.state.budget.unreturned_tokens()
+
+    broken, returned = play(scenario, ONCE, breaks)
+    assert broken.startswith(b"HTTP/1.1 502")
+    assert returned == 0
