--- a/cassiapitch/affinity.py
+++ b/cassiapitch/affinity.py
@@ -49,8 +49,8 @@
 
     When engines come or go, only the parts of the engine that is concerned move.
     """
-    return max(
-        lives,
-        key=lambda life: (zlib.crc32(f"{key}|{life}".encode()), life),
-        default=None,
-    )
+
+    def rank(life: LifeId) -> tuple[int, LifeId]:
+        return zlib.crc32(f"{key}|{life}".encode()), life
+
+    return max(lives, key=rank, default=None)
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -26,7 +26,7 @@
 UNREACHABLE_MS = 1_000
 # Time to the first token that weighs as much as one request in flight.
 PREFILL_UNIT_MS = 25.0
-# Credit of the engine that keeps a prompt's shared parts, also while speeds are unknown.
+# Credit of the engine that keeps a prompt's shared parts, known speeds or not.
 KEPT_CREDIT = 1.0
 # A backend server that fails every request costs as much as this many in flight; one
 # that takes twice as long as the others, as much as the second number.
