Send orders again soon that engines leave unanswered

Ruled out: that a second attempt is carried out beside the first: engines compare the fence and the number of accepted orders. Test: fails before.

--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -59,10 +59,12 @@
 
 # An attempt without a response is repeated after this time, then ever later. For
 # engines without fencing each attempt that stays unanswered reserves memory until
-# the life ends, so they get more time.
-RESEND_MS = 1_000
+# the life ends, so they get more time. One with fencing rejects an attempt that arrives
+# late, by its fence and by the orders that it has accepted since.
+RESEND_MS = 400
+RESEND_LONGEST_MS = 2_000
 RESEND_UNFENCED_MS = 4_000
-RESEND_LONGEST_MS = 8_000
+RESEND_UNFENCED_LONGEST_MS = 8_000
 
 # An engine that carries out another order is asked again sooner; most end in a second.
 BUSY_RESEND_MS = 200
@@ -443,8 +445,11 @@
         if progress.is_busy:
             doublings = min(order.attempt_count - 1, BUSY_DOUBLINGS_COUNT)
             return now_ms - progress.sent_ms >= BUSY_RESEND_MS * 2**doublings
-        first_ms = RESEND_MS if life.fencing else RESEND_UNFENCED_MS
-        wait_ms = min(RESEND_LONGEST_MS, first_ms * 2 ** (order.attempt_count - 1))
+        if life.fencing:
+            first_ms, longest_ms = RESEND_MS, RESEND_LONGEST_MS
+        else:
+            first_ms, longest_ms = RESEND_UNFENCED_MS, RESEND_UNFENCED_LONGEST_MS
+        wait_ms = min(longest_ms, first_ms * 2 ** (order.attempt_count - 1))
         if order.accepted:
             load_ms = int(self.placement.load_ms)
             wait_ms = max(REPEAT_ACCEPTED_MS, 3 * load_ms)
--- a/cassiapitch/platform/orders.py
+++ b/cassiapitch/platform/orders.py
@@ -11,7 +11,9 @@
 from cassiapitch.types import OrderKind
 
 CONNECT_TIMEOUT_S = 0.5
-RESPONSE_TIMEOUT_S = 1.5
+# An engine answers as soon as it has taken an order; one that hasn't by then is asked
+# again, since the answer, or the order itself, may come seconds later.
+RESPONSE_TIMEOUT_S = 0.4
 
 _OPERATIONS = {
     OrderKind.LOAD: "load",
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -5,6 +5,7 @@
 from cassiapitch.messages import (
     DemandReport,
 )
+from tests import fleet_world
 from tests.fleet_world import World
 
 FLAT = {"a": 30, "b": 30, "c": 30}
@@ -114,6 +115,22 @@
     assert world.now_ms - gone_ms >= 2_000
 
 
+def test_order_without_an_answer_is_sent_again_soon(monkeypatch):
+    """Guards against models that wait for seconds behind orders that engines leave
+    unanswered and carry out late."""
+    monkeypatch.setattr(fleet_world, "RESPONSE_TIMEOUT_MS", 400)
+    world = make_world()
+    world.order_faults = ["late"] * 2
+    world.ask("a", 1)
+    begun_ms = world.now_ms
+    while "a" not in world.served:
+        world.run(100)
+        assert world.now_ms - begun_ms < 10_000
+    # Two answers that don't come, and the pauses behind them.
+    lost_ms = 2 * 400 + 400 + 800
+    assert world.now_ms - begun_ms < lost_ms + 2_500
+
+
 def test_expected_time_counts_down_and_covers_the_waiting_list():
     """Guards against entries that don't know whether waiting makes sense."""
     world = make_world()
