--- a/cassiapitch/link.py
+++ b/cassiapitch/link.py
@@ -72,11 +72,14 @@
         ]
         if not free:
             return None
-        # Two links in one zone would end together with it.
+        # Two links in one zone would end together with it. A member that has failed
+        # comes behind those that haven't: where two are cut off, an entry would
+        # otherwise go to and fro between them.
         chosen = min(
             free,
             key=lambda peer: (
                 peer.name in self._former,
+                self._failures.get(peer.name, (0, 0))[0],
                 peer.zone in other_zones,
                 peer.zone != self._zone,
             ),
