Share one retry budget by service over all entries; import less at a start

Changed: an entry's retries are a share of its own requests for the role and its part of the slack, by the number of entries that the leader has heard; roles have budgets of their own. Metrics are kept in plain tables; the library that writes the text format is imported with the first question.

Ruled out: retries decided by the leader (a round trip each).

--- a/cassiapitch/configurations.py
+++ b/cassiapitch/configurations.py
@@ -72,7 +72,7 @@
     async def put(self, content: bytes) -> PutOutcome:
         """Brings a configuration into force unless a higher version is."""
         outcome = await self._put(content)
-        metrics.CONFIGURATIONS.labels(outcome.result.value).inc()
+        metrics.CONFIGURATIONS.inc(outcome.result.value)
         events.log(
             events.Event.CONFIGURATION_ANSWERED,
             result=outcome.result.value,
--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -175,7 +175,7 @@
             return is_current and self._is_leader()
 
         answer = await self._send_order(send, fencing=fencing, may_send=may_send)
-        metrics.ORDERS.labels(str(send.order.kind), str(answer)).inc()
+        metrics.ORDERS.inc(str(send.order.kind), str(answer))
         events.log(
             events.Event.ORDER_ANSWERED,
             order_id=send.order.order_id,
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -245,7 +245,7 @@
         self._add_up_loads(now_ms)
         reports, counts = self._loads.take()
         expected_ms = placement_state.expected_ms(self.placement, now_ms)
-        return LoadReports(reports, expected_ms, counts)
+        return LoadReports(reports, expected_ms, counts, len(self._in_flight))
 
     def commands(self, now_ms: int) -> list[Command]:
         """Returns what to propose now; the caller proposes it in this order."""
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -28,7 +28,7 @@
     LoadReports,
     RateGrants,
 )
-from cassiapitch.retries import RetryBudget
+from cassiapitch.retries import RetryBudget, RetryLimit
 from cassiapitch.routing import Router
 from cassiapitch.scheduler import Scheduler
 from cassiapitch.settings import EntrySettings
@@ -80,7 +80,10 @@
             self.suspicion,
             self.waiting_begun.fire,
         )
-        self.retries = RetryBudget()
+        limit = None
+        if settings.retry_slack_count is not None:
+            limit = RetryLimit(settings.retry_share, settings.retry_slack_count)
+        self.retries = RetryBudget(limit)
         self.demand = Demand(settings.name)
         self.asks = ControlAsks()
         self.body_room = BodyRoom(settings.buffered_bodies_limit_bytes)
@@ -171,6 +174,7 @@
     def take_loads(self, message: LoadReports) -> None:
         """Takes load reports and the times at which copies are expected."""
         now_ms = timers.now_ms()
+        self.retries.share_with(message.entries_count)
         for report in message.reports:
             self.router.report(report, now_ms)
         counts = loadtable.unpack(message.counts)
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -190,9 +190,9 @@
 
     async def _serve(self, call: ForwardCall, caller: CallerConnection) -> None:
         call.course.step("admit")
-        self._state.retries.request(timers.now_ms())
         await self._admit(call)
         wanted = self._places.wanted(call)
+        self._state.retries.request(timers.now_ms(), wanted.role)
         if self._crashes.is_quarantined(wanted.digest):
             raise RefusedError(ErrorKind.REQUEST_QUARANTINED)
         while True:
@@ -406,7 +406,7 @@
             until_ms = timers.now_ms() + int(PATIENCE_SHARE * limit_ms)
             wanted.deadline_ms = min(call.deadline_ms, until_ms)
             wanted.asked_ms = None
-        if not self._state.retries.take(timers.now_ms()):
+        if not self._state.retries.take(timers.now_ms(), wanted.role):
             raise RefusedError(
                 ErrorKind.BACKEND_SERVER_FAILED
                 if call.course.may_have_left
--- a/cassiapitch/forwardlog.py
+++ b/cassiapitch/forwardlog.py
@@ -41,10 +41,10 @@
 def _measure(call: ForwardCall) -> None:
     route = call.route.name
     outcome = "cut" if call.outcome.startswith("cut") else call.outcome
-    metrics.REQUESTS.labels(route, str(call.status), outcome).inc()
+    metrics.REQUESTS.inc(route, str(call.status), outcome)
     if call.first_byte_ms is not None:
         waited_ms = call.first_byte_ms - call.arrived_ms
-        metrics.FIRST_BYTE_S.labels(route).observe(waited_ms / 1000)
+        metrics.FIRST_BYTE_S.observe(waited_ms / 1000, route)
     if call.admitted_ms is not None:
         metrics.ADMISSION_S.observe((call.admitted_ms - call.arrived_ms) / 1000)
     if call.placed_ms is not None:
--- a/cassiapitch/forwardplaces.py
+++ b/cassiapitch/forwardplaces.py
@@ -84,6 +84,7 @@
             prefixes=tuple(part.part_id for part in call.head.prompt_parts),
             prompt_tokens=call.head.prompt_tokens,
             first_token_limit_ms=call.route.first_token_limit_ms,
+            role=role,
             shared=affinity.shared_prompt(queue, call.head.prompt_parts),
         )
 
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -385,11 +385,13 @@
         expected_ms: Maps a model without a serving copy to the time until one is
             expected.
         counts: Packed loads of further backend servers, see `loadtable`.
+        entries_count: Entries that the leader has heard of.
     """
 
     reports: tuple[LoadReport, ...]
     expected_ms: dict[ModelName, int]
     counts: bytes = b""
+    entries_count: int = 0
 
 
 class LinkRefused(msgspec.Struct, frozen=True, array_like=True):
--- a/cassiapitch/registrations.py
+++ b/cassiapitch/registrations.py
@@ -45,7 +45,7 @@
     async def heartbeat(self, announcement: Announcement) -> bool:
         """Takes a heartbeat; true if it may be acknowledged."""
         is_taken = await self._take(announcement)
-        metrics.HEARTBEATS.labels(str(is_taken).lower()).inc()
+        metrics.HEARTBEATS.inc(str(is_taken).lower())
         return is_taken
 
     async def _take(self, announcement: Announcement) -> bool:
--- a/cassiapitch/retries.py
+++ b/cassiapitch/retries.py
@@ -10,38 +10,87 @@
 WINDOW_MS = 10_000
 RETRIES_SHARE = 0.1
 RETRIES_LEAST_COUNT = 10
+# Parts of a limit over all entries that are used: entries see windows of their own, and
+# what one has counted may be sent late.
+SHARE_USED = 0.75
+SLACK_USED_SHARE = 0.75
+# Before the control group has told how many entries there are.
+ENTRIES_UNKNOWN_COUNT = 100
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryLimit:
+    """How many retries a role may get from all entries together.
+
+    Attributes:
+        share: Retries as a share of the requests of the last ten seconds.
+        slack_count: Retries beyond that share, over all entries.
+    """
+
+    share: float
+    slack_count: int
 
 
 class RetryBudget:
-    """Limits retries to a share of the requests of the last ten seconds.
+    """Limits retries to a share of the requests of the last ten seconds, by role.
 
     Without a common limit, each failing backend server would multiply the load on
     the ones that are left.
     """
 
-    def __init__(self) -> None:
-        self._requests: deque[int] = deque()
-        self._retries: deque[int] = deque()
+    def __init__(self, limit: RetryLimit | None = None) -> None:
+        """Makes a budget.
+
+        Args:
+            limit: The limit over all entries; without one, this entry's own.
+        """
+        self._limit = limit
+        self._entries_count: int | None = None
+        self._requests: dict[str, deque[int]] = {}
+        self._retries: dict[str, deque[int]] = {}
+
+    def share_with(self, entries_count: int) -> None:
+        """Takes over how many entries there are, as far as the leader has heard.
 
-    def request(self, now_ms: int) -> None:
+        A new leader has heard of few; the most that was told holds.
+        """
+        if entries_count:
+            self._entries_count = max(self._entries_count or 0, entries_count)
+
+    def request(self, now_ms: int, role: str = "") -> None:
         """Counts a new request."""
-        self._requests.append(now_ms)
-        _drop_old(self._requests, now_ms)
+        requests = self._requests.setdefault(role, deque())
+        requests.append(now_ms)
+        _drop_old(requests, now_ms)
 
-    def free_ms(self, now_ms: int) -> int:
+    def free_ms(self, now_ms: int, role: str = "") -> int:
         """Returns the time until the oldest retry leaves the window."""
-        return self._retries[0] + WINDOW_MS - now_ms if self._retries else 0
+        retries = self._retries.get(role)
+        return retries[0] + WINDOW_MS - now_ms if retries else 0
 
-    def take(self, now_ms: int) -> bool:
+    def take(self, now_ms: int, role: str = "") -> bool:
         """Takes one retry from the budget; false if it is used up."""
-        _drop_old(self._requests, now_ms)
-        _drop_old(self._retries, now_ms)
-        limit = max(RETRIES_LEAST_COUNT, int(RETRIES_SHARE * len(self._requests)))
-        if len(self._retries) >= limit:
+        requests = self._requests.setdefault(role, deque())
+        retries = self._retries.setdefault(role, deque())
+        _drop_old(requests, now_ms)
+        _drop_old(retries, now_ms)
+        if len(retries) >= self._most(len(requests)):
             return False
-        self._retries.append(now_ms)
+        retries.append(now_ms)
         return True
 
+    def _most(self, requests_count: int) -> int:
+        """Returns the retries that this entry may make in ten seconds.
+
+        Answers a role that fails at a large fleet: a few retries at each of two hundred
+        entries are more than all of them may make together.
+        """
+        if self._limit is None:
+            return max(RETRIES_LEAST_COUNT, int(RETRIES_SHARE * requests_count))
+        entries_count = self._entries_count or ENTRIES_UNKNOWN_COUNT
+        slack = self._limit.slack_count * SLACK_USED_SHARE / entries_count
+        return int(self._limit.share * SHARE_USED * requests_count + slack)
+
 
 @dataclasses.dataclass(slots=True)
 class Course:
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -48,6 +48,8 @@
         denied_count: How often a suspect found its backend server taken by another.
         prompt_tokens: Tokens of its prompt; 0 for a request without one.
         first_token_limit_ms: Longest time to the first token; None for no limit.
+        shared: What its prompt shares with others.
+        role: Role of its backend servers; empty where retries aren't limited by role.
     """
 
     name: str
@@ -70,6 +72,7 @@
     prompt_tokens: int = 0
     first_token_limit_ms: int | None = None
     shared: SharedPrompt = NOTHING_SHARED
+    role: str = ""
 
     @property
     def suspect(self) -> bool:
--- a/cassiapitch/statechart.py
+++ b/cassiapitch/statechart.py
@@ -8,8 +8,8 @@
 
 import dataclasses
 import functools
-import importlib.resources
 import json
+import pathlib
 
 from cassiapitch.exceptions import ChartError
 
@@ -85,5 +85,5 @@
 @functools.cache
 def load_chart(name: str) -> Chart:
     """Loads `charts/<name>.json` of this package."""
-    path = importlib.resources.files("cassiapitch") / "charts" / f"{name}.json"
+    path = pathlib.Path(__file__).parent / "charts" / f"{name}.json"
     return parse_chart(path.read_text(encoding="utf-8"))
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,34 @@
+import anyio
+
+from cassiapitch import metrics
+
+
+def test_numbers_are_served_in_the_text_format(monkeypatch):
+    monkeypatch.setattr(metrics, "REGISTRY", [])
+    asked = metrics.Counter("asked", "Requests", ("route", "status"))
+    plain = metrics.Counter("plain", "Without labels")
+    level = metrics.Gauge("level", "A level")
+    took = metrics.Histogram("took_seconds", "Times", ("route",), buckets=(0.1, 1.0))
+    asked.inc("chat", "200")
+    asked.inc("chat", "200")
+    asked.inc("chat", "503")
+    level.set(3)
+    for value in (0.05, 0.1, 0.5, 7.0):
+        took.observe(value, "chat")
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    anyio.run(metrics.serve, send)
+    text = sent[1]["body"].decode()
+    assert sent[0]["status"] == 200
+    assert 'asked_total{route="chat",status="200"} 2.0' in text
+    assert 'asked_total{route="chat",status="503"} 1.0' in text
+    assert "plain_total 0.0" in text
+    assert "level 3.0" in text
+    assert 'took_seconds_bucket{le="0.1",route="chat"} 2.0' in text
+    assert 'took_seconds_bucket{le="1.0",route="chat"} 3.0' in text
+    assert 'took_seconds_bucket{le="+Inf",route="chat"} 4.0' in text
+    assert 'took_seconds_count{route="chat"} 4.0' in text
+    assert plain is not None
