Ask for tokens again when they are due, not at the next period

Changed: an entry asks again at the time that the granter named. Ruled out: a shorter period (195 entries would all ask more often). Test: 95 in 100 calls of an account near its rate are decided within half a period; fails without.

--- a/cassiapitch/budget.py
+++ b/cassiapitch/budget.py
@@ -15,6 +15,9 @@
 )
 
 ASK_PERIOD_MS = 200
+# A call whose tokens are due sooner than the next period is asked for again then, but
+# not before a record at the granter can have been committed.
+ASK_AGAIN_LEAST_MS = 25
 WAIT_LIMIT_MS = 800
 # A call that no granter has answered yet may wait longer: a new control leader is
 # elected and grants again within about 1,500 ms, and refusing calls that are within
@@ -143,6 +146,7 @@
         self._asked: dict[int, _Asked] = {}
         self._refunds: dict[tuple[AccountName, int, int], int] = {}
         self._is_closed = False
+        self._again_ms: int | None = None
         self._decided: list[tuple[str, Decision]] = []
 
     def request(
@@ -232,6 +236,16 @@
             for state in self._accounts.values()
         )
 
+    def ask_due_ms(self, periodic_ms: int) -> int:
+        """Returns when to ask next, at the latest at the end of the period.
+
+        Answers a call that found its account's tokens a moment short: waiting for the
+        period would take the larger part of the time that its objective leaves.
+        """
+        if self._again_ms is None:
+            return periodic_ms
+        return min(periodic_ms, self._again_ms)
+
     def needs_ask(self, now_ms: int) -> bool:
         """Tells whether calls wait for tokens that no open ask covers."""
         return any(
@@ -245,6 +259,7 @@
         A periodic ask also closes a period of the average of admitted tokens.
         """
         asks: list[GrantAsk] = []
+        self._again_ms = None
         if self._is_closed:
             return None
         for name, state in self._accounts.items():
@@ -337,6 +352,9 @@
         self._admit_waiters(grant.account, state)
         if grant.wait_ms is not None:
             self._refuse_hopeless(state, grant.wait_ms, now_ms)
+            if state.waiters:
+                again_ms = now_ms + max(ASK_AGAIN_LEAST_MS, grant.wait_ms)
+                self._again_ms = min(self._again_ms or again_ms, again_ms)
 
     def _admit_waiters(self, name: AccountName, state: _AccountBudget) -> None:
         while state.waiters:
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -238,7 +238,8 @@
             if self.state.budget.is_quiet():
                 await self.state.rate_needed.wait(IDLE_TICK_MS)
             else:
-                await self.state.rate_needed.wait(due_ms - timers.now_ms())
+                wait_until_ms = self.state.budget.ask_due_ms(due_ms)
+                await self.state.rate_needed.wait(wait_until_ms - timers.now_ms())
             now_ms = timers.now_ms()
             is_due = now_ms >= due_ms
             if is_due:
--- a/tests/test_budget_sharing.py
+++ b/tests/test_budget_sharing.py
@@ -42,6 +42,9 @@
         self.number = 0
         self.admitted, self.refused = [], []
         self.sizes = {}
+        self.waits_ms = {}
+        # Entries at which a call has just come: they ask at once.
+        self.called = set()
         self.is_led = True
         # One bucket of the stated rate and burst that all entries could ask at once.
         self.level, self.central_refused_count = float(RATE), 0
@@ -72,6 +75,7 @@
 
     def call(self, entry, tokens):
         budget = self.budgets[entry]
+        self.called.add(entry)
         self.number += 1
         name = f"c{self.number}"
         self.sizes[name] = tokens
@@ -80,10 +84,12 @@
         else:
             self.central_refused_count += 1
         decision = budget.request(name, self.account, tokens, self.now_ms, PATIENCE_MS)
+        self.waits_ms[name] = -self.now_ms
         if not isinstance(decision, Waiting):
             self._count(name, decision)
 
     def _count(self, name, decision):
+        self.waits_ms[name] += self.now_ms
         if isinstance(decision, Admitted):
             self.admitted.append((self.now_ms, self.sizes[name]))
         else:
@@ -96,8 +102,12 @@
             heapq.heappop(self.mail)[2]()
         for number, budget in enumerate(self.budgets):
             is_periodic = (self.now_ms + number * STEP_MS) % ASK_PERIOD_MS == 0
-            if is_periodic or budget.needs_ask(self.now_ms):
+            is_due = budget.ask_due_ms(self.now_ms + 1) <= self.now_ms
+            is_new = number in self.called
+            if is_periodic or ((is_due or is_new) and budget.needs_ask(self.now_ms)):
                 self._ask(budget, periodic=is_periodic)
+        self.called.clear()
+        for budget in self.budgets:
             budget.tick(self.now_ms)
             for name, decision in budget.decisions():
                 self._count(name, decision)
@@ -229,3 +239,10 @@
                 play(usage, 1, number, world=world)
             world.change_granter()
     assert most_in_a_window(world.admitted) <= tolerated_tokens(RATE, RATE)
+
+
+def test_call_whose_tokens_are_due_soon_does_not_wait_for_the_period():
+    """Guards against an admission that takes the larger part of a call's objective."""
+    world = play(0.9, 60, 7)
+    waits_ms = sorted(ms for ms in world.waits_ms.values() if ms >= 0)
+    assert waits_ms[len(waits_ms) * 95 // 100] <= ASK_PERIOD_MS // 2
