--- a/cassiapitch/control.py
+++ b/cassiapitch/control.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import math
 import random
 import sys
 from collections.abc import Awaitable, Callable
@@ -64,7 +65,7 @@
             settings.placement_policy,
             random.Random(),
             send_order,
-            settings.order_lease_ms,
+            math.ceil(settings.order_lease_ms),
         ),
         make_announce_route=lambda deliver: AnnounceRoute(fleet.credentials, deliver),
         tasks=tasks,
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -38,7 +38,7 @@
 # A round comes earlier when something new is waited for: an adapter loads in a few
 # milliseconds, so that the wait for the round would be most of its delay.
 URGENT_ROUND_MS = 250
-URGENT_ADAPTER_ROUND_MS = 20
+URGENT_ADAPTER_ROUND_MS = 40
 
 # More than the fleet can record while one member leads.
 ORDERS_PER_TERM = 10**9
--- a/cassiapitch/fleet_catalog.py
+++ b/cassiapitch/fleet_catalog.py
@@ -3,7 +3,16 @@
 import dataclasses
 
 from cassiapitch.bundle import Adapter, Bundle, Model, Role, Store
-from cassiapitch.orders import is_adapter_key, name_of
+from cassiapitch.orders import adapter_key, model_key
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Known:
+    """What a ledger key means; a placement round asks for it many thousand times."""
+
+    model: str
+    memory_mib: int
+    role: str | None
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,25 +34,32 @@
     adapters: dict[str, Adapter] = dataclasses.field(default_factory=dict)
     model_versions: dict[str, int] = dataclasses.field(default_factory=dict)
     store: Store = dataclasses.field(default_factory=Store)
+    _known: dict[str, _Known] = dataclasses.field(default_factory=dict, repr=False)
+
+    def __post_init__(self) -> None:
+        """Prepares the table of ledger keys."""
+        for name, model in self.models.items():
+            self._known[model_key(name)] = _Known(name, model.memory_mib, model.role)
+        for name, adapter in self.adapters.items():
+            base = self.models.get(adapter.model)
+            role = None if base is None else base.role
+            known = _Known(adapter.model, adapter.memory_mib, role)
+            self._known[adapter_key(name)] = known
 
     def model_of(self, key: str) -> str | None:
         """Returns the model of a ledger key, or None if the bundle lacks it."""
-        name = name_of(key)
-        if not is_adapter_key(key):
-            return name if name in self.models else None
-        adapter = self.adapters.get(name)
-        return None if adapter is None else adapter.model
+        known = self._known.get(key)
+        return None if known is None else known.model
 
     def memory_mib(self, key: str) -> int | None:
         """Returns the memory of a ledger key, or None if the bundle lacks it."""
-        table = self.adapters if is_adapter_key(key) else self.models
-        item = table.get(name_of(key))
-        return None if item is None else item.memory_mib
+        known = self._known.get(key)
+        return None if known is None else known.memory_mib
 
     def role_of(self, key: str) -> str | None:
         """Returns the role that serves a ledger key."""
-        model = self.models.get(self.model_of(key) or "")
-        return None if model is None else model.role
+        known = self._known.get(key)
+        return None if known is None else known.role
 
 
 def from_bundle(bundle: Bundle, old: Catalog) -> Catalog:
--- a/cassiapitch/modeldemand.py
+++ b/cassiapitch/modeldemand.py
@@ -67,6 +67,10 @@
         self._levels = dict(earlier._levels)
         self._first_ms = earlier._first_ms
 
+    def known_keys(self) -> list[str]:
+        """Returns the models and adapters that were ever asked for."""
+        return list(self._levels)
+
     def observed_ms(self, now_ms: int) -> int:
         """Returns the time since the first request was reported; 0 before."""
         return 0 if self._first_ms is None else now_ms - self._first_ms
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -7,7 +7,7 @@
 from cassiapitch import copies, loadtimes, placement_fixed, victims
 from cassiapitch.backends import Life
 from cassiapitch.fleet_commands import NewOrder
-from cassiapitch.orders import adapter_key, is_adapter_key, model_key, name_of
+from cassiapitch.orders import is_adapter_key, model_key, name_of
 from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState, Plan
 from cassiapitch.rooms import Room, Survey
 from cassiapitch.types import OrderKind
@@ -70,6 +70,7 @@
         self._find_count = 0
         self._roomiest_mib: dict[str, int] = {}
         self._taken_places: dict[str, int] = {}
+        self._limits_places: dict[str, bool] = {}
         self._wanted = copies.wanted_copies(state, survey, now_ms)
         self._victims = victims.Victims(state, survey, self._wanted, now_ms)
 
@@ -210,8 +211,13 @@
 
     def _has_places(self, model: str) -> bool:
         """Tells whether engines of a model hold a limited number of adapters."""
-        role = self._catalog.roles.get(self._catalog.role_of(model_key(model)) or "")
-        return role is not None and role.adapter_places_count > 0
+        found = self._limits_places.get(model)
+        if found is None:
+            key = model_key(model)
+            role = self._catalog.roles.get(self._catalog.role_of(key) or "")
+            found = role is not None and role.adapter_places_count > 0
+            self._limits_places[model] = found
+        return found
 
     def _place_adapter(self, key: str, rooms: list[Room]) -> None:
         """Loads an adapter next to its model, in the place of the coldest if full."""
@@ -239,7 +245,8 @@
         """
         rates = {
             key: self._state.demand.rate(key, self._now_ms)
-            for key in map(adapter_key, self._catalog.adapters)
+            for key in self._state.demand.known_keys()
+            if is_adapter_key(key) and self._catalog.model_of(key) is not None
         }
         hot = sorted(
             (key for key, rate in rates.items() if rate >= SPREAD_TOKENS_PER_S),
--- a/cassiapitch/platform/configuration.py
+++ b/cassiapitch/platform/configuration.py
@@ -111,13 +111,13 @@
 def decoder(settings: ControlSettings) -> Callable[[bytes], Bundle]:
     """Returns the function that decodes a configuration."""
     tolerance = RateTolerance(
-        settings.rate_tolerance_tokens,
+        int(settings.rate_tolerance_tokens),
         settings.rate_tolerance_share,
         settings.rate_window_s,
     )
     deployment = _Deployment(
         fencing=settings.engines_check_fences,
-        silence_ms=MISSED_HEARTBEATS_COUNT * settings.heartbeat_ms,
+        silence_ms=int(MISSED_HEARTBEATS_COUNT * settings.heartbeat_ms),
         tolerance=tolerance,
     )
 
--- a/cassiapitch/retries.py
+++ b/cassiapitch/retries.py
@@ -28,7 +28,7 @@
     """
 
     share: float
-    slack_count: int
+    slack_count: float
 
 
 class RetryBudget:
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -8,6 +8,9 @@
 Port = Annotated[int, Meta(ge=0, le=65535)]
 PositiveInt = Annotated[int, Meta(ge=1)]
 NaturalInt = Annotated[int, Meta(ge=0)]
+# Amounts that a deployment states may be fractions.
+Amount = Annotated[float, Meta(ge=0)]
+PositiveAmount = Annotated[float, Meta(ge=1)]
 Name = Annotated[str, Meta(pattern=r"^[a-zA-Z0-9][a-zA-Z0-9._-]{0,63}$")]
 Sha256Hex = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 AddressText = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:]{2,45}:[0-9]{1,5}$")]
@@ -109,10 +112,10 @@
     seeds: tuple[str, ...] = ()
     seed_rpc_port: Port = 0
     tolerated_faults_count: NaturalInt | None = None
-    order_lease_ms: NaturalInt = 0
-    heartbeat_ms: PositiveInt = 500
+    order_lease_ms: Amount = 0.0
+    heartbeat_ms: PositiveAmount = 500.0
     engines_check_fences: bool = False
-    rate_tolerance_tokens: NaturalInt = 0
+    rate_tolerance_tokens: Amount = 0.0
     rate_tolerance_share: Annotated[float, Meta(ge=0, le=1)] = 0.0
     rate_window_s: Annotated[float, Meta(ge=0)] = 0.0
     admin_listen: AddressText | None = None
@@ -188,6 +191,6 @@
     grace_s: Annotated[float, Meta(gt=0)] = 30.0
     demand_period_ms: PositiveInt = 500
     retry_share: Annotated[float, Meta(ge=0, le=1)] = 0.2
-    retry_slack_count: NaturalInt | None = None
+    retry_slack_count: Amount | None = None
     links_count: Annotated[int, Meta(ge=1, le=2)] = 2
     confirm_period_ms: Annotated[int, Meta(ge=50, le=500)] = 250
--- /dev/null
+++ b/tests/platform/test_templates.py
@@ -0,0 +1,87 @@
+"""The settings templates, filled in as the users' pages say."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+from cassiapitch import config
+from cassiapitch.settings import ControlSettings, EntrySettings
+
+DEPLOY = pathlib.Path(__file__).parent.parent.parent / "deploy"
+FIELDS = {
+    "node": "front-a-1",
+    "ip": "10.1.0.25",
+    "zone": "a",
+    "internalPortRange": [7600, 7615],
+    "seeds": ["10.1.0.28:8229"],
+    "bootstrap": True,
+    "heartbeatMs": 1200,
+    "dataDir": "/data",
+    "listen": {
+        "front": "10.1.0.25:8221",
+        "readiness": "10.1.0.25:8224",
+        "control": "10.1.0.25:8229",
+    },
+    "faultTolerance": {"machines": 2},
+    "bounds": {
+        "leaseMs": 3000,
+        "graceS": 8,
+        "revokeStrict": False,
+        "fencingEnforced": True,
+        "retryBudgetRatio": 0.2,
+        "budgetSlack": 113,
+        "quotaSlack": 17000,
+        "quotaOvershoot": 0.1,
+        "quotaWindowS": 8,
+    },
+}
+
+
+def look_up(name, fields):
+    value = fields
+    for part in name.split("."):
+        value = value[int(part)] if isinstance(value, list) else value.get(part)
+    return value
+
+
+def fill_in(text, fields):
+    """Fills in what our templates use of the platform's language."""
+
+    def section(found):
+        is_wanted = bool(look_up(found[2], fields)) == (found[1] == "#")
+        return found[3] if is_wanted else ""
+
+    def place(found):
+        value = look_up(found[1], fields)
+        return json.dumps(value) if found[2] or not isinstance(value, str) else value
+
+    text = re.sub(r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}", section, text)
+    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", place, text)
+
+
+def read(name, settings_class, fields):
+    text = (DEPLOY / f"{name}.jsonc").read_text(encoding="utf-8")
+    return config.parse(fill_in(text, fields), settings_class)
+
+
+@pytest.mark.parametrize("factor", [1, 0.37])
+def test_templates_make_settings_of_whole_and_of_broken_amounts(factor):
+    """Guards against programs that don't start where a deployment states fractions."""
+    bounds = {
+        name: value * factor if type(value) in (int, float) else value
+        for name, value in FIELDS["bounds"].items()
+    }
+    fields = {**FIELDS, "heartbeatMs": 1200 * factor, "bounds": bounds}
+    entry = read("entry", EntrySettings, fields)
+    assert entry.retry_slack_count == 113 * factor
+    assert (entry.links_count, entry.serve_unconfirmed) == (1, True)
+    control = read("control", ControlSettings, fields)
+    assert control.rate_tolerance_tokens == 17_000 * factor
+
+
+def test_entry_where_keys_must_stop_at_once_keeps_two_links():
+    bounds = {**FIELDS["bounds"], "revokeStrict": True}
+    entry = read("entry", EntrySettings, {**FIELDS, "bounds": bounds})
+    assert (entry.links_count, entry.serve_unconfirmed) == (2, False)
