--- a/bench/platform_cost.py
+++ b/bench/platform/cost.py
@@ -3,7 +3,7 @@
 Each tree's control member and entry run as processes of their own; callers and one
 engine are in this process. Usage, for this tree and an earlier commit beside it:
 
-    python bench/platform_cost.py [--requests 600] [--idle-s 6] [TREE ...]
+    python bench/platform/cost.py [--requests 600] [--idle-s 6] [TREE ...]
 """
 
 import argparse
@@ -16,7 +16,7 @@
 import tempfile
 import time
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 CONTROL_IP = "127.0.0.2"
 ENTRY_IP = "127.0.0.3"
 ENGINE_IP = "127.0.0.4"
--- a/cassiapitch/bytestream.py
+++ b/cassiapitch/bytestream.py
@@ -180,6 +180,19 @@
     return stream
 
 
+def listening_socket(address: Address) -> socket.socket:
+    """Returns a bound socket that listens; port 0 takes a free one."""
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    # asyncio turns off Nagle's algorithm only for sockets that name TCP. With it the
+    # body of a response waits for the acknowledgement of its head, 40 ms.
+    found = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    found.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    found.bind((address.ip, address.port))
+    found.listen(LISTEN_BACKLOG)
+    found.setblocking(False)
+    return found
+
+
 class Listener:
     """A listening socket whose connections go to a function."""
 
@@ -190,17 +203,20 @@
             address: Where to listen.
             on_made: Called with each accepted connection.
         """
-        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-        # asyncio turns off Nagle's algorithm only for sockets that name TCP.
-        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((address.ip, address.port))
-        self._socket.listen(LISTEN_BACKLOG)
-        self._socket.setblocking(False)
+        self._socket = listening_socket(address)
         self.port: int = self._socket.getsockname()[1]
         self._on_made = on_made
         self._server: asyncio.Server | None = None
 
+    async def run_until(self, closed: anyio.Event) -> None:
+        """Accepts connections until an event is set, or until cancelled."""
+        await self.open()
+        try:
+            await closed.wait()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.close()
+
     async def open(self) -> None:
         """Begins to accept connections."""
         loop = asyncio.get_running_loop()
--- a/cassiapitch/callerlink.py
+++ b/cassiapitch/callerlink.py
@@ -1,12 +1,14 @@
 """Connections of callers whose requests are forwarded, by `h11`."""
 
 import dataclasses
-from collections.abc import Callable
+import traceback
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 import h11
 
+from cassiapitch import events
 from cassiapitch.asgi import BodyRoom, BodyShare
 from cassiapitch.bytestream import ByteStream
 from cassiapitch.forwardroutes import CallerLimits
@@ -285,6 +287,24 @@
             raise CallerGoneError from None
 
 
+async def serve_safely(
+    connection: CallerConnection, serve: Callable[[CallerConnection], Awaitable[None]]
+) -> None:
+    """Serves a connection to its end; its faults end no other connection."""
+    try:
+        await serve(connection)
+    except CallerGoneError:
+        pass
+    except Exception as error:
+        events.log(
+            events.Event.CALL_FAILED,
+            reason=repr(error),
+            trace=traceback.format_exc(limit=-8),
+        )
+    finally:
+        connection.close()
+
+
 def _check_framing(headers: list[tuple[bytes, bytes]]) -> None:
     """Rejects requests whose end two readers could see in different places.
 
--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -1,7 +1,6 @@
 """The server of forwarded requests: connections, readiness and the planned stop."""
 
 import random
-import traceback
 
 import anyio
 import anyio.abc
@@ -11,7 +10,7 @@
     DEFAULT_LIMITS,
     BadRequestError,
     CallerConnection,
-    CallerGoneError,
+    serve_safely,
 )
 from cassiapitch.crashes import Crashes
 from cassiapitch.entrystate import EntryState
@@ -60,12 +59,7 @@
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self._readiness.run)
-            await self._listener.open()
-            try:
-                await self._closed.wait()
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await self._listener.close()
+            await self._listener.run_until(self._closed)
             await self._end_connections()
             group.cancel_scope.cancel()
 
@@ -113,19 +107,9 @@
     async def _serve_caught(self, connection: CallerConnection) -> None:
         """Serves one caller's connection to its end."""
         try:
-            await self._serve_connection(connection)
-        except CallerGoneError:
-            pass
-        except Exception as error:
-            # One connection's fault must not end the others.
-            events.log(
-                events.Event.CALL_FAILED,
-                reason=repr(error),
-                trace=traceback.format_exc(limit=-8),
-            )
+            await serve_safely(connection, self._serve_connection)
         finally:
             self._connections.pop(connection, None)
-            connection.close()
 
     async def _serve_connection(self, connection: CallerConnection) -> None:
         while True:
--- a/cassiapitch/httpserver.py
+++ b/cassiapitch/httpserver.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import functools
-import socket
 from collections.abc import Iterator
 from typing import Any
 
@@ -11,12 +10,12 @@
 import uvicorn
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from cassiapitch import bytestream
 from cassiapitch.asgi import App
 from cassiapitch.settings import Address
 
 KEEP_ALIVE_S = 75
 HEAD_LIMIT_S = 30
-LISTEN_BACKLOG = 1_024
 # Connections over the limit that are open at once to be refused; any further one is
 # closed without an answer, so that a flood of them takes bounded memory.
 REFUSED_LIMIT_COUNT = 256
@@ -109,14 +108,7 @@
                 closes it; without it they are closed at once.
             header_limit_bytes: Largest head of a request.
         """
-        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-        # asyncio turns off Nagle's algorithm only for sockets that name TCP. With it
-        # the body of a response waits for the acknowledgement of its head, 40 ms.
-        self._socket = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((address.ip, address.port))
-        self._socket.listen(LISTEN_BACKLOG)
-        self._socket.setblocking(False)
+        self._socket = bytestream.listening_socket(address)
         self.port: int = self._socket.getsockname()[1]
         self._server = _Server(
             uvicorn.Config(
--- a/cassiapitch/plainhttp.py
+++ b/cassiapitch/plainhttp.py
@@ -5,19 +5,18 @@
 entry's start.
 """
 
-import traceback
 from typing import Any
 
 import anyio
 import anyio.abc
 
-from cassiapitch import asgi, bytestream, events
+from cassiapitch import asgi, bytestream
 from cassiapitch.asgi import BodyRoom
 from cassiapitch.callerlink import (
     BadRequestError,
     CallerConnection,
-    CallerGoneError,
     CallerRequest,
+    serve_safely,
 )
 from cassiapitch.forwardroutes import CallerLimits
 from cassiapitch.settings import Address
@@ -54,12 +53,7 @@
         """Serves; after `close`, ends once the last response is complete."""
         async with anyio.create_task_group() as group:
             self._group = group
-            await self._listener.open()
-            try:
-                await self._closed.wait()
-            finally:
-                with anyio.CancelScope(shield=True):
-                    await self._listener.close()
+            await self._listener.run_until(self._closed)
             for connection in list(self._connections):
                 if connection.is_idle:
                     connection.close()
@@ -78,19 +72,9 @@
 
     async def _serve(self, connection: CallerConnection) -> None:
         try:
-            await self._serve_requests(connection)
-        except CallerGoneError:
-            pass
-        except Exception as error:
-            # One connection's fault must not end the others.
-            events.log(
-                events.Event.CALL_FAILED,
-                reason=repr(error),
-                trace=traceback.format_exc(limit=-8),
-            )
+            await serve_safely(connection, self._serve_requests)
         finally:
             self._connections.discard(connection)
-            connection.close()
 
     async def _serve_requests(self, connection: CallerConnection) -> None:
         while True:
