--- a/cassiapitch/link.py
+++ b/cassiapitch/link.py
@@ -24,6 +24,8 @@
 SILENCE_LIMIT_MS = 1_000
 BACKOFF_FIRST_MS = 100
 BACKOFF_LARGEST_MS = 2_000
+# Longer than two attempts that time out.
+FAILED_LATELY_MS = 2_000
 OUTGOING_LIMIT_COUNT = 4_096
 
 
@@ -37,6 +39,7 @@
         self._zone = zone
         self._current: dict[int, ControlPeer] = {}
         self._failures: dict[str, tuple[int, int]] = {}
+        self._failed_ms: dict[str, int] = {}
         self._former: set[str] = set()
 
     def learn(self, members: tuple[ControlPeer, ...]) -> None:
@@ -73,13 +76,14 @@
         if not free:
             return None
         # Two links in one zone would end together with it. A member that has failed
-        # comes behind those that haven't: where two are cut off, an entry would
+        # lately comes behind the others: where two are cut off, an entry would
         # otherwise go to and fro between them.
         chosen = min(
             free,
             key=lambda peer: (
                 peer.name in self._former,
-                self._failures.get(peer.name, (0, 0))[0],
+                self._failed_ms.get(peer.name, -FAILED_LATELY_MS)
+                > now_ms - FAILED_LATELY_MS,
                 peer.zone in other_zones,
                 peer.zone != self._zone,
             ),
@@ -94,10 +98,13 @@
         backoff_ms = BACKOFF_FIRST_MS * 2 ** min(count - 1, 10)
         until_ms = now_ms + min(BACKOFF_LARGEST_MS, backoff_ms)
         self._failures[peer.name] = (count, until_ms)
+        self._failed_ms[peer.name] = now_ms
 
     def succeeded(self, slot: int) -> None:
         """The member of a link answered."""
-        self._failures.pop(self._current[slot].name, None)
+        name = self._current[slot].name
+        self._failures.pop(name, None)
+        self._failed_ms.pop(name, None)
 
     def current(self) -> dict[int, ControlPeer]:
         """Returns the member of each link."""
