--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,6 +1,6 @@
 """Plays the loss of a leader beside skewed demand."""
 
-from cassiapitch.fleet_catalog import Catalog
+from cassiapitch.bundle import Bundle
 from cassiapitch.handover import Handover
 from tests.test_placement_demand import World, play, skewed
 
@@ -92,9 +92,9 @@
         for m in HOT
     ]
     assert all(abs(a - b) <= 0.1 * a for a, b in rates)
-    # A catalog is made whole of each bundle and looks keys up in a table of its own.
     old = world.fleet.catalog
-    models = {name: model for name, model in old.models.items() if name != "m0"}
-    world.fleet.catalog = Catalog(old.version + 1, old.roles, models, store=old.store)
+    models = tuple(model for name, model in old.models.items() if name != "m0")
+    roles = tuple(old.roles.values())
+    world.fleet.set_bundle(Bundle(old.version + 1, roles, models, store=old.store))
     handover.watch(world.now_ms)
     assert followed.rate("model/m0", world.now_ms) == 0
