Write the head of a stream with its first event

Changed: the head waits for the first event; a stream that breaks off before it is sent elsewhere where it may run again, or answered 502. Test: fails before.

--- a/cassiapitch/callerlink.py
+++ b/cassiapitch/callerlink.py
@@ -188,8 +188,11 @@
         length: int | None,
         reason: bytes = b"",
         close: bool = False,
+        data: bytes = b"",
     ) -> None:
-        """Writes the head of an answer; a body without a length is chunked.
+        """Writes the head of an answer and the beginning of its body in one piece.
+
+        A body without a length is chunked.
 
         Raises:
             CallerGoneError: The caller has left.
@@ -201,8 +204,11 @@
             framed.append((b"Connection", b"close"))
         self.has_answered = True
         response = h11.Response(status_code=status, headers=framed, reason=reason)
+        written = self._http.send(response) or b""
+        if data:
+            written += self._http.send(h11.Data(data=data)) or b""
         with anyio.CancelScope(shield=True):
-            await self._send(response)
+            await self._write(written)
 
     async def send_data(self, data: bytes) -> None:
         """Writes a part of the body.
--- a/cassiapitch/forwardanswers.py
+++ b/cassiapitch/forwardanswers.py
@@ -124,19 +124,14 @@
         connection: BackendConnection,
         head: ResponseHead,
     ) -> None:
-        """Passes events on as they come, whole ones only."""
+        """Passes events on as they come, whole ones only.
+
+        The head waits for the first event: a stream that breaks off before it can
+        still get another answer.
+        """
         splitter = EventSplitter()
         unnumbered_bytes = 0
         passed_ms: int | None = None
-        if not caller.has_answered:
-            call.status = head.status
-            await caller.begin_answer(
-                head.status,
-                self._wire.write_caller(head.headers),
-                length=None,
-                reason=head.reason,
-                close=self.is_stopping,
-            )
         while (data := await connection.read_data()) is not None:
             try:
                 found = splitter.feed(data)
@@ -155,22 +150,46 @@
                     if unnumbered_bytes > UNNUMBERED_LIMIT_BYTES:
                         raise BackendBrokenError("the stream holds no events")
                 whole.append(event.data)
-            if whole:
+            if not whole:
+                continue
+            now_ms = timers.now_ms()
+            if passed_ms is None:
                 self._state.router.prefill.begun(
-                    slot.backend.life_id, call.request_key, timers.now_ms()
+                    slot.backend.life_id, call.request_key, now_ms
                 )
-                now_ms = timers.now_ms()
                 call.first_byte_ms = call.first_byte_ms or now_ms
-                if passed_ms is not None:
-                    gap_ms = now_ms - passed_ms
-                    call.longest_gap_ms = max(call.longest_gap_ms, gap_ms)
-                passed_ms = now_ms
+            else:
+                gap_ms = now_ms - passed_ms
+                call.longest_gap_ms = max(call.longest_gap_ms, gap_ms)
+            passed_ms = now_ms
+            if caller.has_answered:
                 await caller.send_data(b"".join(whole))
+            else:
+                await self._begin_stream(call, caller, head, b"".join(whole))
         if splitter.rest():
             raise BackendBrokenError("the stream ends in the middle of an event")
+        if not caller.has_answered:
+            await self._begin_stream(call, caller, head, b"")
         await caller.end_answer()
         call.outcome = "answered"
 
+    async def _begin_stream(
+        self,
+        call: ForwardCall,
+        caller: CallerConnection,
+        head: ResponseHead,
+        data: bytes,
+    ) -> None:
+        call.status = head.status
+        await caller.begin_answer(
+            head.status,
+            self._wire.write_caller(head.headers),
+            length=None,
+            reason=head.reason,
+            close=self.is_stopping,
+            data=data,
+        )
+
     async def refuse(
         self,
         caller: CallerConnection,
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -420,3 +420,24 @@
     broken, returned = play(scenario, ONCE, breaks)
     assert broken.startswith(b"HTTP/1.1 502")
     assert returned == 0
+
+
+def test_stream_that_breaks_off_before_its_first_event_gets_another_answer():
+    """Guards against a caller that gets the head of an answer which never begins."""
+
+    async def begins_only(backend, request, stream):
+        await stream.send(stream_head(request_id(request)))
+        return "close"
+
+    async def streams(backend, request, stream):
+        await stream.send(stream_head(request_id(request)) + chunk(event(1)))
+        await stream.send(b"0\r\n\r\n")
+
+    reply, _ = play(call, RESUMABLE, begins_only, streams)
+    assert reply.startswith(b"HTTP/1.1 200")
+    assert reply.count(b"HTTP/1.1") == 1
+    assert reply.endswith(b"0\r\n\r\n")
+    assert reply.count(b"data: token-1") == 1
+    reply, world = play(call, STREAM, begins_only, begins_only)
+    assert reply.startswith(b"HTTP/1.1 502")
+    assert sum(runs(world)) == 1
