Show the answer of a process killed between head and body

Ruled out: that such a reply is taken for a success. A process that kills itself with SIGKILL after its first write of an answer gives its caller status 200, no content, and is_complete false: the reply of the failure, by the same server and the same reader.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,13 +1,19 @@
 """Tests of the HTTP helpers."""
 
+import asyncio
+import multiprocessing
+import os
+import signal
 import socket
 
 import anyio
+import anyio.to_thread
 import httpcore
 import pytest
 
 from cassiapitch import asgi, httpserver
 from cassiapitch.settings import Address
+from demo import probes
 
 
 @pytest.fixture
@@ -111,3 +117,46 @@
                 response = await pool.request("GET", f"http://127.0.0.1:{server.port}/")
                 assert response.status == 200
         server.close()
+
+
+async def _serve_killed_after_head(report):
+    """Serves one answer whose process is killed once its head is written."""
+
+    async def app(scope, receive, send):
+        transport = send.__self__.transport
+        write = transport.write
+
+        def write_once(data):
+            write(data)
+            os.kill(os.getpid(), signal.SIGKILL)
+
+        transport.write = write_once
+        await asgi.send_json(send, 200, {"ok": True})
+
+    server = httpserver.HttpServer(app, Address("127.0.0.1", 0))
+    report.send(server.port)
+    await server.run()
+
+
+def _run_killed_after_head(report):
+    asyncio.run(_serve_killed_after_head(report))
+
+
+@pytest.mark.anyio
+async def test_answer_of_a_process_killed_after_its_head_is_known_not_to_be_whole():
+    """Guards against a broken-off answer that its caller takes for a success."""
+    receiver, report = multiprocessing.Pipe(duplex=False)
+    context = multiprocessing.get_context("spawn")
+    process = context.Process(target=_run_killed_after_head, args=(report,))
+    process.start()
+    try:
+        port = await anyio.to_thread.run_sync(receiver.recv)
+        with anyio.fail_after(10):
+            reply = await probes.call(
+                Address("127.0.0.1", port), probes.Request("GET", "/")
+            )
+    finally:
+        process.kill()
+        process.join(10)
+    assert (reply.status, reply.content) == (200, b"")
+    assert not reply.is_complete
