Take the window of the retry budget from the deployment

Cause: two fixed figures in the retry budget that other deployments break. The window was 10 s whatever `budgetWindowS` states: over 15 s the slack was taken in 10 s and again in the next 5. And an entry that knew no count of entries took a hundredth of the slack, which at 195 or 650 entries adds up to two and six times what all may take; a restarted entry under a new leader took the slack of the few that had reported. Changed: `retry_window_s`, filled in from `budgetWindowS`; without a count an entry retries within its share of the requests alone; a leader tells no count in its first 2 s; one that waits for a budget which allows nothing asks again after 100 ms, not each ms. Conclusion: figures of the budget come from settings alone.

--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -70,6 +70,9 @@
 BUSY_RESEND_MS = 200
 BUSY_DOUBLINGS_COUNT = 3
 
+# A new term has heard of every entry that reports regularly after this time.
+ENTRIES_HEARD_MS = 2_000
+
 # An accepted order that isn't settled is repeated, since engines may lose it.
 REPEAT_ACCEPTED_MS = 15_000
 
@@ -245,7 +248,9 @@
         self._add_up_loads(now_ms)
         reports, counts = self._loads.take()
         expected_ms = placement_state.expected_ms(self.placement, now_ms)
-        return LoadReports(reports, expected_ms, counts, len(self._in_flight))
+        is_settled = now_ms - self._begun_ms >= ENTRIES_HEARD_MS
+        entries_count = len(self._in_flight) if is_settled else 0
+        return LoadReports(reports, expected_ms, counts, entries_count)
 
     def commands(self, now_ms: int) -> list[Command]:
         """Returns what to propose now; the caller proposes it in this order."""
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -82,7 +82,11 @@
         )
         limit = None
         if settings.retry_slack_count is not None:
-            limit = RetryLimit(settings.retry_share, settings.retry_slack_count)
+            limit = RetryLimit(
+                settings.retry_share,
+                settings.retry_slack_count,
+                settings.retry_window_s * 1000,
+            )
         self.retries = RetryBudget(limit)
         self.demand = Demand(settings.name)
         self.asks = ControlAsks()
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -385,7 +385,7 @@
         expected_ms: Maps a model without a serving copy to the time until one is
             expected.
         counts: Packed loads of further backend servers, see `loadtable`.
-        entries_count: Entries that the leader has heard of.
+        entries_count: Entries that the leader has heard of; 0 while it is new.
     """
 
     reports: tuple[LoadReport, ...]
--- a/cassiapitch/retries.py
+++ b/cassiapitch/retries.py
@@ -8,14 +8,14 @@
 
 RETRIES_LIMIT_COUNT = 2
 WINDOW_MS = 10_000
+# Pause of one that waits for a budget which allows nothing yet.
+BUDGET_POLL_MS = 100
 RETRIES_SHARE = 0.1
 RETRIES_LEAST_COUNT = 10
 # Parts of a limit over all entries that are used: entries see windows of their own, and
 # what one has counted may be sent late.
 SHARE_USED = 0.75
 SLACK_USED_SHARE = 0.75
-# Before the control group has told how many entries there are.
-ENTRIES_UNKNOWN_COUNT = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,16 +23,18 @@
     """How many retries a role may get from all entries together.
 
     Attributes:
-        share: Retries as a share of the requests of the last ten seconds.
+        share: Retries as a share of the requests of the last window.
         slack_count: Retries beyond that share, over all entries.
+        window_ms: Length of the window.
     """
 
     share: float
     slack_count: float
+    window_ms: float
 
 
 class RetryBudget:
-    """Limits retries to a share of the requests of the last ten seconds, by role.
+    """Limits retries to a share of the requests of the last window, by role.
 
     Without a common limit, each failing backend server would multiply the load on
     the ones that are left.
@@ -45,6 +47,7 @@
             limit: The limit over all entries; without one, this entry's own.
         """
         self._limit = limit
+        self._window_ms = WINDOW_MS if limit is None else limit.window_ms
         self._entries_count: int | None = None
         self._requests: dict[str, deque[int]] = {}
         self._retries: dict[str, deque[int]] = {}
@@ -52,7 +55,8 @@
     def share_with(self, entries_count: int) -> None:
         """Takes over how many entries there are, as far as the leader has heard.
 
-        A new leader has heard of few; the most that was told holds.
+        A leader that has lost some for a moment tells fewer; the most that was told
+        holds, and 0 tells nothing.
         """
         if entries_count:
             self._entries_count = max(self._entries_count or 0, entries_count)
@@ -61,35 +65,40 @@
         """Counts a new request."""
         requests = self._requests.setdefault(role, deque())
         requests.append(now_ms)
-        _drop_old(requests, now_ms)
+        self._drop_old(requests, now_ms)
 
-    def free_ms(self, now_ms: int, role: str = "") -> int:
-        """Returns the time until the oldest retry leaves the window."""
+    def free_ms(self, now_ms: int, role: str = "") -> float:
+        """Returns when to ask again: as the oldest retry leaves the window."""
         retries = self._retries.get(role)
-        return retries[0] + WINDOW_MS - now_ms if retries else 0
+        return retries[0] + self._window_ms - now_ms if retries else BUDGET_POLL_MS
 
     def take(self, now_ms: int, role: str = "") -> bool:
         """Takes one retry from the budget; false if it is used up."""
         requests = self._requests.setdefault(role, deque())
         retries = self._retries.setdefault(role, deque())
-        _drop_old(requests, now_ms)
-        _drop_old(retries, now_ms)
+        self._drop_old(requests, now_ms)
+        self._drop_old(retries, now_ms)
         if len(retries) >= self._most(len(requests)):
             return False
         retries.append(now_ms)
         return True
 
     def _most(self, requests_count: int) -> int:
-        """Returns the retries that this entry may make in ten seconds.
+        """Returns the retries that this entry may make in a window.
 
         Answers a role that fails at a large fleet: a few retries at each of two hundred
         entries are more than all of them may make together.
         """
         if self._limit is None:
             return max(RETRIES_LEAST_COUNT, int(RETRIES_SHARE * requests_count))
-        entries_count = self._entries_count or ENTRIES_UNKNOWN_COUNT
-        slack = self._limit.slack_count * SLACK_USED_SHARE / entries_count
-        return int(self._limit.share * SHARE_USED * requests_count + slack)
+        most = self._limit.share * SHARE_USED * requests_count
+        if self._entries_count is not None:
+            most += self._limit.slack_count * SLACK_USED_SHARE / self._entries_count
+        return int(most)
+
+    def _drop_old(self, times: deque[int], now_ms: int) -> None:
+        while times and now_ms - times[0] >= self._window_ms:
+            times.popleft()
 
 
 @dataclasses.dataclass(slots=True)
@@ -158,8 +167,3 @@
         if self.may_have_left:
             return RunOutcome.UNKNOWN
         return RunOutcome.NOT_RUN
-
-
-def _drop_old(times: deque[int], now_ms: int) -> None:
-    while times and now_ms - times[0] >= WINDOW_MS:
-        times.popleft()
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -155,10 +155,11 @@
         grace_s: Time from SIGTERM to the end of the process.
         links_count: Control members that it is linked to at once; a second link
             keeps keyed calls confirmed while the member of the first is lost.
-        retry_share: Retries that a role may get in ten seconds from all entries, as a
+        retry_share: Retries that a role may get in a window from all entries, as a
             share of the requests for it; applies where `retry_slack_count` is set.
         retry_slack_count: Retries beyond that share, over all entries; None for limits
             of each entry alone.
+        retry_window_s: Length of that window.
         confirm_period_ms: Time between two asks for a confirmation of its view.
     """
 
@@ -192,5 +193,6 @@
     demand_period_ms: PositiveInt = 500
     retry_share: Annotated[float, Meta(ge=0, le=1)] = 0.2
     retry_slack_count: Amount | None = None
+    retry_window_s: Annotated[float, Meta(gt=0)] = 10.0
     links_count: Annotated[int, Meta(ge=1, le=2)] = 2
     confirm_period_ms: Annotated[int, Meta(ge=50, le=500)] = 250
--- a/tests/platform/test_templates.py
+++ b/tests/platform/test_templates.py
@@ -32,6 +32,7 @@
         "fencingEnforced": True,
         "retryBudgetRatio": 0.2,
         "budgetSlack": 113,
+        "budgetWindowS": 10,
         "quotaSlack": 17000,
         "quotaOvershoot": 0.1,
         "quotaWindowS": 8,
@@ -76,6 +77,7 @@
     fields = {**FIELDS, "heartbeatMs": 1200 * factor, "bounds": bounds}
     entry = read("entry", EntrySettings, fields)
     assert entry.retry_slack_count == 113 * factor
+    assert entry.retry_window_s == 10 * factor
     assert (entry.links_count, entry.serve_unconfirmed) == (1, True)
     control = read("control", ControlSettings, fields)
     assert control.rate_tolerance_tokens == 17_000 * factor
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -145,6 +145,18 @@
     assert world.coordinator.load_reports(world.now_ms).expected_ms == {}
 
 
+def test_new_leader_tells_no_count_of_entries_before_all_have_reported():
+    """Guards against a restarted entry that takes the limit of all for that of few."""
+    world = make_world()
+    world.change_leader()
+    refuse(world, "entry-1")
+    assert world.coordinator.load_reports(world.now_ms).entries_count == 0
+    for number in range(40):
+        refuse(world, f"entry-{number}")
+    world.run(2_000)
+    assert world.coordinator.load_reports(world.now_ms).entries_count >= 40
+
+
 def test_load_reports_are_given_once():
     """Guards against entries that take an old report for a new one."""
     world = make_world()
