Read what processes use in one place; share a test's listener

Changed: testbed/usage.py; `listening` and `run_limited` in tests/forward_world.py. Ruled out: joining ratewindow with keys, retries with fairness (imports and constants of the same shape only), and the two tests of rpc.

--- a/testbed/processes.py
+++ b/testbed/processes.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 
+from testbed import usage
 from testbed.ports import ReservedPorts
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -75,10 +76,7 @@
         """Returns the CPU time used so far, None if the program doesn't run."""
         if self._process is None or not self.is_running():
             return None
-        stat = pathlib.Path(f"/proc/{self._process.pid}/stat").read_text()
-        fields = stat.rpartition(")")[2].split()
-        ticks = int(fields[11]) + int(fields[12])
-        return ticks / os.sysconf("SC_CLK_TCK")
+        return usage.cpu_s(self._process.pid)
 
     def owns_socket(self, inode: str) -> bool:
         """Tells whether the program has the socket with an inode open."""
@@ -95,9 +93,7 @@
         """Returns the resident memory, None if the program doesn't run."""
         if self._process is None or not self.is_running():
             return None
-        statm = pathlib.Path(f"/proc/{self._process.pid}/statm").read_text()
-        pages = int(statm.split()[1])
-        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+        return usage.memory_mib(self._process.pid)
 
     def last_output(self, line_count: int = 15) -> str:
         """Returns the end of its output, for error messages."""
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -238,6 +238,29 @@
     return anyio.run(main)
 
 
+def run_limited(main):
+    """Runs a test's main part within the time limit."""
+
+    async def limited():
+        with anyio.fail_after(LIMIT_S):
+            await main()
+
+    anyio.run(limited)
+
+
+@contextlib.asynccontextmanager
+async def listening(serve):
+    """Serves connections on a free port; gives the backend server's item."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(listener.serve, serve)
+        yield BackendItem(
+            "b1", "b1@1", "r", "z", "127.0.0.1", port, "serving", (), (), 8
+        )
+        group.cancel_scope.cancel()
+
+
 def bundle_with(*routes):
     """Returns a bundle with forwarding routes to one role."""
     return Bundle(
