--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -238,11 +238,11 @@
     return anyio.run(main)
 
 
-def run_limited(main):
-    """Runs a test's main part within the time limit."""
+def run_limited(main, limit_s=LIMIT_S):
+    """Runs a test's main part within a time limit."""
 
     async def limited():
-        with anyio.fail_after(LIMIT_S):
+        with anyio.fail_after(limit_s):
             await main()
 
     anyio.run(limited)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -8,6 +8,8 @@
 from cassiapitch.forward import Connections, Response, exchange, read_all
 from tests.forward_world import listening, run_limited
 
+LIMIT_S = 10
+
 
 def answer(body):
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
@@ -61,4 +63,4 @@
                 await anyio.sleep(2 * delay_s)
             await connections.close()
 
-    run_limited(main)
+    run_limited(main, LIMIT_S)
