Promise nothing of a repeat whose claim was not decided; check message ends

In test_orders_of_a_killed_entry... five repeats of orders that had run through the killed entry were refused with `claim_unavailable`, `not_run`: the control group did not decide the claim in time, and the entry knows nothing of the earlier call with that key. `not_run` was false. Changed: `claim_unavailable` says `unknown`, like `claim_running`. Also, by reading: a stream of messages that ends within one was taken for its proper end, and a connection that named no method for 5 s ended in an UnboundLocalError that our log doesn't show. Tests fail without the mends. Ruled out: that the claim was lost to the change of rpc (the answer came from an entry whose links stood); the platform's programs make no claims. Still open: refusals that come before the claim (`authorization_unconfirmed`, `not_ready`) speak of this call alone and say `not_run` of a repeat too.

--- a/cassiapitch/api.py
+++ b/cassiapitch/api.py
@@ -217,7 +217,11 @@
 
 
 # These say "unknown" of another call than the refused one.
-_OF_ANOTHER_CALL = (ErrorKind.CLAIM_RUNNING, ErrorKind.CLAIM_UNKNOWN)
+_OF_ANOTHER_CALL = (
+    ErrorKind.CLAIM_RUNNING,
+    ErrorKind.CLAIM_UNKNOWN,
+    ErrorKind.CLAIM_UNAVAILABLE,
+)
 
 
 def outcome_of(refusal: Refusal, may_have_left: bool) -> RunOutcome:
--- a/cassiapitch/outcomes.py
+++ b/cassiapitch/outcomes.py
@@ -116,7 +116,7 @@
     ErrorKind.CLAIM_UNKNOWN: Answer(409, _INVALID, _UNKNOWN),
     ErrorKind.CLAIM_MISMATCH: Answer(422, _INVALID, _NOT_RUN),
     ErrorKind.CLAIMS_FULL: Answer(429, _RATE, _NOT_RUN, 60),
-    ErrorKind.CLAIM_UNAVAILABLE: Answer(503, _UNAVAILABLE, _NOT_RUN, 1),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(503, _UNAVAILABLE, _UNKNOWN, 1),
     ErrorKind.SHUTTING_DOWN: Answer(503, _UNAVAILABLE, _NOT_RUN, 1),
     ErrorKind.NOT_READY: Answer(503, _UNAVAILABLE, _NOT_RUN, 1),
     ErrorKind.INTERNAL: Answer(500, _SERVER, _UNKNOWN),
--- a/cassiapitch/rpc.py
+++ b/cassiapitch/rpc.py
@@ -54,6 +54,8 @@
         self._writer = writer
         self._codec = codec
         self._unpacker = msgpack.Unpacker(max_buffer_size=MESSAGE_LIMIT_BYTES, raw=True)
+        self._received_bytes = 0
+        self._whole_bytes = 0
 
     async def send_message(self, message: Any) -> None:
         """Writes a message; waits while the peer takes too little.
@@ -90,12 +92,16 @@
                 found = self._unpacker.unpack()
             except msgpack.OutOfData:
                 data = await self._receive()
+                if not data and self._received_bytes > self._whole_bytes:
+                    raise StreamError("the stream ended in a message") from None
                 if not data:
                     return None
                 self._feed(data)
                 continue
             except (ValueError, msgpack.UnpackException) as error:
                 raise CodecError(f"malformed stream: {error!r}") from None
+            # After part of a message the decoder's position may lie within it.
+            self._whole_bytes = self._unpacker.tell()
             if not isinstance(found, bytes):
                 raise CodecError("malformed stream: not a byte string")
             return found
@@ -103,6 +109,7 @@
     def _feed(self, data: bytes) -> None:
         try:
             self._unpacker.feed(data)
+            self._received_bytes += len(data)
         except msgpack.BufferFull:
             raise CodecError("a message is too large") from None
 
@@ -197,11 +204,14 @@
         assert task is not None
         self._streams.add(task)
         stream = Stream(reader, writer, self._codec)
+        method = None
         try:
             with anyio.move_on_after(METHOD_TIMEOUT_S):
                 path = await stream.read_bytes()
                 method = self._methods.get(path or b"")
-            if method is not None:
+            if method is None:
+                events.log(events.Event.STREAM_FAILED, reason="no known method")
+            else:
                 await method(stream)
         except (OSError, CodecError) as error:
             events.log(events.Event.STREAM_FAILED, reason=str(error) or repr(error))
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import anyio
 import msgspec
 import pytest
@@ -108,3 +110,45 @@
             await refused.wait()
 
     play(read, scenario)
+
+
+@pytest.mark.parametrize("length", [1, 2, 3, 4, 500, 1_002])
+def test_end_in_the_middle_of_a_message_is_an_error(length):
+    """Guards against half a message that passes for a stream's proper end."""
+    found = []
+
+    async def read(stream):
+        try:
+            found.append(await stream.recv_message())
+            found.append(await stream.recv_message())
+        except rpc.StreamError as error:
+            found.append(error)
+
+    async def scenario(channel, server):
+        async with rpc.open_stream(channel, "Test", "Run") as stream:
+            await stream.send_message(ConfirmAsk(1))
+            stream._writer.write(msgspec.msgpack.encode(b"x" * 1_000)[:length])
+            await stream.end()
+            assert await stream.recv_message() is None
+
+    play(read, scenario)
+    assert found[0] == ConfirmAsk(1)
+    assert isinstance(found[1], rpc.StreamError)
+
+
+def test_connection_that_names_no_method_is_closed_in_time(monkeypatch):
+    """Guards against an unhandled error, which the process's own log doesn't show."""
+    monkeypatch.setattr(rpc, "METHOD_TIMEOUT_S", 0.05)
+    unhandled = []
+
+    async def scenario(channel, server):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: unhandled.append(context))
+        address = channel.address
+        async with await anyio.connect_tcp(address.ip, address.port) as silent:
+            with pytest.raises(anyio.EndOfStream):
+                await silent.receive()
+        await anyio.sleep(0.05)
+
+    play(confirm, scenario)
+    assert unhandled == []
