Promise nothing of a keyed call before its claim is decided

Changed: a call with an `Idempotency-Key` may have run before, until its claim has been decided; refusals go by `may_have_run`. Callers lose nothing: a repeat with the same key is safe. Test: a repeat at an entry without a confirmation said `not_run`; without a key it still does. Ruled out: a second run of an order (the counts of runs held).

--- a/cassiapitch/api.py
+++ b/cassiapitch/api.py
@@ -217,16 +217,12 @@
 
 
 # These say "unknown" of another call than the refused one.
-_OF_ANOTHER_CALL = (
-    ErrorKind.CLAIM_RUNNING,
-    ErrorKind.CLAIM_UNKNOWN,
-    ErrorKind.CLAIM_UNAVAILABLE,
-)
+_OF_ANOTHER_CALL = (ErrorKind.CLAIM_RUNNING, ErrorKind.CLAIM_UNKNOWN)
 
 
-def outcome_of(refusal: Refusal, may_have_left: bool) -> RunOutcome:
+def outcome_of(refusal: Refusal, may_have_run: bool) -> RunOutcome:
     """Returns what is said of a refused request; `not_run` only where it is true."""
-    if may_have_left:
+    if may_have_run:
         return RunOutcome.UNKNOWN
     if refusal.kind in _OF_ANOTHER_CALL:
         return RunOutcome.UNKNOWN
@@ -234,7 +230,7 @@
 
 
 def refusal_document(
-    refusal: Refusal, request_id: str, may_have_left: bool
+    refusal: Refusal, request_id: str, may_have_run: bool
 ) -> dict[str, Any]:
     """Returns the JSON object of a refusal."""
     answer = ANSWERS[refusal.kind]
@@ -243,14 +239,14 @@
             "type": answer.type,
             "code": refusal.kind.value,
             "message": refusal.message,
-            "outcome": outcome_of(refusal, may_have_left).value,
+            "outcome": outcome_of(refusal, may_have_run).value,
             "request_id": request_id,
         }
     }
 
 
 def refusal_answer(
-    refusal: Refusal, request_id: str, may_have_left: bool
+    refusal: Refusal, request_id: str, may_have_run: bool
 ) -> RefusalAnswer:
     """Returns a refusal with its status and the time to come back."""
     answer = ANSWERS[refusal.kind]
@@ -262,5 +258,5 @@
         headers.append((b"retry-after", str(retry_s).encode()))
     if answer.status == 401:
         headers.append((b"www-authenticate", b"Bearer"))
-    document = refusal_document(refusal, request_id, may_have_left)
+    document = refusal_document(refusal, request_id, may_have_run)
     return RefusalAnswer(answer.status, msgspec.json.encode(document), headers)
--- a/cassiapitch/callers.py
+++ b/cassiapitch/callers.py
@@ -40,6 +40,7 @@
 HEADERS_LIMIT_COUNT = 100
 GENERATION_PATHS = (api.CHAT_PATH, api.COMPLETIONS_PATH)
 MODELS_PATH = "/v1/models"
+IDEMPOTENCY_HEADER = b"idempotency-key"
 HEALTH_PATH = "/healthz"
 RUNNING = "running"
 
@@ -61,6 +62,7 @@
             await self._answer_health(send)
             return
         course = Course(idempotent=True)
+        course.earlier_may_have_run = asgi.header(scope, IDEMPOTENCY_HEADER) is not None
         call = Call(self._state.next_request_id(), course, timers.now_ms())
         self._state.retries.request(call.arrived_ms)
         self._state.authorization.enter(call)
@@ -100,7 +102,8 @@
             return
         refusal = Refusal(ErrorKind.OVERLOADED, "too many connections are open")
         request_id = self._state.next_request_id()
-        answer = api.refusal_answer(refusal, request_id, may_have_left=False)
+        has_key = asgi.header(scope, IDEMPOTENCY_HEADER) is not None
+        answer = api.refusal_answer(refusal, request_id, may_have_run=has_key)
         headers = [*answer.headers, *_CLOSE]
         await asgi.send_response(send, answer.status, answer.body, headers=headers)
 
@@ -304,7 +307,7 @@
             query=forwarded_query(scope["query_string"], call.key),
             headers=headers,
             body=body,
-            idempotency_key=asgi.header(scope, b"idempotency-key"),
+            idempotency_key=asgi.header(scope, IDEMPOTENCY_HEADER),
         )
         service_call = ServiceCall(self._state, self._crashes, call, request)
         if self._crashes.is_quarantined(service_call.digest):
@@ -367,8 +370,8 @@
         if call.is_answering:
             CallerConnection(send).abort()
             return
-        may_have_left = call.course.may_have_left
-        answer = api.refusal_answer(refusal, call.request_id, may_have_left)
+        may_have_run = call.course.may_have_run
+        answer = api.refusal_answer(refusal, call.request_id, may_have_run)
         headers = [*answer.headers, *self._closing()]
         if call.is_body_pending or refusal.kind is ErrorKind.HEADERS_TOO_LARGE:
             # The rest of the body is not read, so that nothing can follow it.
--- a/cassiapitch/retries.py
+++ b/cassiapitch/retries.py
@@ -110,6 +110,8 @@
         state: State of the chart.
         may_have_left: Whether a backend server may have received part of it and
             did not say that it doesn't run it.
+        earlier_may_have_run: Whether an earlier call with the same `Idempotency-Key`
+            may have run; decided by the claim.
         written_count: How often it was written.
         failures_count: Attempts that failed.
     """
@@ -117,10 +119,16 @@
     idempotent: bool
     state: str = "received"
     may_have_left: bool = False
+    earlier_may_have_run: bool = False
     written_count: int = 0
     failures_count: int = 0
     _earlier_may_have_left: bool = False
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether this call, or an earlier one that it repeats, may have run."""
+        return self.may_have_left or self.earlier_may_have_run
+
     def step(self, event: str) -> None:
         """Follows the chart."""
         self.state = load_chart("request").next_state(self.state, event)
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -49,6 +49,8 @@
     ClaimState.MISMATCH: ErrorKind.CLAIM_MISMATCH,
     ClaimState.FULL: ErrorKind.CLAIMS_FULL,
 }
+# These say that there was a call with the same key.
+_OF_AN_EARLIER_CALL = (ClaimState.RUNNING, ClaimState.UNKNOWN, ClaimState.FINISHED)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +116,7 @@
         request = self._request
         needs_claim = not request.route.idempotent and request.idempotency_key
         if not needs_claim:
+            self._call.course.earlier_may_have_run = False
             return await self._run_admitted()
         try:
             earlier = await self._claim()
@@ -297,6 +300,8 @@
         )
         if answer is None:
             raise refused(ErrorKind.CLAIM_UNAVAILABLE)
+        if answer.state not in _OF_AN_EARLIER_CALL:
+            self._call.course.earlier_may_have_run = False
         if answer.state is ClaimState.GRANTED:
             return None
         if answer.state is not ClaimState.FINISHED:
--- a/tests/test_entry_calls.py
+++ b/tests/test_entry_calls.py
@@ -112,6 +112,28 @@
         assert len(service.seen) == 1
 
 
+@pytest.mark.anyio
+async def test_repeat_that_is_refused_before_its_claim_does_not_say_not_run(
+    monkeypatch,
+):
+    """Guards against `not_run` for an order that ran under the same key, where its
+    repeat meets an entry that has lost the control group."""
+    service = FakeService("s1", "l1")
+    key = [("Idempotency-Key", "order-7")]
+    async with world(service) as w:
+        assert (await w.call("POST", "/charge", headers=key))[0] == 200
+
+        async def unconfirmed():
+            return False
+
+        monkeypatch.setattr(w.entry.state, "wait_fresh", unconfirmed)
+        for headers, outcome in ((key, "unknown"), ((), "not_run")):
+            status, _, body = await w.call("POST", "/charge", headers=headers)
+            expected = (503, ("authorization_unconfirmed", outcome))
+            assert (status, error(body)) == expected
+        assert len(service.seen) == 1
+
+
 @pytest.mark.anyio
 async def test_outcome_is_recorded_although_the_caller_went_away():
     """Guards against an unknown outcome of a call that was run."""
