Log the limits that backend servers state, and count the sends to them

In the incident two backend servers stated a limit on requests and got more than it allows, and no log line or metric showed which entries had read the limit. So the hypotheses could not be told apart: nobody reads it, or each entry keeps it alone.

An entry now reads the limit from every response, logs each change of it with the incarnation, and counts what it sends to a limited backend server. What is sent, and where, is decided as before.

A malformed statement is logged and changes nothing. A response without a signature may come from another program at the address, so it doesn't count as the end of a limit.

Tests: what the adapter reads from good and malformed headers.

--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -32,6 +32,7 @@
 from cassiapitch.retries import RetryBudget, RetryLimit
 from cassiapitch.routing import Router
 from cassiapitch.scheduler import Scheduler
+from cassiapitch.send_limits import SendLimits
 from cassiapitch.settings import EntrySettings
 from cassiapitch.statechart import load_chart
 from cassiapitch.types import LifeId, ModelName
@@ -72,6 +73,7 @@
         self.router = Router(
             settings.routing_policy, settings.zone, random.Random(settings.seed)
         )
+        self.send_limits = SendLimits()
         self.crash_tracker = CrashTracker()
         self.wait_started = ChangeNotifier()
         self.scheduler = Scheduler(
@@ -163,6 +165,7 @@
             life_ids = {item.life_id for item in self.catalog.backends.values()}
             self.router.retain_only(life_ids)
             self.crash_tracker.retain_only(life_ids)
+            self.send_limits.retain_only(life_ids)
             for callback in self.backend_removal_callbacks:
                 callback(life_ids)
             self.scheduler.dispatch_waiting()
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -84,6 +84,7 @@
     BACKEND_DEPARTED = 510
     HEARTBEAT_REFUSED = 511
     BACKEND_SAID_LEAVING = 512
+    BACKEND_STATED_LIMIT = 513
 
 
 _encoder = msgspec.json.Encoder(enc_hook=repr)
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -336,6 +336,8 @@
             call.progress.mark_written()
         call.sent_count += 1
         metrics.SENDS.inc()
+        if self._state.send_limits.is_limited(backend.life_id):
+            metrics.LIMITED_SENDS.inc(backend.name)
         call.backends.append(backend.name)
         await connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
@@ -347,6 +349,7 @@
         may_lack_id = response_id is None and not connection.is_reused
         if expected_id is not None and response_id != expected_id and not may_lack_id:
             raise BackendBrokenError("the response belongs to another request")
+        self._record_limit(backend, backend_head)
         return head, backend_head
 
     def _apply_backend_state(
@@ -371,6 +374,32 @@
         if backend_head.pause_ms:
             self._state.router.pause(backend.life_id, backend_head.pause_ms, now_ms)
 
+    def _record_limit(self, backend: BackendItem, backend_head: BackendHead) -> None:
+        """Records the limit on requests that a response states, and logs a change.
+
+        Only signed responses withdraw a limit: others may come from another program.
+        """
+        limit = backend_head.limit
+        if limit.is_malformed:
+            events.log(
+                events.Event.BACKEND_STATED_LIMIT,
+                name=backend.name,
+                life_id=backend.life_id,
+                is_malformed=True,
+            )
+            return
+        if limit.requests_per_s is None and not backend_head.is_signed:
+            return
+        if self._state.send_limits.record_statement(
+            backend.life_id, limit.requests_per_s
+        ):
+            events.log(
+                events.Event.BACKEND_STATED_LIMIT,
+                name=backend.name,
+                life_id=backend.life_id,
+                requests_per_s=limit.requests_per_s,
+            )
+
     def _record_declined(
         self,
         call: ForwardCall,
--- a/cassiapitch/header_codec.py
+++ b/cassiapitch/header_codec.py
@@ -64,6 +64,23 @@
     priority: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatedLimit:
+    """What a response says about its backend server's limit on requests.
+
+    Attributes:
+        requests_per_s: Rate of requests that the backend server accepts from all
+            entries together; None if the response states none.
+        is_malformed: Whether the response states a limit that can't be read.
+    """
+
+    requests_per_s: float | None = None
+    is_malformed: bool = False
+
+
+NO_LIMIT = StatedLimit()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendHead:
     """Fields read from the status and headers of a backend server's response.
@@ -76,6 +93,7 @@
         idle_timeout_ms: How long the connection may stay idle; None if absent.
         is_leaving: Whether it says that the backend server is leaving.
         pause_ms: How long the entry is to send it no more requests; 0 if absent.
+        limit: What it says about its limit on requests.
     """
 
     request_id: str | None
@@ -85,6 +103,7 @@
     idle_timeout_ms: int | None
     is_leaving: bool = False
     pause_ms: int = 0
+    limit: StatedLimit = NO_LIMIT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/metrics.py
+++ b/cassiapitch/metrics.py
@@ -146,6 +146,11 @@
     "cassiapitch_sends",
     "Requests written to backend servers, repeats included",
 )
+LIMITED_SENDS = Counter(
+    "cassiapitch_limited_sends",
+    "Requests written to backend servers that have stated a limit",
+    ("backend",),
+)
 ATTEMPTS_FAILED = Counter(
     "cassiapitch_attempts_failed",
     "Attempts at a backend server that did not answer the request",
--- a/cassiapitch/platform/names.py
+++ b/cassiapitch/platform/names.py
@@ -14,6 +14,7 @@
 NOT_EXECUTED = b"not-executed"
 SERVER_SEAL = b"server-seal"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 
--- a/cassiapitch/platform/requests.py
+++ b/cassiapitch/platform/requests.py
@@ -1,18 +1,25 @@
 """Reads and writes the platform's headers of requests and responses."""
 
+import re
+
 from cassiapitch.header_codec import (
+    NO_LIMIT,
     BackendHead,
     BackendRequestFields,
     CallerHead,
     HeaderCodec,
     Headers,
     PromptPart,
+    StatedLimit,
 )
 from cassiapitch.platform import names
 
 BEARER = b"bearer "
 # A longer pause is considered an error of its sender and ignored.
 MAX_PAUSE_S = 300.0
+# A longer number can't be a rate of requests.
+MAX_LIMIT_LENGTH = 16
+_DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 # Headers of callers that aren't forwarded; the entry alone may set them.
 _NOT_FORWARDED = names.HOP_BY_HOP | {
@@ -83,6 +90,7 @@
         idle_timeout_ms=_parse_keep_alive_ms(by_name.get(b"keep-alive")),
         is_leaving=by_name.get(names.SERVER_LEAVING, b"").strip() == b"1",
         pause_ms=_parse_pause_ms(status, by_name.get(names.RETRY_AFTER)),
+        limit=_parse_limit(by_name.get(names.SERVER_LIMIT)),
     )
 
 
@@ -159,6 +167,16 @@
     return round(seconds * 1_000) if 0 < seconds <= MAX_PAUSE_S else 0
 
 
+def _parse_limit(value: bytes | None) -> StatedLimit:
+    """Reads the rate of requests that an engine accepts from all entries together."""
+    if value is None:
+        return NO_LIMIT
+    text = value.strip()
+    if len(text) > MAX_LIMIT_LENGTH or not _DECIMAL.fullmatch(text):
+        return StatedLimit(is_malformed=True)
+    return StatedLimit(float(text))
+
+
 def _parse_keep_alive_ms(value: bytes | None) -> int | None:
     for part in (value or b"").split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from cassiapitch.header_codec import BackendRequestFields, PromptPart
+from cassiapitch.header_codec import BackendRequestFields, PromptPart, StatedLimit
 from cassiapitch.platform import requests
 
 
@@ -70,3 +70,22 @@
     assert requests.read_backend(500, [(b"Retry-After", b"0.25")]).pause_ms == 0
     for value in (b"soon", b"-1", b"nan", b"1e9"):
         assert requests.read_backend(503, [(b"Retry-After", value)]).pause_ms == 0
+
+
+def test_limit_on_requests_is_read_from_any_response():
+    for status in (200, 429, 500, 503):
+        head = requests.read_backend(status, [(b"Server-Limit", b"1.2")])
+        assert head.limit == StatedLimit(1.2)
+    assert (
+        requests.read_backend(200, [(b"server-limit", b" 0 ")]).limit.requests_per_s
+        == 0
+    )
+    assert requests.read_backend(200, []).limit == StatedLimit(None)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"-1", b"nan", b"inf", b"1e3", b"few", b"1,5", b"9" * 40, b"."]
+)
+def test_malformed_limit_neither_sets_nor_withdraws_one(value):
+    head = requests.read_backend(200, [(b"server-limit", value)])
+    assert head.limit == StatedLimit(is_malformed=True)
