Keep all entries together to the limit that a backend server states

Cause: what a backend server says of itself was used by the entry that read it, if at all; the limit was read by nobody.

Now the limit is replicated state of the incarnation. The entry that hears it heeds it at once and reports it; the log gives it to all entries, also to those that restart. A response is known to be later than the limit in the log if its request was sent by an entry that knew this limit; only such a response raises or ends it, so one read late can't. From then on a request needs a permit of the leader. Each permit has its own time, one interval after the one before; it counts from the ask and expires after 500 ms, so that neither a held-up answer nor a suspended entry uses it late. A new leader begins when all permits of the one before have expired. A lone entry without a leader sends nothing to a limited backend server: its share alone would be less than one request in seconds, and others use the limit meanwhile.

Callers: requests wait in one line over all entries. One whose permit is due after half of its time is refused at once and told when it would have been its turn; those refused together get times one interval apart. While others have room, a limited backend server gets a request now and then from times that passed unused, since only an answer tells that the limit ended.

Ruled out: a bucket as for accounts. It grants bursts and records floors in the log for each grant; a schedule in memory does with an empty start.

--- a/cassiapitch/backends.py
+++ b/cassiapitch/backends.py
@@ -8,6 +8,7 @@
 )
 from cassiapitch.orders import Ledger, adapter_key, model_key
 from cassiapitch.types import BackendName, LifeId, ModelName
+from cassiapitch.viewitems import BackendLimit
 
 _CHART = statechart.load_chart("backend_server")
 
@@ -52,6 +53,7 @@
         warm_models: Models whose weights are in its host's memory.
         disk_models: Models whose weights are on its disk.
         order_steps_count: Recorded attempts of orders and answers to them.
+        limit: The limit on requests that it stated in responses to entries.
     """
 
     name: BackendName
@@ -73,6 +75,7 @@
     warm_models: tuple[ModelName, ...] = ()
     disk_models: tuple[ModelName, ...] = ()
     order_steps_count: int = 0
+    limit: BackendLimit | None = None
 
     def allows(self, event: str) -> bool:
         """Returns whether the chart has a transition for an event."""
--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -16,12 +16,14 @@
 from cassiapitch.group import ControlGroup
 from cassiapitch.hub import Hub
 from cassiapitch.leader_tasks import RateGrantService
+from cassiapitch.limit_messages import PermitAsk, RelayedPermits
 from cassiapitch.messages import (
     DemandReport,
     LoadReports,
     RateAsk,
     RelayedGrants,
 )
+from cassiapitch.permit_service import PermitService
 from cassiapitch.relay import Relay
 from cassiapitch.replicated import FleetState, ReplicatedState
 from cassiapitch.settings import ControlSettings
@@ -104,6 +106,9 @@
         self._rate_grant_service = RateGrantService(
             self.member, self.state, settings.rate_policy, timers.now_ms
         )
+        self._permit_service = PermitService(
+            self.member, parts.fleet.backend_limit, timers.now_ms
+        )
         self._relay = Relay(
             settings.name,
             settings.cluster,
@@ -143,6 +148,8 @@
         match message:
             case RateAsk():
                 self._rate_grant_service.ask(message, reply)
+            case PermitAsk():
+                self._permit_service.ask(message, reply)
             case DemandReport():
                 self._placement.on_demand(message)
             case Announcement():
@@ -151,7 +158,9 @@
     def _handle_from_leader(self, message: Any) -> None:
         match message:
             case RelayedGrants():
-                self.hub.deliver_grants(message)
+                self.hub.deliver_answer(message.entry, message.life_id, message.grants)
+            case RelayedPermits():
+                self.hub.deliver_answer(message.entry, message.life_id, message.answer)
             case LoadReports():
                 self.hub.broadcast(message)
 
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -16,6 +16,7 @@
 from cassiapitch.crash_containment import CrashContainment
 from cassiapitch.entrystate import EntryState
 from cassiapitch.exceptions import CodecError
+from cassiapitch.limit_messages import LimitReportAnswer, PermitAnswer
 from cassiapitch.link import Link, LinkHandlers, LinkPlan
 from cassiapitch.messages import (
     ClaimAnswer,
@@ -34,8 +35,10 @@
 from cassiapitch.operatorroutes import OperatorApplication
 from cassiapitch.plainhttp import PlainHttpServer
 from cassiapitch.seeds import peers_from_seeds
+from cassiapitch.send_limits import MIN_ASK_SPACING_MS
 from cassiapitch.settings import EntrySettings
 
+CONTROL_ANSWERS = ClaimAnswer | CrashAnswer | SuspectRunAnswer | LimitReportAnswer
 PRIMARY_LINK_NUMBER = 0
 TICK_MS = 100
 # Without waiting calls, the only periodic work is to return expired grants.
@@ -126,6 +129,7 @@
             self._start_links(group)
             group.start_soon(self._expire_periodically)
             group.start_soon(self._request_grants)
+            group.start_soon(self._request_permits)
             group.start_soon(self._report_demand)
             group.start_soon(self.operator_server.run)
             events.log(
@@ -204,7 +208,9 @@
             return self._apply_view_change(link_number, message)
         elif isinstance(message, RateGrants):
             self.state.handle_grants(message)
-        elif isinstance(message, ClaimAnswer | CrashAnswer | SuspectRunAnswer):
+        elif isinstance(message, PermitAnswer):
+            self.state.handle_permits(message)
+        elif isinstance(message, CONTROL_ANSWERS):
             self.state.control_requests.answered(message)
         elif isinstance(message, ControlMembers):
             self._link_plan.update_members(message.members)
@@ -278,6 +284,29 @@
             if message is not None and self._send_to_primary is not None:
                 self._send_to_primary(message)
 
+    async def _request_permits(self) -> None:
+        """Requests permits for limited backend servers, and sends requests with them.
+
+        A permit becomes usable at a certain time, which may be between two ticks.
+        """
+        state = self.state
+        while True:
+            now_ms = timers.now_ms()
+            wake_ms = state.send_limits.wake_ms(now_ms)
+            wait_ms = IDLE_TICK_MS if wake_ms is None else max(1, wake_ms - now_ms)
+            await state.permits_needed.wait(wait_ms)
+            if not state.send_limits.has_limits():
+                continue
+            # Requests that arrive together share one ask.
+            await anyio.sleep(MIN_ASK_SPACING_MS / 1000)
+            now_ms = timers.now_ms()
+            state.scheduler.dispatch_waiting()
+            message = state.send_limits.ask(
+                state.scheduler.permit_wishes(now_ms), now_ms
+            )
+            if message is not None and self._send_to_primary is not None:
+                self._send_to_primary(message)
+
     async def _report_demand(self) -> None:
         """Reports demand to the primary member periodically, and when it is needed."""
         while True:
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -17,6 +17,7 @@
 from cassiapitch.crash_tracker import CrashTracker
 from cassiapitch.demand_counter import DemandCounter
 from cassiapitch.freshness import NEW_CALL_WAIT_MS, Freshness
+from cassiapitch.limit_messages import PermitAnswer
 from cassiapitch.messages import (
     Confirmed,
     LoadReports,
@@ -70,17 +71,24 @@
         self.freshness = Freshness()
         self.budget = RateBudget(settings.name, self.life_id)
         self.authorization = Authorization(self.catalog, self.freshness)
+        self.send_limits = SendLimits(settings.name, self.life_id)
         self.router = Router(
-            settings.routing_policy, settings.zone, random.Random(settings.seed)
+            settings.routing_policy,
+            settings.zone,
+            random.Random(settings.seed),
+            self.send_limits,
         )
-        self.send_limits = SendLimits()
         self.crash_tracker = CrashTracker()
         self.wait_started = ChangeNotifier()
+        # Notified when requests may need permits of limited backend servers.
+        self.permits_needed = ChangeNotifier()
         self.scheduler = Scheduler(
             settings.queue_policy,
             self.router,
             self.crash_tracker,
-            self.wait_started.notify_all,
+            self._on_request_queued,
+            self.send_limits,
+            self.permits_needed.notify_all,
         )
         retry_limit = None
         if settings.retry_slack_count is not None:
@@ -161,11 +169,12 @@
                 events.log(
                     events.Event.CALLS_ENDED, reason="key_withdrawn", calls_count=count
                 )
+        if outcome.backends_changed or self.send_limits.has_limits():
+            self.send_limits.update(self.catalog.backends.values(), outcome.index)
         if outcome.backends_changed:
             life_ids = {item.life_id for item in self.catalog.backends.values()}
             self.router.retain_only(life_ids)
             self.crash_tracker.retain_only(life_ids)
-            self.send_limits.retain_only(life_ids)
             for callback in self.backend_removal_callbacks:
                 callback(life_ids)
             self.scheduler.dispatch_waiting()
@@ -181,6 +190,22 @@
         self.budget.receive_grants(message, timers.now_ms())
         self.deliver_decisions()
 
+    def handle_permits(self, answer: PermitAnswer) -> None:
+        """Adds permits, sends requests with them and refuses those that are too late.
+
+        A request whose permit is due after its deadline learns at once when to return.
+        """
+        now_ms = timers.now_ms()
+        self.send_limits.receive(answer, now_ms)
+        self.scheduler.dispatch_waiting()
+        self.scheduler.refuse_without_permit(now_ms)
+        self.permits_needed.notify_all()
+
+    def _on_request_queued(self) -> None:
+        self.wait_started.notify_all()
+        if self.send_limits.has_limits():
+            self.permits_needed.notify_all()
+
     def handle_load_reports(self, message: LoadReports) -> None:
         """Records load reports and the times at which model copies are expected."""
         now_ms = timers.now_ms()
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cassiapitch import backends, fleet_view, model_load_times
+from cassiapitch import backend_limits, backends, fleet_view, model_load_times
 from cassiapitch.announcements import (
     Announcement,
 )
@@ -21,11 +21,13 @@
     BackendMark,
     BeginTerm,
     FleetResult,
+    LimitRecorded,
     MarkBackends,
     NewOrder,
     OrderAnswer,
     OrderAttempt,
     RecordAnswers,
+    RecordBackendLimit,
     RecordOrders,
     ReportBackends,
 )
@@ -37,9 +39,7 @@
     name_of,
 )
 from cassiapitch.types import OrderKind, OrderOutcome, RoleKind
-from cassiapitch.viewitems import (
-    BackendItem,
-)
+from cassiapitch.viewitems import BackendItem, BackendLimit
 
 __all__ = ["FLEET_COMMANDS", "Fleet"]
 
@@ -99,6 +99,13 @@
         """Orders that are not settled, by id, sorted by fence number."""
         return self._open_orders
 
+    def backend_limit(self, name: str, life_id: str) -> BackendLimit | None:
+        """Returns the limit that an incarnation stated, or None if it has none."""
+        incarnation = self.lives.get(name)
+        if incarnation is None or incarnation.life_id != life_id:
+            return None
+        return incarnation.limit
+
     def is_ended(self, life_id: str) -> bool:
         """Returns whether an incarnation is known to have ended."""
         return life_id in self._state.ended
@@ -181,8 +188,13 @@
                 incarnation.advance("accept")
             self._update_derived(incarnation)
 
-    def apply(self, command: Any, index: int, time_ms: int) -> FleetResult:
+    def apply(
+        self, command: Any, index: int, time_ms: int
+    ) -> FleetResult | LimitRecorded:
         """Applies one of `FLEET_COMMANDS`."""
+        if isinstance(command, RecordBackendLimit):
+            self._apply_limit(command, index)
+            return LimitRecorded(index)
         refused: list[str] = []
         if isinstance(command, BeginTerm):
             self._begin_term(command)
@@ -323,6 +335,15 @@
         incarnation.advance(mark.event)
         self._update_derived(incarnation)
 
+    def _apply_limit(self, command: RecordBackendLimit, index: int) -> None:
+        incarnation = self.lives.get(command.name)
+        if incarnation is None or incarnation.life_id != command.life_id:
+            return
+        incarnation.limit = backend_limits.limit_after(
+            incarnation.limit, command, index
+        )
+        self._update_derived(incarnation)
+
     def _record_order(self, new_order: NewOrder) -> str | None:
         """Records an order; returns the reason if it is refused, or None."""
         incarnation = self.lives.get(new_order.backend)
--- a/cassiapitch/fleet_commands.py
+++ b/cassiapitch/fleet_commands.py
@@ -112,6 +112,32 @@
     answers: tuple[OrderAnswer, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordBackendLimit:
+    """Records what a response stated of a limit; applied in any controller term.
+
+    Attributes:
+        name: The backend server.
+        life_id: Its incarnation.
+        requests_per_s: Rate of requests that it accepts from all entries together;
+            None if the response stated no limit.
+        known_index: Index of the limit that the entry knew when it sent the request;
+            0 if it knew none.
+    """
+
+    name: BackendName
+    life_id: LifeId
+    requests_per_s: float | None
+    known_index: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitRecorded:
+    """Result of `RecordBackendLimit`: a view of this index shows its effect."""
+
+    index: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetResult:
     """Result of a fleet command.
@@ -132,5 +158,6 @@
     RecordOrders,
     RecordAttempts,
     RecordAnswers,
+    RecordBackendLimit,
 )
-codec.register((*FLEET_COMMANDS, FleetResult))
+codec.register((*FLEET_COMMANDS, FleetResult, LimitRecorded))
--- a/cassiapitch/fleet_view.py
+++ b/cassiapitch/fleet_view.py
@@ -50,4 +50,5 @@
         max_running_count=announced_count
         if limit_count is None
         else min(announced_count, limit_count),
+        limit=incarnation.limit,
     )
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -35,6 +35,7 @@
     CallerHead,
     HeaderCodec,
 )
+from cassiapitch.limit_reports import LimitReports
 from cassiapitch.prefill import FIRST_TOKEN_LIMIT_SHARE
 from cassiapitch.retries import RequestProgress
 from cassiapitch.scheduler import NoSlot, Slot, SlotRequest
@@ -69,6 +70,7 @@
         self._crash_containment = crash_containment
         self._candidates = ForwardCandidates(state, rng)
         self.response_relay = ResponseRelay(header_codec, state)
+        self._limit_reports = LimitReports(state)
         self._connections = BackendConnectionPool()
         state.backend_removal_callbacks.append(self._connections.retain_only)
         self._running_scopes: set[anyio.CancelScope] = set()
@@ -290,6 +292,10 @@
             return False
         idle_ms: int | None = None
         is_reusable = False
+        if slot.has_expired(timers.now_ms()):
+            self._connections.release_connection(connection, idle_ms)
+            call.progress.mark_not_sent()
+            return False
         try:
             head, backend_head = await self._send(call, backend, connection)
             idle_ms = backend_head.idle_timeout_ms
@@ -339,6 +345,7 @@
         if self._state.send_limits.is_limited(backend.life_id):
             metrics.LIMITED_SENDS.inc(backend.name)
         call.backends.append(backend.name)
+        known_limit_index = self._state.send_limits.known_index(backend.life_id)
         await connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
         backend_head = self._header_codec.read_backend(head.status, head.headers)
@@ -349,7 +356,7 @@
         may_lack_id = response_id is None and not connection.is_reused
         if expected_id is not None and response_id != expected_id and not may_lack_id:
             raise BackendBrokenError("the response belongs to another request")
-        self._record_limit(backend, backend_head)
+        self._limit_reports.record(backend, backend_head, known_limit_index)
         return head, backend_head
 
     def _apply_backend_state(
@@ -374,32 +381,6 @@
         if backend_head.pause_ms:
             self._state.router.pause(backend.life_id, backend_head.pause_ms, now_ms)
 
-    def _record_limit(self, backend: BackendItem, backend_head: BackendHead) -> None:
-        """Records the limit on requests that a response states, and logs a change.
-
-        Only signed responses withdraw a limit: others may come from another program.
-        """
-        limit = backend_head.limit
-        if limit.is_malformed:
-            events.log(
-                events.Event.BACKEND_STATED_LIMIT,
-                name=backend.name,
-                life_id=backend.life_id,
-                is_malformed=True,
-            )
-            return
-        if limit.requests_per_s is None and not backend_head.is_signed:
-            return
-        if self._state.send_limits.record_statement(
-            backend.life_id, limit.requests_per_s
-        ):
-            events.log(
-                events.Event.BACKEND_STATED_LIMIT,
-                name=backend.name,
-                life_id=backend.life_id,
-                requests_per_s=limit.requests_per_s,
-            )
-
     def _record_declined(
         self,
         call: ForwardCall,
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -17,7 +17,9 @@
 from cassiapitch.command_batcher import CommandBatcher
 from cassiapitch.events import Event
 from cassiapitch.exceptions import CodecError
+from cassiapitch.fleet_commands import LimitRecorded, RecordBackendLimit
 from cassiapitch.group import ControlGroup
+from cassiapitch.limit_messages import LimitReport, LimitReportAnswer, PermitAsk
 from cassiapitch.linkstate import LinkState
 from cassiapitch.messages import (
     ClaimAnswer,
@@ -33,7 +35,6 @@
     LinkRefused,
     LoadReports,
     RateAsk,
-    RelayedGrants,
     SuspectCleared,
     SuspectRunAnswer,
     SuspectRunAsk,
@@ -65,6 +66,8 @@
     SuspectRunAsk,
     SuspectRunEnded,
     DemandReport,
+    LimitReport,
+    PermitAsk,
 )
 
 
@@ -135,11 +138,11 @@
         for link in tuple(self._primary_links.values()):
             self._push(link, reports)
 
-    def deliver_grants(self, answer: RelayedGrants) -> None:
-        """Queues the answer to a rate request if the entry's primary link is open."""
-        link = self._primary_links.get((answer.entry, answer.life_id))
+    def deliver_answer(self, entry: str, life_id: str, answer: Any) -> None:
+        """Queues the leader's answer if the primary link of the entry's run is open."""
+        link = self._primary_links.get((entry, life_id))
         if link is not None:
-            self._push(link, answer.grants)
+            self._push(link, answer)
 
     def describe(self) -> list[dict[str, Any]]:
         """Returns descriptions of the links for the status and dump endpoints."""
@@ -267,7 +270,7 @@
                     self._confirmations, link, message.sequence
                 )
                 self._confirm_requested.set()
-            case RateAsk() | DemandReport():
+            case RateAsk() | PermitAsk() | DemandReport():
                 self._relay_to_leader(message)
             case ClaimAsk() | ClaimFinish() | ClaimRelease():
                 self._propose(link, message, _claim_answer)
@@ -275,6 +278,8 @@
                 self._propose(link, message, _crash_answer)
             case SuspectRunAsk() | SuspectRunEnded():
                 self._propose(link, message, _suspect_run_answer)
+            case LimitReport():
+                self._propose(link, message, _limit_report_answer)
             case _:
                 self._close(link, f"unexpected message {type(message).__name__}")
 
@@ -364,6 +369,13 @@
             )
         case SuspectRunEnded():
             return commands.ReleaseSuspectRun(message.life_id, message.holder)
+        case LimitReport():
+            return RecordBackendLimit(
+                message.name,
+                message.life_id,
+                message.requests_per_s,
+                message.known_index,
+            )
         case _:
             return commands.ClearSuspect(message.digest, message.lives)
 
@@ -386,3 +398,9 @@
     if not isinstance(result, commands.SuspectRunResult):
         return SuspectRunAnswer(sequence, None)
     return SuspectRunAnswer(sequence, result.outcome)
+
+
+def _limit_report_answer(sequence: int, result: Any | None) -> LimitReportAnswer:
+    if not isinstance(result, LimitRecorded):
+        return LimitReportAnswer(sequence, None)
+    return LimitReportAnswer(sequence, result.index)
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -423,8 +423,8 @@
 class RelayBatch(msgspec.Struct, frozen=True, array_like=True):
     """A batch of encoded messages, in either direction.
 
-    To the leader: `RateAsk`, `DemandReport` and `Announcement`. From the leader:
-    `RelayedGrants` and `LoadReports`.
+    To the leader: `RateAsk`, `PermitAsk`, `DemandReport` and `Announcement`. From the
+    leader: `RelayedGrants`, `RelayedPermits` and `LoadReports`.
     """
 
     messages: tuple[bytes, ...]
--- a/cassiapitch/replicated.py
+++ b/cassiapitch/replicated.py
@@ -17,6 +17,7 @@
     AccountItem,
     AdapterItem,
     BackendItem,
+    BackendLimit,
     BundleItem,
     ModelItem,
     RoleItem,
@@ -50,6 +51,9 @@
     def set_bundle(self, bundle: bundles.Bundle) -> None:
         """Replaces the bundle in force."""
 
+    def backend_limit(self, name: str, life_id: str) -> BackendLimit | None:
+        """Returns the limit that an incarnation stated, or None if it has none."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StateSnapshot:
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -15,6 +15,7 @@
     LoadReport,
 )
 from cassiapitch.prefill import PrefillEstimates
+from cassiapitch.send_limits import SendLimits
 from cassiapitch.types import LifeId, Priority
 from cassiapitch.viewitems import (
     BackendItem,
@@ -88,10 +89,17 @@
 class Router:
     """Load and health of the backend servers, and the choice among them."""
 
-    def __init__(self, policy: str, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        policy: str,
+        zone: str,
+        rng: random.Random,
+        send_limits: SendLimits | None = None,
+    ) -> None:
         self._policy = policy
         self._zone = zone
         self._rng = rng
+        self._send_limits = SendLimits("", "") if send_limits is None else send_limits
         self._states: dict[LifeId, _BackendState] = {}
         self._roles: dict[LifeId, str] = {}
         self._round_robin_index = 0
@@ -218,6 +226,17 @@
 
     def has_free_slot(
         self, backend: BackendItem, priority: Priority, now_ms: int
+    ) -> bool:
+        """Returns whether a backend server may get one more request now.
+
+        It has a free slot, and this entry has a permit if it stated a limit.
+        """
+        return self._send_limits.may_send(
+            backend.life_id, now_ms
+        ) and self.has_capacity(backend, priority, now_ms)
+
+    def has_capacity(
+        self, backend: BackendItem, priority: Priority, now_ms: int
     ) -> bool:
         """Returns whether a backend server has a free slot for one more request.
 
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -11,13 +11,15 @@
 
 import anyio
 
-from cassiapitch import timers
+from cassiapitch import permit_lines, timers
 from cassiapitch.affinity import NO_SHARED_PREFIX, SharedPrefix
 from cassiapitch.crash_tracker import CrashTracker
 from cassiapitch.error_kinds import ErrorKind
 from cassiapitch.fairness import FairQueue, Ticket
+from cassiapitch.permit_lines import LineMember
 from cassiapitch.prefill import is_first_token_in_time
 from cassiapitch.routing import Router
+from cassiapitch.send_limits import Permit, SendLimits
 from cassiapitch.types import AccountName, LifeId, Priority, RequestDigest
 from cassiapitch.viewitems import (
     BackendItem,
@@ -27,6 +29,10 @@
 # entry's demand report may take up to its period of 500 ms, and the leader's reply up
 # to its period of 1,000 ms.
 LOAD_TIME_WAIT_LIMIT_MS = 2_000
+# Share of the time until its deadline that a request may wait for a permit. The rest is
+# left for the work: with longer lines a limited backend server would serve as many
+# requests, but all of them late.
+PERMIT_WAIT_SHARE = 0.5
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -97,10 +103,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Slot:
-    """A slot at a backend server; return it with `Scheduler.release`."""
+    """A slot at a backend server; return it with `Scheduler.release`.
+
+    Attributes:
+        backend: The backend server.
+        slot_request: The request.
+        permit: The permit that the request uses if the backend server is limited.
+    """
 
     backend: BackendItem
     slot_request: SlotRequest
+    permit: Permit | None = None
+
+    def has_expired(self, now_ms: int) -> bool:
+        """Returns whether the permit to send the request has expired."""
+        return self.permit is not None and now_ms > self.permit.until_ms
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +133,7 @@
     slot_request: SlotRequest
     ticket: Ticket
     done: anyio.Event
+    line_member: LineMember
     result: Slot | NoSlot | None = None
 
 
@@ -128,6 +146,8 @@
         router: Router,
         crash_tracker: CrashTracker,
         on_request_queued: Callable[[], None] = lambda: None,
+        send_limits: SendLimits | None = None,
+        on_permits_needed: Callable[[], None] = lambda: None,
     ) -> None:
         """Makes an empty scheduler.
 
@@ -137,7 +157,11 @@
             crash_tracker: Tracks requests that crash backend servers.
             on_request_queued: Called when a request is queued; the caller then has to
                 call `tick` periodically.
+            send_limits: Limits of backend servers, and permits to send to them.
+            on_permits_needed: Called when permits are to be asked for.
         """
+        self._send_limits = SendLimits("", "") if send_limits is None else send_limits
+        self._on_permits_needed = on_permits_needed
         self._on_request_queued = on_request_queued
         self._policy = policy
         self._router = router
@@ -154,6 +178,8 @@
         if queue is None:
             queue = self._queues[slot_request.queue] = FairQueue(self._policy)
         refusal = self._early_refusal(slot_request, now_ms)
+        if self._send_limits.has_limits():
+            self._explore(slot_request, now_ms)
         if refusal is None and not len(queue):
             slot = self._try_assign(slot_request, now_ms)
             if slot is not None:
@@ -212,6 +238,64 @@
             totals[key] = (count + 1, wait_ms)
         return totals
 
+    def permit_wishes(self, now_ms: int) -> dict[LifeId, int]:
+        """Returns how many waiting requests need a permit, by limited incarnation."""
+        lines, _ = self._permit_lines(now_ms)
+        return {life_id: len(members) for life_id, members in lines.items()}
+
+    def refuse_without_permit(self, now_ms: int) -> None:
+        """Refuses waiting requests that can't get a permit before their deadline."""
+        lines, usable_lives = self._permit_lines(now_ms)
+        late = permit_lines.late_members(lines, usable_lives, self._send_limits, now_ms)
+        waits_ms = {id(member): wait_ms for member, wait_ms in late}
+        for ticket, waiter in list(self._waiters.items()):
+            slot_request = waiter.slot_request
+            wait_ms = waits_ms.get(id(waiter.line_member))
+            if wait_ms is not None and self._needs_permit(slot_request, now_ms):
+                queue = self._queues[slot_request.queue]
+                self._finish(queue, ticket, NoSlot(ErrorKind.OVERLOADED, wait_ms))
+
+    def _permit_lines(
+        self, now_ms: int
+    ) -> tuple[permit_lines.Lines, permit_lines.UsableLives]:
+        """Returns the lines for permits, and which of them each request may use."""
+        lives_by_member = {
+            id(waiter.line_member): self._limited_lives(waiter.slot_request, now_ms)
+            for waiter in self._waiters.values()
+        }
+
+        def usable_lives(member: LineMember) -> list[LifeId]:
+            return lives_by_member[id(member)]
+
+        members = [waiter.line_member for waiter in self._waiters.values()]
+        lines = permit_lines.assign(members, usable_lives, self._send_limits, now_ms)
+        return lines, usable_lives
+
+    def _limited_lives(self, slot_request: SlotRequest, now_ms: int) -> list[LifeId]:
+        """Returns the limited incarnations that could run a request now."""
+        return [
+            backend.life_id
+            for backend in self._allowed_candidates(slot_request, now_ms)
+            if self._send_limits.is_limited(backend.life_id)
+            and self._router.has_capacity(backend, slot_request.priority, now_ms)
+        ]
+
+    def _needs_permit(self, slot_request: SlotRequest, now_ms: int) -> bool:
+        """Returns whether all backend servers that can serve a request are limited."""
+        return all(
+            self._send_limits.is_limited(backend.life_id)
+            for backend in self._allowed_candidates(slot_request, now_ms)
+            if not self._router.is_leaving(backend.life_id)
+        )
+
+    def _explore(self, slot_request: SlotRequest, now_ms: int) -> None:
+        life_ids = [
+            backend.life_id
+            for backend in self._allowed_candidates(slot_request, now_ms)
+        ]
+        if self._send_limits.explore(life_ids, now_ms):
+            self._on_permits_needed()
+
     async def _wait_for_slot(
         self, queue: FairQueue, slot_request: SlotRequest, now_ms: int
     ) -> Slot | NoSlot:
@@ -228,7 +312,12 @@
         if wait_ms is not None and now_ms + wait_ms > slot_request.deadline_ms:
             queue.abandon(ticket)
             return NoSlot(ErrorKind.DEADLINE_EXCEEDED, wait_ms)
-        waiter = _Waiter(slot_request, ticket, anyio.Event())
+        waiter = _Waiter(
+            slot_request,
+            ticket,
+            anyio.Event(),
+            _line_member(slot_request, now_ms),
+        )
         self._waiters[ticket] = waiter
         self._on_request_queued()
         self._dispatch_queue(queue, slot_request.priority, now_ms)
@@ -289,11 +378,12 @@
         )
         if backend is None:
             return None
+        permit = self._send_limits.spend_permit(backend.life_id, now_ms)
         self._router.request_started(backend.life_id)
         self._crash_tracker.request_started(
             backend.life_id, slot_request.digest, slot_request.suspect
         )
-        return Slot(backend, slot_request)
+        return Slot(backend, slot_request, permit)
 
     def _allowed_candidates(
         self, slot_request: SlotRequest, now_ms: int
@@ -393,3 +483,8 @@
         now_ms = timers.now_ms()
         _, since_ms = queue.waiting_summary(Priority.URGENT)
         return None if since_ms is None else max(1_000, now_ms - since_ms)
+
+
+def _line_member(slot_request: SlotRequest, now_ms: int) -> LineMember:
+    latest_ms = now_ms + int(PERMIT_WAIT_SHARE * (slot_request.deadline_ms - now_ms))
+    return LineMember(latest_ms, slot_request.deadline_ms)
--- a/cassiapitch/viewitems.py
+++ b/cassiapitch/viewitems.py
@@ -91,6 +91,18 @@
     account: AccountName
 
 
+class BackendLimit(msgspec.Struct, frozen=True, array_like=True):
+    """Limit on requests that a backend server stated.
+
+    Attributes:
+        requests_per_s: Rate of requests that it accepts from all entries together.
+        index: Index of the log entry that set the limit.
+    """
+
+    requests_per_s: float
+    index: int
+
+
 class BackendItem(msgspec.Struct, frozen=True, array_like=True):
     """`backend/<name>`: a backend server.
 
@@ -105,6 +117,7 @@
         models: Models that it reports as loaded and that are not being unloaded.
         adapters: Adapters that it reports as loaded.
         max_running_count: Most requests that it runs at once.
+        limit: The limit on requests that it stated, if any.
     """
 
     name: BackendName
@@ -117,6 +130,7 @@
     models: tuple[ModelName, ...]
     adapters: tuple[str, ...]
     max_running_count: int
+    limit: BackendLimit | None = None
 
 
 class SuspectItem(msgspec.Struct, frozen=True, array_like=True):
