Move models in demand away from engines that stated a limit

What callers would have seen: with a limit kept, requests for a model whose only copy is at a limited engine are refused, while other engines hold models that hardly anyone requests. The limit takes a few requests of that engine, callers lost all of those models.

Cause: placement counted a copy at a limited engine as a whole copy, and added further copies only where prompts wait at every engine with the model. At a limited engine none wait.

A copy at a limited engine now counts as a quarter of one, in the gain of a further copy and in the value of the copy itself; an engine that stated a limit counts as saturated, and further copies go to others. Models with little demand take the room at the limited engines.

--- a/cassiapitch/eviction.py
+++ b/cassiapitch/eviction.py
@@ -5,7 +5,7 @@
 from cassiapitch.backends import Incarnation
 from cassiapitch.orders import is_adapter_key, model_key
 from cassiapitch.placement_state import PlacementState
-from cassiapitch.survey import EngineState, Survey
+from cassiapitch.survey import EngineState, Survey, copy_weight
 
 # Classes of copies, in the order in which they are unloaded:
 # orphan: copies that cannot serve (late loads, adapters without their model);
@@ -119,7 +119,9 @@
             if victim_class is None:
                 continue
             if self._is_ranked_by_value(role):
-                if not self._may_displace(victim, key, max_class, is_first=is_first):
+                if not self._may_displace(
+                    engine.incarnation, victim, key, max_class, is_first=is_first
+                ):
                     continue
             elif victim_class > max_class and not self._is_worth_less(
                 victim_class, victim, key
@@ -172,7 +174,7 @@
                         ranked.append(
                             (
                                 victim_class,
-                                self._value(key),
+                                self._value(engine.incarnation, key),
                                 engine.incarnation.life_id,
                                 key,
                             )
@@ -233,9 +235,14 @@
         item = self._state.fleet.catalog.roles.get(role)
         return item is not None and item.fills_memory
 
-    def _value(self, key: str) -> float:
-        """Returns the demand per copy; copies with the least are unloaded first."""
-        return self._rate(key) / max(1, len(self._survey.copies.get(key, ())))
+    def _value(self, incarnation: Incarnation, key: str) -> float:
+        """Returns the demand that a copy serves; those with the least go first."""
+        weight = copy_weight(incarnation)
+        return self._rate(key) * weight / max(weight, self._serving_weight(key))
+
+    def _serving_weight(self, key: str) -> float:
+        """Returns the copies that serve a key, by what they can serve."""
+        return sum(map(copy_weight, self._survey.copies.get(key, ())))
 
     def _rate(self, key: str) -> float:
         """Returns the demand for a model, blended with the mean while data is scarce.
@@ -266,7 +273,13 @@
         return self._mean_rates[role]
 
     def _may_displace(
-        self, victim: str, key: str, max_class: int, *, is_first: bool
+        self,
+        incarnation: Incarnation,
+        victim: str,
+        key: str,
+        max_class: int,
+        *,
+        is_first: bool,
     ) -> bool:
         """Tells whether a copy is worth less than the one that needs its memory.
 
@@ -282,23 +295,26 @@
             return False
         rate = self._rate(key)
         if is_first:
-            return self._value(victim) < GAIN_RATIO * rate
+            return self._value(incarnation, victim) < GAIN_RATIO * rate
         if not self._is_saturated(key):
             return False
-        copies_count = len(self._survey.copies.get(key, ()))
+        copies_count = self._serving_weight(key)
         ratio = ONLY_COPY_RATIO if is_only else GAIN_RATIO
-        return ratio * self._value(victim) < rate / (copies_count + 1)
+        return ratio * self._value(incarnation, victim) < rate / (copies_count + 1)
 
     def _is_saturated(self, key: str) -> bool:
-        """Tells whether prompts wait at every engine that holds a model.
+        """Tells whether no engine that holds a model takes requests as they come.
 
-        Only then is a further copy worth a load and the memory of another model.
+        Prompts wait there, or the engine stated a limit. Only then is a further copy
+        worth a load and the memory of another model.
         """
-        backlogs = [
-            self._state.backlogs.get(incarnation.life_id, 0.0)
-            for incarnation in self._survey.copies.get(key, ())
-        ]
-        return bool(backlogs) and min(backlogs) >= SATURATED_BACKLOG_TOKENS
+        copies = self._survey.copies.get(key, ())
+        return bool(copies) and all(
+            incarnation.limit is not None
+            or self._state.backlogs.get(incarnation.life_id, 0.0)
+            >= SATURATED_BACKLOG_TOKENS
+            for incarnation in copies
+        )
 
     def _is_worth_less(self, victim_class: int, victim: str, key: str) -> bool:
         """Tells whether an only copy has much less demand than what needs its memory.
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -173,7 +173,7 @@
                 memory by demand are considered.
         """
         gain_ratios = [
-            (target_count / self._survey.copy_count(key), key)
+            (target_count / self._survey.effective_copies(key), key)
             for key, target_count in self._target_copies.items()
             if self._survey.copy_count(key) > 0
         ]
@@ -182,15 +182,24 @@
                 return
             if min_gain_ratio > GAIN_RATIO and not self._fills_memory(key):
                 continue
-            if not self._may_load_on_any(key, self._candidate_engines(key)):
+            engines = self._engines_for_further_copy(key)
+            if not self._may_load_on_any(key, engines):
                 continue
-            if key not in self._state.planned_loads and not self._try_place(key):
-                self._make_room(
-                    key, eviction.SERVED_CLASS, self._candidate_engines(key), gain_ratio
-                )
+            is_planned = key in self._state.planned_loads
+            if not is_planned and not self._try_place(key, engines):
+                self._make_room(key, eviction.SERVED_CLASS, engines, gain_ratio)
             elif key in self._state.planned_loads:
                 self._load_as_planned(key)
 
+    def _engines_for_further_copy(self, key: str) -> list[EngineState]:
+        """Returns engines for a further copy; engines with a limit only if all have.
+
+        A further copy at an engine that stated a limit on requests serves few more.
+        """
+        engines = self._candidate_engines(key)
+        unlimited = [engine for engine in engines if engine.incarnation.limit is None]
+        return unlimited or engines
+
     def place_adapters(self) -> None:
         """Spreads adapters in demand, then places first copies of other adapters.
 
--- a/cassiapitch/survey.py
+++ b/cassiapitch/survey.py
@@ -13,6 +13,9 @@
 from cassiapitch.fleet import Fleet
 from cassiapitch.orders import Order, is_adapter_key, model_key
 
+# Part of a copy that a copy at an engine with a limit on requests counts for.
+LIMITED_COPY_WEIGHT = 0.25
+
 
 @dataclasses.dataclass(slots=True)
 class EngineState:
@@ -139,6 +142,17 @@
         """Returns the number of copies that serve or are being loaded."""
         return len(self.copies.get(key, ())) + len(self.open_loads.get(key, ()))
 
+    def effective_copies(self, key: str) -> float:
+        """Returns the copies that serve or are being loaded, by what they can serve."""
+        engines = [
+            *self.copies.get(key, ()),
+            *(
+                self.engines[order.life_id].incarnation
+                for order in self.open_loads.get(key, ())
+            ),
+        ]
+        return sum(map(copy_weight, engines))
+
     def zones(self, key: str) -> set[str]:
         """Returns the zones of the copies that serve or are being loaded."""
         serving = {incarnation.zone for incarnation in self.copies.get(key, ())}
@@ -186,3 +200,8 @@
             for engine in engines
         )
         return (request_count + waiting_count) / max(1, slot_count)
+
+
+def copy_weight(incarnation: Incarnation) -> float:
+    """Returns which part of a copy one at this engine counts for."""
+    return 1.0 if incarnation.limit is None else LIMITED_COPY_WEIGHT
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -12,6 +12,7 @@
     BeginTerm,
     OrderAnswer,
     RecordAnswers,
+    RecordBackendLimit,
 )
 from cassiapitch.messages import DemandReport, InFlight, ModelDemand
 from cassiapitch.types import OrderKind, Priority, RoleKind
@@ -350,4 +351,21 @@
     assert sum(map(len, world.adapters.values())) >= 5
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_models_in_demand_move_away_from_engines_that_stated_a_limit(seed):
+    """Guards against refusals for a model whose only copy is at a limited engine,
+    while other engines hold models that hardly anyone requests."""
+    world = World()
+    world.random.seed(seed)
+    weights = (25, 18, 13, 10, 8, 6, 5, 4, 3, 3, 2, 1, 1, 1)
+    shares = {f"m{number}": weight / 100 for number, weight in enumerate(weights)}
+    simulate(shares, 15, world)
+    limited = ("e0", "e1")
+    for name in limited:
+        world._apply(RecordBackendLimit(name, f"{name}@1", 1.0, 0))
+    simulate(shares, 15, world)
+    unlimited = set().union(*(world.held[name] for name in ("e2", "e3", "e4")))
+    assert {f"m{number}" for number in range(6)} <= unlimited
+
+
 MODELS_LOADED_AT_START = {f"m{number}" for number in range(10)}
