Refuse at once what needs a permit while no leader answers

What callers saw: an entry that is cut off from the control group, with all backend servers of a role limited, kept each request until its deadline, though no permit could come. The caller had no time left for another entry.

Cause: a request without a known wait is kept, as the leader's answer usually comes within milliseconds. An entry whose asks have been unanswered for 1.5 s (an election takes less) now refuses such requests and tells callers to come back in 0.5 s, when they reach another entry. It goes on asking, so the first answer ends that.

The counter of sends to limited backend servers loses its label: names are new with each incarnation, so it grew without bound. A permit that has just expired is no longer taken for a usable one.

--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -306,6 +306,7 @@
             )
             if message is not None and self._send_to_primary is not None:
                 self._send_to_primary(message)
+            state.scheduler.refuse_without_permit(now_ms)
 
     async def _report_demand(self) -> None:
         """Reports demand to the primary member periodically, and when it is needed."""
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -343,7 +343,7 @@
         call.sent_count += 1
         metrics.SENDS.inc()
         if self._state.send_limits.is_limited(backend.life_id):
-            metrics.LIMITED_SENDS.inc(backend.name)
+            metrics.LIMITED_SENDS.inc()
         call.backends.append(backend.name)
         known_limit_index = self._state.send_limits.known_index(backend.life_id)
         await connection.send(request.method, request.target, headers, request.body)
--- a/cassiapitch/metrics.py
+++ b/cassiapitch/metrics.py
@@ -149,7 +149,6 @@
 LIMITED_SENDS = Counter(
     "cassiapitch_limited_sends",
     "Requests written to backend servers that have stated a limit",
-    ("backend",),
 )
 ATTEMPTS_FAILED = Counter(
     "cassiapitch_attempts_failed",
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -29,6 +29,8 @@
 # entry's demand report may take up to its period of 500 ms, and the leader's reply up
 # to its period of 1,000 ms.
 LOAD_TIME_WAIT_LIMIT_MS = 2_000
+# When callers retry whose requests need a permit while the leader doesn't answer.
+SILENT_LEADER_RETRY_MS = 500
 # Share of the time until its deadline that a request may wait for a permit. The rest is
 # left for the work: with longer lines a limited backend server would serve as many
 # requests, but all of them late.
@@ -248,6 +250,11 @@
         lines, usable_lives = self._permit_lines(now_ms)
         late = permit_lines.late_members(lines, usable_lives, self._send_limits, now_ms)
         waits_ms = {id(member): wait_ms for member, wait_ms in late}
+        if self._send_limits.is_leader_silent(now_ms):
+            for members in lines.values():
+                waits_ms.update(
+                    (id(member), SILENT_LEADER_RETRY_MS) for member in members
+                )
         for ticket, waiter in list(self._waiters.items()):
             slot_request = waiter.slot_request
             wait_ms = waits_ms.get(id(waiter.line_member))
--- a/cassiapitch/send_limits.py
+++ b/cassiapitch/send_limits.py
@@ -25,6 +25,9 @@
 MIN_ASK_SPACING_MS = 5
 # An ask without an answer for this long is presumed lost.
 ANSWER_TIMEOUT_MS = 400
+# An entry that the leader hasn't answered for this long refuses requests that need a
+# permit. A new leader is elected sooner, and callers may reach another entry.
+SILENCE_LIMIT_MS = 1_500
 # How long what an answer told of the waits is used.
 LINE_VALID_MS = 1_000
 # Shortest time between permits that are only wished to hear whether a limit holds.
@@ -80,6 +83,8 @@
         self._is_ask_open = False
         self._last_asked_ms = -MIN_ASK_SPACING_MS
         self._ask_again_ms: int | None = None
+        # Time of the first ask since the last answer.
+        self._unanswered_since_ms: int | None = None
 
     def has_limits(self) -> bool:
         """Returns whether any backend server has a limit that this entry knows."""
@@ -171,7 +176,11 @@
         limited = self._limited.get(life_id)
         if limited is None:
             return None
-        usable = [permit for permit in limited.permits if permit.from_ms <= now_ms]
+        usable = [
+            permit
+            for permit in limited.permits
+            if permit.from_ms <= now_ms <= permit.until_ms
+        ]
         permit = min(usable, key=lambda permit: permit.until_ms)
         limited.permits.remove(permit)
         return permit
@@ -249,7 +258,7 @@
             if life_id in waiting_counts or wish.is_exploring or limited.has_places:
                 wishes.append(wish)
         if not wishes:
-            self._ask_again_ms = None
+            self._ask_again_ms = self._unanswered_since_ms = None
             return None
         for wish in wishes:
             limited = self._limited[wish.life_id]
@@ -257,6 +266,8 @@
             limited.is_exploring = False
         self._sequence += 1
         self._asked_ms[self._sequence] = now_ms
+        if self._unanswered_since_ms is None:
+            self._unanswered_since_ms = now_ms
         self._is_ask_open = True
         self._last_asked_ms = now_ms
         self._ask_again_ms = now_ms + ANSWER_TIMEOUT_MS
@@ -269,6 +280,7 @@
         asked_ms = self._asked_ms.pop(answer.sequence, None)
         if asked_ms is None:
             return
+        self._unanswered_since_ms = None
         if answer.sequence == self._sequence:
             self._is_ask_open = False
         first_wait_ms = ASK_PERIOD_MS + HORIZON_MS
@@ -285,6 +297,11 @@
         again_ms = asked_ms + first_wait_ms - HORIZON_MS
         self._ask_again_ms = max(now_ms + MIN_ASK_SPACING_MS, again_ms)
 
+    def is_leader_silent(self, now_ms: int) -> bool:
+        """Returns whether asks have been unanswered for too long."""
+        since_ms = self._unanswered_since_ms
+        return since_ms is not None and now_ms - since_ms > SILENCE_LIMIT_MS
+
     def wake_ms(self, now_ms: int) -> int | None:
         """Returns when a permit becomes usable or the next ask is due, if ever."""
         times_ms = [
--- a/tests/test_backend_limits.py
+++ b/tests/test_backend_limits.py
@@ -158,6 +158,22 @@
     assert len(served) >= 0.9 * 2 * 4 * 5
 
 
+def test_entry_without_a_leader_refuses_at_once_what_needs_a_permit(tmp_path):
+    async def scenario(world):
+        for backend in world.backends:
+            backend.limit_per_s = LIMIT_PER_S
+        name = world.entry_names[0]
+        await world.load([name], calls_per_s=8, for_s=2)
+        world.cut(name)
+        cut_ms = timers.now_ms()
+        await world.load([name], calls_per_s=8, for_s=5, deadline_ms=4_000)
+        return [reply for reply in world.replies if reply.sent_ms > cut_ms + 2_500]
+
+    replies = play(scenario, tmp_path)
+    assert {reply.status for reply in replies} == {503}
+    assert all(reply.retry_after_s and reply.took_ms < 2_000 for reply in replies)
+
+
 def statement(requests_per_s, known_index=0, life_id="b1@1"):
     return RecordBackendLimit("b1", life_id, requests_per_s, known_index)
 
