Tell all entries of a pause that a backend server asked of one

What backend servers saw: one that answered 503 with Retry-After got no more requests from that entry, but from all others, each of which had to be refused once.

Departures already went through the leader; pauses didn't.

An entry now reports a pause at once with its demand, and the leader repeats the rest of it in each load report until it ends. A new leader doesn't know the pauses: they are short, and the next answer tells them again.

Test: one entry hears of a pause of 4 s, then four entries send 32 calls/s for 2 s.

--- a/cassiapitch/demand_counter.py
+++ b/cassiapitch/demand_counter.py
@@ -27,6 +27,7 @@
         self._counters_by_key: dict[tuple[ModelName, Priority], _Counters] = {}
         self._refused_backends: set[LifeId] = set()
         self._leaving_backends: set[LifeId] = set()
+        self._paused_until_ms: dict[LifeId, int] = {}
         self._last_report_had_content = False
 
     def count_arrival(self, model: ModelName, priority: Priority) -> None:
@@ -49,10 +50,15 @@
         """Records a backend server that announced in a response that it leaves."""
         self._leaving_backends.add(life_id)
 
+    def add_paused_backend(self, life_id: LifeId, until_ms: int) -> None:
+        """Records a pause that a backend server asked for in a response."""
+        self._paused_until_ms[life_id] = until_ms
+
     def report(
         self,
         waiting: dict[tuple[ModelName, Priority], tuple[int, int]],
         in_flight: tuple[InFlight, ...] = (),
+        now_ms: int = 0,
     ) -> DemandReport | None:
         """Returns the next report, or None if both it and the last one are empty.
 
@@ -62,6 +68,7 @@
             waiting: Maps model and priority to the number of waiting requests and
                 the longest wait in milliseconds.
             in_flight: This entry's requests at each backend server.
+            now_ms: The current time.
         """
         demands: list[ModelDemand] = []
         for key in sorted(self._counters_by_key.keys() | waiting.keys()):
@@ -83,17 +90,29 @@
         leaving_backends = tuple(sorted(self._leaving_backends))
         self._refused_backends.clear()
         self._leaving_backends.clear()
+        pauses_ms = {
+            life_id: until_ms - now_ms
+            for life_id, until_ms in self._paused_until_ms.items()
+            if until_ms > now_ms
+        }
+        self._paused_until_ms.clear()
         is_empty = (
             not demands
             and not refused_backends
             and not in_flight
             and not leaving_backends
+            and not pauses_ms
         )
         if is_empty and not self._last_report_had_content:
             return None
         self._last_report_had_content = not is_empty
         return DemandReport(
-            self._entry, tuple(demands), refused_backends, in_flight, leaving_backends
+            self._entry,
+            tuple(demands),
+            refused_backends,
+            in_flight,
+            leaving_backends,
+            pauses_ms,
         )
 
     def _counters(self, model: ModelName, priority: Priority) -> _Counters:
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -320,7 +320,9 @@
                 for key, value in self.state.scheduler.waiting().items()
                 if catalog.resolve_model(key[0]) is not None
             }
-            report = self.state.demand.report(waiting, self._unreported_in_flight())
+            report = self.state.demand.report(
+                waiting, self._unreported_in_flight(), timers.now_ms()
+            )
             if report is not None:
                 self._send_to_primary(report)
 
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -218,6 +218,8 @@
             count = counts.get(load_report_queue.life_tag(backend.life_id))
             if count is not None:
                 self.router.record_request_count(backend.life_id, count, now_ms)
+        for life_id, pause_ms in message.pauses_ms.items():
+            self.router.pause(life_id, pause_ms, now_ms)
         self._copy_expected_at_ms = {
             model: now_ms + expected_ms
             for model, expected_ms in message.expected_ms.items()
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -368,6 +368,7 @@
         """Tells the router if a response's backend server leaves or asks for a pause.
 
         The view shows a departure after the next heartbeat only, and a pause never.
+        Other entries learn of both through the leader.
         """
         now_ms = timers.now_ms()
         if backend_head.is_leaving:
@@ -379,7 +380,10 @@
                 self._state.demand.add_leaving_backend(backend.life_id)
                 self._state.demand_needed.notify_all()
         if backend_head.pause_ms:
-            self._state.router.pause(backend.life_id, backend_head.pause_ms, now_ms)
+            pause_ms = backend_head.pause_ms
+            self._state.router.pause(backend.life_id, pause_ms, now_ms)
+            self._state.demand.add_paused_backend(backend.life_id, now_ms + pause_ms)
+            self._state.demand_needed.notify_all()
 
     def _record_declined(
         self,
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -279,6 +279,7 @@
         refused_backends: Incarnations that refused connections.
         in_flight: Its requests in flight by incarnation.
         leaving_backends: Incarnations whose HTTP responses said that they are leaving.
+        pauses_ms: Rest of the pauses that incarnations asked for since the last report.
     """
 
     entry: str
@@ -286,6 +287,7 @@
     refused_backends: tuple[LifeId, ...]
     in_flight: tuple[InFlight, ...] = ()
     leaving_backends: tuple[LifeId, ...] = ()
+    pauses_ms: dict[LifeId, int] = {}
 
 
 # Link, control member to entry.
@@ -396,12 +398,14 @@
             `load_report_queue`.
         entries_count: Number of entries that reported to the leader; 0 in its first
             seconds, while it doesn't know them all.
+        pauses_ms: Rest of the pauses that incarnations asked of any entry.
     """
 
     reports: tuple[LoadReport, ...]
     expected_ms: dict[ModelName, int]
     counts: bytes = b""
     entries_count: int = 0
+    pauses_ms: dict[LifeId, int] = {}
 
 
 class LinkRefused(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -84,11 +84,12 @@
 
 
 class LimitedBackend(Backend):
-    """A plain service that states `limit_per_s` in its answers while it is set."""
+    """A plain service that states its limit, or asks for a pause, while one is set."""
 
     def __init__(self, name, work_ms=5):
         super().__init__(name, self._answer)
         self.limit_per_s = None
+        self.pause_s = None
         self.work_ms = work_ms
         self.arrivals_ms = []
         self.incarnation = 1
@@ -99,8 +100,13 @@
         headers = []
         if self.limit_per_s is not None:
             headers.append(f"Server-Limit: {self.limit_per_s}")
+        status = 200
+        if self.pause_s is not None:
+            status = 503
+            headers += ["Not-Executed: 1", f"Retry-After: {self.pause_s}"]
         await anyio.sleep(self.work_ms / 1000)
-        await stream.send(answer_bytes(request[2]["request-id"], headers=headers))
+        request_id = request[2]["request-id"]
+        await stream.send(answer_bytes(request_id, status=status, headers=headers))
 
     def count_between(self, start_ms, end_ms):
         return sum(start_ms <= arrived_ms < end_ms for arrived_ms in self.arrivals_ms)
--- a/tests/test_backend_limits.py
+++ b/tests/test_backend_limits.py
@@ -174,6 +174,22 @@
     assert all(reply.retry_after_s and reply.took_ms < 2_000 for reply in replies)
 
 
+def test_pause_that_one_entry_heard_of_binds_all_entries(tmp_path):
+    async def scenario(world):
+        paused = world.backends[0]
+        await world.load(world.entry_names, calls_per_s=32, for_s=1)
+        paused.pause_s = 4
+        await world.load(world.entry_names[:1], calls_per_s=16, for_s=1)
+        paused.pause_s = None
+        since_ms = timers.now_ms()
+        await world.load(world.entry_names, calls_per_s=32, for_s=2)
+        return paused.count_between(since_ms, since_ms + 2_000), world.replies
+
+    count, replies = play(scenario, tmp_path)
+    assert count == 0
+    assert {reply.status for reply in replies} == {200}
+
+
 def statement(requests_per_s, known_index=0, life_id="b1@1"):
     return RecordBackendLimit("b1", life_id, requests_per_s, known_index)
 
