--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -11,6 +11,7 @@
 from cassiapitch.announcements import (
     Announcement,
 )
+from cassiapitch.backend_pauses import BackendPauses
 from cassiapitch.backends import Incarnation
 from cassiapitch.demand_tracker import DemandTracker, add_known_demand
 from cassiapitch.fleet import Fleet
@@ -33,7 +34,6 @@
 )
 from cassiapitch.orders import Order, is_adapter_key
 from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState
-from cassiapitch.types import LifeId
 
 PLACEMENT_ROUND_MS = 1_000
 
@@ -159,8 +159,7 @@
         # Incarnations whose HTTP responses said that they are leaving, with the time of
         # the first report. It overrides their heartbeats.
         self._leaving_since_ms: dict[str, int] = {}
-        # End of the pauses that incarnations asked for in responses to any entry.
-        self._paused_until_ms: dict[LifeId, int] = {}
+        self._pauses = BackendPauses()
         self._ignored_until_ms: dict[str, int] = {}
         self._pending_answers: list[OrderAnswer] = []
         # By order id.
@@ -226,9 +225,7 @@
         self._in_flight[report.entry] = (in_flight_by_life_id, now_ms)
         for life_id in report.leaving_backends:
             self._leaving_since_ms.setdefault(life_id, now_ms)
-        for life_id, pause_ms in report.pauses_ms.items():
-            until_ms = self._paused_until_ms.get(life_id, 0)
-            self._paused_until_ms[life_id] = max(until_ms, now_ms + pause_ms)
+        self._pauses.add(report.pauses_ms, now_ms)
         for life_id in report.refused_backends:
             self._refusals_ms.setdefault(life_id, {})[report.entry] = now_ms
 
@@ -278,15 +275,7 @@
         expected_ms = placement_state.expected_ms(self.placement, now_ms)
         are_entries_known = now_ms - self._term_start_ms >= ENTRIES_REPORTED_MS
         entries_count = len(self._in_flight) if are_entries_known else 0
-        self._paused_until_ms = {
-            life_id: until_ms
-            for life_id, until_ms in self._paused_until_ms.items()
-            if until_ms > now_ms
-        }
-        pauses_ms = {
-            life_id: until_ms - now_ms
-            for life_id, until_ms in self._paused_until_ms.items()
-        }
+        pauses_ms = self._pauses.remaining_ms(now_ms)
         return LoadReports(reports, expected_ms, counts, entries_count, pauses_ms)
 
     def commands(self, now_ms: int) -> list[Command]:
--- a/cassiapitch/fleet.py
+++ b/cassiapitch/fleet.py
@@ -414,8 +414,8 @@
         in_flight_count = self.loads_in_flight_count(adapters=is_adapter)
         if is_from_store and in_flight_count >= limit_count:
             return "the weight store's limit is reached"
-        if is_adapter and not self._is_usable(
-            incarnation, model_key(self.catalog.model_of(new_order.item) or "")
+        if is_adapter and not incarnation.ledger.is_usable(
+            model_key(self.catalog.model_of(new_order.item) or "")
         ):
             return "its model is not loaded"
         if is_adapter and not self.has_free_adapter_slot(incarnation):
@@ -433,10 +433,7 @@
         role = self.catalog.roles.get(incarnation.role)
         if role is None or not role.adapter_places_count:
             return None
-        adapter_keys = [
-            key for key in incarnation.ledger.charged_keys() if is_adapter_key(key)
-        ]
-        return role.adapter_places_count - len(adapter_keys)
+        return role.adapter_places_count - incarnation.ledger.adapters_count()
 
     def has_free_adapter_slot(self, incarnation: Incarnation) -> bool:
         """Returns whether an engine has a free adapter slot."""
@@ -478,12 +475,6 @@
             self._open_orders.pop(answer.order_id, None)
         self._update_derived(incarnation)
 
-    def _is_usable(self, incarnation: Incarnation, key: str) -> bool:
-        if key not in incarnation.ledger.reported:
-            return False
-        order = incarnation.ledger.open_order(key)
-        return order is None or order.is_load()
-
     def _update_derived(self, incarnation: Incarnation) -> None:
         """Recomputes the charged memory and the view item of an incarnation."""
         capacity_mib = self.capacity_mib(incarnation)
--- a/cassiapitch/orders.py
+++ b/cassiapitch/orders.py
@@ -142,6 +142,13 @@
                 return order
         return None
 
+    def is_usable(self, key: str) -> bool:
+        """Returns whether a model or adapter is loaded and not being unloaded."""
+        if key not in self.reported:
+            return False
+        order = self.open_order(key)
+        return order is None or order.is_load()
+
     def late_mib(self, key: str) -> int:
         """Returns the memory that late attempts of a key's settled loads may occupy."""
         return max((load.memory_mib for load in self.late.get(key, ())), default=0)
@@ -169,6 +176,10 @@
         loading = {order.key for order in self.orders.values() if order.is_load()}
         return self.reported.keys() | self.late.keys() | loading
 
+    def adapters_count(self) -> int:
+        """Returns the number of adapters that are charged."""
+        return sum(map(is_adapter_key, self.charged_keys()))
+
     def apply_report(
         self,
         reported: dict[str, int],
