--- a/tests/test_backend_limits.py
+++ b/tests/test_backend_limits.py
@@ -179,8 +179,12 @@
         paused = world.backends[0]
         await world.load(world.entry_names, calls_per_s=32, for_s=1)
         paused.pause_s = 4
-        await world.load(world.entry_names[:1], calls_per_s=16, for_s=1)
+        name = world.entry_names[0]
+        router = world.entries[name].state.router
+        while not router.remaining_pause_ms("b0@1", timers.now_ms()):
+            await world.call(name)
         paused.pause_s = None
+        await anyio.sleep(1)
         since_ms = timers.now_ms()
         await world.load(world.entry_names, calls_per_s=32, for_s=2)
         return paused.count_between(since_ms, since_ms + 2_000), world.replies
