--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -192,6 +192,7 @@
             self.state,
             self.hub,
             self._rate_grant_service,
+            self._permit_service,
             timers.now_ms(),
         )
 
--- a/cassiapitch/dump.py
+++ b/cassiapitch/dump.py
@@ -13,6 +13,7 @@
 from cassiapitch.group import ControlGroup
 from cassiapitch.hub import Hub
 from cassiapitch.leader_tasks import RateGrantService
+from cassiapitch.permit_service import PermitService
 from cassiapitch.replicated import ReplicatedState
 
 
@@ -45,6 +46,7 @@
     state: ReplicatedState,
     hub: Hub,
     rate_grant_service: RateGrantService,
+    permit_service: PermitService,
     now_ms: int,
 ) -> dict[str, Any]:
     """Returns the whole state of this member; of keys, only their counts."""
@@ -93,6 +95,7 @@
             },
         },
         "rates": rate_grant_service.describe(),
+        "permits": permit_service.describe(),
     }
 
 
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -132,7 +132,7 @@
 
     def __init__(self, tasks, folder, entries_count, backends_count, seed=1):
         self.tasks, self.folder = tasks, folder
-        self.rng = random.Random(seed)
+        self.seed, self.rng = seed, random.Random(seed)
         self.replies = []
         self.request_number = 0
         ports = iter(reserve_ports(6 + 3 * entries_count))
@@ -151,6 +151,7 @@
         }
         self.backends = [LimitedBackend(f"b{n}") for n in range(backends_count)]
         self.nodes, self.entries, self.scopes = {}, {}, {}
+        self.stops, self.ended = {}, {}
         self.announced_count = 0
 
     async def start(self):
@@ -182,7 +183,8 @@
             initial_members=self.peers,
             load_period_ms=300,
         )
-        node = ControlNode(settings, control.make_parts(settings), anyio.Event())
+        stop = self.stops[peer.name] = anyio.Event()
+        node = ControlNode(settings, control.make_parts(settings), stop)
         self.nodes[peer.name] = node
         self._start(peer.name, node.run)
 
@@ -211,10 +213,12 @@
 
     def _start(self, name, run):
         scope = self.scopes[name] = anyio.CancelScope()
+        ended = self.ended[name] = anyio.Event()
 
         async def run_in_scope():
             with scope:
                 await run()
+            ended.set()
 
         self.tasks.start_soon(run_in_scope)
 
@@ -225,6 +229,12 @@
         self.entries.pop(name, None)
         await anyio.sleep(0.05)
 
+    async def stop_member(self, name):
+        """Stops a control member as planned and returns once it has ended."""
+        del self.nodes[name]
+        self.stops[name].set()
+        await self.ended[name].wait()
+
     def cut(self, name):
         """Cuts an entry off from all control members."""
         for relay in self.relays[name].values():
@@ -362,3 +372,50 @@
         return result
 
     return anyio.run(main)
+
+
+class KeptCaller:
+    """A caller that uses one connection until it ends, then connects elsewhere."""
+
+    def __init__(self, world, number):
+        self.world, self.number = world, number
+        self.rng = random.Random(f"{world.seed}-{number}")
+
+    async def run(self):
+        while True:
+            await self._use_one_connection(self.rng.choice(sorted(self.world.entries)))
+            await anyio.sleep(0.02)
+
+    async def _use_one_connection(self, name):
+        port = self.world.entries[name].caller_server.port
+        try:
+            reader, writer = await asyncio.open_connection(LOOPBACK, port)
+        except OSError:
+            return
+        try:
+            while await self._exchange(name, reader, writer):  # noqa: ASYNC110
+                await anyio.sleep(self.rng.uniform(0, 0.2))
+        finally:
+            writer.close()
+
+    async def _exchange(self, name, reader, writer):
+        self.world.request_number += 1
+        sent_ms = timers.now_ms()
+        head = (
+            "POST /x HTTP/1.1\r\n"
+            f"Host: {HOST}\r\n"
+            f"Request-Id: q{self.world.request_number}\r\n"
+            "Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+        )
+        status = 0
+        try:
+            writer.write(head.encode())
+            response_head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            length = response_head.split(b"content-length:")[1].split(b"\r\n")[0]
+            await reader.readexactly(int(length))
+            status = int(response_head.split()[1])
+        except (OSError, asyncio.IncompleteReadError):
+            response_head = b"connection: close"
+        took_ms = timers.now_ms() - sent_ms
+        self.world.replies.append(Reply(name, sent_ms, took_ms, status, None))
+        return b"connection: close" not in response_head
