Name queues, probes and requests of permits by the field's terms

No behaviour changes. Lines, places, wishes and exploring become queues, positions, requests and probes in the modules about limits, as a first reader of the diff would look for them.

--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -302,7 +302,7 @@
             now_ms = timers.now_ms()
             state.scheduler.dispatch_waiting()
             message = state.send_limits.ask(
-                state.scheduler.permit_wishes(now_ms), now_ms
+                state.scheduler.waiting_for_permits(now_ms), now_ms
             )
             if message is not None and self._send_to_primary is not None:
                 self._send_to_primary(message)
--- a/cassiapitch/limit_messages.py
+++ b/cassiapitch/limit_messages.py
@@ -16,7 +16,7 @@
 # How long a permit may be used. An entry that sent the request later, for instance
 # after a suspend, would exceed the limit together with the requests of later permits.
 PERMIT_LIFE_MS = 500
-# An entry with requests in a line asks at least this often.
+# An entry with requests in a queue asks at least this often.
 ASK_PERIOD_MS = 200
 
 
@@ -43,7 +43,7 @@
     index: int | None
 
 
-class PermitWish(msgspec.Struct, frozen=True, array_like=True):
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
     """Permits that an entry needs for one incarnation.
 
     Attributes:
@@ -51,14 +51,14 @@
         life_id: Its incarnation.
         waiting_count: Requests that wait for a permit. Replaces the number of the
             entry's last ask.
-        is_exploring: Whether the entry also wants a permit that no other entry needs,
+        is_probe: Whether the entry also wants a permit that no other entry needs,
             to hear whether the limit still holds.
     """
 
     name: BackendName
     life_id: LifeId
     waiting_count: int
-    is_exploring: bool
+    is_probe: bool
 
 
 class PermitAsk(msgspec.Struct, frozen=True, array_like=True):
@@ -68,13 +68,13 @@
         entry: Name of the entry.
         life_id: Run of the entry.
         sequence: Number of this ask; the answer carries the same one.
-        wishes: One for each incarnation.
+        requests: One for each incarnation.
     """
 
     entry: str
     life_id: str
     sequence: int
-    wishes: tuple[PermitWish, ...]
+    requests: tuple[PermitRequest, ...]
 
 
 class Permits(msgspec.Struct, frozen=True, array_like=True):
--- a/cassiapitch/permit_service.py
+++ b/cassiapitch/permit_service.py
@@ -40,20 +40,20 @@
         if self._schedule is None or self._schedule.term != term:
             self._schedule = permit_schedule.start(term, now_ms)
         limits = {
-            wish.life_id: self._find_limit(wish.name, wish.life_id)
-            for wish in ask.wishes
+            request.life_id: self._find_limit(request.name, request.life_id)
+            for request in ask.requests
         }
         answer = permit_schedule.answer(self._schedule, ask, limits, now_ms)
         reply(RelayedPermits(ask.entry, ask.life_id, answer))
 
     def describe(self) -> dict[str, Any]:
-        """Returns the lines at limited backend servers for the dump."""
+        """Returns the queues at limited backend servers for the dump."""
         if self._schedule is None:
             return {}
         return {
             life_id: {
-                "next_free_in_ms": int(line.next_free_ms) - self._now_ms(),
-                "waiting_count": len(line.places),
+                "next_free_in_ms": int(queue.next_free_ms) - self._now_ms(),
+                "waiting_count": len(queue.queued),
             }
-            for life_id, line in self._schedule.lines.items()
+            for life_id, queue in self._schedule.queues.items()
         }
--- a/cassiapitch/scheduler.py
+++ b/cassiapitch/scheduler.py
@@ -11,12 +11,12 @@
 
 import anyio
 
-from cassiapitch import permit_lines, timers
+from cassiapitch import permit_queues, timers
 from cassiapitch.affinity import NO_SHARED_PREFIX, SharedPrefix
 from cassiapitch.crash_tracker import CrashTracker
 from cassiapitch.error_kinds import ErrorKind
 from cassiapitch.fairness import FairQueue, Ticket
-from cassiapitch.permit_lines import LineMember
+from cassiapitch.permit_queues import QueuedRequest
 from cassiapitch.prefill import is_first_token_in_time
 from cassiapitch.routing import Router
 from cassiapitch.send_limits import Permit, SendLimits
@@ -32,7 +32,7 @@
 # When callers retry whose requests need a permit while the leader doesn't answer.
 SILENT_LEADER_RETRY_MS = 500
 # Share of the time until its deadline that a request may wait for a permit. The rest is
-# left for the work: with longer lines a limited backend server would serve as many
+# left for the work: with longer queues a limited backend server would serve as many
 # requests, but all of them late.
 PERMIT_WAIT_SHARE = 0.5
 
@@ -135,7 +135,7 @@
     slot_request: SlotRequest
     ticket: Ticket
     done: anyio.Event
-    line_member: LineMember
+    queued_request: QueuedRequest
     result: Slot | NoSlot | None = None
 
 
@@ -181,7 +181,7 @@
             queue = self._queues[slot_request.queue] = FairQueue(self._policy)
         refusal = self._early_refusal(slot_request, now_ms)
         if self._send_limits.has_limits():
-            self._explore(slot_request, now_ms)
+            self._request_probes(slot_request, now_ms)
         if refusal is None and not len(queue):
             slot = self._try_assign(slot_request, now_ms)
             if slot is not None:
@@ -240,43 +240,45 @@
             totals[key] = (count + 1, wait_ms)
         return totals
 
-    def permit_wishes(self, now_ms: int) -> dict[LifeId, int]:
+    def waiting_for_permits(self, now_ms: int) -> dict[LifeId, int]:
         """Returns how many waiting requests need a permit, by limited incarnation."""
-        lines, _ = self._permit_lines(now_ms)
-        return {life_id: len(members) for life_id, members in lines.items()}
+        queues, _ = self._permit_queues(now_ms)
+        return {life_id: len(requests) for life_id, requests in queues.items()}
 
     def refuse_without_permit(self, now_ms: int) -> None:
         """Refuses waiting requests that can't get a permit before their deadline."""
-        lines, usable_lives = self._permit_lines(now_ms)
-        late = permit_lines.late_members(lines, usable_lives, self._send_limits, now_ms)
-        waits_ms = {id(member): wait_ms for member, wait_ms in late}
+        queues, usable_lives = self._permit_queues(now_ms)
+        late = permit_queues.late_requests(
+            queues, usable_lives, self._send_limits, now_ms
+        )
+        waits_ms = {id(request): wait_ms for request, wait_ms in late}
         if self._send_limits.is_leader_silent(now_ms):
-            for members in lines.values():
+            for requests in queues.values():
                 waits_ms.update(
-                    (id(member), SILENT_LEADER_RETRY_MS) for member in members
+                    (id(request), SILENT_LEADER_RETRY_MS) for request in requests
                 )
         for ticket, waiter in list(self._waiters.items()):
             slot_request = waiter.slot_request
-            wait_ms = waits_ms.get(id(waiter.line_member))
+            wait_ms = waits_ms.get(id(waiter.queued_request))
             if wait_ms is not None and self._needs_permit(slot_request, now_ms):
                 queue = self._queues[slot_request.queue]
                 self._finish(queue, ticket, NoSlot(ErrorKind.OVERLOADED, wait_ms))
 
-    def _permit_lines(
+    def _permit_queues(
         self, now_ms: int
-    ) -> tuple[permit_lines.Lines, permit_lines.UsableLives]:
-        """Returns the lines for permits, and which of them each request may use."""
-        lives_by_member = {
-            id(waiter.line_member): self._limited_lives(waiter.slot_request, now_ms)
+    ) -> tuple[permit_queues.PermitQueues, permit_queues.UsableLives]:
+        """Returns the queues for permits, and which of them each request may use."""
+        lives_by_request = {
+            id(waiter.queued_request): self._limited_lives(waiter.slot_request, now_ms)
             for waiter in self._waiters.values()
         }
 
-        def usable_lives(member: LineMember) -> list[LifeId]:
-            return lives_by_member[id(member)]
+        def usable_lives(request: QueuedRequest) -> list[LifeId]:
+            return lives_by_request[id(request)]
 
-        members = [waiter.line_member for waiter in self._waiters.values()]
-        lines = permit_lines.assign(members, usable_lives, self._send_limits, now_ms)
-        return lines, usable_lives
+        requests = [waiter.queued_request for waiter in self._waiters.values()]
+        queues = permit_queues.assign(requests, usable_lives, self._send_limits, now_ms)
+        return queues, usable_lives
 
     def _limited_lives(self, slot_request: SlotRequest, now_ms: int) -> list[LifeId]:
         """Returns the limited incarnations that could run a request now."""
@@ -295,12 +297,12 @@
             if not self._router.is_leaving(backend.life_id)
         )
 
-    def _explore(self, slot_request: SlotRequest, now_ms: int) -> None:
+    def _request_probes(self, slot_request: SlotRequest, now_ms: int) -> None:
         life_ids = [
             backend.life_id
             for backend in self._allowed_candidates(slot_request, now_ms)
         ]
-        if self._send_limits.explore(life_ids, now_ms):
+        if self._send_limits.request_probes(life_ids, now_ms):
             self._on_permits_needed()
 
     async def _wait_for_slot(
@@ -323,7 +325,7 @@
             slot_request,
             ticket,
             anyio.Event(),
-            _line_member(slot_request, now_ms),
+            _queued_request(slot_request, now_ms),
         )
         self._waiters[ticket] = waiter
         self._on_request_queued()
@@ -492,6 +494,6 @@
         return None if since_ms is None else max(1_000, now_ms - since_ms)
 
 
-def _line_member(slot_request: SlotRequest, now_ms: int) -> LineMember:
+def _queued_request(slot_request: SlotRequest, now_ms: int) -> QueuedRequest:
     latest_ms = now_ms + int(PERMIT_WAIT_SHARE * (slot_request.deadline_ms - now_ms))
-    return LineMember(latest_ms, slot_request.deadline_ms)
+    return QueuedRequest(latest_ms, slot_request.deadline_ms)
--- a/cassiapitch/send_limits.py
+++ b/cassiapitch/send_limits.py
@@ -15,8 +15,8 @@
     PERMIT_LIFE_MS,
     PermitAnswer,
     PermitAsk,
+    PermitRequest,
     Permits,
-    PermitWish,
 )
 from cassiapitch.types import LifeId
 from cassiapitch.viewitems import BackendItem, BackendLimit
@@ -29,9 +29,9 @@
 # permit. A new leader is elected sooner, and callers may reach another entry.
 SILENCE_LIMIT_MS = 1_500
 # How long what an answer told of the waits is used.
-LINE_VALID_MS = 1_000
-# Shortest time between permits that are only wished to hear whether a limit holds.
-EXPLORE_PERIOD_MS = 500
+ESTIMATE_VALID_MS = 1_000
+# Shortest time between probes, which only serve to hear whether a limit holds.
+PROBE_PERIOD_MS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,11 +52,11 @@
         heard_per_s: Limit that it stated to this entry, until the view shows it.
         heard_until_index: Index of the view that shows it; None if not known yet.
         permits: Unused permits, by the time from which they may be used.
-        has_places: Whether the leader may hold places in the line for this entry.
-        line: What the leader last told of the waits; None before its first answer.
-        line_as_of_ms: Time of the ask that it answered.
-        explore_due_ms: When a permit may be wished for without a waiting request.
-        is_exploring: Whether such a permit is wished for.
+        has_queued: Whether the leader may have requests of this entry in its queue.
+        estimate: What the leader last told of the waits; None before its first answer.
+        estimate_as_of_ms: Time of the ask that it answered.
+        probe_due_ms: When a permit may be requested without a waiting request.
+        needs_probe: Whether such a permit is to be requested.
     """
 
     name: str
@@ -64,11 +64,11 @@
     heard_per_s: float | None = None
     heard_until_index: int | None = None
     permits: list[Permit] = dataclasses.field(default_factory=list)
-    has_places: bool = False
-    line: Permits | None = None
-    line_as_of_ms: int = 0
-    explore_due_ms: int = 0
-    is_exploring: bool = False
+    has_queued: bool = False
+    estimate: Permits | None = None
+    estimate_as_of_ms: int = 0
+    probe_due_ms: int = 0
+    needs_probe: bool = False
 
 
 class SendLimits:
@@ -185,22 +185,22 @@
         limited.permits.remove(permit)
         return permit
 
-    def explore(self, life_ids: Iterable[LifeId], now_ms: int) -> bool:
-        """Wishes for a permit at limited incarnations that could serve a request.
+    def request_probes(self, life_ids: Iterable[LifeId], now_ms: int) -> bool:
+        """Requests probes of limited incarnations that could serve a request.
 
         While other backend servers have room no request waits for a permit, and
         without requests the end of a limit would not be heard.
 
         Returns:
-            Whether there is a new wish.
+            Whether a probe is to be requested now.
         """
-        has_new_wish = False
+        is_needed = False
         for life_id in life_ids:
             limited = self._limited.get(life_id)
-            if limited is not None and now_ms >= limited.explore_due_ms:
-                limited.explore_due_ms = now_ms + EXPLORE_PERIOD_MS
-                limited.is_exploring = has_new_wish = True
-        return has_new_wish
+            if limited is not None and now_ms >= limited.probe_due_ms:
+                limited.probe_due_ms = now_ms + PROBE_PERIOD_MS
+                limited.needs_probe = is_needed = True
+        return is_needed
 
     def expected_wait_ms(
         self, life_id: LifeId, position: int, now_ms: int
@@ -216,25 +216,25 @@
             The time in milliseconds; None if the leader hasn't told lately.
         """
         limited = self._limited[life_id]
-        line, as_of_ms = limited.line, limited.line_as_of_ms
-        if line is None or now_ms - as_of_ms > LINE_VALID_MS:
+        estimate, as_of_ms = limited.estimate, limited.estimate_as_of_ms
+        if estimate is None or now_ms - as_of_ms > ESTIMATE_VALID_MS:
             return None
         permits = sorted(permit.from_ms for permit in limited.permits)
         if position < len(permits):
             return max(0, permits[position] - now_ms)
         position -= len(permits)
-        if position < len(line.waits_ms):
-            wait_ms = line.waits_ms[position]
+        if position < len(estimate.waits_ms):
+            wait_ms = estimate.waits_ms[position]
         else:
             # Requests of other entries may come in between, so it is at least this.
-            further_count = position - len(line.waits_ms)
-            wait_ms = line.next_wait_ms + further_count * line.spacing_ms
+            further_count = position - len(estimate.waits_ms)
+            wait_ms = estimate.next_wait_ms + further_count * estimate.spacing_ms
         return max(0, as_of_ms + wait_ms - now_ms)
 
     def spacing_ms(self, life_id: LifeId) -> int:
         """Returns the time between two requests that a limit allows, 0 if unknown."""
-        line = self._limited[life_id].line
-        return 0 if line is None else line.spacing_ms
+        estimate = self._limited[life_id].estimate
+        return 0 if estimate is None else estimate.spacing_ms
 
     def ask(
         self, waiting_counts: Mapping[LifeId, int], now_ms: int
@@ -243,27 +243,27 @@
 
         Args:
             waiting_counts: Requests that wait for a permit, by incarnation; 0 for one
-                whose line is only of interest.
+                whose queue is only of interest.
             now_ms: The current time.
         """
         self._drop_expired(now_ms)
         if self._is_ask_open and now_ms - self._last_asked_ms < ANSWER_TIMEOUT_MS:
             return None
-        wishes = []
+        requests = []
         for life_id, limited in self._limited.items():
             waiting_count = waiting_counts.get(life_id, 0) - len(limited.permits)
-            wish = PermitWish(
-                limited.name, life_id, max(0, waiting_count), limited.is_exploring
+            request = PermitRequest(
+                limited.name, life_id, max(0, waiting_count), limited.needs_probe
             )
-            if life_id in waiting_counts or wish.is_exploring or limited.has_places:
-                wishes.append(wish)
-        if not wishes:
+            if life_id in waiting_counts or request.is_probe or limited.has_queued:
+                requests.append(request)
+        if not requests:
             self._ask_again_ms = self._unanswered_since_ms = None
             return None
-        for wish in wishes:
-            limited = self._limited[wish.life_id]
-            limited.has_places = wish.waiting_count > 0
-            limited.is_exploring = False
+        for request in requests:
+            limited = self._limited[request.life_id]
+            limited.has_queued = request.waiting_count > 0
+            limited.needs_probe = False
         self._sequence += 1
         self._asked_ms[self._sequence] = now_ms
         if self._unanswered_since_ms is None:
@@ -272,7 +272,7 @@
         self._last_asked_ms = now_ms
         self._ask_again_ms = now_ms + ANSWER_TIMEOUT_MS
         return PermitAsk(
-            self._entry, self._entry_life_id, self._sequence, tuple(wishes)
+            self._entry, self._entry_life_id, self._sequence, tuple(requests)
         )
 
     def receive(self, answer: PermitAnswer, now_ms: int) -> None:
@@ -292,7 +292,7 @@
                 Permit(asked_ms + delay_ms, asked_ms + delay_ms + PERMIT_LIFE_MS)
                 for delay_ms in item.delays_ms
             ]
-            limited.line, limited.line_as_of_ms = item, asked_ms
+            limited.estimate, limited.estimate_as_of_ms = item, asked_ms
             first_wait_ms = min((first_wait_ms, *item.waits_ms))
         again_ms = asked_ms + first_wait_ms - HORIZON_MS
         self._ask_again_ms = max(now_ms + MIN_ASK_SPACING_MS, again_ms)
--- a/tests/test_permit_schedule.py
+++ b/tests/test_permit_schedule.py
@@ -10,7 +10,7 @@
     HORIZON_MS,
     PERMIT_LIFE_MS,
     PermitAsk,
-    PermitWish,
+    PermitRequest,
 )
 from cassiapitch.viewitems import BackendLimit
 
@@ -19,9 +19,9 @@
 OPEN_MS = START_MS + HORIZON_MS + PERMIT_LIFE_MS
 
 
-def ask(schedule, now_ms, waiting=0, *, entry="e1", exploring=False, per_s=2.0):
-    wish = PermitWish("b1", "b1@1", waiting, exploring)
-    message = PermitAsk(entry, "run", 1, (wish,))
+def ask(schedule, now_ms, waiting=0, *, entry="e1", probe=False, per_s=2.0):
+    request = PermitRequest("b1", "b1@1", waiting, probe)
+    message = PermitAsk(entry, "run", 1, (request,))
     limits = {"b1@1": None if per_s is None else BackendLimit(per_s, 1)}
     permits = permit_schedule.answer(schedule, message, limits, now_ms).permits
     return permits[0] if permits else None
@@ -60,12 +60,12 @@
     assert ask(schedule, OPEN_MS + 800, 1, entry="e2").delays_ms == (0,)
 
 
-def test_exploring_request_takes_no_time_that_others_need():
+def test_probe_request_takes_no_time_that_others_need():
     schedule = permit_schedule.start(1, START_MS)
-    assert ask(schedule, OPEN_MS, exploring=True).delays_ms == ()
-    assert ask(schedule, OPEN_MS + 499, exploring=True).delays_ms == ()
-    assert ask(schedule, OPEN_MS + 500, exploring=True).delays_ms == (0,)
-    assert ask(schedule, OPEN_MS + 500, exploring=True).delays_ms == ()
+    assert ask(schedule, OPEN_MS, probe=True).delays_ms == ()
+    assert ask(schedule, OPEN_MS + 499, probe=True).delays_ms == ()
+    assert ask(schedule, OPEN_MS + 500, probe=True).delays_ms == (0,)
+    assert ask(schedule, OPEN_MS + 500, probe=True).delays_ms == ()
     assert ask(schedule, OPEN_MS + 500, 1).delays_ms == (0,)
 
 
@@ -106,7 +106,7 @@
             now_ms,
             rng.randrange(4),
             entry=entry,
-            exploring=rng.random() < 0.3,
+            probe=rng.random() < 0.3,
             per_s=per_s,
         )
         usable += [
--- a/tests/test_permit_service.py
+++ b/tests/test_permit_service.py
@@ -2,11 +2,11 @@
 
 import types
 
-from cassiapitch.limit_messages import PermitAsk, PermitWish
+from cassiapitch.limit_messages import PermitAsk, PermitRequest
 from cassiapitch.permit_service import PermitService
 from cassiapitch.viewitems import BackendLimit
 
-ASK = PermitAsk("e1", "run", 1, (PermitWish("b1", "b1@1", 1, False),))
+ASK = PermitAsk("e1", "run", 1, (PermitRequest("b1", "b1@1", 1, False),))
 
 
 class Member:
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -1,7 +1,7 @@
 """Tests of what one entry knows of limits, and of its permits."""
 
 from cassiapitch.limit_messages import PERMIT_LIFE_MS, PermitAnswer, Permits
-from cassiapitch.send_limits import ANSWER_TIMEOUT_MS, EXPLORE_PERIOD_MS, SendLimits
+from cassiapitch.send_limits import ANSWER_TIMEOUT_MS, PROBE_PERIOD_MS, SendLimits
 from cassiapitch.viewitems import BackendItem, BackendLimit
 
 LIFE = "b1@1"
@@ -104,7 +104,7 @@
     ask = limits.ask({LIFE: 2}, NOW_MS)
     grant(limits, ask, waits_ms=(300, 800))
     last = limits.ask({}, NOW_MS + 50)
-    assert last.wishes[0].waiting_count == 0
+    assert last.requests[0].waiting_count == 0
     grant(limits, last)
     assert limits.ask({}, NOW_MS + 100) is None
 
@@ -112,15 +112,15 @@
 def test_held_permits_are_not_asked_for_again():
     limits = make_limits()
     grant(limits, limits.ask({LIFE: 2}, NOW_MS), delays_ms=(0,), waits_ms=(300,))
-    assert limits.ask({LIFE: 2}, NOW_MS + 10).wishes[0].waiting_count == 1
+    assert limits.ask({LIFE: 2}, NOW_MS + 10).requests[0].waiting_count == 1
 
 
 def test_limited_backend_server_is_explored_now_and_then():
     limits = make_limits()
-    assert limits.explore([LIFE, "b2@1"], NOW_MS)
-    assert not limits.explore([LIFE], NOW_MS + 1)
-    assert limits.ask({}, NOW_MS).wishes[0].is_exploring
-    assert limits.explore([LIFE], NOW_MS + EXPLORE_PERIOD_MS)
+    assert limits.request_probes([LIFE, "b2@1"], NOW_MS)
+    assert not limits.request_probes([LIFE], NOW_MS + 1)
+    assert limits.ask({}, NOW_MS).requests[0].is_probe
+    assert limits.request_probes([LIFE], NOW_MS + PROBE_PERIOD_MS)
 
 
 def test_expected_waits_count_permits_places_and_requests_behind_them():
