--- a/cassiapitch/forwardlog.py
+++ b/cassiapitch/forwardlog.py
@@ -17,6 +17,8 @@
         reason=reason,
         sent_count=call.sent_count,
         left_ms=call.left_ms(),
+        shared_parts=[part.part_id for part in call.head.prompt_parts[:-1]],
+        has_begun=call.first_byte_ms is not None,
     )
 
 
