--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -149,7 +149,7 @@
             }
             for name in self.entry_names
         }
-        self.backends = [LimitedBackend(f"b{n}") for n in range(backends_count)]
+        self.backends = [self.make_backend(f"b{n}") for n in range(backends_count)]
         self.nodes, self.entries, self.scopes = {}, {}, {}
         self.stops, self.ended = {}, {}
         self.announced_count = 0
@@ -158,9 +158,7 @@
         for peer in self.peers:
             self.start_member(peer)
         for backend in self.backends:
-            listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
-            backend.port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            self.tasks.start_soon(listener.serve, backend.serve)
+            await self.start_backend(backend)
         for relays in self.relays.values():
             for relay in relays.values():
                 self.tasks.start_soon(relay.run)
@@ -170,6 +168,14 @@
         self.tasks.start_soon(self._announce)
         await self.wait_until(self._are_entries_ready)
 
+    def make_backend(self, name):
+        return LimitedBackend(name)
+
+    async def start_backend(self, backend):
+        listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
+        backend.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.tasks.start_soon(listener.serve, backend.serve)
+
     def start_member(self, peer):
         folder = self.folder / peer.name
         folder.mkdir(exist_ok=True)
@@ -312,7 +318,7 @@
             for entry in self.entries.values()
         )
 
-    async def call(self, name, deadline_ms=1_500):
+    async def call(self, name, deadline_ms=1_500, headers="", body=b""):
         """Sends one request to an entry and records its reply."""
         self.request_number += 1
         entry = self.entries.get(name)
@@ -322,13 +328,13 @@
             f"Host: {HOST}\r\n"
             f"Request-Id: q{self.request_number}\r\n"
             f"Deadline-Ms: {deadline_ms}\r\n"
-            "Connection: close\r\nContent-Length: 0\r\n\r\n"
+            f"{headers}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         received = b""
         with contextlib.suppress(OSError, anyio.EndOfStream, anyio.BrokenResourceError):
             port = entry.caller_server.port
             async with await anyio.connect_tcp(LOOPBACK, port) as stream:
-                await stream.send(head.encode())
+                await stream.send(head.encode() + body)
                 while True:
                     received += await stream.receive()
         status = int(received.split()[1]) if received else 0
@@ -359,13 +365,16 @@
         ]
 
 
-def play(scenario, folder, *, entries_count=4, backends_count=2, seed=1):
+def play(
+    scenario, folder, *, entries_count=4, backends_count=2, seed=1, world_type=None
+):
     """Runs a scenario in a started world and returns its result."""
+    make_world = world_type or LimitWorld
 
     async def main():
         with anyio.fail_after(LIMIT_S):
             async with anyio.create_task_group() as tasks:
-                world = LimitWorld(tasks, folder, entries_count, backends_count, seed)
+                world = make_world(tasks, folder, entries_count, backends_count, seed)
                 await world.start()
                 result = await scenario(world)
                 tasks.cancel_scope.cancel()
