Refuse requests with a part that crashes backend servers, at all entries

Cause: a request is known again only by the digest of account, path and body.

Each entry now reports, for a crashed incarnation, the shared parts of its requests that had not begun to be answered. The control group's log keeps the crashes; a part that may have caused three and was never answered in between is refused by all entries at once. Parts that were answered are cleared by the first answer, or, if an entry remembers one, from the start; they are convicted only by crashes a second apart, so that backend servers which fail together convict nothing that works. The deepest part is convicted first and explains its crashes; other parts of the same requests stay clear. Reports are repeated until they are recorded; an entry that is cut off decides by what it saw itself. All tables are bounded.

Ruled out: retries as the only cause (6 of 16 crashes), late or lost verdicts.

--- a/cassiapitch/catalog.py
+++ b/cassiapitch/catalog.py
@@ -19,6 +19,7 @@
     BundleItem,
     KeyItem,
     ModelItem,
+    PartItem,
     RoleItem,
     RouteItem,
     SuspectItem,
@@ -184,6 +185,11 @@
         """Requests that were running when backend servers crashed, by digest."""
         return self._tables["suspect"]
 
+    @property
+    def parts(self) -> dict[str, PartItem]:
+        """Parts of prompts that may crash backend servers, by digest."""
+        return self._tables["part"]
+
     def reports_load(self, role: str) -> bool:
         """Returns whether backend servers of a role report their load."""
         item = self.roles.get(role)
@@ -266,6 +272,7 @@
         "key",
         "backend",
         "suspect",
+        "part",
         "forward",
         "limits",
     )
--- a/cassiapitch/commands.py
+++ b/cassiapitch/commands.py
@@ -13,6 +13,7 @@
     AccountName,
     ClaimState,
     LifeId,
+    PartDigest,
     RequestDigest,
     SuspectRunOutcome,
 )
@@ -147,6 +148,36 @@
     holder: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportPartCrash:
+    """Reports the parts of prompts that may have crashed an incarnation.
+
+    Attributes:
+        life_id: The incarnation that crashed.
+        requests: Shared parts, in order, of each of one entry's requests that ran
+            there and had not begun to be answered.
+        trusted: Those of the parts that the entry has seen answered before.
+    """
+
+    life_id: LifeId
+    requests: tuple[tuple[PartDigest, ...], ...]
+    trusted: tuple[PartDigest, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearParts:
+    """Reports that a request with these parts was answered to its end.
+
+    Attributes:
+        parts: The parts.
+        known_index: Index of the view that the entry knew when it sent the request;
+            0 if that isn't known.
+    """
+
+    parts: tuple[PartDigest, ...]
+    known_index: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpireRecords:
     """Removes expired records.
@@ -240,6 +271,13 @@
     outcome: SuspectRunOutcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartCrashResult:
+    """Those of the reported parts that are refused now."""
+
+    refused: tuple[PartDigest, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FloorsRecorded:
     """Floors in force; not accepted and empty if a later record was applied before."""
@@ -279,6 +317,9 @@
     ClearSuspect,
     ClaimSuspectRun,
     ReleaseSuspectRun,
+    ReportPartCrash,
+    ClearParts,
+    PartCrashResult,
     SuspectRunResult,
     RecordFloors,
     ExpireRecords,
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -27,6 +27,7 @@
     InFlight,
     LinkHello,
     LoadReports,
+    PartCrashAnswer,
     RateGrants,
     SuspectRunAnswer,
     ViewDelta,
@@ -38,7 +39,9 @@
 from cassiapitch.send_limits import MIN_ASK_SPACING_MS
 from cassiapitch.settings import EntrySettings
 
-CONTROL_ANSWERS = ClaimAnswer | CrashAnswer | SuspectRunAnswer | LimitReportAnswer
+CONTROL_ANSWERS = (
+    ClaimAnswer | CrashAnswer | SuspectRunAnswer | PartCrashAnswer | LimitReportAnswer
+)
 PRIMARY_LINK_NUMBER = 0
 TICK_MS = 100
 # Without waiting calls, the only periodic work is to return expired grants.
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -109,6 +109,8 @@
         self.demand_needed = ChangeNotifier()
         # Called with the remaining life ids when backend servers of the view change.
         self.backend_removal_callbacks: list[Callable[[set[LifeId]], None]] = []
+        # Called after each change of the view.
+        self.view_callbacks: list[Callable[[], None]] = []
         # State of the chart `shutdown`.
         self.shutdown = load_chart("shutdown").initial
         self.requests_count = 0
@@ -178,6 +180,8 @@
             for callback in self.backend_removal_callbacks:
                 callback(life_ids)
             self.scheduler.dispatch_waiting()
+        for view_callback in self.view_callbacks:
+            view_callback()
         self.confirmed.notify_all()
 
     def handle_confirmation(self, message: Confirmed) -> None:
--- a/cassiapitch/forwardanswers.py
+++ b/cassiapitch/forwardanswers.py
@@ -1,5 +1,7 @@
 """Relays responses of backend servers to callers, and sends the entry's refusals."""
 
+from collections.abc import Callable
+
 import h11
 
 from cassiapitch import timers
@@ -42,8 +44,21 @@
         is_stopping: Whether responses tell callers to close their connection.
     """
 
-    def __init__(self, header_codec: HeaderCodec, state: EntryState) -> None:
+    def __init__(
+        self,
+        header_codec: HeaderCodec,
+        state: EntryState,
+        on_answer_begun: Callable[[ForwardCall], None],
+    ) -> None:
+        """Creates a relay.
+
+        Args:
+            header_codec: Reads and writes headers.
+            state: State of the entry.
+            on_answer_begun: Called when a stream's first event of an attempt arrives.
+        """
         self._header_codec = header_codec
+        self._on_answer_begun = on_answer_begun
         self._state = state
         self.is_stopping = False
         self._response_buffer_limit = BodyBufferLimit(BUFFERED_RESPONSES_LIMIT_BYTES)
@@ -172,6 +187,7 @@
                 continue
             now_ms = timers.now_ms()
             if last_relayed_ms is None:
+                self._on_answer_begun(call)
                 self._state.router.prefill.first_byte_received(
                     slot.backend.life_id, call.request_key, now_ms
                 )
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from cassiapitch import bytestream, events, metrics, rate_budget, timers
+from cassiapitch import events, metrics, rate_budget, timers
 from cassiapitch.backend_connection import (
     BackendBrokenError,
     BackendConnection,
@@ -18,7 +18,7 @@
     CallerDisconnectedError,
     CallerRequest,
 )
-from cassiapitch.crash_containment import CrashContainment, CrashVerdict
+from cassiapitch.crash_containment import CrashContainment
 from cassiapitch.entrystate import EntryState
 from cassiapitch.error_kinds import ErrorKind
 from cassiapitch.forwardanswers import ResponseRelay
@@ -27,6 +27,7 @@
     admission_limit_ms,
     engine_rank,
 )
+from cassiapitch.forwardcrashes import ForwardCrashes
 from cassiapitch.forwardlog import log_call, log_failed_attempt, log_refused
 from cassiapitch.forwardtypes import ForwardCall, RefusedError, StreamCutError
 from cassiapitch.header_codec import (
@@ -36,6 +37,7 @@
     HeaderCodec,
 )
 from cassiapitch.limit_reports import LimitReports
+from cassiapitch.part_reports import shared_parts
 from cassiapitch.prefill import FIRST_TOKEN_LIMIT_SHARE
 from cassiapitch.retries import RequestProgress
 from cassiapitch.scheduler import NoSlot, Slot, SlotRequest
@@ -47,12 +49,12 @@
 DECLINED_RETRY_DELAY_MS = 40
 # Backend servers that end a request at the deadline respond just after it.
 DEADLINE_GRACE_MS = 60
+# Lower statuses say that the request was served.
+FIRST_ERROR_STATUS = 300
 # Responses that are not relayed are read up to these limits, so that their connection
 # can be reused.
 DISCARD_LIMIT_BYTES = 64 * 1024
 DISCARD_LIMIT_MS = 250
-# A running backend server accepts a connection within a few network round trips.
-CRASH_PROBE_MS = 400
 
 
 class Forwarder:
@@ -68,8 +70,11 @@
         self._header_codec = header_codec
         self._state = state
         self._crash_containment = crash_containment
+        self._crashes = ForwardCrashes(state, crash_containment)
         self._candidates = ForwardCandidates(state, rng)
-        self.response_relay = ResponseRelay(header_codec, state)
+        self.response_relay = ResponseRelay(
+            header_codec, state, self._crashes.answer_begun
+        )
         self._limit_reports = LimitReports(state)
         self._connections = BackendConnectionPool()
         state.backend_removal_callbacks.append(self._connections.retain_only)
@@ -133,6 +138,7 @@
             now_ms + min(left_ms, route.timeout_ms),
             last_event_id=head.last_event_id,
             request_key=self._state.next_request_id(),
+            shared_parts=shared_parts(head.prompt_parts),
         )
 
     def _is_view_usable(self, now_ms: int) -> bool:
@@ -219,6 +225,7 @@
             call.is_broken = True
 
     async def _serve(self, call: ForwardCall, caller: CallerConnection) -> None:
+        self._crashes.refuse_harmful(call)
         call.progress.step("admit")
         await self._admit(call)
         slot_request = self._candidates.make_slot_request(call)
@@ -233,6 +240,8 @@
             self._candidates.begin_prefill(call, slot)
             completed = False
             try:
+                # The part may have been refused while the request waited.
+                self._crashes.refuse_harmful(call)
                 completed = await self._attempt(call, slot, caller)
             finally:
                 prefill = self._state.router.prefill
@@ -296,6 +305,7 @@
             self._connections.release_connection(connection, idle_ms)
             call.progress.mark_not_sent()
             return False
+        self._crashes.attempt_started(call, slot)
         try:
             head, backend_head = await self._send(call, backend, connection)
             idle_ms = backend_head.idle_timeout_ms
@@ -309,13 +319,17 @@
                 is_reusable = True
                 return False
             self._candidates.record_outcome(call, slot)
+            if call.status < FIRST_ERROR_STATUS:
+                self._crashes.attempt_answered(call)
             is_reusable = True
             return True
         except BackendBrokenError as error:
             log_failed_attempt(call, backend, f"broken: {error}")
+            self._crashes.attempt_broke(call)
             await self._handle_broken(call, slot)
             return False
         finally:
+            self._crashes.attempt_ended(call)
             if is_reusable:
                 self._connections.release_connection(connection, idle_ms)
             else:
@@ -414,9 +428,9 @@
         if not call.progress.idempotent:
             # The crash is reported all the same: the caller may send the same content
             # again as another request.
-            self._state.start_background(self._report_crash, slot)
+            self._state.start_background(self._crashes.report_if_crashed, call, slot)
             raise RefusedError(ErrorKind.BACKEND_SERVER_FAILED)
-        if await self._report_crash(slot) is CrashVerdict.QUARANTINED:
+        if await self._crashes.report_if_crashed(call, slot):
             raise RefusedError(ErrorKind.REQUEST_QUARANTINED)
         if call.sent_count >= call.route.attempts_limit_count:
             raise RefusedError(ErrorKind.BACKEND_SERVER_FAILED)
@@ -424,33 +438,6 @@
         if call.progress.state == "resuming":
             call.progress.step("retry")
 
-    async def _report_crash(self, slot: Slot) -> CrashVerdict | None:
-        """Reports a backend server that accepts no connection as crashed.
-
-        Returns:
-            The verdict on the request, or None if the backend server still accepts
-            connections.
-        """
-        backend = slot.backend
-        try:
-            with anyio.fail_after(CRASH_PROBE_MS / 1000):
-                stream = await bytestream.connect(backend.ip, backend.port)
-        except (OSError, TimeoutError):
-            self._state.router.mark_unreachable(backend.life_id, timers.now_ms())
-            self._state.demand.add_refused_backend(backend.life_id)
-            verdict = await self._crash_containment.report(
-                backend, slot.slot_request.digest
-            )
-            events.log(
-                events.Event.BACKEND_CRASHED,
-                name=backend.name,
-                life_id=backend.life_id,
-                verdict=verdict.value,
-            )
-            return verdict
-        stream.abort()
-        return None
-
     async def _prepare_retry(
         self, call: ForwardCall, slot_request: SlotRequest, slot: Slot
     ) -> None:
--- a/cassiapitch/forwardtypes.py
+++ b/cassiapitch/forwardtypes.py
@@ -8,9 +8,10 @@
 from cassiapitch.error_kinds import ERROR_RESPONSES, ErrorKind, RunOutcome
 from cassiapitch.forwardroutes import ForwardRoute
 from cassiapitch.header_codec import CallerHead
+from cassiapitch.part_reports import PartRun
 from cassiapitch.rate_budget import Admitted
 from cassiapitch.retries import RequestProgress
-from cassiapitch.types import RequestDigest
+from cassiapitch.types import PartDigest, RequestDigest
 from cassiapitch.viewitems import AccountItem
 
 # From this status on, a request that may be repeated is retried elsewhere.
@@ -57,6 +58,8 @@
         longest_gap_ms: Longest pause between two pieces of a streamed response.
         admitted: What it took of its account's rate grants.
         placed_ms: When it last got a slot at a backend server.
+        shared_parts: Digests of the parts of its prompt that others may share.
+        part_run: Its current attempt, for the evidence about these parts.
     """
 
     request: CallerRequest
@@ -79,6 +82,8 @@
     longest_gap_ms: int = 0
     admitted: Admitted | None = None
     placed_ms: int | None = None
+    shared_parts: tuple[PartDigest, ...] = ()
+    part_run: PartRun | None = None
 
     def left_ms(self) -> int:
         """Returns the time until the deadline, negative after it."""
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -34,6 +34,9 @@
     LinkHello,
     LinkRefused,
     LoadReports,
+    PartCrashAnswer,
+    PartCrashReport,
+    PartsCleared,
     RateAsk,
     SuspectCleared,
     SuspectRunAnswer,
@@ -65,6 +68,8 @@
     SuspectCleared,
     SuspectRunAsk,
     SuspectRunEnded,
+    PartCrashReport,
+    PartsCleared,
     DemandReport,
     LimitReport,
     PermitAsk,
@@ -278,6 +283,8 @@
                 self._propose(link, message, _crash_answer)
             case SuspectRunAsk() | SuspectRunEnded():
                 self._propose(link, message, _suspect_run_answer)
+            case PartCrashReport() | PartsCleared():
+                self._propose(link, message, _part_crash_answer)
             case LimitReport():
                 self._propose(link, message, _limit_report_answer)
             case _:
@@ -369,6 +376,12 @@
             )
         case SuspectRunEnded():
             return commands.ReleaseSuspectRun(message.life_id, message.holder)
+        case PartCrashReport():
+            return commands.ReportPartCrash(
+                message.life_id, message.requests, message.trusted
+            )
+        case PartsCleared():
+            return commands.ClearParts(message.parts, message.known_index)
         case LimitReport():
             return RecordBackendLimit(
                 message.name,
@@ -400,6 +413,12 @@
     return SuspectRunAnswer(sequence, result.outcome)
 
 
+def _part_crash_answer(sequence: int, result: Any | None) -> PartCrashAnswer:
+    if not isinstance(result, commands.PartCrashResult):
+        return PartCrashAnswer(sequence, None)
+    return PartCrashAnswer(sequence, result.refused)
+
+
 def _limit_report_answer(sequence: int, result: Any | None) -> LimitReportAnswer:
     if not isinstance(result, LimitRecorded):
         return LimitReportAnswer(sequence, None)
--- a/cassiapitch/replicated.py
+++ b/cassiapitch/replicated.py
@@ -10,9 +10,18 @@
 import msgspec
 
 from cassiapitch import bundle as bundles
-from cassiapitch import claims, codec, commands, keys, rate_floors, suspects, view
+from cassiapitch import (
+    claims,
+    codec,
+    commands,
+    crash_evidence,
+    keys,
+    rate_floors,
+    suspects,
+    view,
+)
 from cassiapitch.exceptions import CodecError, StorageError
-from cassiapitch.types import AccountName, ModelName
+from cassiapitch.types import AccountName, ModelName, PartDigest
 from cassiapitch.viewitems import (
     AccountItem,
     AdapterItem,
@@ -75,6 +84,9 @@
     suspect_runs: tuple[suspects.RunClaim, ...]
     floors: rate_floors.Floors
     fleet: bytes
+    crashes: tuple[crash_evidence.Crash, ...] = ()
+    trusted_parts: dict[PartDigest, int] = dataclasses.field(default_factory=dict)
+    refused_parts: dict[PartDigest, int] = dataclasses.field(default_factory=dict)
 
 
 class ReplicatedState:
@@ -92,6 +104,7 @@
         self.keys = keys.Keys()
         self.claims = claims.Claims()
         self.suspects = suspects.Suspects()
+        self.crash_evidence = crash_evidence.CrashEvidence()
         self.floors = rate_floors.Floors(0, 0, {})
         self.view = view.View()
 
@@ -100,6 +113,7 @@
         self.index = index
         self.time_ms = time_ms
         changes = suspects.expire(self.suspects, time_ms)
+        changes.update(crash_evidence.expire(self.crash_evidence, time_ms))
         result, more_changes = self._apply_encoded(command, index, time_ms)
         changes.update(more_changes)
         view.apply_changes(self.view, index, changes)
@@ -152,6 +166,12 @@
                 return suspects.claim_run(self.suspects, command, time_ms)
             case commands.ReleaseSuspectRun():
                 return suspects.release_run(self.suspects, command)
+            case commands.ReportPartCrash():
+                return crash_evidence.record_crash(
+                    self.crash_evidence, command, index, time_ms
+                )
+            case commands.ClearParts():
+                return crash_evidence.clear(self.crash_evidence, command, time_ms)
             case commands.RecordFloors():
                 return rate_floors.record(self.floors, command), {}
             case commands.ExpireRecords():
@@ -213,7 +233,11 @@
 
     def _items_without_fleet(self) -> dict[str, Any]:
         """Returns the view items except those of the fleet."""
-        items: dict[str, Any] = {**self.keys.view_items(), **self.suspects.view_items()}
+        items: dict[str, Any] = {
+            **self.keys.view_items(),
+            **self.suspects.view_items(),
+            **crash_evidence.view_items(self.crash_evidence),
+        }
         if self.bundle is not None:
             items["bundle"] = _bundle_item(self.records[self.bundle.version])
             items.update(_bundle_items(self.bundle))
@@ -239,6 +263,9 @@
                 tuple(self.suspects.runs.values()),
                 self.floors,
                 self._fleet.snapshot(),
+                tuple(self.crash_evidence.crashes.values()),
+                self.crash_evidence.trusted,
+                self.crash_evidence.refused,
             )
         )
 
@@ -265,6 +292,9 @@
         )
         self.claims = claims.load(saved.claims, saved.releases)
         self.suspects = suspects.load(saved.suspects, saved.suspect_runs)
+        self.crash_evidence = crash_evidence.load(
+            saved.crashes, saved.trusted_parts, saved.refused_parts
+        )
         self.floors = saved.floors
         if saved.bundle is not None:
             self._fleet.set_bundle(saved.bundle)
@@ -275,7 +305,13 @@
 
     def has_pending_expiry(self) -> bool:
         """Returns whether there are records that `ExpireRecords` may remove."""
-        return bool(self.suspects.table or self.suspects.runs or self.claims.releases)
+        return bool(
+            self.suspects.table
+            or self.suspects.runs
+            or self.claims.releases
+            or self.crash_evidence.crashes
+            or self.crash_evidence.refused
+        )
 
 
 def _bundle_item(record: commands.BundleAccepted) -> BundleItem:
--- a/cassiapitch/viewitems.py
+++ b/cassiapitch/viewitems.py
@@ -147,6 +147,20 @@
     lives: tuple[LifeId, ...] = ()
 
 
+class PartItem(msgspec.Struct, frozen=True, array_like=True):
+    """`part/<digest>`: a part of prompts that may crash backend servers.
+
+    Attributes:
+        crash_count: Unexplained crashes that it may have caused.
+        is_refused: Whether requests with it are refused.
+        is_trusted: Whether a request with it was answered before.
+    """
+
+    crash_count: int
+    is_refused: bool
+    is_trusted: bool
+
+
 REGISTERED_TYPES = (
     BundleItem,
     ModelItem,
@@ -157,6 +171,7 @@
     KeyItem,
     BackendItem,
     SuspectItem,
+    PartItem,
     ForwardRoute,
     CallerLimits,
 )
