Clear requests that have begun to be answered of a crash

Cause: a crash was blamed on all requests on the incarnation. A backend server crashes as it begins to answer the harmful one, so those that it was answering already can't be the cause. The tracker now takes a stream out at its first event.

--- a/cassiapitch/crash_containment.py
+++ b/cassiapitch/crash_containment.py
@@ -46,9 +46,12 @@
         self._state = state
         self._reports: dict[LifeId, tuple[anyio.Event, list[bool]]] = {}
 
-    async def report(self, backend: BackendItem, digest: RequestDigest) -> CrashVerdict:
+    async def report(
+        self, backend: BackendItem, digest: RequestDigest | None
+    ) -> CrashVerdict:
         """Reports that `backend` crashed while `digest` ran on it.
 
+        The digest is None for a request that had begun to be answered, which clears it.
         Waits until the report is recorded. Only then may the request run again, so
         that the next crash counts as its second, whichever entry retries it.
         """
@@ -56,7 +59,8 @@
         digests = self._state.crash_tracker.record_crash(life_id, timers.now_ms())
         if digests is not None:
             self._reports[life_id] = (anyio.Event(), [])
-            digests = digests if digest in digests else (*digests, digest)
+            if digest is not None and digest not in digests:
+                digests = (*digests, digest)
             self._state.start_background(self._send_report, backend, digests)
         # Other requests that ran on this incarnation share its report, which may have
         # been recorded in the log already.
@@ -64,9 +68,10 @@
         await done.wait()
         if not recorded:
             return CrashVerdict.UNRECORDED
-        if self.crash_count(digest) >= QUARANTINE_CRASHES_COUNT:
-            return CrashVerdict.QUARANTINED
-        return CrashVerdict.RETRY
+        is_convicted = (
+            digest is not None and self.crash_count(digest) >= QUARANTINE_CRASHES_COUNT
+        )
+        return CrashVerdict.QUARANTINED if is_convicted else CrashVerdict.RETRY
 
     async def acquire(self, slot_request: SlotRequest, holder: str) -> Slot | NoSlot:
         """Returns a slot; for a suspect, on an incarnation that runs no other suspect.
--- a/cassiapitch/crash_tracker.py
+++ b/cassiapitch/crash_tracker.py
@@ -32,6 +32,8 @@
 
     def __init__(self) -> None:
         self._in_flight: dict[LifeId, dict[RequestDigest, int]] = {}
+        # Requests in flight that have begun to be answered.
+        self._begun: dict[LifeId, dict[RequestDigest, int]] = {}
         self._suspects_by_life: dict[LifeId, set[RequestDigest]] = {}
         self._records: dict[RequestDigest, _CrashRecord] = {}
         self._crashed_at_ms: dict[LifeId, int] = {}
@@ -45,8 +47,25 @@
         if suspect:
             self._suspects_by_life.setdefault(life_id, set()).add(digest)
 
+    def request_begun(self, life_id: LifeId, digest: RequestDigest) -> None:
+        """Clears a request of a later crash: backend servers crash as they begin it."""
+        counts = self._begun.setdefault(life_id, {})
+        counts[digest] = counts.get(digest, 0) + 1
+        self._remove_in_flight(life_id, digest)
+
     def request_ended(self, life_id: LifeId, digest: RequestDigest) -> None:
         """Removes a request that ran on an incarnation of a backend server."""
+        begun = self._begun.get(life_id, {})
+        if digest not in begun:
+            self._remove_in_flight(life_id, digest)
+            return
+        begun[digest] -= 1
+        if not begun[digest]:
+            del begun[digest]
+        if not begun:
+            del self._begun[life_id]
+
+    def _remove_in_flight(self, life_id: LifeId, digest: RequestDigest) -> None:
         counts = self._in_flight.get(life_id, {})
         counts[digest] = counts.get(digest, 0) - 1
         if counts[digest] > 0:
--- a/cassiapitch/forwardanswers.py
+++ b/cassiapitch/forwardanswers.py
@@ -48,7 +48,7 @@
         self,
         header_codec: HeaderCodec,
         state: EntryState,
-        on_answer_begun: Callable[[ForwardCall], None],
+        on_answer_begun: Callable[[ForwardCall, Slot], None],
     ) -> None:
         """Creates a relay.
 
@@ -187,7 +187,7 @@
                 continue
             now_ms = timers.now_ms()
             if last_relayed_ms is None:
-                self._on_answer_begun(call)
+                self._on_answer_begun(call, slot)
                 self._state.router.prefill.first_byte_received(
                     slot.backend.life_id, call.request_key, now_ms
                 )
--- a/cassiapitch/forwardcrashes.py
+++ b/cassiapitch/forwardcrashes.py
@@ -36,10 +36,18 @@
         call.part_run = self._part_reports.attempt_started(
             slot.backend.life_id, call.shared_parts
         )
+        call.has_attempt_begun = False
 
-    def answer_begun(self, call: ForwardCall) -> None:
-        """Records that the backend server has begun to answer the request."""
+    def answer_begun(self, call: ForwardCall, slot: Slot) -> None:
+        """Records that the backend server has begun to answer the request.
+
+        It crashes as it begins, so the request isn't the cause of a later crash.
+        """
+        call.has_attempt_begun = True
         self._part_reports.attempt_ended(call.part_run)
+        self._state.crash_tracker.request_begun(
+            slot.backend.life_id, slot.slot_request.digest
+        )
 
     def attempt_answered(self, call: ForwardCall) -> None:
         """Records that the request was served to its end."""
@@ -67,9 +75,8 @@
             self._state.router.mark_unreachable(backend.life_id, timers.now_ms())
             self._state.demand.add_refused_backend(backend.life_id)
             refused_parts = await self._part_reports.report_crash(backend.life_id)
-            verdict = await self._crash_containment.report(
-                backend, slot.slot_request.digest
-            )
+            digest = None if call.has_attempt_begun else slot.slot_request.digest
+            verdict = await self._crash_containment.report(backend, digest)
             if not refused_parts.isdisjoint(call.shared_parts):
                 verdict = CrashVerdict.QUARANTINED
             events.log(
--- a/cassiapitch/forwardtypes.py
+++ b/cassiapitch/forwardtypes.py
@@ -60,6 +60,7 @@
         placed_ms: When it last got a slot at a backend server.
         shared_parts: Digests of the parts of its prompt that others may share.
         part_run: Its current attempt, for the evidence about these parts.
+        has_attempt_begun: Whether this attempt has begun to be answered.
     """
 
     request: CallerRequest
@@ -84,6 +85,7 @@
     placed_ms: int | None = None
     shared_parts: tuple[PartDigest, ...] = ()
     part_run: PartRun | None = None
+    has_attempt_begun: bool = False
 
     def left_ms(self) -> int:
         """Returns the time until the deadline, negative after it."""
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -10,11 +10,14 @@
 import anyio
 
 from cassiapitch import timers
+from cassiapitch.forwardroutes import Repeat
 from tests import limit_world
-from tests.forward_world import answer_bytes
+from tests.forward_world import answer_bytes, chunk, event, stream_head
 
 RESTART_MS = 700
 WORK_MS = 25
+EVENTS_COUNT = 12
+EVENT_MS = 100
 # The users' rule: so long after the fifth crash, this many requests with the part may
 # still reach backend servers.
 CRASHES_COUNT = 5
@@ -63,6 +66,9 @@
         if parts & self.deadly_parts:
             self.crash()
             return False
+        return await self._answer(fields, writer)
+
+    async def _answer(self, fields, writer):
         writer.write(answer_bytes(fields["request-id"]))
         await writer.drain()
         return True
@@ -81,6 +87,19 @@
         await self.listen()
 
 
+class StreamingBackend(CrashingBackend):
+    """Answers with a stream of events, after the last one that the caller has."""
+
+    async def _answer(self, fields, writer):
+        writer.write(stream_head(fields["request-id"]))
+        for number in range(int(fields.get("last-event-id", 0)) + 1, EVENTS_COUNT + 1):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(EVENT_MS / 1000)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
 class CrashWorld(limit_world.LimitWorld):
     """The deployment; `deadly_parts` may change while it runs."""
 
@@ -135,4 +154,14 @@
         return sum(arrived_ms > limit_ms for arrived_ms in self.arrivals_ms(part))
 
 
+class StreamWorld(CrashWorld):
+    """The same with streams that may be resumed."""
+
+    repeat = Repeat.RESUMABLE_STREAM
+    attempts_limit_count = 4
+
+    def make_backend(self, name):
+        return StreamingBackend(name, self.tasks, self.deadly_parts)
+
+
 play = functools.partial(limit_world.play, world_type=CrashWorld, backends_count=6)
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -44,6 +44,7 @@
     took_ms: int
     status: int
     retry_after_s: float | None
+    body: bytes = b""
 
 
 class CutRelay:
@@ -130,6 +131,9 @@
 class LimitWorld:
     """A deployment in one event loop; `play` starts and ends it."""
 
+    repeat = Repeat.IDEMPOTENT
+    attempts_limit_count = 2
+
     def __init__(self, tasks, folder, entries_count, backends_count, seed=1):
         self.tasks, self.folder = tasks, folder
         self.seed, self.rng = seed, random.Random(seed)
@@ -266,10 +270,10 @@
             "r",
             HOST,
             "/",
-            Repeat.IDEMPOTENT,
+            self.repeat,
             (WeightedRole("shop", 1),),
             10_000,
-            attempts_limit_count=2,
+            attempts_limit_count=self.attempts_limit_count,
             open=True,
         )
         role = Role(
@@ -343,7 +347,14 @@
             if line.lower().startswith(b"retry-after:"):
                 retry_after_s = float(line.split(b":")[1])
         took_ms = timers.now_ms() - sent_ms
-        reply = Reply(name, sent_ms, took_ms, status, retry_after_s)
+        reply = Reply(
+            name,
+            sent_ms,
+            took_ms,
+            status,
+            retry_after_s,
+            received.partition(b"\r\n\r\n")[2],
+        )
         self.replies.append(reply)
         return reply
 
