Convict outer parts of prompts only by their fifth crash

Two harmful parts below one outer part that no request had been answered with yet would have convicted the outer part at the third crash of either, and with it all sound requests that share it. A part that was not the deepest suspect of its requests now needs five crashes; by then each of the inner ones has three.

The server of a control member's RPCs is closed when the member is cancelled as well; the fault test restarts members in one process and could not listen again.

--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -214,33 +214,35 @@
             self._settings.rpc_address,
             self._settings.tls,
         )
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.member.run)
-            tasks.start_soon(self._command_batcher.run)
-            tasks.start_soon(self.hub.run_confirmations)
-            tasks.start_soon(self.hub.announce_members)
-            for extra_task in self._make_extra_tasks(self.member):
-                tasks.start_soon(extra_task)
-            tasks.start_soon(self._relay.run)
-            tasks.start_soon(self._rate_grant_service.run)
-            tasks.start_soon(self._placement.run)
-            tasks.start_soon(self._broadcast_load_reports)
-            if self._settings.metrics_address is not None:
-                tasks.start_soon(
-                    plainhttp.PlainHttpServer(
-                        self._serve_metrics, self._settings.metrics_address
-                    ).run
-                )
-            http_ended = anyio.Event()
-            tasks.start_soon(_run_http, http, http_ended)
-            task_status.started(http.port)
-            await self._stop.wait()
-            await self._shut_down(http)
-            with anyio.move_on_after(CLOSE_TIMEOUT_S):
-                await http_ended.wait()
-            tasks.cancel_scope.cancel()
-        with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
-            await server.close()
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.member.run)
+                tasks.start_soon(self._command_batcher.run)
+                tasks.start_soon(self.hub.run_confirmations)
+                tasks.start_soon(self.hub.announce_members)
+                for extra_task in self._make_extra_tasks(self.member):
+                    tasks.start_soon(extra_task)
+                tasks.start_soon(self._relay.run)
+                tasks.start_soon(self._rate_grant_service.run)
+                tasks.start_soon(self._placement.run)
+                tasks.start_soon(self._broadcast_load_reports)
+                if self._settings.metrics_address is not None:
+                    tasks.start_soon(
+                        plainhttp.PlainHttpServer(
+                            self._serve_metrics, self._settings.metrics_address
+                        ).run
+                    )
+                http_ended = anyio.Event()
+                tasks.start_soon(_run_http, http, http_ended)
+                task_status.started(http.port)
+                await self._stop.wait()
+                await self._shut_down(http)
+                with anyio.move_on_after(CLOSE_TIMEOUT_S):
+                    await http_ended.wait()
+                tasks.cancel_scope.cancel()
+        finally:
+            with anyio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+                await server.close()
 
     async def _shut_down(self, http: plainhttp.PlainHttpServer) -> None:
         """Transfers leadership, and only then disconnects entries and operators."""
--- a/cassiapitch/crash_evidence.py
+++ b/cassiapitch/crash_evidence.py
@@ -15,8 +15,10 @@
 from cassiapitch.view import Changes
 from cassiapitch.viewitems import PartItem
 
-# Crashes that convict a part.
+# Crashes that convict a part that was the deepest suspect of its requests.
 CONVICTING_CRASHES_COUNT = 3
+# Crashes that convict another part: those below it may have caused them.
+CONVICTING_OUTER_CRASHES_COUNT = 5
 # Crashes of a part that was answered before only count if they are this far apart:
 # backend servers that fail together end many requests with the same sound part.
 EPISODE_MS = 1_000
@@ -80,6 +82,7 @@
     times_ms: list[int] = dataclasses.field(default_factory=list)
     depth: int = 0
     last_index: int = 0
+    is_deepest: bool = True
 
 
 def part_digest(part_id: str) -> PartDigest:
@@ -209,7 +212,7 @@
         convicted = [
             (part not in state.trusted, case.depth, len(case.times_ms), part)
             for part, case in _cases(state).items()
-            if _is_convicted(case.times_ms, part in state.trusted)
+            if _is_convicted(case, part in state.trusted)
         ]
         if not convicted:
             return
@@ -219,14 +222,17 @@
             del state.refused[next(iter(state.refused))]
 
 
-def _is_convicted(times_ms: list[int], is_trusted: bool) -> bool:
+def _is_convicted(case: _Case, is_trusted: bool) -> bool:
+    needed_count = (
+        CONVICTING_CRASHES_COUNT if case.is_deepest else CONVICTING_OUTER_CRASHES_COUNT
+    )
     if not is_trusted:
-        return len(times_ms) >= CONVICTING_CRASHES_COUNT
+        return len(case.times_ms) >= needed_count
     count, episode_ms = 0, 0
-    for time_ms in sorted(times_ms):
+    for time_ms in sorted(case.times_ms):
         if not count or time_ms - episode_ms >= EPISODE_MS:
             count, episode_ms = count + 1, time_ms
-    return count >= CONVICTING_CRASHES_COUNT
+    return count >= needed_count
 
 
 def _cases(state: CrashEvidence) -> dict[PartDigest, _Case]:
@@ -237,6 +243,7 @@
             for depth, part in enumerate(request, 1):
                 case = cases.setdefault(part, _Case())
                 case.depth = max(case.depth, depth)
+                case.is_deepest = case.is_deepest and depth == len(request)
                 if part not in seen:
                     seen.add(part)
                     case.times_ms.append(crash.time_ms)
