Log the software versions that a stream came from, and what a request takes up

Backend servers say their software's version with each heartbeat, which nobody read, and no log line told which stream a request takes up. Announcements, view items and the line of a forwarded request say it now. No decision changes.

--- a/cassiapitch/announce_route.py
+++ b/cassiapitch/announce_route.py
@@ -65,6 +65,7 @@
     started_ms: NaturalInt = 0
     warm_models: Annotated[tuple[ModelName, ...], Meta(max_length=512)] = ()
     disk_models: Annotated[tuple[ModelName, ...], Meta(max_length=512)] = ()
+    software_version: Text = ""
 
 
 def encode(announcement: Announcement) -> bytes:
@@ -108,6 +109,7 @@
         started_ms=body.started_ms,
         warm_models=body.warm_models,
         disk_models=body.disk_models,
+        software_version=body.software_version,
     )
 
 
--- a/cassiapitch/announcements.py
+++ b/cassiapitch/announcements.py
@@ -63,6 +63,8 @@
             is the current one. It is never compared with other clocks.
         warm_models: Models whose weights are in its host's memory.
         disk_models: Models whose weights are on its disk.
+        software_version: Version of its software, empty if it states none. Streams
+            can't be continued by another version.
     """
 
     name: BackendName
@@ -86,6 +88,7 @@
     started_ms: int = 0
     warm_models: tuple[ModelName, ...] = ()
     disk_models: tuple[ModelName, ...] = ()
+    software_version: str = ""
 
 
 REGISTERED_TYPES = (Announcement,)
--- a/cassiapitch/backends.py
+++ b/cassiapitch/backends.py
@@ -54,6 +54,7 @@
         disk_models: Models whose weights are on its disk.
         order_steps_count: Recorded attempts of orders and answers to them.
         limit: The limit on requests that it stated in responses to entries.
+        software_version: Version of its software, empty if it states none.
     """
 
     name: BackendName
@@ -76,6 +77,7 @@
     disk_models: tuple[ModelName, ...] = ()
     order_steps_count: int = 0
     limit: BackendLimit | None = None
+    software_version: str = ""
 
     def allows(self, event: str) -> bool:
         """Returns whether the chart has a transition for an event."""
@@ -124,6 +126,7 @@
     incarnation.started_ms = announcement.started_ms
     incarnation.warm_models = announcement.warm_models
     incarnation.disk_models = announcement.disk_models
+    incarnation.software_version = announcement.software_version
     fence = (announcement.fence_term, announcement.fence_number)
     incarnation.fence_term, incarnation.fence_number = max(incarnation.fence(), fence)
     event = announcement_event(
--- a/cassiapitch/fleet_view.py
+++ b/cassiapitch/fleet_view.py
@@ -51,4 +51,5 @@
         if limit_count is None
         else min(announced_count, limit_count),
         limit=incarnation.limit,
+        software_version=incarnation.software_version,
     )
--- a/cassiapitch/forwardcrashes.py
+++ b/cassiapitch/forwardcrashes.py
@@ -44,6 +44,7 @@
         It crashes as it begins, so the request isn't the cause of a later crash.
         """
         call.has_attempt_begun = True
+        call.versions.append(slot.backend.software_version)
         self._part_reports.attempt_ended(call.part_run)
         self._state.crash_tracker.request_begun(
             slot.backend.life_id, slot.slot_request.digest
--- a/cassiapitch/forwardtypes.py
+++ b/cassiapitch/forwardtypes.py
@@ -46,6 +46,7 @@
         arrived_ms: When it had arrived whole.
         deadline_ms: When it gets its final response at the latest.
         backends: Names of the backend servers that it was sent to.
+        versions: Software versions of those that sent events of its stream.
         sent_count: How often it was written to a backend server.
         status: Status of the response to the caller.
         outcome: How it ended, for the log.
@@ -71,6 +72,7 @@
     arrived_ms: int
     deadline_ms: int
     backends: list[str] = dataclasses.field(default_factory=list)
+    versions: list[str] = dataclasses.field(default_factory=list)
     sent_count: int = 0
     status: int = 0
     outcome: str = ""
--- a/cassiapitch/header_codec.py
+++ b/cassiapitch/header_codec.py
@@ -32,6 +32,8 @@
         has_tokens: Whether the headers state the two numbers above.
         prompt_parts: The prompt's parts in order.
         last_event_id: Last event of the stream that the caller received.
+        resumed_request_id: The caller's id of the attempt that brought the first event
+            of the stream to be continued; None if absent.
     """
 
     request_id: str | None = None
@@ -43,6 +45,7 @@
     has_tokens: bool = False
     prompt_parts: tuple[PromptPart, ...] = ()
     last_event_id: int | None = None
+    resumed_request_id: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/cassiapitch/platform/heartbeats.py
+++ b/cassiapitch/platform/heartbeats.py
@@ -1,5 +1,6 @@
 """Decodes an engine's heartbeat into an announcement."""
 
+import hashlib
 from typing import Annotated, Literal
 
 import msgspec
@@ -11,6 +12,9 @@
 # Heartbeats don't state the engine's memory, so that the limit of its role applies.
 UNLIMITED_MEMORY_MIB = 10**9
 
+# Of a longer version, only a digest is kept.
+VERSION_LIMIT_LENGTH = 128
+
 Natural = Annotated[int, Meta(ge=0)]
 
 
@@ -35,6 +39,7 @@
     slots: Natural
     sequence: Natural
     born: Natural = 0
+    version: str = ""
     models: list[_Model] = []
     atHand: _AtHand = msgspec.field(default_factory=_AtHand)  # noqa: N815
 
@@ -76,4 +81,11 @@
         started_ms=heartbeat.born,
         warm_models=tuple(map(ModelName, heartbeat.atHand.inMemory)),
         disk_models=tuple(map(ModelName, heartbeat.atHand.onDisk)),
+        software_version=_bounded(heartbeat.version),
     )
+
+
+def _bounded(version: str) -> str:
+    if len(version) <= VERSION_LIMIT_LENGTH:
+        return version
+    return hashlib.sha256(version.encode()).hexdigest()
--- a/cassiapitch/platform/requests.py
+++ b/cassiapitch/platform/requests.py
@@ -56,6 +56,7 @@
         has_tokens=names.TOKEN_COUNT in by_name,
         prompt_parts=_parse_prompt_parts(by_name.get(names.PROMPT_PREFIX)),
         last_event_id=_parse_number(by_name.get(names.LAST_EVENT_ID)),
+        resumed_request_id=_decode_text(by_name.get(names.RESUMES)),
     )
 
 
--- a/cassiapitch/viewitems.py
+++ b/cassiapitch/viewitems.py
@@ -118,6 +118,7 @@
         adapters: Adapters that it reports as loaded.
         max_running_count: Most requests that it runs at once.
         limit: The limit on requests that it stated, if any.
+        software_version: Version of its software, empty if it states none.
     """
 
     name: BackendName
@@ -131,6 +132,7 @@
     adapters: tuple[str, ...]
     max_running_count: int
     limit: BackendLimit | None = None
+    software_version: str = ""
 
 
 class SuspectItem(msgspec.Struct, frozen=True, array_like=True):
