--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -12,7 +12,7 @@
 from cassiapitch import timers
 from cassiapitch.forwardroutes import Repeat
 from tests import limit_world
-from tests.forward_world import answer_bytes, chunk, event, stream_head
+from tests.forward_world import answer_bytes, chunk, stream_head
 from tests.reserved import reserve_ports
 
 RESTART_MS = 700
@@ -93,12 +93,18 @@
 
 
 class StreamingBackend(CrashingBackend):
-    """Answers with a stream of events, after the last one that the caller has."""
+    """Answers with a stream of events, after the last one that the caller has.
+
+    Each event names the backend server's software version.
+    """
+
+    version = "v1"
 
     async def _answer(self, fields, writer):
         writer.write(stream_head(fields["request-id"]))
         for number in range(int(fields.get("last-event-id", 0)) + 1, EVENTS_COUNT + 1):
-            writer.write(chunk(event(number)))
+            data = f"id: {number}\ndata: {self.version}\n\n"
+            writer.write(chunk(data.encode()))
             await writer.drain()
             await asyncio.sleep(EVENT_MS / 1000)
         writer.write(b"0\r\n\r\n")
@@ -175,5 +181,30 @@
     def make_backend(self, name):
         return StreamingBackend(name, self.tasks, self.deadly_parts)
 
+    async def take_up(self, name, reply):
+        """Continues a stream that has broken off, as its caller would."""
+        headers = (
+            f"Last-Event-Id: {last_event_id(reply)}\r\nResumes: {reply.request_id}\r\n"
+        )
+        return await self.call(name, 8_000, headers=headers, body=b"taken up")
+
+
+def last_event_id(reply):
+    return reply.body.count(b"id: ")
+
+
+def is_whole(reply):
+    return reply.body.endswith(b"0\r\n\r\n")
+
+
+def versions(*replies):
+    """Returns the software versions whose events the replies hold."""
+    return {
+        line.removeprefix(b"data: ").decode()
+        for reply in replies
+        for line in reply.body.split(b"\n")
+        if line.startswith(b"data: ")
+    }
+
 
 play = functools.partial(limit_world.play, world_type=CrashWorld, backends_count=6)
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -46,6 +46,7 @@
     retry_after_s: float | None
     body: bytes = b""
     parts: tuple = ()
+    request_id: str = ""
 
 
 class CutRelay:
@@ -171,7 +172,7 @@
             self.start_entry(name)
         await self.roll_bundle()
         self.tasks.start_soon(self._announce)
-        await self.wait_until(self._are_entries_ready)
+        await self.wait_until(self.are_entries_ready)
 
     def make_backend(self, name):
         return LimitedBackend(name)
@@ -310,13 +311,14 @@
                     64,
                     sequence=self.announced_count,
                     started_ms=backend.incarnation,
+                    software_version=getattr(backend, "version", ""),
                 )
                 for node in list(self.nodes.values()):
                     if await node.deliver(announcement):
                         break
             await anyio.sleep(0.3)
 
-    def _are_entries_ready(self):
+    def are_entries_ready(self):
         return all(
             len(entry.state.catalog.services("shop")) == len(self.backends)
             and entry.state.freshness.as_of_ms is not None
@@ -326,12 +328,13 @@
     async def call(self, name, deadline_ms=1_500, headers="", body=b"", parts=()):
         """Sends one request to an entry and records its reply."""
         self.request_number += 1
+        request_id = f"q{self.request_number}"
         entry = self.entries.get(name)
         sent_ms = timers.now_ms()
         head = (
             "POST /x HTTP/1.1\r\n"
             f"Host: {HOST}\r\n"
-            f"Request-Id: q{self.request_number}\r\n"
+            f"Request-Id: {request_id}\r\n"
             f"Deadline-Ms: {deadline_ms}\r\n"
             f"{headers}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
         )
@@ -352,7 +355,14 @@
         took_ms = timers.now_ms() - sent_ms
         response_body = received.partition(b"\r\n\r\n")[2]
         reply = Reply(
-            name, sent_ms, took_ms, status, retry_after_s, response_body, parts
+            name,
+            sent_ms,
+            took_ms,
+            status,
+            retry_after_s,
+            response_body,
+            parts,
+            request_id,
         )
         self.replies.append(reply)
         return reply
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -5,7 +5,7 @@
 from cassiapitch import timers
 from cassiapitch.crash_tracker import CrashTracker
 from cassiapitch.types import LifeId, RequestDigest
-from tests.crash_world import ALLOWED_COUNT, StreamWorld, play
+from tests.crash_world import ALLOWED_COUNT, StreamWorld, is_whole, play
 
 SHARE = 0.1
 
@@ -48,8 +48,8 @@
         return await world.call_with_parts("e0", ["f1", "a"], deadline_ms=8_000)
 
     reply = play(scenario, tmp_path, world_type=StreamWorld)
-    assert reply.body.count(b"data: token-") == 12
-    assert reply.body.endswith(b"0\r\n\r\n")
+    assert reply.body.count(b"data: v1") == 12
+    assert is_whole(reply)
 
 
 def _last_arrival_ms(backend):
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,96 @@
+"""Tests that no stream holds events of two software versions of backend servers."""
+
+import anyio
+
+from cassiapitch import timers
+from tests.crash_world import StreamWorld, is_whole, last_event_id, play, versions
+
+STREAMS_COUNT = 60
+STREAMS_PER_S = 40
+# The users' rules: this many joined streams are allowed, and at least this share of the
+# streams that are taken up goes on.
+ALLOWED_COUNT = 2
+SHARE_THAT_GOES_ON = 0.5
+
+
+async def break_streams(world, break_off):
+    """Starts streams, breaks them off and returns those that have begun."""
+    start_count = len(world.replies)
+    async with anyio.create_task_group() as calls:
+        for _ in range(STREAMS_COUNT):
+            name = world.rng.choice(world.entry_names)
+            calls.start_soon(world.call_with_parts, name, ["f1"], 8_000)
+            await anyio.sleep(1 / STREAMS_PER_S)
+        await break_off()
+    return [
+        reply
+        for reply in world.replies[start_count:]
+        if last_event_id(reply) and not is_whole(reply)
+    ]
+
+
+async def take_up_all(world, broken):
+    """Takes the streams up again at any entry; returns pairs of both replies."""
+    pairs = []
+
+    async def take_up(reply):
+        name = world.rng.choice(world.entry_names)
+        pairs.append((reply, await world.take_up(name, reply)))
+
+    async with anyio.create_task_group() as calls:
+        for reply in broken:
+            calls.start_soon(take_up, reply)
+            await anyio.sleep(1 / STREAMS_PER_S)
+    return pairs
+
+
+async def set_versions(world, new_count):
+    """Restarts some backend servers with the new version."""
+    for backend in world.backends[:new_count]:
+        backend.version = "v2"
+        backend.crash()
+    await anyio.sleep(2)
+
+
+async def restart_all_entries(world):
+    for name in world.entry_names:
+        await world.kill(name)
+    for name in world.entry_names:
+        world.start_entry(name)
+    await world.wait_until(world.are_entries_ready)
+
+
+def joined_count(pairs):
+    return sum(len(versions(*pair)) > 1 for pair in pairs)
+
+
+def test_streams_taken_up_after_all_entries_were_killed_keep_to_their_version(tmp_path):
+    async def scenario(world):
+        await set_versions(world, new_count=3)
+        broken = await break_streams(world, lambda: restart_all_entries(world))
+        return await take_up_all(world, broken)
+
+    pairs = play(scenario, tmp_path, world_type=StreamWorld)
+    assert len(pairs) >= 12
+    assert joined_count(pairs) <= ALLOWED_COUNT
+    going_on = [reply for _, reply in pairs if reply.status == 200 and is_whole(reply)]
+    assert len(going_on) >= SHARE_THAT_GOES_ON * len(pairs)
+
+
+def test_stream_whose_backend_server_crashes_is_continued_by_its_version(tmp_path):
+    async def scenario(world):
+        await set_versions(world, new_count=3)
+
+        async def crash_all_in_turn():
+            start_ms = timers.now_ms()
+            while timers.now_ms() < start_ms + 1_500:
+                world.rng.choice([b for b in world.backends if b.is_running]).crash()
+                await anyio.sleep(0.3)
+
+        start_count = len(world.replies)
+        await break_streams(world, crash_all_in_turn)
+        return world.replies[start_count:]
+
+    replies = play(scenario, tmp_path, world_type=StreamWorld)
+    assert sum(len(versions(reply)) > 1 for reply in replies) <= ALLOWED_COUNT
+    assert sum(map(is_whole, replies)) >= SHARE_THAT_GOES_ON * len(replies)
