Keep each stream to the software version that began it

Cause: nobody read a backend server's version.

While a role has had one version in service for the last 60 s, it began every stream. When a second one appears, entries record their recent streams, and from then on each one as it is sent, in the control group's log, before its first event is relayed (at most 150 ms). A take-up asks the log; in one answer the entry knows it. Candidates are engines of that version only. What can't be proved is refused at once, so is a stream whose version has no backend server left. The record outlives leaders, entries and a power loss of all; it is bounded by 100,000 streams and 60 s.

--- a/cassiapitch/backend_connection.py
+++ b/cassiapitch/backend_connection.py
@@ -8,7 +8,7 @@
 import anyio
 import h11
 
-from cassiapitch import bytestream, metrics, timers
+from cassiapitch import bytestream, events, metrics, timers
 from cassiapitch.bytestream import ByteStream
 from cassiapitch.types import LifeId
 from cassiapitch.viewitems import BackendItem
@@ -26,6 +26,12 @@
 INTERIM_LIMIT_COUNT = 8
 
 
+# Responses that are not relayed are read up to these limits, so that their connection
+# can be reused.
+DISCARD_LIMIT_BYTES = 64 * 1024
+DISCARD_LIMIT_MS = 250
+
+
 class BackendUnreachableError(Exception):
     """No connection could be opened, so nothing was sent."""
 
@@ -109,6 +115,21 @@
                 return None
             raise BackendBrokenError(f"unexpected {type(event).__name__}")
 
+    async def discard_body(self) -> bool:
+        """Reads a response to its end; returns false if it is too long or too slow."""
+        size_bytes = 0
+        with anyio.move_on_after(DISCARD_LIMIT_MS / 1000):
+            try:
+                while (data := await self.read_data()) is not None:
+                    size_bytes += len(data)
+                    if size_bytes > DISCARD_LIMIT_BYTES:
+                        return False
+            except BackendBrokenError as error:
+                events.log(events.Event.FORWARD_BODY_LEFT, reason=str(error))
+                return False
+            return True
+        return False
+
     async def _next_event(self) -> Any:
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
--- a/cassiapitch/catalog.py
+++ b/cassiapitch/catalog.py
@@ -23,6 +23,7 @@
     RoleItem,
     RouteItem,
     SuspectItem,
+    VersionsItem,
 )
 
 SERVING = "serving"
@@ -190,6 +191,17 @@
         """Parts of prompts that may crash backend servers, by digest."""
         return self._tables["part"]
 
+    def roles_with_several_versions(self) -> set[str]:
+        """Returns the roles for which `has_several_versions` holds."""
+        return {
+            role for role in self._tables["versions"] if self.has_several_versions(role)
+        }
+
+    def has_several_versions(self, role: str) -> bool:
+        """Returns whether several versions may have begun streams of a role."""
+        item: VersionsItem | None = self._tables["versions"].get(role)
+        return item is not None and len(item.versions) > 1
+
     def reports_load(self, role: str) -> bool:
         """Returns whether backend servers of a role report their load."""
         item = self.roles.get(role)
@@ -273,6 +285,7 @@
         "backend",
         "suspect",
         "part",
+        "versions",
         "forward",
         "limits",
     )
--- a/cassiapitch/commands.py
+++ b/cassiapitch/commands.py
@@ -9,12 +9,14 @@
 
 from cassiapitch import codec
 from cassiapitch.bundle import Bundle
+from cassiapitch.origin_messages import StreamOrigin
 from cassiapitch.types import (
     AccountName,
     ClaimState,
     LifeId,
     PartDigest,
     RequestDigest,
+    StreamDigest,
     SuspectRunOutcome,
 )
 
@@ -178,6 +180,21 @@
     known_index: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordOrigins:
+    """Records which software version began streams."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindOrigin:
+    """Asks what began a stream; fields as in `origin_messages.OriginAsk`."""
+
+    stream: StreamDigest
+    roles: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpireRecords:
     """Removes expired records.
@@ -278,6 +295,14 @@
     refused: tuple[PartDigest, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginResult:
+    """What began a stream; None if that can't be proved, or wasn't asked."""
+
+    role: str | None
+    version: str | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FloorsRecorded:
     """Floors in force; not accepted and empty if a later record was applied before."""
@@ -320,6 +345,9 @@
     ReportPartCrash,
     ClearParts,
     PartCrashResult,
+    RecordOrigins,
+    FindOrigin,
+    OriginResult,
     SuspectRunResult,
     RecordFloors,
     ExpireRecords,
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -34,13 +34,19 @@
     ViewSnapshot,
 )
 from cassiapitch.operatorroutes import OperatorApplication
+from cassiapitch.origin_messages import OriginAnswer
 from cassiapitch.plainhttp import PlainHttpServer
 from cassiapitch.seeds import peers_from_seeds
 from cassiapitch.send_limits import MIN_ASK_SPACING_MS
 from cassiapitch.settings import EntrySettings
 
 CONTROL_ANSWERS = (
-    ClaimAnswer | CrashAnswer | SuspectRunAnswer | PartCrashAnswer | LimitReportAnswer
+    ClaimAnswer
+    | CrashAnswer
+    | SuspectRunAnswer
+    | PartCrashAnswer
+    | LimitReportAnswer
+    | OriginAnswer
 )
 PRIMARY_LINK_NUMBER = 0
 TICK_MS = 100
--- a/cassiapitch/error_kinds.py
+++ b/cassiapitch/error_kinds.py
@@ -36,6 +36,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     BACKEND_SERVER_FAILED = "backend_server_failed"
     STREAM_LOST = "stream_lost"
+    STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     CLAIM_RUNNING = "claim_running"
     CLAIM_UNKNOWN = "claim_unknown"
     CLAIM_MISMATCH = "claim_mismatch"
@@ -112,6 +113,7 @@
     ErrorKind.DEADLINE_EXCEEDED: ErrorResponse(504, _UNAVAILABLE, _NOT_RUN, 1),
     ErrorKind.BACKEND_SERVER_FAILED: ErrorResponse(502, _SERVER, _UNKNOWN),
     ErrorKind.STREAM_LOST: ErrorResponse(502, _SERVER, _UNKNOWN),
+    ErrorKind.STREAM_VERSION_UNKNOWN: ErrorResponse(503, _UNAVAILABLE, _NOT_RUN),
     ErrorKind.CLAIM_RUNNING: ErrorResponse(409, _INVALID, _UNKNOWN, 1),
     ErrorKind.CLAIM_UNKNOWN: ErrorResponse(409, _INVALID, _UNKNOWN),
     ErrorKind.CLAIM_MISMATCH: ErrorResponse(422, _INVALID, _NOT_RUN),
--- a/cassiapitch/forwardanswers.py
+++ b/cassiapitch/forwardanswers.py
@@ -1,6 +1,6 @@
 """Relays responses of backend servers to callers, and sends the entry's refusals."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import h11
 
@@ -48,14 +48,15 @@
         self,
         header_codec: HeaderCodec,
         state: EntryState,
-        on_answer_begun: Callable[[ForwardCall, Slot], None],
+        on_answer_begun: Callable[[ForwardCall, Slot], Awaitable[None]],
     ) -> None:
         """Creates a relay.
 
         Args:
             header_codec: Reads and writes headers.
             state: State of the entry.
-            on_answer_begun: Called when a stream's first event of an attempt arrives.
+            on_answer_begun: Called when a stream's first event of an attempt arrives,
+                before it is relayed; may raise `BackendBrokenError`.
         """
         self._header_codec = header_codec
         self._on_answer_begun = on_answer_begun
@@ -187,7 +188,7 @@
                 continue
             now_ms = timers.now_ms()
             if last_relayed_ms is None:
-                self._on_answer_begun(call, slot)
+                await self._on_answer_begun(call, slot)
                 self._state.router.prefill.first_byte_received(
                     slot.backend.life_id, call.request_key, now_ms
                 )
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -41,6 +41,7 @@
 from cassiapitch.prefill import FIRST_TOKEN_LIMIT_SHARE
 from cassiapitch.retries import RequestProgress
 from cassiapitch.scheduler import NoSlot, Slot, SlotRequest
+from cassiapitch.stream_versions import StreamVersions
 from cassiapitch.viewitems import AccountItem, BackendItem
 
 # For callers that state no deadline; the route's timeout still applies.
@@ -51,10 +52,6 @@
 DEADLINE_GRACE_MS = 60
 # Lower statuses say that the request was served.
 FIRST_ERROR_STATUS = 300
-# Responses that are not relayed are read up to these limits, so that their connection
-# can be reused.
-DISCARD_LIMIT_BYTES = 64 * 1024
-DISCARD_LIMIT_MS = 250
 
 
 class Forwarder:
@@ -71,9 +68,10 @@
         self._state = state
         self._crash_containment = crash_containment
         self._crashes = ForwardCrashes(state, crash_containment)
+        self._stream_versions = StreamVersions(state)
         self._candidates = ForwardCandidates(state, rng)
         self.response_relay = ResponseRelay(
-            header_codec, state, self._crashes.answer_begun
+            header_codec, state, self._handle_answer_begun
         )
         self._limit_reports = LimitReports(state)
         self._connections = BackendConnectionPool()
@@ -226,6 +224,7 @@
 
     async def _serve(self, call: ForwardCall, caller: CallerConnection) -> None:
         self._crashes.refuse_harmful(call)
+        await self._stream_versions.find_source(call)
         call.progress.step("admit")
         await self._admit(call)
         slot_request = self._candidates.make_slot_request(call)
@@ -233,6 +232,7 @@
         if self._crash_containment.is_quarantined(slot_request.digest):
             raise RefusedError(ErrorKind.REQUEST_QUARANTINED)
         while True:
+            self._stream_versions.refuse_unservable(call)
             slot = await self._state.scheduler.acquire(slot_request)
             if isinstance(slot, NoSlot):
                 raise RefusedError(slot.kind, slot.retry_after_ms)
@@ -306,11 +306,12 @@
             call.progress.mark_not_sent()
             return False
         self._crashes.attempt_started(call, slot)
+        self._stream_versions.attempt_started(call, backend)
         try:
             head, backend_head = await self._send(call, backend, connection)
             idle_ms = backend_head.idle_timeout_ms
             if backend_head.is_not_executed:
-                is_reusable = await self._discard_body(connection)
+                is_reusable = await connection.discard_body()
                 self._record_declined(call, slot, head, backend_head)
                 return False
             if not await self.response_relay.relay(
@@ -335,6 +336,16 @@
             else:
                 connection.close()
 
+    async def _handle_answer_begun(self, call: ForwardCall, slot: Slot) -> None:
+        """Handles the first event of a stream's attempt, before it is relayed.
+
+        Raises:
+            BackendBrokenError: It can't be relayed.
+        """
+        self._crashes.answer_begun(call, slot)
+        if not await self._stream_versions.answer_begun(call, slot.backend):
+            raise BackendBrokenError("another version may count as what began it")
+
     async def _send(
         self, call: ForwardCall, backend: BackendItem, connection: BackendConnection
     ) -> tuple[ResponseHead, BackendHead]:
@@ -470,18 +481,3 @@
         if not others or others == [slot.backend]:
             slot_request.excluded_lives.clear()
             await anyio.sleep(DECLINED_RETRY_DELAY_MS / 1000)
-
-    async def _discard_body(self, connection: BackendConnection) -> bool:
-        """Reads a response to its end; returns false if it is too long or too slow."""
-        size_bytes = 0
-        with anyio.move_on_after(DISCARD_LIMIT_MS / 1000):
-            try:
-                while (data := await connection.read_data()) is not None:
-                    size_bytes += len(data)
-                    if size_bytes > DISCARD_LIMIT_BYTES:
-                        return False
-            except BackendBrokenError as error:
-                events.log(events.Event.FORWARD_BODY_LEFT, reason=str(error))
-                return False
-            return True
-        return False
--- a/cassiapitch/forwardcandidates.py
+++ b/cassiapitch/forwardcandidates.py
@@ -39,14 +39,18 @@
 
     def make_slot_request(self, call: ForwardCall) -> SlotRequest:
         """Returns a call's request for a slot, and counts the demand for its model."""
-        role = choose_role(call.route.targets, self._rng)
+        role = (
+            choose_role(call.route.targets, self._rng)
+            if call.source is None
+            else call.source.role
+        )
         catalog = self._state.catalog
         model = call.head.model
         resolved_model = None if model is None else catalog.resolve_model(model)
         if resolved_model is None:
 
             def candidates() -> list[BackendItem]:
-                return catalog.services(role)
+                return _allowed_sources(call, catalog.services(role))
 
             def expected_ms() -> int | None:
                 return None
@@ -56,7 +60,8 @@
 
             def candidates() -> list[BackendItem]:
                 return self._without_missing(
-                    catalog.engines(resolved_model), resolved_model.name
+                    _allowed_sources(call, catalog.engines(resolved_model)),
+                    resolved_model.name,
                 )
 
             def expected_ms() -> int | None:
@@ -146,6 +151,16 @@
             self._state.router.record_success(life_id, answer_ms, now_ms)
 
 
+def _allowed_sources(
+    call: ForwardCall, backends: list[BackendItem]
+) -> list[BackendItem]:
+    """Leaves out backend servers that can't continue a call's stream."""
+    source = call.source
+    if source is None:
+        return backends
+    return [backend for backend in backends if source.matches(backend)]
+
+
 def engine_rank(account: AccountItem | None, route: ForwardRoute) -> int | None:
     """Returns a request's rank at an engine, 0 first; None for plain services.
 
--- a/cassiapitch/forwardroutes.py
+++ b/cassiapitch/forwardroutes.py
@@ -66,6 +66,11 @@
         """Whether responses are event streams."""
         return self.repeat in (Repeat.STREAM, Repeat.RESUMABLE_STREAM)
 
+    @property
+    def may_be_resumed(self) -> bool:
+        """Whether streams may go on at another backend server."""
+        return self.repeat is Repeat.RESUMABLE_STREAM
+
     @property
     def may_run_again(self) -> bool:
         """Whether a request that may have run can be sent again from its start."""
--- a/cassiapitch/forwardtypes.py
+++ b/cassiapitch/forwardtypes.py
@@ -12,7 +12,7 @@
 from cassiapitch.rate_budget import Admitted
 from cassiapitch.retries import RequestProgress
 from cassiapitch.types import PartDigest, RequestDigest
-from cassiapitch.viewitems import AccountItem
+from cassiapitch.viewitems import AccountItem, BackendItem
 
 # From this status on, a request that may be repeated is retried elsewhere.
 SERVER_ERROR_STATUS = 500
@@ -33,6 +33,23 @@
     """A response that has begun can't be completed."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamSource:
+    """What began a stream; only such backend servers may continue it.
+
+    Attributes:
+        role: Role of the backend server.
+        version: Its software version.
+    """
+
+    role: str
+    version: str
+
+    def matches(self, backend: BackendItem) -> bool:
+        """Returns whether a backend server may continue the stream."""
+        return backend.role == self.role and backend.software_version == self.version
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class ForwardCall:
     """One forwarded request and its state.
@@ -62,6 +79,8 @@
         shared_parts: Digests of the parts of its prompt that others may share.
         part_run: Its current attempt, for the evidence about these parts.
         has_attempt_begun: Whether this attempt has begun to be answered.
+        source: What began its stream; None as long as that isn't known.
+        reported_versions: Versions that the log may name as what began its stream.
     """
 
     request: CallerRequest
@@ -88,6 +107,8 @@
     shared_parts: tuple[PartDigest, ...] = ()
     part_run: PartRun | None = None
     has_attempt_begun: bool = False
+    source: StreamSource | None = None
+    reported_versions: set[str] = dataclasses.field(default_factory=set)
 
     def left_ms(self) -> int:
         """Returns the time until the deadline, negative after it."""
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -44,6 +44,7 @@
     SuspectRunEnded,
     ViewSnapshot,
 )
+from cassiapitch.origin_messages import OriginAnswer, OriginAsk, OriginsReport
 from cassiapitch.replicated import ReplicatedState
 from cassiapitch.settings import Address, ControlPeer
 
@@ -70,6 +71,8 @@
     SuspectRunEnded,
     PartCrashReport,
     PartsCleared,
+    OriginsReport,
+    OriginAsk,
     DemandReport,
     LimitReport,
     PermitAsk,
@@ -285,6 +288,8 @@
                 self._propose(link, message, _suspect_run_answer)
             case PartCrashReport() | PartsCleared():
                 self._propose(link, message, _part_crash_answer)
+            case OriginsReport() | OriginAsk():
+                self._propose(link, message, _origin_answer)
             case LimitReport():
                 self._propose(link, message, _limit_report_answer)
             case _:
@@ -382,6 +387,10 @@
             )
         case PartsCleared():
             return commands.ClearParts(message.parts, message.known_index)
+        case OriginsReport():
+            return commands.RecordOrigins(message.origins)
+        case OriginAsk():
+            return commands.FindOrigin(message.stream, message.roles)
         case LimitReport():
             return RecordBackendLimit(
                 message.name,
@@ -419,6 +428,12 @@
     return PartCrashAnswer(sequence, result.refused)
 
 
+def _origin_answer(sequence: int, result: Any | None) -> OriginAnswer:
+    if not isinstance(result, commands.OriginResult):
+        return OriginAnswer(sequence, False)
+    return OriginAnswer(sequence, True, result.role, result.version)
+
+
 def _limit_report_answer(sequence: int, result: Any | None) -> LimitReportAnswer:
     if not isinstance(result, LimitRecorded):
         return LimitReportAnswer(sequence, None)
--- a/cassiapitch/replicated.py
+++ b/cassiapitch/replicated.py
@@ -17,11 +17,12 @@
     crash_evidence,
     keys,
     rate_floors,
+    stream_origins,
     suspects,
     view,
 )
 from cassiapitch.exceptions import CodecError, StorageError
-from cassiapitch.types import AccountName, ModelName, PartDigest
+from cassiapitch.types import AccountName, ModelName, PartDigest, StreamDigest
 from cassiapitch.viewitems import (
     AccountItem,
     AdapterItem,
@@ -87,6 +88,10 @@
     crashes: tuple[crash_evidence.Crash, ...] = ()
     trusted_parts: dict[PartDigest, int] = dataclasses.field(default_factory=dict)
     refused_parts: dict[PartDigest, int] = dataclasses.field(default_factory=dict)
+    origins: dict[StreamDigest, stream_origins.Origin] = dataclasses.field(
+        default_factory=dict
+    )
+    retired_versions: tuple[tuple[str, str, int], ...] = ()
 
 
 class ReplicatedState:
@@ -105,6 +110,7 @@
         self.claims = claims.Claims()
         self.suspects = suspects.Suspects()
         self.crash_evidence = crash_evidence.CrashEvidence()
+        self.origins = stream_origins.StreamOrigins()
         self.floors = rate_floors.Floors(0, 0, {})
         self.view = view.View()
 
@@ -114,6 +120,7 @@
         self.time_ms = time_ms
         changes = suspects.expire(self.suspects, time_ms)
         changes.update(crash_evidence.expire(self.crash_evidence, time_ms))
+        changes.update(stream_origins.expire(self.origins, time_ms))
         result, more_changes = self._apply_encoded(command, index, time_ms)
         changes.update(more_changes)
         view.apply_changes(self.view, index, changes)
@@ -172,6 +179,10 @@
                 )
             case commands.ClearParts():
                 return crash_evidence.clear(self.crash_evidence, command, time_ms)
+            case commands.RecordOrigins():
+                return stream_origins.record(self.origins, command, time_ms)
+            case commands.FindOrigin():
+                return stream_origins.find(self.origins, command, time_ms)
             case commands.RecordFloors():
                 return rate_floors.record(self.floors, command), {}
             case commands.ExpireRecords():
@@ -179,10 +190,15 @@
                 return commands.Expired(), {}
         if isinstance(command, self._fleet_commands):
             result = self._fleet.apply(command, index, time_ms)
-            return result, dict(self._fleet.pop_view_changes())
+            return result, self._pop_fleet_changes(time_ms)
         reason = f"{type(command).__name__} is not a command"
         return commands.CommandMalformed(reason), {}
 
+    def _pop_fleet_changes(self, time_ms: int) -> view.Changes:
+        changes: view.Changes = dict(self._fleet.pop_view_changes())
+        changes.update(stream_origins.update_versions(self.origins, changes, time_ms))
+        return changes
+
     def _put_bundle(
         self, command: commands.PutBundle, index: int
     ) -> tuple[Any, view.Changes]:
@@ -228,7 +244,7 @@
         items_after = self._items_without_fleet()
         changes: view.Changes = dict.fromkeys(items_before.keys() - items_after.keys())
         changes.update(items_after)
-        changes.update(self._fleet.pop_view_changes())
+        changes.update(self._pop_fleet_changes(self.time_ms))
         return changes
 
     def _items_without_fleet(self) -> dict[str, Any]:
@@ -266,6 +282,8 @@
                 tuple(self.crash_evidence.crashes.values()),
                 self.crash_evidence.trusted,
                 self.crash_evidence.refused,
+                self.origins.table,
+                tuple((*key, until) for key, until in self.origins.retired.items()),
             )
         )
 
@@ -300,7 +318,12 @@
             self._fleet.set_bundle(saved.bundle)
         self._fleet.restore(saved.fleet)
         self._fleet.pop_view_changes()
-        items = {**self._items_without_fleet(), **self._fleet.view_items()}
+        fleet_items = self._fleet.view_items()
+        self.origins = stream_origins.load(
+            saved.origins, saved.retired_versions, fleet_items
+        )
+        items = {**self._items_without_fleet(), **fleet_items}
+        items.update(stream_origins.view_items(self.origins))
         view.reset(self.view, saved.index, items)
 
     def has_pending_expiry(self) -> bool:
@@ -311,6 +334,8 @@
             or self.claims.releases
             or self.crash_evidence.crashes
             or self.crash_evidence.refused
+            or self.origins.table
+            or self.origins.retired
         )
 
 
--- a/cassiapitch/types.py
+++ b/cassiapitch/types.py
@@ -9,6 +9,8 @@
 LifeId = NewType("LifeId", str)
 KeyDigest = NewType("KeyDigest", str)
 RequestDigest = NewType("RequestDigest", str)
+# Digest of the client account and first request id of a stream.
+StreamDigest = NewType("StreamDigest", str)
 # Digest of the id of one part of a prompt.
 PartDigest = NewType("PartDigest", str)
 
--- a/cassiapitch/viewitems.py
+++ b/cassiapitch/viewitems.py
@@ -135,6 +135,12 @@
     software_version: str = ""
 
 
+class VersionsItem(msgspec.Struct, frozen=True, array_like=True):
+    """`versions/<role>`: software versions of a role that may have begun streams."""
+
+    versions: tuple[str, ...]
+
+
 class SuspectItem(msgspec.Struct, frozen=True, array_like=True):
     """`suspect/<digest>`: a request that was running when backend servers crashed.
 
@@ -174,6 +180,7 @@
     BackendItem,
     SuspectItem,
     PartItem,
+    VersionsItem,
     ForwardRoute,
     CallerLimits,
 )
--- a/tests/test_crash_evidence_fuzz.py
+++ b/tests/test_crash_evidence_fuzz.py
@@ -27,11 +27,11 @@
 
 
 class Faults:
-    """Brings about faults; `disturbed_ms` are the times of their beginnings and ends."""
+    """Brings about faults that may overlap."""
 
     def __init__(self, world):
         self.world, self.rng = world, world.rng
-        self.disturbed_ms = []
+        self.are_members_restarting = False
 
     async def run(self):
         changes = (
@@ -46,14 +46,9 @@
         async with anyio.create_task_group() as tasks:
             with anyio.move_on_after(FAULTS_S):
                 while True:
-                    tasks.start_soon(self._disturb, self.rng.choice(weighted))
+                    tasks.start_soon(self.rng.choice(weighted))
                     await anyio.sleep(self.rng.uniform(0.3, 2))
 
-    async def _disturb(self, change):
-        self.disturbed_ms.append(timers.now_ms())
-        await change()
-        self.disturbed_ms.append(timers.now_ms())
-
     async def crash_backend(self):
         running = [item for item in self.world.backends if item.is_running]
         if len(running) > 3:
@@ -82,14 +77,15 @@
 
     async def restart_leader(self):
         name = self.world.leader()
-        if name is not None and len(self.world.nodes) == 3:
+        if name is not None and not self.are_members_restarting:
             await self._restart_members([name])
 
     async def restart_all_members(self):
-        if len(self.world.nodes) == 3:
+        if not self.are_members_restarting:
             await self._restart_members(sorted(self.world.nodes))
 
     async def _restart_members(self, names):
+        self.are_members_restarting = True
         for name in names:
             await self.world.kill(name)
         for name in names:
@@ -98,6 +94,9 @@
         for peer in self.world.peers:
             if peer.name in names:
                 self.world.start_member(peer)
+        # A member that is killed before it listens leaves its port in use here.
+        await self.world.wait_until(self.world.leader)
+        self.are_members_restarting = False
 
 
 @pytest.mark.parametrize("seed", _seeds())
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -5,13 +5,16 @@
 import anyio
 import pytest
 
-from cassiapitch.backend_connection import HEAD_LIMIT_BYTES, INTERIM_LIMIT_COUNT
+from cassiapitch.backend_connection import (
+    DISCARD_LIMIT_BYTES,
+    HEAD_LIMIT_BYTES,
+    INTERIM_LIMIT_COUNT,
+)
 from cassiapitch.eventstream import EVENT_LIMIT_BYTES
 from cassiapitch.forwardanswers import (
     RESPONSE_LIMIT_BYTES,
     UNNUMBERED_EVENTS_LIMIT_BYTES,
 )
-from cassiapitch.forwardcall import DISCARD_LIMIT_BYTES
 from tests.forward_world import ONCE, STREAM, answer_bytes, chunk, play, stream_head
 
 PIECE_BYTES = 16_384
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -77,6 +77,53 @@
     assert len(going_on) >= SHARE_THAT_GOES_ON * len(pairs)
 
 
+def test_streams_are_taken_up_after_all_processes_lost_power(tmp_path):
+    async def scenario(world):
+        await set_versions(world, new_count=3)
+
+        async def restart_all():
+            for peer in world.peers:
+                await world.kill(peer.name)
+            for peer in world.peers:
+                await world.ended[peer.name].wait()
+            for name in world.entry_names:
+                await world.kill(name)
+            for peer in world.peers:
+                world.start_member(peer)
+            for name in world.entry_names:
+                world.start_entry(name)
+            await world.wait_until(world.are_entries_ready)
+
+        broken = await break_streams(world, restart_all)
+        return await take_up_all(world, broken)
+
+    pairs = play(scenario, tmp_path, world_type=StreamWorld)
+    assert len(pairs) >= 12
+    assert joined_count(pairs) <= ALLOWED_COUNT
+    going_on = [reply for _, reply in pairs if reply.status == 200 and is_whole(reply)]
+    assert len(going_on) >= SHARE_THAT_GOES_ON * len(pairs)
+
+
+def test_streams_of_a_version_that_has_left_are_refused_at_once(tmp_path):
+    async def scenario(world):
+        async def replace_all():
+            for backend in world.backends:
+                backend.version = "v2"
+                backend.crash()
+            await restart_all_entries(world)
+
+        broken = await break_streams(world, replace_all)
+        await world.wait_until(world.are_entries_ready)
+        return await take_up_all(world, broken)
+
+    pairs = play(scenario, tmp_path, world_type=StreamWorld)
+    assert len(pairs) >= 12
+    assert joined_count(pairs) <= ALLOWED_COUNT
+    refused = [reply for _, reply in pairs if reply.status == 503]
+    assert len(refused) == len(pairs)
+    assert all(reply.retry_after_s is None for reply in refused)
+
+
 def test_stream_whose_backend_server_crashes_is_continued_by_its_version(tmp_path):
     async def scenario(world):
         await set_versions(world, new_count=3)
