Ask a backend server which incarnation it is before a stream goes on there

Callers could still get a stream joined from two versions: 3 in one run of an own test.

Cause: the view shows an incarnation until the heartbeat of the next one, so an entry that hadn't seen the crash itself, such as one that has just started, sent the rest of a stream to the same address and name, where newer software listened already.

Before a stream goes on over a connection, the entry asks on it for the backend server's report, which names its incarnation, once for each connection. A report that doesn't say is taken as before; a wrong one counts as an attempt that was not sent.

Not covered: a new stream that begins at such an address is recorded with the old version.

--- a/cassiapitch/backend_connection.py
+++ b/cassiapitch/backend_connection.py
@@ -10,6 +10,7 @@
 
 from cassiapitch import bytestream, events, metrics, timers
 from cassiapitch.bytestream import ByteStream
+from cassiapitch.header_codec import HeaderCodec
 from cassiapitch.types import LifeId
 from cassiapitch.viewitems import BackendItem
 
@@ -30,6 +31,9 @@
 # can be reused.
 DISCARD_LIMIT_BYTES = 64 * 1024
 DISCARD_LIMIT_MS = 250
+# A backend server reports on itself without a slot.
+IDENTITY_TIMEOUT_MS = 400
+IDENTITY_LIMIT_BYTES = 256 * 1024
 
 
 class BackendUnreachableError(Exception):
@@ -60,6 +64,8 @@
         )
         self.idle_until_ms = 0
         self.is_reused = False
+        # Whether the process at its other end is known to be the incarnation.
+        self.is_verified = False
         # Set when the backend server is leaving.
         self.close_after_use = False
 
@@ -115,6 +121,27 @@
                 return None
             raise BackendBrokenError(f"unexpected {type(event).__name__}")
 
+    async def read_identity(self, codec: HeaderCodec, name: str) -> LifeId | None:
+        """Asks the backend server which incarnation it is; None if it doesn't say.
+
+        Raises:
+            BackendBrokenError: There is no response in time, or it is of another one.
+        """
+        content = b""
+        with anyio.move_on_after(IDENTITY_TIMEOUT_MS / 1000):
+            headers = codec.identity_headers(name)
+            await self.send(b"GET", codec.identity_path.encode(), headers, b"")
+            head = await self.read_head()
+            while (data := await self.read_data()) is not None:
+                content += data
+                if len(content) > IDENTITY_LIMIT_BYTES:
+                    raise BackendBrokenError("the report is too long")
+            if codec.read_backend(head.status, head.headers).is_other_backend:
+                raise BackendBrokenError("another backend server has the address")
+            self._http.start_next_cycle()
+            return codec.read_identity(name, content)
+        raise BackendBrokenError("no report in time")
+
     async def discard_body(self) -> bool:
         """Reads a response to its end; returns false if it is too long or too slow."""
         size_bytes = 0
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -68,7 +68,7 @@
         self._state = state
         self._crash_containment = crash_containment
         self._crashes = ForwardCrashes(state, crash_containment)
-        self._stream_versions = StreamVersions(state)
+        self._stream_versions = StreamVersions(header_codec, state)
         self._candidates = ForwardCandidates(state, rng)
         self.response_relay = ResponseRelay(
             header_codec, state, self._handle_answer_begun
@@ -305,6 +305,11 @@
             self._connections.release_connection(connection, idle_ms)
             call.progress.mark_not_sent()
             return False
+        if not await self._stream_versions.may_continue(call, backend, connection):
+            connection.close()
+            slot.slot_request.excluded_lives.add(backend.life_id)
+            call.progress.mark_not_sent()
+            return False
         self._crashes.attempt_started(call, slot)
         self._stream_versions.attempt_started(call, backend)
         try:
--- a/cassiapitch/header_codec.py
+++ b/cassiapitch/header_codec.py
@@ -7,6 +7,8 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
+from cassiapitch.types import LifeId
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -123,6 +125,11 @@
         refusal_headers: Returns headers of the entry's own responses, from the
             request id.
         readiness_path: Path of the load balancer's readiness check.
+        identity_path: Path at which a backend server says which incarnation it is.
+        identity_headers: Returns the headers of that request, from the backend
+            server's name.
+        read_identity: Returns the incarnation from the backend server's name and the
+            response's body; None if it doesn't say.
     """
 
     read_caller: Callable[[Headers], CallerHead]
@@ -131,3 +138,6 @@
     write_caller: Callable[[Headers], list[tuple[bytes, bytes]]]
     refusal_headers: Callable[[str | None], list[tuple[bytes, bytes]]]
     readiness_path: str
+    identity_path: str
+    identity_headers: Callable[[str], list[tuple[bytes, bytes]]]
+    read_identity: Callable[[str, bytes], LifeId | None]
--- a/cassiapitch/platform/heartbeats.py
+++ b/cassiapitch/platform/heartbeats.py
@@ -44,6 +44,11 @@
     atHand: _AtHand = msgspec.field(default_factory=_AtHand)  # noqa: N815
 
 
+def life_id(name: str, born: int) -> LifeId:
+    """Returns the id of an incarnation: a restart under the same name is a new one."""
+    return LifeId(f"{name}@{born}")
+
+
 def decode(name: str, content: bytes) -> Announcement:
     """Decodes a heartbeat.
 
@@ -59,8 +64,7 @@
         raise ValueError(f"no address: {heartbeat.address[:64]!r}")
     return Announcement(
         name=BackendName(name),
-        # A restart under the same name is a new incarnation.
-        life_id=LifeId(f"{name}@{heartbeat.born}"),
+        life_id=life_id(name, heartbeat.born),
         role=heartbeat.service,
         zone=heartbeat.zone,
         ip=ip,
--- a/cassiapitch/platform/requests.py
+++ b/cassiapitch/platform/requests.py
@@ -2,6 +2,8 @@
 
 import re
 
+import msgspec
+
 from cassiapitch.header_codec import (
     NO_LIMIT,
     BackendHead,
@@ -12,7 +14,8 @@
     PromptPart,
     StatedLimit,
 )
-from cassiapitch.platform import names
+from cassiapitch.platform import heartbeats, names
+from cassiapitch.types import LifeId
 
 BEARER = b"bearer "
 # A longer pause is considered an error of its sender and ignored.
@@ -38,6 +41,12 @@
 }
 
 
+class _Report(msgspec.Struct):
+    """The part of an engine's report on itself that names its incarnation."""
+
+    born: int = 0
+
+
 def read_caller(headers: Headers) -> CallerHead:
     """Reads a caller's headers.
 
@@ -108,6 +117,20 @@
     return [(b"Request-Id", request_id.encode("latin-1"))]
 
 
+def identity_headers(backend: str) -> list[tuple[bytes, bytes]]:
+    """Returns the headers of a request for an engine's report on itself."""
+    return [(b"Host", backend.encode()), (b"Target-Instance", backend.encode())]
+
+
+def read_identity(backend: str, content: bytes) -> LifeId | None:
+    """Returns the incarnation that an engine's report is of."""
+    try:
+        report = msgspec.json.decode(content, type=_Report)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    return heartbeats.life_id(backend, report.born) if report.born else None
+
+
 def _connection_options(headers: Headers) -> set[bytes]:
     """Returns the names of the hop-by-hop headers that `Connection` lists."""
     options: set[bytes] = set()
@@ -193,4 +216,7 @@
     write_caller=write_caller,
     refusal_headers=refusal_headers,
     readiness_path=names.READINESS_PATH,
+    identity_path=names.REPORT_PATH,
+    identity_headers=identity_headers,
+    read_identity=read_identity,
 )
--- a/cassiapitch/stream_versions.py
+++ b/cassiapitch/stream_versions.py
@@ -12,9 +12,12 @@
 import anyio
 
 from cassiapitch import events, stream_origins, timers
+from cassiapitch.backend_connection import BackendBrokenError, BackendConnection
 from cassiapitch.entrystate import EntryState
 from cassiapitch.error_kinds import ErrorKind
+from cassiapitch.forwardlog import log_failed_attempt
 from cassiapitch.forwardtypes import ForwardCall, RefusedError, StreamSource
+from cassiapitch.header_codec import HeaderCodec
 from cassiapitch.origin_messages import OriginAsk, OriginsReport, StreamOrigin
 from cassiapitch.types import StreamDigest
 from cassiapitch.viewitems import BackendItem
@@ -50,7 +53,8 @@
 class StreamVersions:
     """What began the streams of one entry, and reports about it."""
 
-    def __init__(self, state: EntryState) -> None:
+    def __init__(self, header_codec: HeaderCodec, state: EntryState) -> None:
+        self._header_codec = header_codec
         self._state = state
         # What began recent streams, the oldest first, and until when that matters.
         self._recent: collections.OrderedDict[
@@ -99,6 +103,27 @@
         ):
             raise RefusedError(ErrorKind.STREAM_VERSION_UNKNOWN)
 
+    async def may_continue(
+        self, call: ForwardCall, backend: BackendItem, connection: BackendConnection
+    ) -> bool:
+        """Returns whether a stream may go on over a connection.
+
+        A backend server that has come back at its old address may have other software;
+        until its next heartbeat, the view shows the old one.
+        """
+        if call.source is None or connection.is_verified:
+            return True
+        try:
+            life_id = await connection.read_identity(self._header_codec, backend.name)
+        except BackendBrokenError as error:
+            log_failed_attempt(call, backend, f"unidentified: {error}")
+            return False
+        if life_id is not None and life_id != backend.life_id:
+            log_failed_attempt(call, backend, f"another incarnation: {life_id}")
+            return False
+        connection.is_verified = True
+        return True
+
     def attempt_started(self, call: ForwardCall, backend: BackendItem) -> None:
         """Begins to record what a request is sent to, in time for the first event."""
         if call.source is not None or not call.route.may_be_resumed:
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -60,6 +60,9 @@
         parts = {
             item.split(":")[0] for item in fields.get("prompt-prefix", "").split(",")
         }
+        if head.startswith("GET /-/report"):
+            await self._report(writer)
+            return True
         self.arrivals.append((timers.now_ms(), parts))
         incarnation = self.incarnation
         await asyncio.sleep(WORK_MS / 1000)
@@ -71,6 +74,13 @@
             return False
         return await self._answer(fields, writer)
 
+    async def _report(self, writer):
+        report = b'{"born": %d}' % self.incarnation
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(report), report)
+        )
+        await writer.drain()
+
     async def _answer(self, fields, writer):
         writer.write(answer_bytes(fields["request-id"]))
         await writer.drain()
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -73,6 +73,10 @@
         async with stream:
             try:
                 while (request := await self._read(http, stream)) is not None:
+                    if request[1] == "/-/report":
+                        await stream.send(answer_bytes("", b"{}"))
+                        http = h11.Connection(h11.SERVER)
+                        continue
                     self.requests.append(request)
                     if await self.behave(self, request, stream) == "close":
                         return
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cassiapitch.header_codec import BackendRequestFields, PromptPart, StatedLimit
-from cassiapitch.platform import requests
+from cassiapitch.platform import heartbeats, requests
 
 
 def test_caller_head_is_read_into_typed_fields():
@@ -89,3 +89,15 @@
 def test_malformed_limit_neither_sets_nor_withdraws_one(value):
     head = requests.read_backend(200, [(b"server-limit", value)])
     assert head.limit == StatedLimit(is_malformed=True)
+
+
+def test_report_names_the_incarnation_that_heartbeats_name():
+    assert requests.read_identity("i-1", b'{"born": 17, "busy": false}') == "i-1@17"
+    assert heartbeats.life_id("i-1", 17) == "i-1@17"
+    assert requests.read_identity("i-1", b'{"busy": false}') is None
+    assert requests.read_identity("i-1", b"\xff") is None
+
+
+def test_request_names_the_stream_that_it_takes_up():
+    head = requests.read_caller([(b"Resumes", b"r1"), (b"Last-Event-Id", b"3")])
+    assert (head.resumed_request_id, head.last_event_id) == ("r1", 3)
