--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -87,6 +87,8 @@
         self._call = call
         self._plan = plan
         self._write_chunk = write_chunk
+        # Software version of the engines that began the answer.
+        self._version: str | None = None
         self._slot_request = self._make_slot_request()
 
     def used_tokens(self) -> int:
@@ -119,6 +121,8 @@
             try:
                 end = await self._attempt(slot.backend)
             finally:
+                if self.answer.next_position and self._version is None:
+                    self._version = slot.backend.software_version
                 completed = end is AttemptEnd.COMPLETE
                 self._state.scheduler.release(slot, completed=completed)
                 if end is not AttemptEnd.CRASHED:
@@ -129,6 +133,17 @@
         if self._slot_request.suspect:
             self._crash_containment.report_clean_run(self._slot_request)
 
+    def _candidates(self) -> list[BackendItem]:
+        """Returns the engines with the model that may begin or continue the answer.
+
+        What two software versions write doesn't fit together.
+        """
+        engines = self._state.catalog.engines(self._plan.target)
+        version = self._version
+        if version is None:
+            return engines
+        return [engine for engine in engines if engine.software_version == version]
+
     def _make_slot_request(self) -> SlotRequest:
         call, plan, state = self._call, self._plan, self._state
         account = call.account
@@ -136,7 +151,7 @@
         return SlotRequest(
             name=name,
             queue=plan.target.model.name,
-            candidates=lambda: state.catalog.engines(plan.target),
+            candidates=self._candidates,
             expected_ms=lambda: state.expected_ms(name),
             account="" if account is None else account.name,
             weight=1 if account is None else account.weight,
--- a/tests/entryfakes.py
+++ b/tests/entryfakes.py
@@ -160,6 +160,8 @@
 class FakeServer:
     """Base of engine and service: an address, a record of requests, a crash."""
 
+    version = ""
+
     def __init__(self, name, life_id, zone="a"):
         self.name, self.life_id, self.zone = name, life_id, zone
         self.http = httpserver.HttpServer(self.app, LOOPBACK)
@@ -178,6 +180,7 @@
             tuple(models),
             tuple(adapters),
             limit,
+            software_version=self.version,
         )
 
     async def record_request(self, scope, receive):
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,7 +5,16 @@
 import anyio
 import pytest
 
-from cassiapitch import api, codec, engine_calls, messages, settings, timers, viewitems
+from cassiapitch import (
+    api,
+    codec,
+    engine_calls,
+    generation,
+    messages,
+    settings,
+    timers,
+    viewitems,
+)
 from cassiapitch.entry import EntryProcess
 from cassiapitch.types import Priority, SuspectRunOutcome
 from tests.entryfakes import (
@@ -147,6 +156,38 @@
         assert cleared.lives == (report.life_id,)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("is_third_same", [True, False])
+async def test_answer_is_not_continued_by_another_software_version(
+    is_third_same, monkeypatch
+):
+    monkeypatch.setattr(generation, "NEXT_COPY_WAIT_MS", 500)
+    first, second = FakeEngine("n1", "l1"), FakeEngine("n2", "l2")
+    first.version, second.version = "1", "2"
+    first.crash_at = second.crash_at = 3
+    async with world(first, second) as w:
+        third = FakeEngine("n3", "l3")
+        w.group.start_soon(third.http.run)
+
+        def add_third(report):
+            began, other = (
+                (first, second) if report.life_id == "l1" else (second, first)
+            )
+            other.crash_at = None
+            third.version = began.version if is_third_same else "3"
+            w.group.start_soon(
+                w.hub.change_view, {"backend/n3": third.item("engines", ["m"])}
+            )
+
+        w.hub.on_crash = add_third
+        text, is_done, error = await w.stream_chat(6)
+        if is_third_same:
+            assert (text, is_done, error) == (expected_text(6), True, None)
+            assert json.loads(third.requests[-1][1])["continue_position"] == 3
+        else:
+            assert (text, is_done) == (expected_text(3), False)
+
+
 @pytest.mark.anyio
 async def test_stream_waits_for_the_next_copy_after_the_only_one_crashed():
     """Guards against a lost answer while the model is loaded on another engine."""
