--- a/cassiapitch/dump.py
+++ b/cassiapitch/dump.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from cassiapitch import __version__, codec
+from cassiapitch import __version__, codec, stream_origins
 from cassiapitch.group import ControlGroup
 from cassiapitch.hub import Hub
 from cassiapitch.leader_tasks import RateGrantService
@@ -86,6 +86,20 @@
             }
             for item in state.suspects.table.values()
         ],
+        "prompt_parts": [
+            {
+                "digest": digest,
+                "crash_count": item.crash_count,
+                "refused": item.is_refused,
+                "trusted": item.is_trusted,
+            }
+            for digest, item in state.crash_evidence.items.items()
+        ],
+        "stream_origins_count": len(state.origins.table),
+        "software_versions": {
+            name.removeprefix("versions/"): list(item.versions)
+            for name, item in stream_origins.view_items(state.origins).items()
+        },
         "floors": {
             "term": state.floors.term,
             "sequence": state.floors.sequence,
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -27,7 +27,6 @@
     InFlight,
     LinkHello,
     LoadReports,
-    PartCrashAnswer,
     RateGrants,
     SuspectRunAnswer,
     ViewDelta,
@@ -35,6 +34,7 @@
 )
 from cassiapitch.operatorroutes import OperatorApplication
 from cassiapitch.origin_messages import OriginAnswer
+from cassiapitch.part_messages import PartCrashAnswer
 from cassiapitch.plainhttp import PlainHttpServer
 from cassiapitch.seeds import peers_from_seeds
 from cassiapitch.send_limits import MIN_ASK_SPACING_MS
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -34,9 +34,6 @@
     LinkHello,
     LinkRefused,
     LoadReports,
-    PartCrashAnswer,
-    PartCrashReport,
-    PartsCleared,
     RateAsk,
     SuspectCleared,
     SuspectRunAnswer,
@@ -45,6 +42,7 @@
     ViewSnapshot,
 )
 from cassiapitch.origin_messages import OriginAnswer, OriginAsk, OriginsReport
+from cassiapitch.part_messages import PartCrashAnswer, PartCrashReport, PartsCleared
 from cassiapitch.replicated import ReplicatedState
 from cassiapitch.settings import Address, ControlPeer
 
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -14,7 +14,6 @@
     ClaimState,
     LifeId,
     ModelName,
-    PartDigest,
     Priority,
     RequestDigest,
     SuspectRunOutcome,
@@ -237,26 +236,6 @@
     holder: str
 
 
-class PartCrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """Reports the parts of prompts that may have crashed an incarnation.
-
-    The other fields are those of `commands.ReportPartCrash`.
-    """
-
-    sequence: int
-    life_id: LifeId
-    requests: tuple[tuple[PartDigest, ...], ...]
-    trusted: tuple[PartDigest, ...]
-
-
-class PartsCleared(msgspec.Struct, frozen=True, array_like=True):
-    """Reports that parts were answered; other fields as in `commands.ClearParts`."""
-
-    sequence: int
-    parts: tuple[PartDigest, ...]
-    known_index: int
-
-
 class ModelDemand(msgspec.Struct, frozen=True, array_like=True):
     """Demand for one model at one entry since its last report.
 
@@ -381,19 +360,6 @@
     crash_counts: tuple[int, ...]
 
 
-class PartCrashAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """Answers `PartCrashReport` and `PartsCleared`.
-
-    Attributes:
-        sequence: Sequence of the report.
-        refused: Those of the reported parts that are refused now; None if the control
-            group couldn't record the report in time.
-    """
-
-    sequence: int
-    refused: tuple[PartDigest, ...] | None
-
-
 class SuspectRunAnswer(msgspec.Struct, frozen=True, array_like=True):
     """Answers `SuspectRunAsk` and `SuspectRunEnded`.
 
@@ -491,9 +457,6 @@
     SuspectRunAsk,
     SuspectRunEnded,
     SuspectRunAnswer,
-    PartCrashReport,
-    PartsCleared,
-    PartCrashAnswer,
     DemandReport,
     Confirmed,
     RateGrants,
--- a/cassiapitch/part_reports.py
+++ b/cassiapitch/part_reports.py
@@ -17,7 +17,7 @@
 from cassiapitch.crash_evidence import CrashEvidence, RequestParts
 from cassiapitch.entrystate import EntryState
 from cassiapitch.header_codec import PromptPart
-from cassiapitch.messages import PartCrashReport, PartsCleared
+from cassiapitch.part_messages import PartCrashReport, PartsCleared
 from cassiapitch.types import LifeId, PartDigest
 
 # Time limit of one try, over which a report is repeated.
