Keep the event of a crash report with its task

A second report of one incarnation, or its end in the view, before the first report's task had started left the first callers waiting for a second, or ended the entry with a KeyError in its background tasks. Found by reading; not seen in a run. The task gets the event and the set of refused parts as arguments now.

--- a/cassiapitch/part_reports.py
+++ b/cassiapitch/part_reports.py
@@ -177,12 +177,14 @@
             events.log(events.Event.PART_REPORT_DROPPED, life_id=life_id)
             return
         self._pending_count += 1
-        self._last_reports[life_id] = (anyio.Event(), set())
-        self._state.start_background(self._send_report, command)
+        report = (anyio.Event(), set[PartDigest]())
+        self._last_reports[life_id] = report
+        self._state.start_background(self._send_report, command, *report)
 
-    async def _send_report(self, command: ReportPartCrash) -> None:
+    async def _send_report(
+        self, command: ReportPartCrash, done: anyio.Event, refused: set[PartDigest]
+    ) -> None:
         """Sends a report until it is recorded: an entry may be cut off for long."""
-        done, refused = self._last_reports[command.life_id]
         answer = None
         try:
             while answer is None:
