Retry a stream whose connection ends before its first event

A stream may have neither a length nor chunks and end with its connection. One that ended so without any event reached the caller as a complete answer, and would have cleared the harmful part that crashed its backend server.

Such an end counts as a broken exchange now. Evidence: the test test_stream_whose_connection_ends_before_its_first_event_is_retried failed before (an empty answer that looked complete) and passes now.

--- a/cassiapitch/backend_connection.py
+++ b/cassiapitch/backend_connection.py
@@ -52,6 +52,12 @@
     reason: bytes
     headers: list[tuple[bytes, bytes]]
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection marks the end of the body."""
+        names = {name.lower() for name, _ in self.headers}
+        return names.isdisjoint((b"content-length", b"transfer-encoding"))
+
 
 class BackendConnection:
     """One connection to one incarnation of a backend server."""
--- a/cassiapitch/forwardanswers.py
+++ b/cassiapitch/forwardanswers.py
@@ -203,6 +203,9 @@
                 await self._begin_stream(call, caller, head, b"".join(new_events))
         if splitter.incomplete_event():
             raise BackendBrokenError("the stream ended in the middle of an event")
+        if head.ends_with_connection and last_relayed_ms is None:
+            # A backend server that crashes as it begins may close the connection.
+            raise BackendBrokenError("the connection ended before the first event")
         if not caller.has_answered:
             await self._begin_stream(call, caller, head, b"")
         await caller.end_answer()
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -432,6 +432,21 @@
     assert returned == 0
 
 
+def test_stream_whose_connection_ends_before_its_first_event_is_retried():
+    async def ends_at_once(backend, request, stream):
+        head = stream_head(request_id(request))
+        await stream.send(head.replace(b"Transfer-Encoding: chunked\r\n", b""))
+        return "close"
+
+    async def streams(backend, request, stream):
+        await stream.send(stream_head(request_id(request)) + chunk(event(1)))
+        await stream.send(b"0\r\n\r\n")
+
+    reply, _ = play(call, RESUMABLE, ends_at_once, streams)
+    assert event(1) in reply
+    assert reply.endswith(b"0\r\n\r\n")
+
+
 def test_stream_that_breaks_off_before_its_first_event_is_retried():
     """Guards against a caller that gets the head of a stream without any event."""
 
