Don't take a stream without a request id for another one

A stream whose request bore no id was remembered under an empty name, and a take-up that names no first request would have gone on at its version: a guess. Such streams aren't remembered now. A report that only ends with its connection no longer raises an error of the HTTP library; the attempt counts as not sent.

--- a/cassiapitch/backend_connection.py
+++ b/cassiapitch/backend_connection.py
@@ -144,6 +144,8 @@
                     raise BackendBrokenError("the report is too long")
             if codec.read_backend(head.status, head.headers).is_other_backend:
                 raise BackendBrokenError("another backend server has the address")
+            if self._http.their_state is not h11.DONE:
+                raise BackendBrokenError("the report ends the connection")
             self._http.start_next_cycle()
             return codec.read_identity(name, content)
         raise BackendBrokenError("no report in time")
--- a/cassiapitch/stream_versions.py
+++ b/cassiapitch/stream_versions.py
@@ -169,6 +169,8 @@
         )
 
     def _remember(self, origin: StreamOrigin) -> None:
+        if not origin.stream:
+            return
         now_ms = timers.now_ms()
         self._recent.pop(origin.stream, None)
         self._recent[origin.stream] = (origin, now_ms + stream_origins.ORIGIN_MS)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,8 +1,17 @@
 """Tests that no stream holds events of two software versions of backend servers."""
 
+from types import SimpleNamespace
+
 import anyio
+import pytest
 
 from cassiapitch import timers
+from cassiapitch.entrystate import EntryState
+from cassiapitch.forwardtypes import RefusedError
+from cassiapitch.header_codec import CallerHead
+from cassiapitch.platform.requests import HEADER_CODEC
+from cassiapitch.settings import Address, EntrySettings
+from cassiapitch.stream_versions import StreamVersions
 from tests.crash_world import StreamWorld, is_whole, last_event_id, play, versions
 
 STREAMS_COUNT = 60
@@ -141,3 +150,27 @@
     replies = play(scenario, tmp_path, world_type=StreamWorld)
     assert sum(len(versions(reply)) > 1 for reply in replies) <= ALLOWED_COUNT
     assert sum(map(is_whole, replies)) >= SHARE_THAT_GOES_ON * len(replies)
+
+
+@pytest.mark.anyio
+async def test_stream_without_a_request_id_is_not_taken_for_another():
+    settings = EntrySettings("e0", "z0", "test", *[Address("127.0.0.1", 0)] * 2)
+    state = EntryState(settings)
+    stream_versions = StreamVersions(HEADER_CODEC, state)
+    route = SimpleNamespace(may_be_resumed=True, targets=())
+
+    def make_call(last_event_id):
+        head = CallerHead(last_event_id=last_event_id)
+        return SimpleNamespace(
+            route=route,
+            head=head,
+            account=None,
+            source=None,
+            sent_count=1,
+            left_ms=lambda: 50,
+        )
+
+    backend = SimpleNamespace(role="shop", software_version="v1")
+    assert await stream_versions.answer_begun(make_call(None), backend)
+    with pytest.raises(RefusedError):
+        await stream_versions.find_source(make_call(3))
