Admit a request before its stream is looked up, and close what it leaves

A caller that takes up streams without end could have filled the log with look-ups, which came before its account's rate was checked; admission comes first now, and its cost is given back where nothing is sent. A caller that left while its backend server was asked for its incarnation left that connection open.

--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -224,9 +224,9 @@
 
     async def _serve(self, call: ForwardCall, caller: CallerConnection) -> None:
         self._crashes.refuse_harmful(call)
-        await self._stream_versions.find_source(call)
         call.progress.step("admit")
         await self._admit(call)
+        await self._stream_versions.find_source(call)
         slot_request = self._candidates.make_slot_request(call)
         self._state.retry_budget.count_request(timers.now_ms(), slot_request.role)
         if self._crash_containment.is_quarantined(slot_request.digest):
@@ -305,14 +305,13 @@
             self._connections.release_connection(connection, idle_ms)
             call.progress.mark_not_sent()
             return False
-        if not await self._stream_versions.may_continue(call, backend, connection):
-            connection.close()
-            slot.slot_request.excluded_lives.add(backend.life_id)
-            call.progress.mark_not_sent()
-            return False
-        self._crashes.attempt_started(call, slot)
-        self._stream_versions.attempt_started(call, backend)
         try:
+            if not await self._stream_versions.may_continue(call, backend, connection):
+                slot.slot_request.excluded_lives.add(backend.life_id)
+                call.progress.mark_not_sent()
+                return False
+            self._crashes.attempt_started(call, slot)
+            self._stream_versions.attempt_started(call, backend)
             head, backend_head = await self._send(call, backend, connection)
             idle_ms = backend_head.idle_timeout_ms
             if backend_head.is_not_executed:
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -66,6 +66,8 @@
         self.requests = []
         self.connections_count = 0
         self.closed = anyio.Event()
+        # Whether it says which incarnation it is when it is asked.
+        self.reports = True
 
     async def serve(self, stream):
         http = h11.Connection(h11.SERVER)
@@ -74,6 +76,8 @@
             try:
                 while (request := await self._read(http, stream)) is not None:
                     if request[1] == "/-/report":
+                        if not self.reports:
+                            continue
                         await stream.send(answer_bytes("", b"{}"))
                         http = h11.Connection(h11.SERVER)
                         continue
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -432,6 +432,22 @@
     assert returned == 0
 
 
+def test_connection_is_closed_if_the_caller_leaves_while_its_incarnation_is_asked():
+    async def breaks_midway(backend, request, stream):
+        await stream.send(stream_head(request_id(request)) + chunk(event(1)))
+        return "close"
+
+    async def scenario(world):
+        for backend in world.backends:
+            backend.reports = False
+        with anyio.move_on_after(0.2):
+            await world.call()
+        await anyio.sleep(0.05)
+        return [backend.closed.is_set() for backend in world.backends]
+
+    assert play(scenario, RESUMABLE, breaks_midway, breaks_midway) == [True, True]
+
+
 def test_stream_whose_connection_ends_before_its_first_event_is_retried():
     async def ends_at_once(backend, request, stream):
         head = stream_head(request_id(request))
