--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -64,6 +64,9 @@
             await self._report(writer)
             return True
         self.arrivals.append((timers.now_ms(), parts))
+        if not self.is_running:
+            # The connection was accepted just before the crash.
+            return False
         incarnation = self.incarnation
         await asyncio.sleep(WORK_MS / 1000)
         if incarnation != self.incarnation:
@@ -88,6 +91,8 @@
 
     def crash(self):
         """Resets all connections and listens again later as a new incarnation."""
+        if not self.is_running:
+            return
         self.crashes_ms.append(timers.now_ms())
         self.incarnation += 1
         self.is_running = False
