--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -54,6 +54,18 @@
     assert record.find("s") == OriginResult("kit", "v2")
 
 
+def test_third_version_and_a_release_back_keep_each_stream_at_its_own(record):
+    record.change(backend("b0", "v1"), backend("b1", "v2"), backend("b2", "v3"))
+    for version in ("v1", "v2", "v3"):
+        record.began(f"s-{version}", version)
+    record.change(backend("b1", "v1"), backend("b2", "v1"), time_ms=1_000)
+    for version in ("v1", "v2", "v3"):
+        assert record.find(f"s-{version}", 1_000) == OriginResult("kit", version)
+    assert record.find("unknown", 1_000) == UNPROVED
+    stream_origins.expire(record.state, 1_000 + VERSION_MS)
+    assert record.find("unknown", 1_000 + VERSION_MS) == OriginResult("kit", "v1")
+
+
 def test_version_that_has_just_left_still_counts(record):
     record.change(backend("b0", "v1"), backend("b1", "v2"))
     record.change({"backend/b0": None}, time_ms=1_000)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -73,6 +73,13 @@
     return sum(len(versions(*pair)) > 1 for pair in pairs)
 
 
+def assert_taken_up(pairs):
+    assert len(pairs) >= 12
+    assert joined_count(pairs) <= ALLOWED_COUNT
+    going_on = [reply for _, reply in pairs if reply.status == 200 and is_whole(reply)]
+    assert len(going_on) >= SHARE_THAT_GOES_ON * len(pairs)
+
+
 def test_streams_taken_up_after_all_entries_were_killed_keep_to_their_version(tmp_path):
     async def scenario(world):
         await set_versions(world, new_count=3)
@@ -80,10 +87,7 @@
         return await take_up_all(world, broken)
 
     pairs = play(scenario, tmp_path, world_type=StreamWorld)
-    assert len(pairs) >= 12
-    assert joined_count(pairs) <= ALLOWED_COUNT
-    going_on = [reply for _, reply in pairs if reply.status == 200 and is_whole(reply)]
-    assert len(going_on) >= SHARE_THAT_GOES_ON * len(pairs)
+    assert_taken_up(pairs)
 
 
 def test_streams_are_taken_up_after_all_processes_lost_power(tmp_path):
@@ -107,10 +111,7 @@
         return await take_up_all(world, broken)
 
     pairs = play(scenario, tmp_path, world_type=StreamWorld)
-    assert len(pairs) >= 12
-    assert joined_count(pairs) <= ALLOWED_COUNT
-    going_on = [reply for _, reply in pairs if reply.status == 200 and is_whole(reply)]
-    assert len(going_on) >= SHARE_THAT_GOES_ON * len(pairs)
+    assert_taken_up(pairs)
 
 
 def test_streams_of_a_version_that_has_left_are_refused_at_once(tmp_path):
