--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -151,7 +151,11 @@
             if isinstance(command, MarkBackends):
                 for mark in command.marks:
                     events.log(
-                        events.Event.BACKEND_EVENT, name=mark.name, event=mark.event
+                        events.Event.BACKEND_EVENT,
+                        name=mark.name,
+                        event=mark.event,
+                        refused_by=coordinator.refused_by.get(mark.life_id, ()),
+                        entries_count=coordinator.entries_count(),
                     )
             if not await self._commit(command):
                 coordinator.on_proposal_failed()
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -34,6 +34,7 @@
 )
 from cassiapitch.orders import Order, is_adapter_key
 from cassiapitch.placement_state import VIEW_DELAY_MS, PlacementState
+from cassiapitch.refused_reports import RefusedReports
 
 PLACEMENT_ROUND_MS = 1_000
 
@@ -53,11 +54,6 @@
 # Limits the announcements in one command, so that it stays under 1 MiB.
 ANNOUNCEMENTS_PER_COMMAND = 256
 
-# A backend server is suspected when this many entries report refused connections
-# within the window.
-REFUSED_WINDOW_MS = 3_000
-REFUSED_ENTRIES_COUNT = 2
-
 # Announcements are ignored for this long after a backend server was found to refuse
 # connections, since they may have been sent before.
 REFUSED_IGNORE_MS = 1_000
@@ -154,8 +150,9 @@
         self._proposed_announcements: dict[str, Announcement] = {}
         # By name of the backend server.
         self._pending_announcements: dict[str, Announcement] = {}
-        # Times of refused connections by life id and entry.
-        self._refusals_ms: dict[str, dict[str, int]] = {}
+        self._refused_reports = RefusedReports()
+        # What the last marks of refused connections rest on, by life id.
+        self.refused_by: dict[str, tuple[str, ...]] = {}
         # Incarnations whose HTTP responses said that they are leaving, with the time of
         # the first report. It overrides their heartbeats.
         self._leaving_since_ms: dict[str, int] = {}
@@ -226,8 +223,7 @@
         for life_id in report.leaving_backends:
             self._leaving_since_ms.setdefault(life_id, now_ms)
         self._pauses.add(report.pauses_ms, now_ms)
-        for life_id in report.refused_backends:
-            self._refusals_ms.setdefault(life_id, {})[report.entry] = now_ms
+        self._refused_reports.add(report.entry, report.refused_backends, now_ms)
 
     def _reports_load(self, role: str) -> bool:
         role_config = self._fleet.catalog.roles.get(role)
@@ -366,7 +362,6 @@
             self._last_heard_ms,
             self._last_sequences,
             self._proposed_announcements,
-            self._refusals_ms,
             self._leaving_since_ms,
             self._ignored_until_ms,
             self.placement.request_counts,
@@ -377,6 +372,7 @@
         for table in tables:
             for life_id in [key for key in table if self._fleet.is_ended(key)]:
                 del table[life_id]
+        self._refused_reports.forget_if(self._fleet.is_ended)
 
     def _forget_settled(self) -> None:
         for order_id in self._progress.keys() - self._fleet.open_orders.keys():
@@ -433,8 +429,13 @@
             for start in range(0, len(pending), ANNOUNCEMENTS_PER_COMMAND)
         ]
 
+    def entries_count(self) -> int:
+        """Returns the number of entries that have reported in this term."""
+        return len(self._in_flight)
+
     def _due_marks(self, now_ms: int) -> list[BackendMark]:
         marks = []
+        self.refused_by.clear()
         for incarnation in self._fleet.lives.values():
             heard_ms = self._last_heard_ms.setdefault(
                 incarnation.life_id, self._term_start_ms
@@ -454,18 +455,15 @@
         return marks
 
     def _is_refusing_connections(self, incarnation: Incarnation, now_ms: int) -> bool:
-        entries = self._refusals_ms.get(incarnation.life_id)
-        if entries is None or not incarnation.allows("refused"):
+        life_id = incarnation.life_id
+        reports = self._refused_reports
+        if not incarnation.allows("refused") or not reports.is_refusing(
+            life_id, now_ms
+        ):
             return False
-        recent = [
-            time_ms
-            for time_ms in entries.values()
-            if now_ms - time_ms <= REFUSED_WINDOW_MS
-        ]
-        if len(recent) >= REFUSED_ENTRIES_COUNT:
-            del self._refusals_ms[incarnation.life_id]
-            return True
-        return False
+        self.refused_by[life_id] = reports.reporters(life_id, now_ms)
+        reports.forget(life_id)
+        return True
 
     def _next_attempts(self, now_ms: int) -> list[OrderAttempt]:
         attempts = []
