--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -177,6 +177,25 @@
     def make_backend(self, name):
         return LimitedBackend(name)
 
+    def zone_of(self, name):
+        """Returns the availability zone of an entry or a backend server."""
+        return "z0"
+
+    def make_routes(self):
+        return (self.make_route("/", self.repeat),)
+
+    def make_route(self, path_prefix, repeat):
+        return ForwardRoute(
+            f"r{path_prefix}",
+            HOST,
+            path_prefix,
+            repeat,
+            (WeightedRole("shop", 1),),
+            10_000,
+            attempts_limit_count=self.attempts_limit_count,
+            open=True,
+        )
+
     async def start_backend(self, backend):
         listener = await anyio.create_tcp_listener(local_host=LOOPBACK)
         backend.port = listener.extra(anyio.abc.SocketAttribute.local_port)
@@ -209,7 +228,7 @@
         )
         settings = EntrySettings(
             name=name,
-            zone="z0",
+            zone=self.zone_of(name),
             cluster="test",
             caller_address=Address(LOOPBACK, 0),
             admin_address=Address(LOOPBACK, 0),
@@ -268,23 +287,13 @@
         return result
 
     async def roll_bundle(self):
-        route = ForwardRoute(
-            "r",
-            HOST,
-            "/",
-            self.repeat,
-            (WeightedRole("shop", 1),),
-            10_000,
-            attempts_limit_count=self.attempts_limit_count,
-            open=True,
-        )
         role = Role(
             "shop", RoleKind.SERVICE, silence_limit_ms=3_000, reports_load=False
         )
         bundle = Bundle(
             version=1,
             roles=(role,),
-            forwards=(route,),
+            forwards=self.make_routes(),
             caller_limits=CallerLimits(16_384, 1_000_000, 1_000, 5_000),
         )
         command = commands.PutBundle(bundle, "text", "", "ann", "ann")
@@ -304,7 +313,7 @@
                     backend.name,
                     f"{backend.name}@{backend.incarnation}",
                     "shop",
-                    "z0",
+                    self.zone_of(backend.name),
                     LOOPBACK,
                     backend.port,
                     10**9,
@@ -325,14 +334,16 @@
             for entry in self.entries.values()
         )
 
-    async def call(self, name, deadline_ms=1_500, headers="", body=b"", parts=()):
+    async def call(
+        self, name, deadline_ms=1_500, headers="", body=b"", parts=(), path="/x"
+    ):
         """Sends one request to an entry and records its reply."""
         self.request_number += 1
         request_id = f"q{self.request_number}"
         entry = self.entries.get(name)
         sent_ms = timers.now_ms()
         head = (
-            "POST /x HTTP/1.1\r\n"
+            f"POST {path} HTTP/1.1\r\n"
             f"Host: {HOST}\r\n"
             f"Request-Id: {request_id}\r\n"
             f"Deadline-Ms: {deadline_ms}\r\n"
