End connections whose peer has fallen silent

Cause: connections had no time limit below the request's own. The kernel now probes idle connections each second and ends those whose peer acknowledges nothing for 1.8 s. A process that stands still on a running host acknowledges, so a silent second of a backend server ends nothing.

The new test fails before (no time limit set).

--- a/cassiapitch/bytestream.py
+++ b/cassiapitch/bytestream.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import ssl
 from collections.abc import Callable
 
 import anyio
@@ -20,6 +21,12 @@
 # Event loop iterations in which the kernel's accept queue is emptied.
 ACCEPT_ITERATIONS_COUNT = 4
 
+# A connection whose peer acknowledges nothing for this long has lost its path. A host
+# acknowledges even while the process on it stands still.
+SILENCE_LIMIT_MS = 1_800
+# An idle connection is probed this often, in whole seconds.
+PROBE_PERIOD_S = 1
+
 OnConnected = Callable[["ByteStream"], None]
 
 
@@ -28,6 +35,8 @@
 
     Attributes:
         on_input: Called when bytes or the end of input arrive, before they are read.
+        is_tunneled: Whether another entry passes the bytes on.
+        may_be_reused: Whether a further request may use the connection.
     """
 
     def __init__(self, on_connected: OnConnected | None = None) -> None:
@@ -46,6 +55,8 @@
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self.on_input: Callable[[], None] | None = None
+        self.is_tunneled = False
+        self.may_be_reused = True
 
     # Callbacks of the event loop.
 
@@ -172,14 +183,35 @@
         self._require_transport().abort()
 
 
-async def connect(ip: str, port: int) -> ByteStream:
-    """Opens a connection.
+def limit_silence(sock: socket.socket) -> None:
+    """Lets the kernel end a connection whose peer has fallen silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_PERIOD_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_PERIOD_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
+
+
+async def connect(
+    ip: str,
+    port: int,
+    *,
+    tls: ssl.SSLContext | None = None,
+    make_stream: Callable[[], ByteStream] = ByteStream,
+) -> ByteStream:
+    """Opens a connection that ends when its peer falls silent.
+
+    Args:
+        ip: Address of the peer.
+        port: Its port.
+        tls: TLS to use; None for plain TCP.
+        make_stream: Returns a stream without a transport.
 
     Raises:
         OSError: Connecting failed.
     """
     loop = asyncio.get_running_loop()
-    _, stream = await loop.create_connection(ByteStream, ip, port)
+    transport, stream = await loop.create_connection(make_stream, ip, port, ssl=tls)
+    limit_silence(transport.get_extra_info("socket"))
     return stream
 
 
--- a/tests/test_bytestream.py
+++ b/tests/test_bytestream.py
@@ -155,3 +155,15 @@
 def test_stream_without_a_transport_is_not_used():
     with pytest.raises(AssertionError):
         ByteStream().close()
+
+
+def test_connection_whose_peer_falls_silent_is_ended_by_the_kernel():
+    async def scenario(listener, accepted):
+        client, _ = await pair(listener, accepted)
+        sock = client._require_transport().get_extra_info("socket")
+        limit_ms = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert 1_500 <= limit_ms <= 2_000
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 1
+
+    play(scenario)
