Reach backend servers through other entries when the own links are lost

Cause: an entry had one path to a backend server, its own. Class: a resource that only one route leads to, although a neighbour has another.

An entry now opens a connection through a peer when its own path doesn't connect (200 ms later, or at once after a refusal). The peer connects to the backend server and passes bytes on, so everything else stays where it was: admission, permits, fairness, retries, the key, the deadline, crash evidence and what began a stream are decided by the caller's own entry, once. A tunnel opens before the request is written, so a failure to open one has sent nothing; the end of an answer travels as a message, so an answer that breaks off at the peer is never complete; a peer passes on only what its own link reaches, so there are no circles; a peer that stood still ends its tunnels. Lost paths are probed twice a second.

Ruled out: taking cut entries out of rotation (a zone that is cut stays in use), relaying whole requests to other entries (rate, permits and progress would live in two places).

--- a/cassiapitch/backend_client.py
+++ b/cassiapitch/backend_client.py
@@ -10,7 +10,8 @@
 import anyio
 import httpcore
 
-from cassiapitch import bytestream, timers
+from cassiapitch import timers
+from cassiapitch.backend_paths import BackendPaths
 from cassiapitch.bytestream import ByteStream
 from cassiapitch.types import LifeId
 from cassiapitch.viewitems import (
@@ -79,6 +80,16 @@
         # treats a connection for which this is true as expired.
         return self._stream.has_input if info == "is_readable" else None
 
+    @property
+    def is_tunneled(self) -> bool:
+        """Whether another entry passes the bytes on."""
+        return self._stream.is_tunneled
+
+    @property
+    def may_be_reused(self) -> bool:
+        """Whether a further request may use the connection."""
+        return self._stream.may_be_reused
+
 
 @dataclasses.dataclass(slots=True)
 class Connection:
@@ -117,7 +128,13 @@
 class Connections:
     """Pool of idle connections, by incarnation and address of the backend server."""
 
-    def __init__(self) -> None:
+    def __init__(self, paths: BackendPaths) -> None:
+        """Creates an empty pool.
+
+        Args:
+            paths: Opens connections.
+        """
+        self._paths = paths
         self._idle: dict[tuple[LifeId, str, int], list[Connection]] = {}
 
     async def open(
@@ -136,8 +153,7 @@
                 return connection
             await _close(connection)
         try:
-            with anyio.fail_after(CONNECT_LIMIT_MS / 1000):
-                stream = await bytestream.connect(backend.ip, backend.port)
+            stream = await self._paths.connect(backend, CONNECT_LIMIT_MS)
         except TimeoutError:
             return NotConnected(refused=False)
         except OSError:
@@ -161,7 +177,9 @@
         It can be reused if its last response was read to the end.
         """
         connection.stream.guard = None
-        if _has_trailing_data(connection):
+        stream = connection.stream
+        is_detour = stream.is_tunneled and not self._paths.is_lost(connection.life_id)
+        if is_detour or not stream.may_be_reused or _has_trailing_data(connection):
             await _close(connection)
             return
         idle = self._idle.setdefault((connection.life_id, *connection.address), [])
--- a/cassiapitch/backend_connection.py
+++ b/cassiapitch/backend_connection.py
@@ -8,7 +8,8 @@
 import anyio
 import h11
 
-from cassiapitch import bytestream, events, metrics, timers
+from cassiapitch import events, metrics, timers
+from cassiapitch.backend_paths import BackendPaths
 from cassiapitch.bytestream import ByteStream
 from cassiapitch.header_codec import HeaderCodec
 from cassiapitch.types import LifeId
@@ -179,6 +180,11 @@
         except OSError:
             raise BackendBrokenError("the connection was reset") from None
 
+    @property
+    def is_tunneled(self) -> bool:
+        """Whether another entry passes the bytes on."""
+        return self._stream.is_tunneled
+
     @property
     def is_closed(self) -> bool:
         """Whether the connection is closed or about to be."""
@@ -194,6 +200,7 @@
         data, is_closed = self._http.trailing_data
         has_no_input = not data and not self._stream.has_input
         is_open = not is_closed and not self.is_closed and not self.close_after_use
+        is_open = is_open and self._stream.may_be_reused
         return is_done and has_no_input and is_open
 
     def begin_idle(self, idle_ms: int) -> None:
@@ -224,7 +231,13 @@
 class BackendConnectionPool:
     """Idle connections by incarnation of a backend server."""
 
-    def __init__(self) -> None:
+    def __init__(self, paths: BackendPaths) -> None:
+        """Creates an empty pool.
+
+        Args:
+            paths: Opens connections.
+        """
+        self._paths = paths
         self._idle: dict[LifeId, list[BackendConnection]] = {}
 
     async def open(
@@ -246,9 +259,8 @@
                 return connection
         metrics.CONNECTIONS_OPENED.inc()
         try:
-            with anyio.fail_after(CONNECT_TIMEOUT_MS / 1000):
-                stream = await bytestream.connect(backend.ip, backend.port)
-        except (OSError, TimeoutError) as error:
+            stream = await self._paths.connect(backend, CONNECT_TIMEOUT_MS)
+        except OSError as error:
             raise BackendUnreachableError(str(error) or "timeout") from None
         return BackendConnection(backend.life_id, stream)
 
@@ -261,7 +273,10 @@
         self._close_expired()
         idle = self._idle.setdefault(connection.life_id, [])
         is_full = len(idle) >= IDLE_LIMIT_COUNT
-        if is_full or idle_ms <= 0 or not connection.is_reusable():
+        is_detour = connection.is_tunneled and not self._paths.is_lost(
+            connection.life_id
+        )
+        if is_full or is_detour or idle_ms <= 0 or not connection.is_reusable():
             connection.close()
             return
         connection.begin_idle(idle_ms)
--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -13,6 +13,7 @@
     Announcement,
 )
 from cassiapitch.command_batcher import CommandBatcher
+from cassiapitch.entry_directory import EntryDirectory
 from cassiapitch.group import ControlGroup
 from cassiapitch.hub import Hub
 from cassiapitch.leader_tasks import RateGrantService
@@ -27,8 +28,11 @@
 from cassiapitch.relay import Relay
 from cassiapitch.replicated import FleetState, ReplicatedState
 from cassiapitch.settings import ControlSettings
+from cassiapitch.tunnel_messages import AllEntries, LinkedEntries
 
 CLOSE_TIMEOUT_S = 3
+# How often changes of the entries that are linked here are looked for.
+ENTRIES_PERIOD_MS = 500
 BACKEND_PREFIX = "/backend/"
 
 
@@ -117,12 +121,14 @@
             self._handle_as_leader,
             self._handle_from_leader,
         )
+        self._directory = EntryDirectory(settings.name)
         self.hub = Hub(
             settings.cluster,
             self.state,
             self.member,
             self._command_batcher,
             self._relay_to_leader,
+            self._directory,
         )
         self._placement = parts.make_placement(self.member)
         self._admin = AdminApi(
@@ -154,6 +160,8 @@
                 self._placement.on_demand(message)
             case Announcement():
                 self._placement.on_announcement(message)
+            case LinkedEntries():
+                self._directory.on_linked(message, timers.now_ms())
 
     def _handle_from_leader(self, message: Any) -> None:
         match message:
@@ -163,6 +171,8 @@
                 self.hub.deliver_answer(message.entry, message.life_id, message.answer)
             case LoadReports():
                 self.hub.broadcast(message)
+            case AllEntries():
+                self.hub.on_all_entries(message)
 
     async def deliver(self, announcement: Announcement) -> bool:
         """Relays an announcement to the leader; returns False if there is none."""
@@ -226,6 +236,7 @@
                 tasks.start_soon(self._rate_grant_service.run)
                 tasks.start_soon(self._placement.run)
                 tasks.start_soon(self._broadcast_load_reports)
+                tasks.start_soon(self._share_entries)
                 if self._settings.metrics_address is not None:
                     tasks.start_soon(
                         plainhttp.PlainHttpServer(
@@ -258,6 +269,19 @@
             if group.is_leader(self.member):
                 self._relay.broadcast(self._placement.load_reports())
 
+    async def _share_entries(self) -> None:
+        """Tells the leader the entries linked here and, as the leader, all members."""
+        while True:
+            await anyio.sleep(ENTRIES_PERIOD_MS / 1000)
+            now_ms = timers.now_ms()
+            leader = self.member.status().leader
+            all_entries = self._directory.all_entries(leader, now_ms)
+            linked = self._directory.linked(self.hub.linked_entries(), leader, now_ms)
+            if linked is not None:
+                self._relay.send(linked)
+            if all_entries is not None:
+                self._relay.broadcast(all_entries)
+
 
 async def _run_http(http: plainhttp.PlainHttpServer, ended: anyio.Event) -> None:
     await http.run()
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -38,7 +38,10 @@
 from cassiapitch.plainhttp import PlainHttpServer
 from cassiapitch.seeds import peers_from_seeds
 from cassiapitch.send_limits import MIN_ASK_SPACING_MS
-from cassiapitch.settings import EntrySettings
+from cassiapitch.settings import Address, EntrySettings
+from cassiapitch.tunnel_messages import TunnelPeers
+from cassiapitch.tunnel_server import TunnelServer
+from cassiapitch.types import BackendName
 
 CONTROL_ANSWERS = (
     ClaimAnswer
@@ -55,6 +58,8 @@
 # Delay before a request for grants that is made for a waiting call, so that calls
 # that arrive together share one request.
 GRANT_REQUEST_SPACING_MS = 5
+# Reserved at the end of the grace time for the exit of the process.
+STOP_MARGIN_MS = 600
 # Time in which the link's task writes the returned grants at the shutdown.
 GRANT_RETURN_WAIT_MS = 100
 
@@ -126,6 +131,15 @@
         self.caller_server = (make_caller_server or _make_openai_server)(
             self.state, self._crash_containment
         )
+        self._tunnel_server = TunnelServer(
+            settings.cluster,
+            settings.tunnel_address,
+            settings.tls,
+            lambda name: self.state.catalog.backends.get(BackendName(name)),
+            self.state.backend_paths.is_lost,
+        )
+        self._tunnel_address: Address | None = None
+        self._stop_deadline_ms = 0
         operator_application = OperatorApplication(self.state, self._link_plan, stop)
         self.operator_server = PlainHttpServer(
             operator_application, settings.admin_address
@@ -135,6 +149,8 @@
         """Serves until `stop` is set, then returns once every call has ended."""
         async with anyio.create_task_group() as group:
             self.state.set_background_group(group)
+            self._tunnel_address = await self._tunnel_server.listen()
+            group.start_soon(self._tunnel_server.run)
             self._start_links(group)
             group.start_soon(self._expire_periodically)
             group.start_soon(self._request_grants)
@@ -148,6 +164,7 @@
             )
             group.start_soon(self._drain_on_stop)
             await self.caller_server.run()
+            await self._tunnel_server.drain(self._stop_deadline_ms - timers.now_ms())
             self.state.step_shutdown("drained")
             await self._return_grants()
             self.state.step_shutdown("stopped")
@@ -187,6 +204,7 @@
             applied_index=self.state.catalog.index,
             primary=link_number == PRIMARY_LINK_NUMBER,
             wants_members=bool(self._settings.seeds),
+            tunnel_address=self._tunnel_address,
         )
 
     def _make_confirm_ask(self) -> ConfirmAsk:
@@ -223,6 +241,8 @@
             self.state.control_requests.answered(message)
         elif isinstance(message, ControlMembers):
             self._link_plan.update_members(message.members)
+        elif isinstance(message, TunnelPeers):
+            self.state.backend_paths.update_peers(message.peers)
         elif isinstance(message, LoadReports) and link_number == PRIMARY_LINK_NUMBER:
             # Every link delivers the same reports. A second copy would be treated as
             # a later report when the entry discounts its own requests.
@@ -355,8 +375,11 @@
         Running calls go on to their end.
         """
         await self._stop.wait()
+        grace_ms = int(self._settings.grace_s * 1_000)
+        self._stop_deadline_ms = timers.now_ms() + grace_ms - STOP_MARGIN_MS
         self.state.step_shutdown("stop")
         self.caller_server.begin_stop()
+        await self._tunnel_server.begin_stop()
         events.log(events.Event.ENTRY_DRAINING, operator=None)
         await anyio.sleep(self._settings.balancer_delay_ms / 1000)
         self.state.step_shutdown("balancer_left")
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -11,6 +11,7 @@
 
 from cassiapitch import events, load_report_queue, timers
 from cassiapitch.asgi import BodyBufferLimit
+from cassiapitch.backend_paths import BackendPaths
 from cassiapitch.calls import Authorization, Call
 from cassiapitch.catalog import Applied, ApplyOutcome, ViewCatalog
 from cassiapitch.control_requests import ControlRequests
@@ -107,8 +108,13 @@
         self.rate_needed = ChangeNotifier()
         # Notified when demand is to be reported before the period has passed.
         self.demand_needed = ChangeNotifier()
+        self.backend_paths = BackendPaths(
+            settings, self.start_background, random.Random(settings.name)
+        )
         # Called with the remaining life ids when backend servers of the view change.
-        self.backend_removal_callbacks: list[Callable[[set[LifeId]], None]] = []
+        self.backend_removal_callbacks: list[Callable[[set[LifeId]], None]] = [
+            self.backend_paths.retain_only
+        ]
         # Called after each change of the view.
         self.view_callbacks: list[Callable[[], None]] = []
         # State of the chart `shutdown`.
@@ -136,7 +142,7 @@
         # client.
         from cassiapitch.backend_client import Connections
 
-        connections = Connections()
+        connections = Connections(self.backend_paths)
         self.backend_removal_callbacks.append(
             lambda life_ids: self.start_background(connections.retain_only, life_ids)
         )
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -74,7 +74,7 @@
             header_codec, state, self._handle_answer_begun
         )
         self._limit_reports = LimitReports(state)
-        self._connections = BackendConnectionPool()
+        self._connections = BackendConnectionPool(state.backend_paths)
         state.backend_removal_callbacks.append(self._connections.retain_only)
         self._running_scopes: set[anyio.CancelScope] = set()
         self._is_stopped = False
--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -15,6 +15,7 @@
 from cassiapitch import commands, events, group, linkstate, rpc, view_confirmations
 from cassiapitch import view as views
 from cassiapitch.command_batcher import CommandBatcher
+from cassiapitch.entry_directory import EntryDirectory
 from cassiapitch.events import Event
 from cassiapitch.exceptions import CodecError
 from cassiapitch.fleet_commands import LimitRecorded, RecordBackendLimit
@@ -45,6 +46,12 @@
 from cassiapitch.part_messages import PartCrashAnswer, PartCrashReport, PartsCleared
 from cassiapitch.replicated import ReplicatedState
 from cassiapitch.settings import Address, ControlPeer
+from cassiapitch.tunnel_messages import (
+    NO_PEERS,
+    AllEntries,
+    TunnelPeer,
+    TunnelPeers,
+)
 
 # An entry's view counts as fresh for 1,800 ms after a confirmation, and an election
 # takes up to about 1,200 ms. So a read that a lost leader left unanswered must not
@@ -86,12 +93,14 @@
         wake: Wakes the task that writes to the link.
         scope: Cancelling it closes the link.
         close_reason: Why the link ended, for the log.
+        peers_sent: Peers for tunnels that the entry was told last.
     """
 
     state: LinkState
     wake: anyio.Event
     scope: anyio.CancelScope
     close_reason: str = "closed by the entry"
+    peers_sent: TunnelPeers = NO_PEERS
 
 
 class Hub:
@@ -104,6 +113,7 @@
         member: ControlGroup,
         command_batcher: CommandBatcher,
         relay: Callable[[Any], None],
+        directory: EntryDirectory,
     ) -> None:
         """Creates a hub without links.
 
@@ -113,12 +123,14 @@
             member: This control member.
             command_batcher: Proposes the commands of claims and reports.
             relay: Forwards rate requests and demand reports to the leader.
+            directory: The entries of the deployment.
         """
         self._cluster = cluster
         self._state = state
         self._member = member
         self._command_batcher = command_batcher
         self._relay_to_leader = relay
+        self._directory = directory
         self._links: set[Link] = set()
         self._primary_links: dict[tuple[str, str], Link] = {}
         self._confirmations = view_confirmations.ViewConfirmations()
@@ -144,6 +156,28 @@
         for link in tuple(self._primary_links.values()):
             self._push(link, reports)
 
+    def linked_entries(self) -> list[TunnelPeer]:
+        """Returns the entries with a primary link here that serve tunnels."""
+        hellos = [link.state.hello for link in self._primary_links.values()]
+        return [
+            TunnelPeer(hello.entry, hello.zone, hello.tunnel_address)
+            for hello in hellos
+            if hello.tunnel_address is not None
+        ]
+
+    def on_all_entries(self, message: AllEntries) -> None:
+        """Tells each entry its peers, as far as they have changed."""
+        self._directory.on_all_entries(message)
+        for link in tuple(self._primary_links.values()):
+            self._send_peers(link)
+
+    def _send_peers(self, link: Link) -> None:
+        hello = link.state.hello
+        peers = self._directory.peers_of(hello.entry, hello.zone)
+        if peers != link.peers_sent:
+            link.peers_sent = peers
+            self._push(link, peers)
+
     def deliver_answer(self, entry: str, life_id: str, answer: Any) -> None:
         """Queues the leader's answer if the primary link of the entry's run is open."""
         link = self._primary_links.get((entry, life_id))
@@ -213,6 +247,7 @@
             linkstate.push(link.state, self._control_members())
         if hello.primary:
             self._primary_links[(hello.entry, hello.life_id)] = link
+            self._send_peers(link)
         link.wake.set()
         events.log(
             Event.LINK_OPENED,
--- a/cassiapitch/messages.py
+++ b/cassiapitch/messages.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from cassiapitch import codec
-from cassiapitch.settings import ControlPeer
+from cassiapitch.settings import Address, ControlPeer
 from cassiapitch.types import (
     AccountName,
     BackendName,
@@ -69,6 +69,8 @@
         primary: Whether this link carries rate requests, claims and reports.
         wants_members: Whether the entry wants the list of control members, since its
             settings only name some of them.
+        tunnel_address: Where the entry accepts tunnels of other entries; None if it
+            doesn't.
     """
 
     entry: str
@@ -78,6 +80,7 @@
     applied_index: int
     primary: bool
     wants_members: bool = False
+    tunnel_address: Address | None = None
 
 
 class ControlMembers(msgspec.Struct, frozen=True, array_like=True):
@@ -427,8 +430,9 @@
 class RelayBatch(msgspec.Struct, frozen=True, array_like=True):
     """A batch of encoded messages, in either direction.
 
-    To the leader: `RateAsk`, `PermitAsk`, `DemandReport` and `Announcement`. From the
-    leader: `RelayedGrants`, `RelayedPermits` and `LoadReports`.
+    To the leader: `RateAsk`, `PermitAsk`, `DemandReport`, `Announcement` and
+    `LinkedEntries`. From the leader: `RelayedGrants`, `RelayedPermits`, `LoadReports`
+    and `AllEntries`.
     """
 
     messages: tuple[bytes, ...]
--- a/cassiapitch/metrics.py
+++ b/cassiapitch/metrics.py
@@ -158,6 +158,15 @@
     "cassiapitch_backend_connections_opened",
     "New connections to backend servers",
 )
+TUNNELS_OPENED = Counter(
+    "cassiapitch_tunnels_opened",
+    "Connections to backend servers through another entry",
+)
+TUNNELS_SERVED = Counter(
+    "cassiapitch_tunnels_served",
+    "Requests of other entries for a connection to a backend server, by outcome",
+    ("outcome",),
+)
 VIEW_INDEX = Gauge(
     "cassiapitch_view_index",
     "Log index of the view or state that this process has applied",
--- a/cassiapitch/rpc.py
+++ b/cassiapitch/rpc.py
@@ -15,7 +15,7 @@
 import msgpack
 import msgspec
 
-from cassiapitch import events
+from cassiapitch import bytestream, events
 from cassiapitch.codec import MessageCodec
 from cassiapitch.exceptions import CodecError
 from cassiapitch.messages import (
@@ -124,11 +124,11 @@
         """Writes a byte string, see `send_message`."""
         await self._write(data)
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, item: bytes | bool) -> None:
         # Writes to a closing transport would be dropped without an error.
         if self._writer.transport.is_closing():
             raise StreamError("the connection is closed")
-        self._writer.write(msgspec.msgpack.encode(data))
+        self._writer.write(encode_item(item))
         try:
             await self._writer.drain()
         except OSError as error:
@@ -140,10 +140,22 @@
             if self._writer.can_write_eof():
                 self._writer.write_eof()
 
+    async def write_item(self, item: bool) -> None:
+        """Writes a flag between byte strings, see `send_message`."""
+        await self._write(item)
+
     async def cancel(self) -> None:
+        """Ends the stream at once."""
+        self.abort()
+
+    def abort(self) -> None:
         """Ends the stream at once."""
         self._writer.transport.abort()
 
+    def limit_silence(self) -> None:
+        """Ends the stream when its peer falls silent."""
+        bytestream.limit_silence(self._writer.get_extra_info("socket"))
+
     def close(self) -> None:
         """Ends the stream when all writes are sent, at most `CLOSE_FLUSH_S` later."""
         transport = self._writer.transport
@@ -173,7 +185,7 @@
 
     def __init__(self, handlers: Iterable[Handler]) -> None:
         self._methods = {
-            _path(handler.service, name): method
+            stream_path(handler.service, name): method
             for handler in handlers
             for name, method in handler.methods.items()
         }
@@ -273,13 +285,19 @@
         raise StreamError(str(error) or repr(error)) from None
     stream = Stream(reader, writer, MessageCodec())
     try:
-        await stream.write_bytes(_path(service, method))
+        await stream.write_bytes(stream_path(service, method))
         yield stream
     finally:
         stream.close()
 
 
-def _path(service: str, method: str) -> bytes:
+def encode_item(item: bytes | bool) -> bytes:
+    """Returns an item of a stream as it is written to the connection."""
+    return msgspec.msgpack.encode(item)
+
+
+def stream_path(service: str, method: str) -> bytes:
+    """Returns the byte string with which a stream to a method begins."""
     return f"{service}/{method}".encode()
 
 
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -173,6 +173,8 @@
             retries of each entry separately.
         retry_window_s: Length of that window.
         confirm_period_ms: Interval of requests for a confirmation of the view.
+        tunnel_address: Address where other entries that have lost their own links open
+            connections to backend servers through this one; None to serve none.
     """
 
     name: Name
@@ -208,3 +210,4 @@
     retry_window_s: Annotated[float, Meta(gt=0)] = 10.0
     links_count: Annotated[int, Meta(ge=1, le=2)] = 2
     confirm_period_ms: Annotated[int, Meta(ge=50, le=500)] = 250
+    tunnel_address: Address | None = None
--- /dev/null
+++ b/cassiapitch/tunnel_server.py
@@ -0,0 +1,200 @@
+"""Connections to backend servers that an entry opens for other entries.
+
+A tunnel ends at the entry that opens the connection: it is never passed on once more.
+Requests stay whole: an entry that stood still ends its tunnels, since requests in them
+may have been given up meanwhile.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+import anyio
+
+from cassiapitch import bytestream, events, metrics, rpc, timers
+from cassiapitch.bytestream import ByteStream
+from cassiapitch.events import Event
+from cassiapitch.settings import Address, TlsSettings
+from cassiapitch.tunnel_messages import (
+    LEAVING,
+    TunnelAnswer,
+    TunnelAsk,
+    TunnelOutcome,
+)
+from cassiapitch.tunnels import METHOD, SERVICE
+from cassiapitch.types import LifeId
+from cassiapitch.viewitems import BackendItem
+
+# Tunnels that an entry serves at once. Its own callers need the rest of its sockets,
+# memory and time.
+TUNNELS_LIMIT_COUNT = 128
+ASK_TIMEOUT_S = 1.0
+# The entry that asks tries its next peer long before.
+CONNECT_TIMEOUT_MS = 400
+TICK_MS = 100
+# An entry whose event loop ran nothing for this long stood still.
+STALL_MS = 500
+DRAIN_POLL_S = 0.05
+
+FindBackend = Callable[[str], BackendItem | None]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Tunnel:
+    """One tunnel: the stream of the entry that asked, and the backend server's."""
+
+    stream: rpc.Stream
+    backend: ByteStream
+
+
+class TunnelServer:
+    """Serves the tunnels of one entry."""
+
+    def __init__(
+        self,
+        cluster: str,
+        address: Address | None,
+        tls: TlsSettings | None,
+        find_backend: FindBackend,
+        is_path_lost: Callable[[LifeId], bool],
+    ) -> None:
+        """Creates a server; `run` listens.
+
+        Args:
+            cluster: Name of the deployment; entries of another one are refused.
+            address: Where to listen; None to serve nothing.
+            tls: Mutual TLS between the system's processes; None for plain TCP.
+            find_backend: Returns a backend server of the view by name.
+            is_path_lost: Returns whether this entry doesn't reach an incarnation.
+        """
+        self._cluster = cluster
+        self._address = address
+        self._tls = tls
+        self._find_backend = find_backend
+        self._is_path_lost = is_path_lost
+        self._tunnels: set[_Tunnel] = set()
+        self._pending_count = 0
+        self._is_stopping = False
+        self._tick_ms = timers.now_ms()
+        self._server: rpc.RpcServer | None = None
+
+    @property
+    def count(self) -> int:
+        """Number of tunnels that are open or being opened."""
+        return len(self._tunnels) + self._pending_count
+
+    async def listen(self) -> Address | None:
+        """Starts listening; returns the address for other entries."""
+        if self._address is None:
+            return None
+        handler = rpc.Handler(SERVICE, {METHOD: self._serve})
+        self._server = await rpc.serve([handler], self._address, self._tls)
+        return Address(self._address.ip, self._server.port)
+
+    async def run(self) -> None:
+        """Watches for standstills until cancelled, then ends all tunnels."""
+        try:
+            while True:
+                self._end_after_standstill()
+                await anyio.sleep(TICK_MS / 1000)
+        finally:
+            if self._server is not None:
+                with anyio.CancelScope(shield=True):
+                    await self._server.close()
+
+    async def begin_stop(self) -> None:
+        """Opens no more tunnels; asks entries to end the open ones after use."""
+        self._is_stopping = True
+        for tunnel in list(self._tunnels):
+            try:
+                await tunnel.stream.write_item(LEAVING)
+            except OSError as error:
+                events.log(Event.TUNNEL_ENDED, reason=str(error))
+
+    async def drain(self, timeout_ms: int) -> None:
+        """Waits until all tunnels have ended, for a limited time."""
+        with anyio.move_on_after(max(0, timeout_ms) / 1000):
+            while self._tunnels:  # noqa: ASYNC110
+                await anyio.sleep(DRAIN_POLL_S)
+
+    def _end_after_standstill(self) -> bool:
+        """Ends all tunnels after a standstill; returns whether there was one."""
+        now_ms = timers.now_ms()
+        stalled_ms = now_ms - self._tick_ms
+        self._tick_ms = now_ms
+        if stalled_ms < STALL_MS:
+            return False
+        for tunnel in self._tunnels:
+            tunnel.backend.abort()
+            tunnel.stream.abort()
+        if self._tunnels:
+            events.log(Event.TUNNEL_ENDED, reason=f"stood still for {stalled_ms} ms")
+        return True
+
+    async def _serve(self, stream: rpc.Stream) -> None:
+        stream.limit_silence()
+        with anyio.fail_after(ASK_TIMEOUT_S):
+            ask = await stream.recv_message()
+        if not isinstance(ask, TunnelAsk) or ask.cluster != self._cluster:
+            events.log(Event.TUNNEL_REFUSED, reason="not an entry of this deployment")
+            return
+        backend: ByteStream | None = None
+        self._pending_count += 1
+        try:
+            outcome, backend = await self._open(ask)
+        finally:
+            self._pending_count -= 1
+        metrics.TUNNELS_SERVED.inc(outcome.value)
+        if backend is None:
+            await stream.send_message(TunnelAnswer(outcome))
+            return
+        tunnel = _Tunnel(stream, backend)
+        self._tunnels.add(tunnel)
+        try:
+            await stream.send_message(TunnelAnswer(outcome))
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._pass_answers, tunnel)
+                await self._pass_requests(tunnel)
+                group.cancel_scope.cancel()
+        finally:
+            self._tunnels.discard(tunnel)
+            # Nobody waits for the rest of an answer.
+            backend.abort()
+
+    async def _open(self, ask: TunnelAsk) -> tuple[TunnelOutcome, ByteStream | None]:
+        backend = self._find_backend(ask.backend)
+        if backend is None or backend.life_id != ask.life_id:
+            return TunnelOutcome.UNKNOWN, None
+        if self._is_path_lost(ask.life_id):
+            return TunnelOutcome.CUT, None
+        # The one that is being opened is counted already.
+        if self._is_stopping or self.count > TUNNELS_LIMIT_COUNT:
+            return TunnelOutcome.BUSY, None
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_MS / 1000):
+                stream = await bytestream.connect(backend.ip, backend.port)
+        except TimeoutError:
+            return TunnelOutcome.SILENT, None
+        except OSError as error:
+            events.log(Event.TUNNEL_REFUSED, backend=backend.name, reason=str(error))
+            return TunnelOutcome.REFUSED, None
+        return TunnelOutcome.OPENED, stream
+
+    async def _pass_requests(self, tunnel: _Tunnel) -> None:
+        """Passes bytes to the backend server until the entry that asked has left."""
+        try:
+            while (data := await tunnel.stream.read_bytes()) is not None:
+                if self._end_after_standstill():
+                    return
+                await tunnel.backend.send(data)
+        except OSError as error:
+            events.log(Event.TUNNEL_ENDED, reason=str(error) or repr(error))
+
+    async def _pass_answers(self, tunnel: _Tunnel) -> None:
+        """Passes the backend server's bytes on, and their end only if it is one."""
+        try:
+            while data := await tunnel.backend.receive():
+                await tunnel.stream.write_bytes(data)
+            await tunnel.stream.write_bytes(b"")
+        except OSError as error:
+            events.log(Event.TUNNEL_ENDED, reason=str(error) or repr(error))
+            tunnel.stream.abort()
--- a/testbed/deployment.py
+++ b/testbed/deployment.py
@@ -203,6 +203,7 @@
             settings = {
                 **self._common_settings(name),
                 "caller_address": _loopback_address(self._ports[name][0]),
+                "tunnel_address": _loopback_address(0),
                 "control": self._control_peers(),
                 "balancer_delay_ms": 500,
                 **self._options.entry,
--- a/tests/cut_world.py
+++ b/tests/cut_world.py
@@ -57,18 +57,26 @@
         self.runs, self.abandoned_ms = [], []
         self.event_ms, self.events_count = EVENT_MS, EVENTS_COUNT
         self.headers = []
+        self.server, self.writers = None, set()
 
     async def listen(self):
-        server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
-        return server
+        self.server = await asyncio.start_server(self._serve, LOOPBACK, self.port)
+
+    def close(self):
+        """Ends all connections and refuses new ones."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while await self._exchange(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError):
             self.abandoned_ms.append(timers.now_ms())
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _exchange(self, reader, writer):
@@ -126,6 +134,9 @@
         self.streams.add(stream)
         return stream
 
+    def close(self):
+        self._reset()
+
     def cut(self, mode):
         self.mode = mode
         if mode == RESET:
@@ -341,9 +352,17 @@
     async def connect_over_path(ip, port, **options):
         return await worlds[0].patched_connect(connect)(ip, port, **options)
 
+    async def play_and_close(world):
+        try:
+            return await scenario(world)
+        finally:
+            for item in (*world.backends, *world.paths.values()):
+                item.close()
+            await anyio.sleep(0.01)
+
     with unittest.mock.patch.object(bytestream, "connect", connect_over_path):
         return limit_world.play(
-            scenario,
+            play_and_close,
             folder,
             entries_count=entries_count,
             backends_count=backends_count,
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -28,6 +28,19 @@
 KEY = "caller-key"
 
 
+def entry_settings(**changes):
+    """Returns an entry's settings."""
+    fields = {
+        "name": "entry-1",
+        "zone": "a",
+        "cluster": "test",
+        "caller_address": Address("127.0.0.1", 0),
+        "admin_address": Address("127.0.0.1", 0),
+        "serve_unconfirmed": True,
+    }
+    return EntrySettings(**(fields | changes))
+
+
 def answer_bytes(request_id, body=b"done", *, status=200, headers=(), chunked=False):
     """Returns the bytes of a backend server's whole response."""
     lines = [f"HTTP/1.1 {status} X", f"Request-Id: {request_id}", "Server-Seal: seal"]
@@ -120,15 +133,7 @@
 
     def __init__(self, group, repeat, *, attempts=3, timeout_ms=5_000):
         self.group = group
-        settings = EntrySettings(
-            name="entry-1",
-            zone="a",
-            cluster="test",
-            caller_address=Address("127.0.0.1", 0),
-            admin_address=Address("127.0.0.1", 0),
-            serve_unconfirmed=True,
-        )
-        self.state = EntryState(settings)
+        self.state = EntryState(entry_settings())
         self.state.set_background_group(group)
         self.backends = []
         self.route = ForwardRoute(
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -234,6 +234,7 @@
             admin_address=Address(LOOPBACK, 0),
             control=control_peers,
             serve_unconfirmed=True,
+            tunnel_address=Address(LOOPBACK, 0),
             links_count=1,
             demand_period_ms=250,
         )
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -6,7 +6,8 @@
 import pytest
 
 from cassiapitch.backend_client import Connections, Response, exchange, read_all
-from tests.forward_world import listening, run_limited
+from cassiapitch.entrystate import EntryState
+from tests.forward_world import entry_settings, listening, run_limited
 
 LIMIT_S = 10
 
@@ -60,7 +61,7 @@
 
     async def main():
         async with listening(serve) as item:
-            connections = Connections()
+            connections = Connections(EntryState(entry_settings()).backend_paths)
             for number in range(1, 4):
                 assert await call(connections, item) == b"answer %d" % number
                 await anyio.sleep(2 * delay_s)
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -1,7 +1,14 @@
 """Tests of the reuse of connections to backend servers for forwarded requests."""
 
 from cassiapitch.backend_connection import BackendConnectionPool
-from tests.forward_world import Backend, answer_bytes, listening, run_limited
+from cassiapitch.entrystate import EntryState
+from tests.forward_world import (
+    Backend,
+    answer_bytes,
+    entry_settings,
+    listening,
+    run_limited,
+)
 
 
 async def respond(backend, request, stream):
@@ -23,7 +30,7 @@
     async def main():
         backend = Backend("b1", respond)
         async with listening(backend.serve) as item:
-            pool = BackendConnectionPool()
+            pool = BackendConnectionPool(EntryState(entry_settings()).backend_paths)
             for number in range(3):
                 connection = await pool.open(item)
                 status = await exchange(connection, b"q%d" % number)
--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -7,6 +7,7 @@
 from cassiapitch import messages, viewitems
 from cassiapitch import view as views
 from cassiapitch.command_batcher import CommandBatcher
+from cassiapitch.entry_directory import EntryDirectory
 from cassiapitch.replicated import ReplicatedState
 from cassiapitch.types import ClaimState
 from tests.standins import Log, StandinFleet, StandinMember
@@ -47,7 +48,9 @@
     log, state, relayed = Log(), ReplicatedState(StandinFleet(), ()), []
     member = StandinMember("c1", log, state, lambda index: hub.on_applied(index))
     command_batcher = CommandBatcher(member, now_ms)
-    hub = hubs.Hub("test", state, member, command_batcher, relayed.append)
+    hub = hubs.Hub(
+        "test", state, member, command_batcher, relayed.append, EntryDirectory("c0")
+    )
     return hub, command_batcher, member, relayed
 
 
