Take a backend server from all entries only if enough of them can't reach it

Cause: two entries' reports, however many entries there are, took a running backend server from all, though the reporters' own links were at fault. The leader marked running servers 34 times in 10 s. Class: blame laid on the far end by the one whose own state is in question, counted by a fixed number.

An entry now reports a refused connection only once peers in other zones don't reach the backend server either (two of three asked; none in doubt), and the leader needs a third of the entries that report at the time, two at least. A crash is found by the missing heartbeats as before; until then each entry avoids the server by itself, and a refused connection costs no request.

--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -155,7 +155,7 @@
                         name=mark.name,
                         event=mark.event,
                         refused_by=coordinator.refused_by.get(mark.life_id, ()),
-                        entries_count=coordinator.entries_count(),
+                        entries_count=coordinator.active_entries_count(self._now_ms()),
                     )
             if not await self._commit(command):
                 coordinator.on_proposal_failed()
--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from cassiapitch import backends, placement, placement_state
+from cassiapitch import backends, placement, placement_state, refused_reports
 from cassiapitch.announcements import (
     Announcement,
 )
@@ -429,9 +429,10 @@
             for start in range(0, len(pending), ANNOUNCEMENTS_PER_COMMAND)
         ]
 
-    def entries_count(self) -> int:
-        """Returns the number of entries that have reported in this term."""
-        return len(self._in_flight)
+    def active_entries_count(self, now_ms: int) -> int:
+        """Returns the number of entries that have reported lately."""
+        since_ms = now_ms - refused_reports.WINDOW_MS
+        return sum(at_ms >= since_ms for _, at_ms in self._in_flight.values())
 
     def _due_marks(self, now_ms: int) -> list[BackendMark]:
         marks = []
@@ -458,7 +459,7 @@
         life_id = incarnation.life_id
         reports = self._refused_reports
         if not incarnation.allows("refused") or not reports.is_refusing(
-            life_id, now_ms
+            life_id, self.active_entries_count(now_ms), now_ms
         ):
             return False
         self.refused_by[life_id] = reports.reporters(life_id, now_ms)
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -11,7 +11,7 @@
 
 from cassiapitch import events, load_report_queue, timers
 from cassiapitch.asgi import BodyBufferLimit
-from cassiapitch.backend_paths import BackendPaths
+from cassiapitch.backend_paths import BackendPaths, Verdict
 from cassiapitch.calls import Authorization, Call
 from cassiapitch.catalog import Applied, ApplyOutcome, ViewCatalog
 from cassiapitch.control_requests import ControlRequests
@@ -38,7 +38,7 @@
 from cassiapitch.settings import EntrySettings
 from cassiapitch.statechart import load_chart
 from cassiapitch.types import LifeId, ModelName
-from cassiapitch.viewitems import AccountItem
+from cassiapitch.viewitems import AccountItem, BackendItem
 
 if TYPE_CHECKING:
     from cassiapitch.backend_client import Connections
@@ -135,6 +135,18 @@
         if self._background_group is not None:
             self._background_group.start_soon(function, *arguments)
 
+    def report_unreachable(self, backend: BackendItem) -> None:
+        """Handles a backend server that no connection could be opened to.
+
+        The leader hears of it only if other entries don't reach it either.
+        """
+        self.router.mark_unreachable(backend.life_id, timers.now_ms())
+        self.start_background(self._report_if_gone, backend)
+
+    async def _report_if_gone(self, backend: BackendItem) -> None:
+        if await self.backend_paths.inquire(backend) is Verdict.GONE:
+            self.demand.add_refused_backend(backend.life_id)
+
     @functools.cached_property
     def connections(self) -> "Connections":
         """Connections of the OpenAI-compatible interface to backend servers."""
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -294,8 +294,7 @@
             connection = await self._connections.open(backend, fresh=not has_request_id)
         except BackendUnreachableError as error:
             log_failed_attempt(call, backend, f"unreachable: {error}")
-            self._state.router.mark_unreachable(backend.life_id, timers.now_ms())
-            self._state.demand.add_refused_backend(backend.life_id)
+            self._state.report_unreachable(backend)
             slot.slot_request.excluded_lives.add(backend.life_id)
             call.progress.mark_not_sent()
             return False
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -271,9 +271,10 @@
                 )
 
     def _record_unreachable(self, backend: BackendItem, failure: NotConnected) -> None:
-        self._state.router.mark_unreachable(backend.life_id, timers.now_ms())
         if failure.refused:
-            self._state.demand.add_refused_backend(backend.life_id)
+            self._state.report_unreachable(backend)
+        else:
+            self._state.router.mark_unreachable(backend.life_id, timers.now_ms())
 
     def _make_send_guard(self) -> Callable[[], None]:
         """Returns a check of the authorisation, made before every write.
--- a/cassiapitch/refused_reports.py
+++ b/cassiapitch/refused_reports.py
@@ -1,13 +1,15 @@
 """Entries' reports of backend servers that refuse connections, kept by the leader."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from cassiapitch.types import LifeId
 
-# A backend server is suspected when this many entries report refused connections
-# within the window.
+# A backend server is suspected when this share of the entries, and this many at least,
+# report within the window that it refuses connections.
 WINDOW_MS = 3_000
-ENTRIES_COUNT = 2
+ENTRIES_SHARE = 1 / 3
+MIN_ENTRIES_COUNT = 2
 
 
 class RefusedReports:
@@ -32,9 +34,16 @@
             )
         )
 
-    def is_refusing(self, life_id: LifeId, now_ms: int) -> bool:
-        """Returns whether an incarnation counts as refusing connections."""
-        return len(self.reporters(life_id, now_ms)) >= ENTRIES_COUNT
+    def is_refusing(self, life_id: LifeId, entries_count: int, now_ms: int) -> bool:
+        """Returns whether an incarnation counts as refusing connections.
+
+        Args:
+            life_id: The incarnation.
+            entries_count: Number of entries that would notice.
+            now_ms: The current time.
+        """
+        needed_count = max(MIN_ENTRIES_COUNT, math.ceil(ENTRIES_SHARE * entries_count))
+        return len(self.reporters(life_id, now_ms)) >= needed_count
 
     def forget(self, life_id: LifeId) -> None:
         """Drops the reports of an incarnation, for instance once it is suspected."""
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -252,9 +252,10 @@
             backend, fresh=not progress.idempotent
         )
         if isinstance(connection, NotConnected):
-            self._state.router.mark_unreachable(backend.life_id, timers.now_ms())
             if connection.refused:
-                self._state.demand.add_refused_backend(backend.life_id)
+                self._state.report_unreachable(backend)
+            else:
+                self._state.router.mark_unreachable(backend.life_id, timers.now_ms())
             progress.mark_not_sent()
             return connection
         # A call that can't be repeated runs to its end even if the caller disconnects,
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -56,6 +56,24 @@
     assert server_state(world) == "serving"
 
 
+@pytest.mark.parametrize("entries_count", [13, 650])
+def test_reports_of_a_few_entries_of_many_take_no_running_server_from_all(
+    entries_count,
+):
+    world = make_world()
+    for number in range(entries_count):
+        report = DemandReport(f"n{number}", (), ())
+        world.coordinator.on_demand(report, world.now_ms)
+    for number in range(entries_count // 4):
+        report_refused(world, f"n{number}")
+    world.run(200)
+    assert server_state(world) == "serving"
+    for number in range(entries_count // 2):
+        report_refused(world, f"n{number}")
+    world.run(100)
+    assert server_state(world) == "suspected"
+
+
 def test_server_that_says_in_an_answer_that_it_leaves_leaves_for_all_entries():
     """Guards against requests of other entries to a server that told only one of them
     that it leaves, while its heartbeats still say that it stays."""
