Refuse a stream whose version has left while it waited as unservable

Callers: a take-up that waits for a free backend server of its version is told to come back in 5 s (model_loading) although the last such server has left meanwhile; it is then refused for good. Cause: whether the version is still there was looked at before the wait only. Now after it, too.

--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -235,6 +235,8 @@
             self._stream_versions.refuse_unservable(call)
             slot = await self._state.scheduler.acquire(slot_request)
             if isinstance(slot, NoSlot):
+                # Its version may have left while the stream waited.
+                self._stream_versions.refuse_unservable(call)
                 raise RefusedError(slot.kind, slot.retry_after_ms)
             call.placed_ms = timers.now_ms()
             self._candidates.begin_prefill(call, slot)
