--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -13,6 +13,14 @@
 from cassiapitch.tunnel_server import TunnelServer
 from cassiapitch.tunnels import METHOD, SERVICE, TunnelRefusedError, open_tunnel
 from cassiapitch.viewitems import BackendItem
+from tests.entryfakes import KEY as OWN_KEY
+from tests.entryfakes import (
+    FakeEngine,
+    FakeServer,
+    FakeService,
+    expected_text,
+    world,
+)
 from tests.forward_world import (
     IDEMPOTENT,
     KEY,
@@ -285,3 +293,65 @@
             group.cancel_scope.cancel()
 
     run_limited(main)
+
+
+class RefusingItem:
+    """A backend server whose address in the view refuses connections."""
+
+    def item(self, *arguments, **options):
+        item = super().item(*arguments, **options)
+        fields = {name: getattr(item, name) for name in item.__struct_fields__}
+        return BackendItem(**(fields | {"port": 1}))
+
+
+class CutService(RefusingItem, FakeService):
+    pass
+
+
+class CutEngine(RefusingItem, FakeEngine):
+    pass
+
+
+@contextlib.asynccontextmanager
+async def cut_entry(service, engine):
+    """Runs an entry that reaches both only through a peer."""
+    async with world(service, engine) as entry_world:
+        items = {
+            "s1": FakeServer.item(service, "shop"),
+            "g1": FakeServer.item(engine, "engines", ["m"]),
+        }
+        server = TunnelServer("test", LOOPBACK, None, items.get, lambda life_id: False)
+        address = await server.listen()
+        entry_world.group.start_soon(server.run)
+        entry_world.entry.state.backend_paths.update_peers(
+            [TunnelPeer("peer", "a", address)]
+        )
+        yield entry_world
+
+
+def test_openai_interface_serves_through_a_peer():
+    async def main():
+        service, engine = CutService("s1", "l1"), CutEngine("g1", "l2")
+        async with cut_entry(service, engine) as entry_world:
+            for _ in range(3):
+                assert (await entry_world.call("POST", "/charge"))[0] == 200
+            assert len(service.requests) == 3
+            text, is_done, code = await entry_world.stream_chat(5)
+            assert (text, is_done, code) == (expected_text(5), True, None)
+            received = service.received_data() + engine.received_data()
+            assert OWN_KEY.encode() not in received
+
+    run_limited(main)
+
+
+def test_openai_interface_refuses_a_caller_that_asks_for_a_tunnel():
+    async def main():
+        async with world(FakeService("s1", "l1")) as entry_world:
+            port = entry_world.entry.caller_server.port
+            ask = TunnelAsk("test", "e2", "s1", "l1")
+            items = (rpc.stream_path(SERVICE, METHOD), codec.encode(ask))
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(b"".join(map(rpc.encode_item, items)) + b"\r\n\r\n")
+                assert (await stream.receive()).startswith(b"HTTP/1.1 4")
+
+    run_limited(main)
