Refuse what can't be stored, bounded or used at every decoder

Callers and operators: one announcement whose numbers stand at the edge of their type was accepted with 202 and ended whichever member led (OverflowError: can't serialize ints); deeply nested unknown fields dropped the connection without an answer; port 0, and an address that is no IP, were accepted.

Cause: decoders checked the type of each field, not whether its value can be written again or used. Class: input that is accepted and fails later, elsewhere. Both decoders of announcements now end in one check of numbers, texts, lists and address. Searched at the other decoders: configurations (22 numbers without a bound), an engine's report of its start, answers and events of engines and their refusals (deep nesting), Keep-Alive and parts of prompts (numbers of any length); messages between members, where one that can't be read or written no longer takes its batch with it.

--- a/cassiapitch/announce_route.py
+++ b/cassiapitch/announce_route.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Meta
 
-from cassiapitch import asgi
+from cassiapitch import announcement_checks, asgi
 from cassiapitch.announcements import (
     Announcement,
     LoadedModel,
@@ -80,14 +80,18 @@
     return msgspec.json.encode(AnnouncementBody(**fields))
 
 
+# What `decode` raises for a body that isn't a usable announcement.
+REFUSED_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
+
+
 def decode(data: bytes) -> Announcement:
     """Decodes and checks the body of an announcement.
 
     Raises:
-        msgspec.MsgspecError: The body isn't an announcement.
+        REFUSED_ERRORS: The body isn't an announcement, or not a usable one.
     """
     body = msgspec.json.decode(data, type=AnnouncementBody)
-    return Announcement(
+    announcement = Announcement(
         name=BackendName(body.name),
         life_id=LifeId(body.life_id),
         role=body.role,
@@ -111,6 +115,7 @@
         disk_models=body.disk_models,
         software_version=body.software_version,
     )
+    return announcement_checks.check(announcement)
 
 
 def is_authentic(
@@ -164,7 +169,7 @@
             return
         try:
             announcement = decode(body.data)
-        except msgspec.MsgspecError:
+        except REFUSED_ERRORS:
             await _refuse(send, 400, "bad_announcement")
             return
         if not is_authentic(announcement.role, authorization, self._credentials()):
--- a/cassiapitch/api.py
+++ b/cassiapitch/api.py
@@ -74,7 +74,10 @@
     digested = {
         key: value for key, value in body.items() if key not in _UNDIGESTED_FIELDS
     }
-    content = msgspec.json.encode(digested, order="deterministic")
+    try:
+        content = msgspec.json.encode(digested, order="deterministic")
+    except (OverflowError, RecursionError):
+        return Refusal(ErrorKind.BAD_REQUEST, "a number or a nesting is too large")
     return GenerationRequest(
         path=path,
         model=body["model"],
--- a/cassiapitch/codec.py
+++ b/cassiapitch/codec.py
@@ -54,7 +54,7 @@
         return _decoder(name).decode(fields)
     except KeyError as error:
         raise CodecError(f"unknown message {error}") from None
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise CodecError(f"malformed message: {error}") from None
 
 
--- a/cassiapitch/engine_calls.py
+++ b/cassiapitch/engine_calls.py
@@ -111,7 +111,7 @@
     """Returns the error code in the body of an engine's error response, if any."""
     try:
         document = msgspec.json.decode(body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
     error = document.get("error") if isinstance(document, dict) else None
     return error.get("code") if isinstance(error, dict) else None
--- a/cassiapitch/order_sender.py
+++ b/cassiapitch/order_sender.py
@@ -92,6 +92,6 @@
         return "accepted"
     try:
         code = msgspec.json.decode(content)["error"]["code"]
-    except (msgspec.MsgspecError, LookupError, TypeError):
+    except (msgspec.MsgspecError, ValueError, RecursionError, LookupError, TypeError):
         return "refused"
     return code if status == 409 and code in FENCING_ERROR_CODES else "refused"
--- a/cassiapitch/platform/configuration.py
+++ b/cassiapitch/platform/configuration.py
@@ -3,8 +3,10 @@
 import hashlib
 import math
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from cassiapitch import bucket, configurations
 from cassiapitch.bucket import RateTolerance
@@ -39,33 +41,41 @@
 UNLOAD_DELAY_MS = 200
 
 
+# Larger numbers can't be meant, and what is computed from them could not be stored.
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Whole = Annotated[int, Meta(ge=0, le=10**9)]
+# Each adapter is a model of the bundle.
+AdapterCount = Annotated[int, Meta(ge=0, le=10_000)]
+VersionNumber = Annotated[int, Meta(le=2**53)]
+
+
 class _Model(msgspec.Struct):
     name: str
-    weightsMb: float  # noqa: N815
-    loadS: float = 0.0  # noqa: N815
-    adapters: int = 0
-    adapterMb: float = 0.0  # noqa: N815
-    warmS: float = 0.0  # noqa: N815
-    diskS: float = 0.0  # noqa: N815
+    weightsMb: Amount  # noqa: N815
+    loadS: Amount = 0.0  # noqa: N815
+    adapters: AdapterCount = 0
+    adapterMb: Amount = 0.0  # noqa: N815
+    warmS: Amount = 0.0  # noqa: N815
+    diskS: Amount = 0.0  # noqa: N815
 
 
 class _Engine(msgspec.Struct):
-    weightsMb: float = 0.0  # noqa: N815
-    adapterSlots: int = 0  # noqa: N815
-    loadsPerS: float = 1.0  # noqa: N815
-    kvCapacityTokens: int = 0  # noqa: N815
+    weightsMb: Amount = 0.0  # noqa: N815
+    adapterSlots: Whole = 0  # noqa: N815
+    loadsPerS: Amount = 1.0  # noqa: N815
+    kvCapacityTokens: Whole = 0  # noqa: N815
     models: list[_Model] = []
 
 
 class _Service(msgspec.Struct):
     name: str
-    maxConnections: int = 0  # noqa: N815
+    maxConnections: Whole = 0  # noqa: N815
     engine: _Engine | None = None
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: Amount
 
 
 class _Route(msgspec.Struct):
@@ -73,36 +83,36 @@
     host: str
     pathPrefix: str  # noqa: N815
     kind: str
-    timeoutMs: float  # noqa: N815
+    timeoutMs: Amount  # noqa: N815
     service: str | None = None
     trafficSplit: list[_Split] | None = None  # noqa: N815
-    targetLatencyMs: float = 0.0  # noqa: N815
-    gapAimMs: float = 0.0  # noqa: N815
-    priority: int = 0
-    maxAttempts: int = 1  # noqa: N815
+    targetLatencyMs: Amount = 0.0  # noqa: N815
+    gapAimMs: Amount = 0.0  # noqa: N815
+    priority: Whole = 0
+    maxAttempts: Whole = 1  # noqa: N815
     authExempt: bool = False  # noqa: N815
     resumable: bool = False
 
 
 class _Limits(msgspec.Struct):
-    maxHeaderBytes: int = 16_384  # noqa: N815
-    maxBodyBytes: int = 4_194_304  # noqa: N815
-    headerTimeoutMs: int = 3_000  # noqa: N815
-    idleTimeoutMs: int = 15_000  # noqa: N815
+    maxHeaderBytes: Whole = 16_384  # noqa: N815
+    maxBodyBytes: Whole = 4_194_304  # noqa: N815
+    headerTimeoutMs: Whole = 3_000  # noqa: N815
+    idleTimeoutMs: Whole = 15_000  # noqa: N815
 
 
 class _Tenant(msgspec.Struct):
     name: str
     apiKeys: list[str] = []  # noqa: N815
-    priority: int | None = None
+    priority: Whole | None = None
     unit: str = "requests"
-    plainTokens: int = 1  # noqa: N815
-    ratePerS: float | None = None  # noqa: N815
-    burst: float | None = None
+    plainTokens: Whole = 1  # noqa: N815
+    ratePerS: Amount | None = None  # noqa: N815
+    burst: Amount | None = None
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: VersionNumber
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
--- a/cassiapitch/platform/heartbeats.py
+++ b/cassiapitch/platform/heartbeats.py
@@ -6,12 +6,15 @@
 import msgspec
 from msgspec import Meta
 
+from cassiapitch import announcement_checks
 from cassiapitch.announcements import Announcement, LoadedModel
 from cassiapitch.types import BackendName, LifeId, ModelName
 
 # Heartbeats don't state the engine's memory, so that the limit of its role applies.
 UNLIMITED_MEMORY_MIB = 10**9
 
+PORT_LIMIT_LENGTH = 5
+
 # Of a longer version, only a digest is kept.
 VERSION_LIMIT_LENGTH = 128
 
@@ -60,9 +63,9 @@
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise ValueError(f"heartbeat can't be read: {error}") from None
     ip, _, port = heartbeat.address.rpartition(":")
-    if not ip or not port.isdigit() or not 0 < int(port) < 65_536:
+    if not port.isascii() or not port.isdigit() or len(port) > PORT_LIMIT_LENGTH:
         raise ValueError(f"no address: {heartbeat.address[:64]!r}")
-    return Announcement(
+    announcement = Announcement(
         name=BackendName(name),
         life_id=life_id(name, heartbeat.born),
         role=heartbeat.service,
@@ -87,6 +90,7 @@
         disk_models=tuple(map(ModelName, heartbeat.atHand.onDisk)),
         software_version=_bounded(heartbeat.version),
     )
+    return announcement_checks.check(announcement)
 
 
 def _bounded(version: str) -> str:
--- a/cassiapitch/platform/orders.py
+++ b/cassiapitch/platform/orders.py
@@ -86,7 +86,7 @@
         return _order_outcome(report.status, attempt.order.kind)
     try:
         engine_report = msgspec.json.decode(report.content, type=_Report)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return "not_sent"
     if engine_report.busy and attempt.order.kind not in _ADAPTER_KINDS:
         return "busy"
--- a/cassiapitch/platform/requests.py
+++ b/cassiapitch/platform/requests.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cassiapitch import announcement_checks
 from cassiapitch.header_codec import (
     NO_LIMIT,
     BackendHead,
@@ -20,6 +21,9 @@
 BEARER = b"bearer "
 # A longer pause is considered an error of its sender and ignored.
 MAX_PAUSE_S = 300.0
+# Longer numbers can't be stored, or can't be meant.
+NUMBER_LIMIT_LENGTH = 15
+KEEP_ALIVE_LIMIT_LENGTH = 6
 # A longer number can't be a rate of requests.
 MAX_LIMIT_LENGTH = 16
 _DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
@@ -129,7 +133,8 @@
         report = msgspec.json.decode(content, type=_Report)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
-    return heartbeats.life_id(backend, report.born) if report.born else None
+    is_known = 0 < report.born <= announcement_checks.NUMBER_LIMIT
+    return heartbeats.life_id(backend, report.born) if is_known else None
 
 
 def _connection_options(headers: Headers) -> set[bytes]:
@@ -148,7 +153,7 @@
 def _parse_number(value: bytes | None) -> int | None:
     if value is None:
         return None
-    if not value.isdigit() or len(value) > 15:
+    if not value.isdigit() or len(value) > NUMBER_LIMIT_LENGTH:
         raise ValueError(f"not a whole number: {value[:32]!r}")
     return int(value)
 
@@ -174,7 +179,8 @@
     parts = []
     for item in value.decode("latin-1").split(","):
         part_id, _, tokens = item.strip().partition(":")
-        parts.append(PromptPart(part_id, int(tokens) if tokens.isdigit() else 0))
+        is_number = tokens.isdigit() and len(tokens) <= NUMBER_LIMIT_LENGTH
+        parts.append(PromptPart(part_id, int(tokens) if is_number else 0))
     return tuple(parts)
 
 
@@ -205,7 +211,10 @@
 def _parse_keep_alive_ms(value: bytes | None) -> int | None:
     for part in (value or b"").split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and seconds.strip().isdigit():
+        seconds = seconds.strip()
+        if name.lower() != b"timeout" or not seconds.isdigit():
+            continue
+        if len(seconds) <= KEEP_ALIVE_LIMIT_LENGTH:
             return int(seconds) * 1_000
     return None
 
--- a/cassiapitch/relay.py
+++ b/cassiapitch/relay.py
@@ -2,7 +2,7 @@
 
 import collections
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import anyio
@@ -64,9 +64,15 @@
             await self._message_queued.wait()
             self._drop_old()
         count = min(BATCH_LIMIT_COUNT, len(self._messages))
-        return RelayBatch(
-            tuple(codec.encode(self._messages.popleft()[1]) for _ in range(count))
-        )
+        messages = []
+        for _ in range(count):
+            _, message = self._messages.popleft()
+            try:
+                messages.append(codec.encode(message))
+            except (OverflowError, TypeError, ValueError) as error:
+                name = type(message).__name__
+                events.log(Event.STREAM_FAILED, reason=f"{name}: {error}")
+        return RelayBatch(tuple(messages))
 
     def _drop_old(self) -> None:
         oldest_ms = self._now_ms() - MESSAGE_AGE_LIMIT_MS
@@ -147,8 +153,8 @@
         while isinstance(batch := await stream.recv_message(), RelayBatch):
             if not group.is_leader(self._member):
                 return
-            for data in batch.messages:
-                self._handle_as_leader(codec.decode(data), outbox.push)
+            for message in _decoded(batch):
+                self._handle_as_leader(message, outbox.push)
 
     async def run(self) -> None:
         """Keeps a stream to the current leader open until cancelled."""
@@ -179,8 +185,8 @@
                 tasks.start_soon(_send_batches, stream, self._outbox)
                 tasks.start_soon(self._watch_leader, leader, tasks.cancel_scope)
                 while isinstance(batch := await stream.recv_message(), RelayBatch):
-                    for data in batch.messages:
-                        self._handle_from_leader(codec.decode(data))
+                    for message in _decoded(batch):
+                        self._handle_from_leader(message)
                 tasks.cancel_scope.cancel()
             await stream.cancel()
 
@@ -203,6 +209,17 @@
         return None
 
 
+def _decoded(batch: RelayBatch) -> Iterator[Any]:
+    """Yields the messages of a batch; leaves out those that can't be read."""
+    for data in batch.messages:
+        try:
+            message = codec.decode(data)
+        except CodecError as error:
+            events.log(Event.STREAM_FAILED, reason=str(error))
+            continue
+        yield message
+
+
 async def _send_batches(stream: Any, outbox: Outbox) -> None:
     while True:
         batch = await outbox.next_batch()
--- a/cassiapitch/scrubbing.py
+++ b/cassiapitch/scrubbing.py
@@ -71,7 +71,7 @@
         return False
     try:
         unescaped = msgspec.json.encode(msgspec.json.decode(body))
-    except (msgspec.MsgspecError, RecursionError):
+    except (msgspec.MsgspecError, RecursionError, OverflowError):
         return False
     return _contains_key(key, unescaped)
 
--- a/cassiapitch/streams.py
+++ b/cassiapitch/streams.py
@@ -91,7 +91,7 @@
         return Malformed()
     try:
         body = _decoder.decode(data)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return Malformed()
     text = ""
     finish_reason = None
