Don't send a request again where it was refused before

Cause: a response is told from an earlier one by the request id, and a request that is sent again after a refusal bears the same id. Sent over the connection of its refusal, the old refusal passes for the new one. A connection now remembers what it has refused (32 requests, then it is closed) and carries those requests no more. On the OpenAI-compatible interface, whose responses bear no id, only successes keep a connection.

--- a/cassiapitch/backend_client.py
+++ b/cassiapitch/backend_client.py
@@ -21,6 +21,7 @@
 CONNECT_LIMIT_MS = 1_000
 IDLE_LIMIT_S = 10.0
 IDLE_LIMIT_COUNT = 64
+OK_STATUS = 200
 LIFE_HEADER = b"x-life-id"
 
 Headers = list[tuple[bytes, bytes]]
@@ -171,15 +172,24 @@
             authority % (host, backend.port),
         )
 
-    async def release_connection(self, connection: Connection) -> None:
+    async def release_connection(
+        self, connection: Connection, status: int = OK_STATUS
+    ) -> None:
         """Returns a connection to the pool, or closes it if it can't be reused.
 
-        It can be reused if its last response was read to the end.
+        It can be reused if its last response was a success and was read to the end. A
+        refusal or failure that is written once more would be taken for the response to
+        the next request.
         """
         connection.stream.guard = None
         stream = connection.stream
         is_detour = stream.is_tunneled and not self._paths.is_lost(connection.life_id)
-        if is_detour or not stream.may_be_reused or _has_trailing_data(connection):
+        if (
+            status != OK_STATUS
+            or is_detour
+            or not stream.may_be_reused
+            or _has_trailing_data(connection)
+        ):
             await _close(connection)
             return
         idle = self._idle.setdefault((connection.life_id, *connection.address), [])
--- a/cassiapitch/backend_connection.py
+++ b/cassiapitch/backend_connection.py
@@ -28,6 +28,9 @@
 INTERIM_LIMIT_COUNT = 8
 
 
+# Refused requests that a connection remembers; it is closed after so many.
+REFUSED_LIMIT_COUNT = 32
+
 # Responses that are not relayed are read up to these limits, so that their connection
 # can be reused.
 DISCARD_LIMIT_BYTES = 64 * 1024
@@ -75,6 +78,9 @@
         self.is_verified = False
         # Set when the backend server is leaving.
         self.close_after_use = False
+        # Requests that it has refused here. It may write a refusal once more, and only
+        # the request id tells it from the response to a later request.
+        self._refused_ids: set[str | None] = set()
 
     async def send(
         self,
@@ -180,6 +186,16 @@
         except OSError:
             raise BackendBrokenError("the connection was reset") from None
 
+    def record_refusal(self, request_id: str | None) -> None:
+        """Records that a request was refused; it may be sent again elsewhere only."""
+        self._refused_ids.add(request_id)
+        if request_id is None or len(self._refused_ids) >= REFUSED_LIMIT_COUNT:
+            self.close_after_use = True
+
+    def may_carry(self, request_id: str | None) -> bool:
+        """Returns whether the response to a request could be told from a refusal."""
+        return request_id not in self._refused_ids
+
     @property
     def is_tunneled(self) -> bool:
         """Whether another entry passes the bytes on."""
@@ -241,20 +257,23 @@
         self._idle: dict[LifeId, list[BackendConnection]] = {}
 
     async def open(
-        self, backend: BackendItem, *, fresh: bool = False
+        self, backend: BackendItem, request_id: str | None
     ) -> BackendConnection:
         """Returns an idle connection or a new one.
 
         Args:
             backend: The backend server.
-            fresh: Whether it must be a new one.
+            request_id: The caller's id of the request; without one, the connection is
+                a new one.
 
         Raises:
             BackendUnreachableError: No connection could be opened in time.
         """
         idle = self._idle.get(backend.life_id, [])
-        while idle and not fresh:
-            connection = idle.pop()
+        usable = [item for item in idle if item.may_carry(request_id)]
+        while usable and request_id is not None:
+            connection = usable.pop()
+            idle.remove(connection)
             if connection.end_idle():
                 return connection
         metrics.CONNECTIONS_OPENED.inc()
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -292,8 +292,7 @@
         try:
             # On a reused connection, only the request id tells the response from a
             # late one to an earlier request.
-            has_request_id = call.head.request_id is not None
-            connection = await self._connections.open(backend, fresh=not has_request_id)
+            connection = await self._connections.open(backend, call.head.request_id)
         except BackendUnreachableError as error:
             log_failed_attempt(call, backend, f"unreachable: {error}")
             self._state.report_unreachable(backend)
@@ -317,6 +316,7 @@
             idle_ms = backend_head.idle_timeout_ms
             if backend_head.is_not_executed:
                 is_reusable = await connection.discard_body()
+                connection.record_refusal(call.head.request_id)
                 self._record_declined(call, slot, head, backend_head)
                 return False
             if not await self.response_relay.relay(
--- a/cassiapitch/generation.py
+++ b/cassiapitch/generation.py
@@ -337,7 +337,9 @@
             return await self._handle_response(backend, response)
         finally:
             await response.close()
-            await self._state.connections.release_connection(connection)
+            await self._state.connections.release_connection(
+                connection, response.status
+            )
 
     def _check_first_chunk_deadline(self) -> None:
         """Raises CallRefusedError if the deadline passed before the first chunk."""
@@ -473,4 +475,6 @@
             return await self._read_stream(response)
         finally:
             await response.close()
-            await self._state.connections.release_connection(connection)
+            await self._state.connections.release_connection(
+                connection, response.status
+            )
--- a/cassiapitch/servicecalls.py
+++ b/cassiapitch/servicecalls.py
@@ -282,7 +282,9 @@
                 return await self._read(backend, response)
             finally:
                 await response.close()
-                await self._state.connections.release_connection(connection)
+                await self._state.connections.release_connection(
+                    connection, response.status
+                )
 
     def _make_send_guard(self):  # noqa: ANN202
         """Returns a check of the authorisation, made before the first write only.
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -7,6 +7,7 @@
 
 from cassiapitch.backend_client import Connections, Response, exchange, read_all
 from cassiapitch.entrystate import EntryState
+from tests.entryfakes import FakeEngine, world
 from tests.forward_world import entry_settings, listening, run_limited
 
 LIMIT_S = 10
@@ -68,3 +69,17 @@
             await connections.close()
 
     run_limited(main, LIMIT_S)
+
+
+def test_connection_of_a_refusal_carries_no_later_request():
+    """Guards against a refusal that is written once more, after the next request."""
+
+    async def main():
+        engine = FakeEngine("g1", "l1")
+        engine.declines_with = (503, "overloaded")
+        async with world(engine) as entry_world:
+            await entry_world.chat()
+            pool = entry_world.entry.state.connections
+            assert not any(pool._idle.values())
+
+    run_limited(main)
--- a/tests/test_backend_connection.py
+++ b/tests/test_backend_connection.py
@@ -3,10 +3,12 @@
 from cassiapitch.backend_connection import BackendConnectionPool
 from cassiapitch.entrystate import EntryState
 from tests.forward_world import (
+    ONCE,
     Backend,
     answer_bytes,
     entry_settings,
     listening,
+    play,
     run_limited,
 )
 
@@ -32,10 +34,37 @@
         async with listening(backend.serve) as item:
             pool = BackendConnectionPool(EntryState(entry_settings()).backend_paths)
             for number in range(3):
-                connection = await pool.open(item)
+                connection = await pool.open(item, f"q{number}")
                 status = await exchange(connection, b"q%d" % number)
                 assert status == 200
                 pool.release_connection(connection, None)
         assert backend.connections_count == 1
 
     run_limited(main)
+
+
+def repeats_refusal(first_refusals):
+    """Refuses requests; on their connection it writes the refusal once more, late."""
+    refused_on = {}
+
+    async def behave(backend, request, stream):
+        request_id = request[2]["request-id"]
+        refusal = answer_bytes(request_id, status=503, headers=["Not-Executed: 1"])
+        if len(refused_on) < first_refusals:
+            refused_on[stream] = refusal
+            backend.requests.pop()
+            await stream.send(refusal)
+        elif stream in refused_on:
+            await stream.send(refused_on[stream])
+        else:
+            await stream.send(answer_bytes(request_id))
+
+    return behave
+
+
+def test_refusal_that_is_written_once_more_is_not_taken_for_a_new_one():
+    async def scenario(world):
+        response = await world.call()
+        return response.split()[1], len(world.backends[0].requests)
+
+    assert play(scenario, ONCE, repeats_refusal(1)) == (b"200", 1)
