--- a/cassiapitch/backend_client.py
+++ b/cassiapitch/backend_client.py
@@ -21,7 +21,7 @@
 CONNECT_LIMIT_MS = 1_000
 IDLE_LIMIT_S = 10.0
 IDLE_LIMIT_COUNT = 64
-OK_STATUS = 200
+OK_STATUS, FIRST_REDIRECT_STATUS = 200, 300
 LIFE_HEADER = b"x-life-id"
 
 Headers = list[tuple[bytes, bytes]]
@@ -184,12 +184,9 @@
         connection.stream.guard = None
         stream = connection.stream
         is_detour = stream.is_tunneled and not self._paths.is_lost(connection.life_id)
-        if (
-            status != OK_STATUS
-            or is_detour
-            or not stream.may_be_reused
-            or _has_trailing_data(connection)
-        ):
+        is_success = OK_STATUS <= status < FIRST_REDIRECT_STATUS
+        may_be_reused = is_success and stream.may_be_reused and not is_detour
+        if not may_be_reused or _has_trailing_data(connection):
             await _close(connection)
             return
         idle = self._idle.setdefault((connection.life_id, *connection.address), [])
