Let take-ups wait for a view that is out of step, and for suspected servers

Callers: while software is replaced, an entry that had been cut off from control, or had stood still, refused to go on with streams that had begun elsewhere at the newer version, for good (stream_version_unknown without a time to return). The same where the servers of a version were suspected because a cut kept their heartbeats away.

Cause: whether a version is still there was read from the entry's own view, which may be older than the log's answer, and suspected servers counted as gone. A take-up now waits up to a second for a view that shows the version or was confirmed after the question, is told to come back if neither comes, and is refused for good only if a current view lacks the version. Joined streams (ORDER) were looked for in the same places: the answer comes through the log, so an entry that is out of step learns the right version or none.

Two of the four new tests failed before.

--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -237,6 +237,9 @@
             if isinstance(slot, NoSlot):
                 # Its version may have left while the stream waited.
                 self._stream_versions.refuse_unservable(call)
+                if call.source is not None and slot.retry_after_ms is None:
+                    # Its version is only suspected.
+                    raise RefusedError(ErrorKind.NOT_READY)
                 raise RefusedError(slot.kind, slot.retry_after_ms)
             call.placed_ms = timers.now_ms()
             self._candidates.begin_prefill(call, slot)
--- a/cassiapitch/stream_versions.py
+++ b/cassiapitch/stream_versions.py
@@ -35,6 +35,10 @@
 AMBIGUOUS_WAIT_MS = 1_500
 # How long a stream that is taken up waits for the control group's answer.
 FIND_WAIT_MS = 1_500
+# How long it then waits for this entry's view to show its version.
+VIEW_WAIT_MS = 1_000
+# States of backend servers that may continue a stream, now or soon.
+RETURNING_STATES = ("serving", "suspected")
 # When callers return if it doesn't answer.
 FIND_RETRY_MS = 500
 # Streams that the entry remembers, and that wait to be recorded.
@@ -79,6 +83,7 @@
             call.source = StreamSource(recent[0].role, recent[0].version)
             return
         roles = tuple(target.role for target in call.route.targets)
+        asked_ms = timers.now_ms()
         answer = await self._state.control_requests.request_until_decided(
             lambda sequence: OriginAsk(sequence, stream, roles),
             _is_decided,
@@ -89,6 +94,37 @@
         if answer.role is None:
             raise RefusedError(ErrorKind.STREAM_VERSION_UNKNOWN)
         call.source = StreamSource(answer.role, answer.version)
+        await self._wait_for_view(call, asked_ms)
+
+    async def _wait_for_view(self, call: ForwardCall, asked_ms: int) -> None:
+        """Waits for a view that shows a stream's version, or that is current.
+
+        The log may know a version that an entry which was cut off, or stood still,
+        doesn't know yet.
+
+        Raises:
+            RefusedError: The view doesn't become current in time.
+        """
+        wait_ms = min(VIEW_WAIT_MS, max(1, call.left_ms()))
+        wait_deadline_ms = timers.now_ms() + wait_ms
+        while not self._is_shown(call):
+            if (self._state.freshness.as_of_ms or 0) >= asked_ms:
+                return
+            left_ms = wait_deadline_ms - timers.now_ms()
+            if left_ms <= 0:
+                raise RefusedError(ErrorKind.NOT_READY, FIND_RETRY_MS)
+            await self._state.confirmed.wait(left_ms)
+
+    def _is_shown(self, call: ForwardCall) -> bool:
+        """Returns whether a backend server may continue a stream, now or later.
+
+        One that is only suspected may be back soon.
+        """
+        source = call.source
+        return source is None or any(
+            source.matches(backend) and backend.state in RETURNING_STATES
+            for backend in self._state.catalog.backends.values()
+        )
 
     def refuse_unservable(self, call: ForwardCall) -> None:
         """Refuses to continue a stream whose version no backend server has any more.
@@ -96,11 +132,7 @@
         Raises:
             RefusedError: There is none.
         """
-        source = call.source
-        if source is not None and not any(
-            source.matches(backend)
-            for backend in self._state.catalog.services(source.role)
-        ):
+        if not self._is_shown(call):
             raise RefusedError(ErrorKind.STREAM_VERSION_UNKNOWN)
 
     async def may_continue(
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,14 +5,20 @@
 import anyio
 import pytest
 
-from cassiapitch import timers
+from cassiapitch import codec, timers
 from cassiapitch.entrystate import EntryState
-from cassiapitch.forwardtypes import RefusedError
+from cassiapitch.error_kinds import ErrorKind
+from cassiapitch.forwardtypes import RefusedError, StreamSource
 from cassiapitch.header_codec import CallerHead
+from cassiapitch.messages import Confirmed
+from cassiapitch.origin_messages import OriginAnswer
 from cassiapitch.platform.requests import HEADER_CODEC
 from cassiapitch.settings import Address, EntrySettings
 from cassiapitch.stream_versions import StreamVersions
+from cassiapitch.viewitems import BackendItem, BundleItem
 from tests.crash_world import StreamWorld, is_whole, last_event_id, play, versions
+from tests.forward_world import entry_settings
+from tests.limit_world import LOOPBACK
 
 STREAMS_COUNT = 60
 STREAMS_PER_S = 40
@@ -175,3 +181,95 @@
     assert await stream_versions.answer_begun(make_call(None), backend)
     with pytest.raises(RefusedError):
         await stream_versions.find_source(make_call(3))
+
+
+def view_item(name, version, state="serving"):
+    fields = (name, f"{name}@1", "shop", "a", LOOPBACK, 1, state, (), (), 8, None)
+    return BackendItem(*fields, version)
+
+
+def apply_view(state, *items):
+    """Replaces the view; it counts as confirmed only when `confirm` is called."""
+    index = state.catalog.index + 1
+    encoded = {f"backend/{item.name}": codec.encode(item) for item in items}
+    encoded["bundle"] = codec.encode(BundleItem(1, "", ""))
+    state.handle_view_change(state.catalog.apply_snapshot(index, encoded))
+
+
+def confirm(state):
+    ask = state.freshness.make_ask(timers.now_ms())
+    state.handle_confirmation(Confirmed(ask.sequence, state.catalog.index))
+
+
+def take_up_of(state, version, left_ms=2_000):
+    """Returns a call that takes up a stream, and what serves it."""
+    state.control_requests.link_opened(
+        lambda message: state.control_requests.answered(
+            OriginAnswer(message.sequence, True, "shop", version)
+        )
+    )
+    call = SimpleNamespace(
+        route=SimpleNamespace(may_be_resumed=True, targets=()),
+        head=CallerHead(last_event_id=3, resumed_request_id="q1"),
+        account=None,
+        source=None,
+        left_ms=lambda: left_ms,
+    )
+    return StreamVersions(HEADER_CODEC, state), call
+
+
+@pytest.mark.anyio
+async def test_take_up_waits_for_a_view_that_is_out_of_step():
+    state = EntryState(entry_settings())
+    apply_view(state, view_item("b1", "v1"))
+    stream_versions, call = take_up_of(state, "v2")
+    async with anyio.create_task_group() as group:
+
+        async def catch_up():
+            await anyio.sleep(0.1)
+            apply_view(state, view_item("b1", "v1"), view_item("b2", "v2"))
+
+        group.start_soon(catch_up)
+        await stream_versions.find_source(call)
+    stream_versions.refuse_unservable(call)
+    assert call.source.version == "v2"
+
+
+@pytest.mark.anyio
+async def test_take_up_at_an_entry_that_stays_out_of_step_may_come_back():
+    state = EntryState(entry_settings())
+    apply_view(state, view_item("b1", "v1"))
+    stream_versions, call = take_up_of(state, "v2", left_ms=300)
+    with pytest.raises(RefusedError) as error:
+        await stream_versions.find_source(call)
+    assert error.value.kind is ErrorKind.NOT_READY
+
+
+@pytest.mark.anyio
+async def test_take_up_is_refused_for_good_once_a_current_view_lacks_its_version():
+    state = EntryState(entry_settings())
+    apply_view(state, view_item("b1", "v1"))
+    stream_versions, call = take_up_of(state, "v2")
+    async with anyio.create_task_group() as group:
+
+        async def confirm_later():
+            await anyio.sleep(0.1)
+            confirm(state)
+
+        group.start_soon(confirm_later)
+        await stream_versions.find_source(call)
+    with pytest.raises(RefusedError) as error:
+        stream_versions.refuse_unservable(call)
+    assert error.value.kind is ErrorKind.STREAM_VERSION_UNKNOWN
+
+
+@pytest.mark.anyio
+async def test_take_up_is_not_refused_for_good_while_its_version_is_only_suspected():
+    state = EntryState(entry_settings())
+    apply_view(state, view_item("b1", "v1"), view_item("b2", "v2", "suspected"))
+    stream_versions, call = take_up_of(state, "v2")
+    call.source = StreamSource("shop", "v2")
+    stream_versions.refuse_unservable(call)
+    apply_view(state, view_item("b1", "v1"), view_item("b2", "v2", "leaving"))
+    with pytest.raises(RefusedError):
+        stream_versions.refuse_unservable(call)
