--- a/tests/cut_world.py
+++ b/tests/cut_world.py
@@ -328,6 +328,9 @@
 
 
 def is_served(reply):
+    if not reply.request_id:
+        # A kept caller's reply, which it has read whole.
+        return reply.status == 200
     if reply.status != 200:
         return False
     return is_whole(reply) if reply.parts == ("/stream/",) else reply.body == b"done"
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -241,7 +241,8 @@
             demand_period_ms=250,
         )
         make_server = functools.partial(forwarding.make_caller_server, HEADER_CODEC)
-        entry = EntryProcess(settings, anyio.Event(), make_server)
+        stop = self.stops[name] = anyio.Event()
+        entry = EntryProcess(settings, stop, make_server)
         self.entries[name] = entry
         self._start(name, entry.run)
 
@@ -263,6 +264,12 @@
         self.entries.pop(name, None)
         await anyio.sleep(0.05)
 
+    async def stop_entry(self, name):
+        """Stops an entry as planned and returns once it has ended."""
+        self.stops[name].set()
+        await self.ended[name].wait()
+        self.entries.pop(name, None)
+
     async def stop_member(self, name):
         """Stops a control member as planned and returns once it has ended."""
         del self.nodes[name]
@@ -420,8 +427,8 @@
 class KeptCaller:
     """A caller that uses one connection until it ends, then connects elsewhere."""
 
-    def __init__(self, world, number):
-        self.world, self.number = world, number
+    def __init__(self, world, number, path="/x"):
+        self.world, self.number, self.path = world, number, path
         self.rng = random.Random(f"{world.seed}-{number}")
 
     async def run(self):
@@ -445,7 +452,7 @@
         self.world.request_number += 1
         sent_ms = timers.now_ms()
         head = (
-            "POST /x HTTP/1.1\r\n"
+            f"POST {self.path} HTTP/1.1\r\n"
             f"Host: {HOST}\r\n"
             f"Request-Id: q{self.world.request_number}\r\n"
             "Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
