--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -6,9 +6,9 @@
 import anyio
 import pytest
 
-from cassiapitch import codec, rpc, timers, tunnel_server
+from cassiapitch import certificates, codec, rpc, timers, tunnel_server
 from cassiapitch.backend_paths import BackendPaths, Verdict
-from cassiapitch.settings import Address
+from cassiapitch.settings import Address, TlsSettings
 from cassiapitch.tunnel_messages import TunnelAsk, TunnelOutcome, TunnelPeer
 from cassiapitch.tunnel_server import TunnelServer
 from cassiapitch.tunnels import METHOD, SERVICE, TunnelRefusedError, open_tunnel
@@ -38,9 +38,11 @@
 class Peer:
     """An entry that serves tunnels to one backend server."""
 
-    def __init__(self, backend, is_path_lost=lambda life_id: False, name="peer"):
+    def __init__(
+        self, backend, is_path_lost=lambda life_id: False, name="peer", tls=None
+    ):
         self.server = TunnelServer(
-            "test", LOOPBACK, None, {backend.name: backend}.get, is_path_lost
+            "test", LOOPBACK, tls, {backend.name: backend}.get, is_path_lost
         )
         self.ask = TunnelAsk("test", "entry-1", backend.name, backend.life_id)
         self.peer, self.name = None, name
@@ -355,3 +357,34 @@
                 assert (await stream.receive()).startswith(b"HTTP/1.1 4")
 
     run_limited(main)
+
+
+def tls_settings(folder, name):
+    """Returns a process's files for mutual TLS, from an authority of its own folder."""
+    if not (folder / f"{name}.pem").exists():
+        certificates.certify(folder, [name], days=1)
+    files = ("ca.pem", f"{name}.pem", f"{name}.key.pem")
+    return TlsSettings(*(str(folder / file) for file in files))
+
+
+def test_only_processes_of_the_system_get_a_tunnel_where_tls_is_set(tmp_path):
+    own, foreign = tmp_path / "own", tmp_path / "foreign"
+
+    async def main():
+        tls = tls_settings(own, "peer")
+        async with peer_and_backend(tls=tls) as (peer, echo):
+            for other in (None, tls_settings(foreign, "entry")):
+                context = None if other is None else rpc.client_context(other)
+                with pytest.raises(OSError):
+                    await open_tunnel(peer.peer, peer.ask, context)
+            assert echo.stream is None
+            context = rpc.client_context(tls_settings(own, "entry"))
+            stream = await open_tunnel(peer.peer, peer.ask, context)
+            await stream.send(b"question")
+            await wait_until(lambda: echo.received == b"question")
+            await echo.stream.send(b"answer")
+            assert await stream.receive() == b"answer"
+            await echo.stream.aclose()
+            assert await stream.receive() == b""
+
+    run_limited(main)
