Report only holds of own rejections, so that entries don't prolong them

Callers: after one rejection by a brittle backend server, entries that had heard of the hold from the leader reported it as theirs, up to half as long again; the leader told it to all, and so on while answers came in.

Cause: a hold that was told was kept like one that was seen. Only holds after an own rejection are reported now. The new test failed before (996 ms reported back).

--- a/cassiapitch/brittle_backends.py
+++ b/cassiapitch/brittle_backends.py
@@ -82,6 +82,8 @@
         rejections_per_s: Rejections that it bears in a second.
         until_ms: Until when it counts as brittle.
         hold_until_ms: Until when this entry sends nothing.
+        own_hold_until_ms: The same for a rejection of its own; only that is reported,
+            or entries would prolong each other's holds.
         reported_ms: When this entry last told the leader.
         quota_count: Requests that this entry may have in flight.
         quota_until_ms: Until when that holds.
@@ -94,6 +96,7 @@
     rejections_per_s: float
     until_ms: int
     hold_until_ms: int = 0
+    own_hold_until_ms: int = 0
     reported_ms: int | None = None
     quota_count: int = 0
     quota_until_ms: int = 0
@@ -155,6 +158,7 @@
         if len(state.rejected_ms) <= bearable:
             return False
         self._hold(state, HOLD_MS, now_ms)
+        state.own_hold_until_ms = state.hold_until_ms
         self._due_reports.add(life_id)
         return True
 
@@ -170,8 +174,8 @@
             BrittleReport(
                 life_id,
                 state.rejections_per_s,
-                max(0, state.hold_until_ms - now_ms),
-                state.room_count if state.hold_until_ms > now_ms else None,
+                max(0, state.own_hold_until_ms - now_ms),
+                state.room_count if state.own_hold_until_ms > now_ms else None,
             )
             for life_id, state in due
         )
--- a/tests/test_brittle_backends.py
+++ b/tests/test_brittle_backends.py
@@ -11,6 +11,7 @@
     HOLD_MS,
     HOLD_SPREAD_SHARE,
     QUOTA_MS,
+    REPORT_PERIOD_MS,
     BrittleBackends,
     BrittleReport,
     BrittleReports,
@@ -166,6 +167,16 @@
     assert len(returned_ms) > 3
 
 
+def test_hold_that_the_leader_told_is_not_reported_back_as_a_new_one():
+    entry = brittle_entry()
+    entry.reports(0)
+    entry.apply_reports((BrittleReport(L1, 3.0, HOLD_MS, 2),), 0)
+    entry.record_statement(L1, 3.0, REPORT_PERIOD_MS)
+    entry.apply_reports((BrittleReport(L1, 3.0, HOLD_MS, 2),), REPORT_PERIOD_MS)
+    (report,) = entry.reports(REPORT_PERIOD_MS)
+    assert (report.hold_ms, report.room_count) == (0, None)
+
+
 def test_statement_ends_with_the_first_answer_without_it_or_by_time():
     entry = brittle_entry()
     assert entry.is_brittle(L1, BRITTLE_MS - 1)
