Log a malformed item of a tunnel as the end of that tunnel

Found by reading: the error left the handler in an exception group, so asyncio reported a task exception that nobody retrieved instead of our event. The new test passed before as well (the tunnel ended then, too).

--- a/cassiapitch/tunnel_server.py
+++ b/cassiapitch/tunnel_server.py
@@ -13,6 +13,7 @@
 from cassiapitch import bytestream, events, metrics, rpc, timers
 from cassiapitch.bytestream import ByteStream
 from cassiapitch.events import Event
+from cassiapitch.exceptions import CodecError
 from cassiapitch.settings import Address, TlsSettings
 from cassiapitch.tunnel_messages import (
     LEAVING,
@@ -186,7 +187,7 @@
                 if self._end_after_standstill():
                     return
                 await tunnel.backend.send(data)
-        except OSError as error:
+        except (OSError, CodecError) as error:
             events.log(Event.TUNNEL_ENDED, reason=str(error) or repr(error))
 
     async def _pass_answers(self, tunnel: _Tunnel) -> None:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -1,5 +1,6 @@
 """Tests of connections to backend servers through another entry."""
 
+import asyncio
 import contextlib
 import random
 
@@ -150,6 +151,23 @@
     run_limited(main)
 
 
+def test_malformed_item_ends_only_its_tunnel():
+    async def main():
+        loop_errors = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: loop_errors.append(context)
+        )
+        async with peer_and_backend() as (peer, echo):
+            stream = await peer.open()
+            stream._require_transport().write(b"\xc1")
+            await echo.closed.wait()
+            await wait_until(lambda: peer.server.count == 0)
+            await peer.open()
+        assert not loop_errors
+
+    run_limited(main)
+
+
 def test_entry_without_a_path_of_its_own_passes_nothing_on():
     async def main():
         async with peer_and_backend(is_path_lost=lambda life_id: True) as (peer, echo):
