--- a/cassiapitch/announcement_checks.py
+++ b/cassiapitch/announcement_checks.py
@@ -66,7 +66,7 @@
     for text in texts:
         if len(text) > TEXT_LIMIT_LENGTH:
             raise ValueError("a text is too long")
-        # Raises an error that is a ValueError for what can't be stored.
+        # A lone surrogate raises a ValueError: it could not be written.
         text.encode()
     return announcement
 
