Show that a rejection reaches the other entries too late (tests, listed)

- A brittle server that is back after a fall counts as not brittle until its first answer, so entries send it all that waited: 12 requests at 8 places.

--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -137,6 +137,7 @@
 
     repeat = Repeat.IDEMPOTENT
     attempts_limit_count = 2
+    load_period_ms = 300
 
     def __init__(self, tasks, folder, entries_count, backends_count, seed=1):
         self.tasks, self.folder = tasks, folder
@@ -214,7 +215,7 @@
             rpc_address=peer.address,
             admin_address=Address(LOOPBACK, self.admin_ports[peer.name]),
             initial_members=self.peers,
-            load_period_ms=300,
+            load_period_ms=self.load_period_ms,
         )
         stop = self.stops[peer.name] = anyio.Event()
         node = ControlNode(settings, control.make_parts(settings), stop)
--- a/tests/test_backend_limits.py
+++ b/tests/test_backend_limits.py
@@ -16,7 +16,7 @@
 )
 from cassiapitch.types import RoleKind
 from cassiapitch.viewitems import BackendLimit
-from tests.limit_world import CONTACT_MS, allowed_count, play
+from tests.limit_world import CONTACT_MS, LimitWorld, allowed_count, play
 
 LIMIT_PER_S = 2
 
@@ -194,6 +194,27 @@
     assert {reply.status for reply in replies} == {200}
 
 
+class RareReportsWorld(LimitWorld):
+    """Load reports come too rarely to tell a pause in time."""
+
+    load_period_ms = 20_000
+
+
+def test_entries_wait_for_the_next_load_report_to_learn_of_a_pause(tmp_path):
+    async def scenario(world):
+        world.backends[0].pause_s = 8
+        router = world.entries[world.entry_names[0]].state.router
+        while not router.remaining_pause_ms("b0@1", timers.now_ms()):
+            await world.call(world.entry_names[0])
+        await anyio.sleep(1)
+        return [
+            entry.state.router.remaining_pause_ms("b0@1", timers.now_ms())
+            for entry in world.entries.values()
+        ]
+
+    assert all(play(scenario, tmp_path, world_type=RareReportsWorld))
+
+
 def statement(requests_per_s, known_index=0, life_id="b1@1"):
     return RecordBackendLimit("b1", life_id, requests_per_s, known_index)
 
--- a/tests/test_brittle_backends.py
+++ b/tests/test_brittle_backends.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import anyio
 import pytest
 
 from cassiapitch import timers
@@ -106,6 +107,57 @@
     assert served_per_s >= served_share * min(1, load_share) * CAPACITY_PER_S
 
 
+class RareReportsWorld(BrittleWorld):
+    """Load reports come too rarely to tell a rejection in time."""
+
+    load_period_ms = 20_000
+
+
+def test_entries_wait_for_the_next_load_report_to_hold_back(tmp_path):
+    async def scenario(world):
+        (backend,) = world.backends
+        await world.load(world.entry_names, calls_per_s=10, for_s=1)
+        backend.running_count += PLACES_COUNT + QUEUE_COUNT
+        while not backend.rejected_ms:
+            await world.load(world.entry_names[:1], calls_per_s=10, for_s=0.2)
+        backend.running_count -= PLACES_COUNT + QUEUE_COUNT
+        rejected_ms, now_ms = backend.rejected_ms[0], timers.now_ms()
+        await anyio.sleep((rejected_ms + HOLD_MS - now_ms) / 2_000)
+        # So many free places that every entry has one unless it holds back.
+        load, life_id = Load(0, 0, 100 * ENTRIES_COUNT), LifeId("b0@1")
+        return [
+            entry.state.router.brittle.may_send(life_id, load, timers.now_ms())
+            for entry in world.entries.values()
+        ]
+
+    may_send = play(
+        scenario,
+        tmp_path,
+        entries_count=ENTRIES_COUNT,
+        backends_count=1,
+        world_type=RareReportsWorld,
+    )
+    assert not any(may_send)
+
+
+def test_backend_server_that_is_back_is_sent_all_that_waited(tmp_path):
+    async def scenario(world):
+        (backend,) = world.backends
+        await world.load(world.entry_names, CAPACITY_PER_S / 4, CONTACT_MS / 1000)
+        backend.crash()
+        await world.load(world.entry_names, 2 * CAPACITY_PER_S, 1.3)
+        return backend.falls_count
+
+    falls_count = play(
+        scenario,
+        tmp_path,
+        entries_count=ENTRIES_COUNT,
+        backends_count=1,
+        world_type=BrittleWorld,
+    )
+    assert falls_count == 0
+
+
 L1 = LifeId("l1")
 
 
