Take a new backend server of a brittle role to be brittle till it answers

What callers saw: a brittle backend server that came back after a fall fell again at once. Cause: each incarnation counts as not brittle until an entry reads its first answer, and that takes as long as a request; meanwhile every entry sends all that waited (one backend server, 8 entries, twice the capacity: 1 and 2 falls within half a second after it was back). Why it works: an entry remembers for 10 s that backend servers of a role were brittle. An incarnation that is new in the view gets a part of its room as if it had said so itself, for 10 s at most or until its first answer says otherwise. By role, not by name: what is added to a brittle service meets the same burst.

--- a/cassiapitch/brittle_backends.py
+++ b/cassiapitch/brittle_backends.py
@@ -2,7 +2,9 @@
 
 A brittle backend server says in its responses how many rejections in a second it bears.
 Entries then send it only what fits: each takes its part of the room that is free, by
-the last load report, and all of them hold back after a rejection.
+the last load report, and all of them hold back after a rejection. A
+backend server that is new is taken to be like the others of its role until its first
+response.
 """
 
 import collections
@@ -13,9 +15,13 @@
 import msgspec
 
 from cassiapitch.types import LifeId
+from cassiapitch.viewitems import BackendItem
 
 # How long a backend server counts as brittle after the last response that said so.
 BRITTLE_MS = 3_000
+# How long after the last such response a backend server that is new in the role counts
+# as brittle, and for how long, unless it answers before.
+ASSUMED_MS = 10_000
 # An entry repeats to the leader what it hears of a backend server after this time.
 REPORT_PERIOD_MS = 1_000
 # How long entries send nothing after a rejection, and by which share of it they return
@@ -120,6 +126,11 @@
         self._rng = rng
         self._brittle: dict[LifeId, _Brittle] = {}
         self._entries_count = DEFAULT_ENTRIES_COUNT
+        # Roles of the incarnations in the view.
+        self._roles: dict[LifeId, str] = {}
+        # Rejections that backend servers of a role bear, and until when a new one is
+        # taken to be like them.
+        self._statements_by_role: dict[str, tuple[float, int]] = {}
         self._due_reports: set[LifeId] = set()
 
     def set_entries_count(self, entries_count: int) -> None:
@@ -132,7 +143,8 @@
     ) -> None:
         """Records what a response says; None if it says nothing."""
         if rejections_per_s is None:
-            self._brittle.pop(life_id, None)
+            if self._brittle.pop(life_id, None) is not None:
+                self._statements_by_role.pop(self._roles.get(life_id, ""), None)
             return
         state = self._add(life_id, rejections_per_s, now_ms + BRITTLE_MS)
         if state.reported_ms is None or now_ms - state.reported_ms >= REPORT_PERIOD_MS:
@@ -227,13 +239,24 @@
         quota = kept + part + self._rng.random()
         return int(min(room, quota))
 
-    def retain_only(self, life_ids: Iterable[LifeId]) -> None:
-        """Removes incarnations that are no longer in the view."""
+    def set_backends(self, backends: Iterable[BackendItem], now_ms: int) -> None:
+        """Sets the incarnations of the view, and removes all others.
+
+        One that is back after a fall would otherwise get all that waited for it.
+        """
+        roles = {backend.life_id: backend.role for backend in backends}
         self._brittle = {
-            life_id: self._brittle[life_id]
-            for life_id in life_ids
-            if life_id in self._brittle
+            life_id: state
+            for life_id, state in self._brittle.items()
+            if life_id in roles
         }
+        for life_id, role in roles.items():
+            if life_id in self._roles or life_id in self._brittle:
+                continue
+            rejections_per_s, until_ms = self._statements_by_role.get(role, (0.0, 0))
+            if now_ms < until_ms:
+                self._brittle[life_id] = _Brittle(rejections_per_s, now_ms + ASSUMED_MS)
+        self._roles = roles
 
     def _add(self, life_id: LifeId, rejections_per_s: float, until_ms: int) -> _Brittle:
         state = self._brittle.get(life_id)
@@ -241,6 +264,8 @@
             state = self._brittle[life_id] = _Brittle(rejections_per_s, until_ms)
         state.rejections_per_s = rejections_per_s
         state.until_ms = max(state.until_ms, until_ms)
+        if (role := self._roles.get(life_id)) is not None:
+            self._statements_by_role[role] = (rejections_per_s, until_ms + ASSUMED_MS)
         return state
 
     def _hold(self, state: _Brittle, hold_ms: int, now_ms: int) -> None:
--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -194,6 +194,7 @@
         if outcome.backends_changed:
             life_ids = {item.life_id for item in self.catalog.backends.values()}
             self.router.retain_only(life_ids)
+            self.router.brittle.set_backends(self.catalog.backends.values(), now_ms)
             self.crash_tracker.retain_only(life_ids)
             for callback in self.backend_removal_callbacks:
                 callback(life_ids)
--- a/cassiapitch/routing.py
+++ b/cassiapitch/routing.py
@@ -236,7 +236,6 @@
                 del self._states[life_id]
                 self._roles.pop(life_id, None)
                 self.prefill.forget_engine(life_id)
-        self.brittle.retain_only(life_ids)
 
     def has_free_slot(
         self, backend: BackendItem, priority: Priority, now_ms: int
--- a/tests/test_brittle_backends.py
+++ b/tests/test_brittle_backends.py
@@ -8,6 +8,7 @@
 
 from cassiapitch import timers
 from cassiapitch.brittle_backends import (
+    ASSUMED_MS,
     BRITTLE_MS,
     HOLD_MS,
     HOLD_SPREAD_SHARE,
@@ -19,6 +20,7 @@
     Load,
 )
 from cassiapitch.types import LifeId
+from cassiapitch.viewitems import BackendItem
 from tests.crash_world import CrashingBackend, CrashWorld, play
 from tests.forward_world import answer_bytes
 from tests.limit_world import CONTACT_MS
@@ -250,3 +252,31 @@
     entry = BrittleBackends(random.Random(1))
     assert not entry.record_rejection(L1, Load(1, 6, 6), 0)
     assert entry.reports(0) == ()
+
+
+def backend_item(life_id, role="shop"):
+    return BackendItem(life_id, life_id, role, "z", "ip", 1, "serving", (), (), 6)
+
+
+def test_only_new_backend_servers_of_a_brittle_role_are_taken_to_be_brittle():
+    entry = brittle_entry()
+    entry.set_backends([backend_item(L1), backend_item("old")], 0)
+    entry.record_statement(L1, 3.0, 0)
+    items = [backend_item("old"), backend_item("new"), backend_item("other", "r2")]
+    entry.set_backends(items, BRITTLE_MS)
+    lives = [LifeId(item.life_id) for item in items]
+    assert [entry.is_brittle(life, BRITTLE_MS) for life in lives] == [0, 1, 0]
+    assert not entry.is_brittle(LifeId("new"), BRITTLE_MS + ASSUMED_MS)
+
+
+def test_no_backend_server_is_taken_to_be_brittle_after_an_answer_or_a_long_time():
+    entry = brittle_entry()
+    entry.set_backends([backend_item(L1)], 0)
+    entry.record_statement(L1, 3.0, 0)
+    late_ms = BRITTLE_MS + ASSUMED_MS
+    entry.set_backends([backend_item("l2")], late_ms)
+    assert not entry.is_brittle(LifeId("l2"), late_ms)
+    entry.record_statement(LifeId("l2"), 3.0, late_ms)
+    entry.record_statement(LifeId("l2"), None, late_ms)
+    entry.set_backends([backend_item("l3")], late_ms)
+    assert not entry.is_brittle(LifeId("l3"), late_ms)
