--- a/tests/cut_world.py
+++ b/tests/cut_world.py
@@ -100,7 +100,7 @@
             writer.write(answer_bytes(fields["request-id"], headers=self.headers))
             await writer.drain()
             return True
-        writer.write(stream_head(fields["request-id"]))
+        writer.write(stream_head(fields["request-id"], self.headers))
         first = int(fields.get("last-event-id", 0)) + 1
         for number in range(first, self.events_count + 1):
             writer.write(chunk(event(number)))
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -54,11 +54,12 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + payload
 
 
-def stream_head(request_id):
+def stream_head(request_id, headers=()):
     """Returns the head of an event stream."""
+    lines = "".join(f"{line}\r\n" for line in headers)
     return (
         "HTTP/1.1 200 OK\r\n"
-        f"Request-Id: {request_id}\r\nServer-Seal: seal\r\n"
+        f"Request-Id: {request_id}\r\nServer-Seal: seal\r\n{lines}"
         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     ).encode()
 
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -297,14 +297,14 @@
             await anyio.sleep(0.02)
         return result
 
-    async def roll_bundle(self):
+    async def roll_bundle(self, version=1, routes=None):
         role = Role(
             "shop", RoleKind.SERVICE, silence_limit_ms=3_000, reports_load=False
         )
         bundle = Bundle(
-            version=1,
+            version=version,
             roles=(role,),
-            forwards=self.make_routes(),
+            forwards=routes or self.make_routes(),
             caller_limits=CallerLimits(16_384, 1_000_000, 1_000, 5_000),
         )
         command = commands.PutBundle(bundle, "text", "", "ann", "ann")
