--- a/tests/test_hub.py
+++ b/tests/test_hub.py
@@ -9,6 +9,8 @@
 from cassiapitch.command_batcher import CommandBatcher
 from cassiapitch.entry_directory import EntryDirectory
 from cassiapitch.replicated import ReplicatedState
+from cassiapitch.settings import Address
+from cassiapitch.tunnel_messages import AllEntries, TunnelPeer, TunnelPeers
 from cassiapitch.types import ClaimState
 from tests.standins import Log, StandinFleet, StandinMember
 
@@ -244,6 +246,32 @@
     assert not any(isinstance(message, messages.LoadReports) for message in second.sent)
 
 
+@pytest.mark.anyio
+async def test_entry_that_knows_no_tunnels_is_told_peers():
+    """Guards against ending the links of entries of an earlier release."""
+    hub, *_ = make_hub()
+    names = ("e1", "e2")
+    addresses = (None, Address("127.0.0.1", 1))
+    streams = [Stream() for _ in names]
+    async with anyio.create_task_group() as tasks:
+        for name, address, stream in zip(names, addresses, streams, strict=True):
+            stream.client_end.send_nowait(
+                messages.LinkHello(
+                    name, "life", "test", "z1", 0, True, tunnel_address=address
+                )
+            )
+            tasks.start_soon(hub.serve_link, stream)
+        while len(hub.describe()) < len(names):
+            await anyio.lowlevel.checkpoint()
+        hub.on_all_entries(AllEntries((TunnelPeer("e3", "z1", addresses[1]),)))
+        await streams[1].wait_for(TunnelPeers)
+        streams[0].client_end.send_nowait(messages.ConfirmAsk(1))
+        tasks.start_soon(hub.run_confirmations)
+        await streams[0].wait_for(messages.Confirmed)
+        tasks.cancel_scope.cancel()
+    assert not any(isinstance(message, TunnelPeers) for message in streams[0].sent)
+
+
 def test_links_at_one_index_share_a_delta_until_the_view_changes():
     """Guards against encoding a delta for each link, and against a stale shared one."""
     view = views.View()
