Tell peers only to entries that know tunnels

During an upgrade in which members go first, each entry of the earlier release would lose its link again and again, and its view would become stale. Cause: members sent TunnelPeers on every primary link. An entry that doesn't know the message ends the link. Why it works: only entries that state a tunnel address get it, and that field came with the message. An entry without the setting now uses no peers either (docs). Ruled out: the relay between members leaves out messages that it can't read.

--- a/cassiapitch/hub.py
+++ b/cassiapitch/hub.py
@@ -172,6 +172,9 @@
 
     def _send_peers(self, link: Link) -> None:
         hello = link.state.hello
+        if hello.tunnel_address is None:
+            # Entries of earlier releases end a link that brings an unknown message.
+            return
         peers = self._directory.peers_of(hello.entry, hello.zone)
         if peers is not None and peers != link.peers_sent:
             link.peers_sent = peers
--- a/cassiapitch/settings.py
+++ b/cassiapitch/settings.py
@@ -174,7 +174,8 @@
         retry_window_s: Length of that window.
         confirm_period_ms: Interval of requests for a confirmation of the view.
         tunnel_address: Address where other entries that have lost their own links open
-            connections to backend servers through this one; None to serve none.
+            connections to backend servers through this one; None to serve and use
+            none.
     """
 
     name: Name
