--- a/cassiapitch/brittle_backends.py
+++ b/cassiapitch/brittle_backends.py
@@ -2,9 +2,8 @@
 
 A brittle backend server says in its responses how many rejections in a second it bears.
 Entries then send it only what fits: each takes its part of the room that is free, by
-the last load report, and all of them hold back after a rejection. A
-backend server that is new is taken to be like the others of its role until its first
-response.
+the last load report, and all of them hold back after a rejection. A backend server that
+is new is taken to be like the others of its role until its first response.
 """
 
 import collections
@@ -19,8 +18,8 @@
 
 # How long a backend server counts as brittle after the last response that said so.
 BRITTLE_MS = 3_000
-# How long after the last such response a backend server that is new in the role counts
-# as brittle, and for how long, unless it answers before.
+# A backend server that is new in the role of a brittle one counts as brittle this long
+# after the other did, and for this long at most.
 ASSUMED_MS = 10_000
 # An entry repeats to the leader what it hears of a backend server after this time.
 REPORT_PERIOD_MS = 1_000
--- a/tests/test_backend_limits_fuzz.py
+++ b/tests/test_backend_limits_fuzz.py
@@ -3,12 +3,11 @@
 More seeds: `CASSIAPITCH_LIMIT_SEEDS=1-50`.
 """
 
-import os
-
 import anyio
 import pytest
 
 from cassiapitch import timers
+from tests import soak
 from tests.limit_world import CONTACT_MS, WINDOW_MS, KeptCaller, allowed_count, play
 
 CALLERS_COUNT = 16
@@ -18,11 +17,6 @@
 LIMITS_PER_S = (0.5, 1, 2, 5)
 
 
-def _seeds():
-    first, _, last = os.environ.get("CASSIAPITCH_LIMIT_SEEDS", "1-2").partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
 class Faults:
     """Brings about faults and changes, and keeps what was stated and restarted when.
 
@@ -44,12 +38,7 @@
             (self.restart_leader, 1),
             (self.restart_backend, 1),
         )
-        weighted = [change for change, weight in changes for _ in range(weight)]
-        async with anyio.create_task_group() as tasks:
-            with anyio.move_on_after(FAULTS_S):
-                while True:
-                    tasks.start_soon(self.rng.choice(weighted))
-                    await anyio.sleep(self.rng.uniform(0.1, 1.5))
+        await soak.play_changes(self.rng, changes, FAULTS_S, pause_s=(0.1, 1.5))
 
     async def change_limit(self):
         backend = self.rng.choice(self.world.backends[:2])
@@ -115,7 +104,7 @@
         )
 
 
-@pytest.mark.parametrize("seed", _seeds())
+@pytest.mark.parametrize("seed", soak.seeds("CASSIAPITCH_LIMIT_SEEDS"))
 def test_fuzz_limits_hold_and_callers_lose_nothing_while_a_server_is_unlimited(
     seed, tmp_path
 ):
--- a/tests/test_backend_paths_fuzz.py
+++ b/tests/test_backend_paths_fuzz.py
@@ -3,12 +3,11 @@
 More seeds: `CASSIAPITCH_PATH_SEEDS=1-50`.
 """
 
-import os
-
 import anyio
 import pytest
 
 from cassiapitch import timers
+from tests import soak
 from tests.cut_world import (
     CALL_DEADLINE_MS,
     NEW_REFUSED,
@@ -28,11 +27,6 @@
 START_MS = 4_000
 
 
-def _seeds():
-    first, _, last = os.environ.get("CASSIAPITCH_PATH_SEEDS", "1-2").partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
 class Faults:
     """Brings about faults, and keeps which entry was cut or restarted when.
 
@@ -54,12 +48,7 @@
             (self.restart_leader, 1),
             (self.cut_from_control, 1),
         )
-        weighted = [change for change, weight in changes for _ in range(weight)]
-        async with anyio.create_task_group() as tasks:
-            with anyio.move_on_after(FAULTS_S):
-                while True:
-                    tasks.start_soon(self.rng.choice(weighted))
-                    await anyio.sleep(self.rng.uniform(0.3, 2))
+        await soak.play_changes(self.rng, changes, FAULTS_S)
 
     async def cut_entries(self):
         """Cuts some entries off from all or some backend servers, not all entries."""
@@ -138,7 +127,7 @@
         await anyio.sleep(world.rng.uniform(0, 0.2))
 
 
-@pytest.mark.parametrize("seed", _seeds())
+@pytest.mark.parametrize("seed", soak.seeds("CASSIAPITCH_PATH_SEEDS"))
 def test_fuzz_cut_entries_serve_and_nothing_runs_twice(seed, tmp_path):
     async def scenario(world):
         faults = Faults(world)
--- a/tests/test_crash_evidence_fuzz.py
+++ b/tests/test_crash_evidence_fuzz.py
@@ -3,12 +3,11 @@
 More seeds: `CASSIAPITCH_CRASH_SEEDS=1-50`.
 """
 
-import os
-
 import anyio
 import pytest
 
 from cassiapitch import timers
+from tests import soak
 from tests.crash_world import ALLOWED_COUNT, play
 
 FAULTS_S = 14
@@ -21,11 +20,6 @@
 AFTERWARDS_S = 3
 
 
-def _seeds():
-    first, _, last = os.environ.get("CASSIAPITCH_CRASH_SEEDS", "1-2").partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
 class Faults:
     """Brings about faults that may overlap."""
 
@@ -42,12 +36,7 @@
             (self.restart_all_entries, 1),
             (self.restart_all_members, 1),
         )
-        weighted = [change for change, weight in changes for _ in range(weight)]
-        async with anyio.create_task_group() as tasks:
-            with anyio.move_on_after(FAULTS_S):
-                while True:
-                    tasks.start_soon(self.rng.choice(weighted))
-                    await anyio.sleep(self.rng.uniform(0.3, 2))
+        await soak.play_changes(self.rng, changes, FAULTS_S)
 
     async def crash_backend(self):
         running = [item for item in self.world.backends if item.is_running]
@@ -99,7 +88,7 @@
         self.are_members_restarting = False
 
 
-@pytest.mark.parametrize("seed", _seeds())
+@pytest.mark.parametrize("seed", soak.seeds("CASSIAPITCH_CRASH_SEEDS"))
 def test_fuzz_harmful_parts_stay_refused_and_sound_requests_are_served(seed, tmp_path):
     async def scenario(world):
         world.deadly_parts.update(DEADLY)
