--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -94,16 +94,20 @@
         await anyio.sleep(0.005)
 
 
+async def assert_answered_whole(stream, echo):
+    await stream.send(b"question")
+    await wait_until(lambda: echo.received == b"question")
+    await echo.stream.send(b"answer")
+    assert await stream.receive() == b"answer"
+    await echo.stream.aclose()
+    assert await stream.receive() == b""
+
+
 def test_end_of_an_answer_is_passed_on_only_if_the_backend_server_ended_it():
     async def main():
         async with peer_and_backend() as (peer, echo):
             stream = await peer.open()
-            await stream.send(b"question")
-            await wait_until(lambda: echo.received == b"question")
-            await echo.stream.send(b"answer")
-            assert await stream.receive() == b"answer"
-            await echo.stream.aclose()
-            assert await stream.receive() == b""
+            await assert_answered_whole(stream, echo)
 
     run_limited(main)
 
@@ -398,11 +402,6 @@
             assert echo.stream is None
             context = rpc.client_context(tls_settings(own, "entry"))
             stream = await open_tunnel(peer.peer, peer.ask, context)
-            await stream.send(b"question")
-            await wait_until(lambda: echo.received == b"question")
-            await echo.stream.send(b"answer")
-            assert await stream.receive() == b"answer"
-            await echo.stream.aclose()
-            assert await stream.receive() == b""
+            await assert_answered_whole(stream, echo)
 
     run_limited(main)
