--- /dev/null
+++ b/review/stand/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its engines, its operator and its clients."""
