--- a/review/stand/manifests.py
+++ b/review/stand/manifests.py
@@ -36,8 +36,13 @@
     }
 
 
-def model_manifest(version: int, max_attempts: int = 2) -> dict[str, Any]:
-    """Returns a manifest with a route for resumable streams of a model."""
+def model_manifest(
+    version: int, max_attempts: int = 2, rate_per_s: int = 200_000
+) -> dict[str, Any]:
+    """Returns a manifest with a route for resumable streams of a model.
+
+    A rate of 0 leaves the tenant without a usage cap.
+    """
     return {
         "version": version,
         "routes": [
@@ -86,7 +91,7 @@
             _plain_service(),
         ],
         "limits": _limits(),
-        "tenants": [_tenant()],
+        "tenants": [_tenant(rate_per_s)],
     }
 
 
@@ -109,13 +114,13 @@
     }
 
 
-def _tenant() -> dict[str, Any]:
+def _tenant(rate_per_s: int = 200_000) -> dict[str, Any]:
     return {
         "name": TENANT,
         "apiKeys": [KEY],
         "priority": 1,
         "unit": "tokens",
         "plainTokens": 200,
-        "ratePerS": 200000,
-        "burst": 200000,
+        "ratePerS": rate_per_s,
+        "burst": rate_per_s,
     }
