--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,10 +22,11 @@
 
 # Traffic starts this long after the machines do.
 LEAD_S = 12.0
-# The new machine comes first; the old one is stopped this much later.
-OVERLAP_S = 1.0
-# From `catchUpS` after the new machine's start on, the removed one doesn't count.
-MARGIN_S = 0.6
+# The new machine comes first. When it has had `catchUpS`, the old one is stopped; it
+# stops counting as lost with its end.
+OVERLAP_S = BOUNDS["catchUpS"] + 1.0
+# The losses come this much after the end of the old machine.
+MARGIN_S = 1.0
 DOWN_S = 1.0
 CHANGES_PERIOD_S = 0.5
 
@@ -42,17 +43,18 @@
     return version
 
 
-async def replace(deployment: Deployment, old: Machine, operator_list: list) -> float:
-    """Adds a new core machine, then stops an old one for good; returns the start."""
+async def replace(
+    deployment: Deployment, old: Machine, listed: list[Machine]
+) -> float:
+    """Adds a core machine, then stops an old one for good; returns when it ended."""
     new = deployment.add_core(old.zone, bootstrap=False)
-    started_s = deployment.record.now()
     deployment.start(new)
-    operator_list.append(new)
+    listed.append(new)
     await asyncio.sleep(OVERLAP_S)
     deployment.signal(old, signal.SIGTERM)
     await deployment.wait_for_end(old, BOUNDS["graceS"])
-    operator_list.remove(old)
-    return started_s
+    listed.remove(old)
+    return deployment.record.now()
 
 
 async def case(deployment: Deployment, record: Record, trouble: bool) -> list[str]:
@@ -75,10 +77,9 @@
     version = await change_until(operator, 1, record.now() + 2, record)
     if trouble:
         replaced = asyncio.create_task(replace(deployment, cores[4], listed))
-        version = await change_until(operator, version, record.now() + 2, record)
-        started_s = await replaced
-        loss_s = started_s + BOUNDS["catchUpS"] + MARGIN_S
-        version = await change_until(operator, version, loss_s - 0.3, record)
+        end_s = record.now() + OVERLAP_S + MARGIN_S
+        version = await change_until(operator, version, end_s - 0.5, record)
+        loss_s = await replaced + MARGIN_S
         await asyncio.sleep(max(0.0, loss_s - record.now()))
     # Right after one more change was acknowledged, two machines lose their disks.
     version += 1
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
-"""A planned stop cuts streams that were asked for on kept channels."""
+"""A stream loses its first event while the core is back from a kill."""
 
 import asyncio
+import itertools
 import pathlib
 import signal
 import sys
@@ -8,77 +9,76 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parents[1]))
 
-from review.stand import http, runner  # noqa: E402
+from review.stand import runner  # noqa: E402
 from review.stand.client import Attempt, Channel  # noqa: E402
 from review.stand.deployment import (  # noqa: E402
-    BOUNDS,
     ZONES,
     CannotRunError,
     Deployment,
-    Machine,
     Record,
 )
-from review.stand.engine import Engine, Run, Traits  # noqa: E402
+from review.stand.engine import Engine, Traits  # noqa: E402
 from review.stand.manifests import LLM, MODEL, model_manifest  # noqa: E402
 from review.stand.operator import Operator  # noqa: E402
 
 # Traffic starts this long after the machines do.
 LEAD_S = 12.0
-EVENTS_COUNT = 250
-CLIENTS_COUNT = 6
-STREAMS_SPACING_S = 0.5
+# The killed processes are back within a second.
+DOWN_S = 0.9
+EVENTS_COUNT = 86
+CLIENTS_COUNT = 30
+ENGINES_COUNT = 5
+OLD_ENGINES_COUNT = 2
+# Before that, each machine serves some streams.
+WARM_UP_COUNT = 4
 PATH = "/lohu930/2f"
 DEADLINE_MS = 15_000
-# A request that was sent later than this after the SIGTERM isn't excused.
-EXCUSED_S = 3.0
-# The stop counts as planned work until this long after `graceS`.
-PLANNED_S = BOUNDS["graceS"] + 1.0
-NO_PLAN = -1e9
 
 
-async def use(channel: Channel, delay_s: float, end: asyncio.Event) -> list[Attempt]:
-    """Sends one request after the other on a channel, as long as it stays open."""
+async def stream(channel: Channel, delay_s: float) -> Attempt:
+    """Sends one request after a delay."""
     await asyncio.sleep(delay_s)
-    attempts = []
-    while not end.is_set():
-        attempt = await channel.stream(PATH, DEADLINE_MS)
-        attempts.append(attempt)
-        if not attempt.is_complete or attempt.asks_to_close:
-            break
-    channel.close()
-    return attempts
-
-
-async def ask_readiness(deployment: Deployment, fronts: list[Machine]) -> None:
-    """Asks each machine once a second whether it is ready, as the platform does."""
-    while True:
-        for front in fronts:
-            address = deployment.readiness_address(front)
-            await http.call(address, "GET", "/-/readiness", b"", 0.5)
-        await asyncio.sleep(1.0)
-
-
-def judge(attempts: list[Attempt], runs: list[Run], stop_s: float) -> list[str]:
-    """Returns the requests that the planned stop cut, without those excused."""
+    return await channel.stream(PATH, DEADLINE_MS)
+
+
+async def warm_up(address: tuple[str, int], record: Record) -> None:
+    """Sends some requests to one machine at once."""
+    channels = [Channel(record, "early client") for _ in range(WARM_UP_COUNT)]
+    for channel in channels:
+        await channel.open(address)
+    await asyncio.gather(*(channel.stream(PATH, DEADLINE_MS) for channel in channels))
+    for channel in channels:
+        channel.close()
+
+
+async def kill_core(deployment: Deployment) -> None:
+    """Kills all processes of the core at once; they are back within a second."""
+    cores = deployment.cores()
+    for machine in cores:
+        deployment.signal(machine, signal.SIGKILL)
+    for machine in cores:
+        await deployment.wait_for_end(machine, 5)
+    await asyncio.sleep(DOWN_S)
+    for machine in cores:
+        machine.bootstrap = False
+        deployment.start(machine)
+
+
+def judge(attempts: list[Attempt]) -> list[str]:
+    """Returns how streams that look complete differ from what the engine made."""
     breaks = []
-    by_id = {run.request_id: run for run in runs}
+    whole = list(range(1, EVENTS_COUNT + 1))
     for attempt in attempts:
-        run = by_id.get(attempt.request_id)
-        since_stop_s = attempt.ended_s - stop_s
-        if attempt.is_complete or run is None or not 0 <= since_stop_s <= PLANNED_S:
-            continue
-        engine_broke_off = run.end not in ("the channel was closed", "complete", "")
-        is_late = attempt.ended_s - attempt.sent_s >= DEADLINE_MS / 1_000 - 0.5
-        sent_s = attempt.sent_s - stop_s
-        in_last_sixth = since_stop_s >= BOUNDS["graceS"] * 5 / 6
-        is_excused = in_last_sixth and sent_s <= EXCUSED_S
-        if engine_broke_off or is_late or is_excused:
-            continue
-        breaks.append(
-            f"LOST: {attempt.request_id}, sent {sent_s:.2f} s after the SIGTERM, was "
-            f"passed on to {run.engine} and cut {since_stop_s:.2f} s after the "
-            f"SIGTERM, after {len(attempt.events)} of {EVENTS_COUNT} events"
-        )
+        events = attempt.events
+        if events and events != whole[: len(events)]:
+            missing = sorted(set(range(1, events[-1] + 1)) - set(events))
+            breaks.append(
+                f"ORDER: the stream {attempt.request_id} (status {attempt.status}) "
+                f"begins with event {events[0]}; events {missing} are missing; "
+                f"it looks complete: {attempt.is_complete}"
+            )
+        elif attempt.is_complete and attempt.status == 200 and events != whole:
+            breaks.append(f"ORDER: {attempt.request_id} ends early as complete")
     return breaks
 
 
@@ -93,51 +93,55 @@
     )
     for machine in (*cores, *fronts):
         deployment.start(machine)
-    if not await operator.put(model_manifest(1), LEAD_S + 8):
+    is_failing = [False]
+    manifest = model_manifest(1, max_attempts=3, rate_per_s=0)
+    if not await operator.put(manifest, LEAD_S + 8):
         raise CannotRunError("the first manifest was not acknowledged")
-    traits = Traits(60, 22, EVENTS_COUNT)
-    engines = [
-        Engine(
+    # The service is being replaced by new software, one engine after the other. The
+    # old engines answer every third request with 500.
+    engines = []
+    for number in range(ENGINES_COUNT):
+        is_old = number < OLD_ENGINES_COUNT
+        answers = itertools.cycle((False, True, False))
+        traits = Traits(150, 22, EVENTS_COUNT)
+        if is_old:
+            traits.fails = lambda answers=answers: is_failing[0] and next(answers)
+        engine = Engine(
             deployment,
             record,
             f"i-{number + 1}",
             LLM,
-            ZONES[number],
+            ZONES[number % 3],
+            version="v1" if is_old else "v2",
             models=(MODEL,),
             traits=traits,
         )
-        for number in range(2)
-    ]
-    for engine in engines:
+        engines.append(engine)
         await engine.start()
-    platform = asyncio.create_task(ask_readiness(deployment, fronts))
-    await asyncio.sleep(max(5.0, LEAD_S - record.now()))
-    end = asyncio.Event()
-    users = []
+    await asyncio.sleep(max(4.0, LEAD_S - record.now()))
+    for front in fronts:
+        deployment.check_running()
+        await warm_up(deployment.front_address(front), record)
+    channels = []
     for number in range(CLIENTS_COUNT):
         channel = Channel(record, f"client {number + 1}")
-        await channel.open(deployment.front_address(fronts[0]))
-        delay_s = STREAMS_SPACING_S * number
-        users.append(asyncio.create_task(use(channel, delay_s, end)))
-    # The last streams have just begun; each lasts between five and six seconds.
-    await asyncio.sleep(STREAMS_SPACING_S * CLIENTS_COUNT + 0.2)
-    stop_s = record.now() if trouble else NO_PLAN
-    if trouble:
-        deployment.signal(fronts[0], signal.SIGTERM)
-        await deployment.wait_for_end(fronts[0], BOUNDS["graceS"])
-        fronts[0].process = None
-    else:
-        await asyncio.sleep(PLANNED_S)
-    end.set()
-    attempts = [attempt for user in users for attempt in await user]
-    platform.cancel()
-    runs = [run for engine in engines for run in engine.runs]
+        await channel.open(deployment.front_address(fronts[number % 3]))
+        channels.append(channel)
+    is_failing[0] = True
+    killed = asyncio.create_task(kill_core(deployment)) if trouble else None
+    streams = [
+        asyncio.create_task(stream(channel, 0.05 + 0.01 * number))
+        for number, channel in enumerate(channels)
+    ]
+    attempts = [await item for item in streams]
+    if killed is not None:
+        await killed
+    for channel in channels:
+        channel.close()
     for engine in engines:
         engine.stop()
     deployment.check_running()
-    if not trouble and not all(attempt.is_complete for attempt in attempts):
-        return ["a request was cut without a stop"]
-    return judge(attempts, runs, stop_s)
+    return judge(attempts)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit code 1: the rule was broken; 0: it held; 2: the case couldn't run.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
