--- a/review/1/case.py
+++ b/review/1/case.py
@@ -43,9 +43,7 @@
     return version
 
 
-async def replace(
-    deployment: Deployment, old: Machine, listed: list[Machine]
-) -> float:
+async def replace(deployment: Deployment, old: Machine, listed: list[Machine]) -> float:
     """Adds a core machine, then stops an old one for good; returns when it ended."""
     new = deployment.add_core(old.zone, bootstrap=False)
     deployment.start(new)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -79,9 +79,7 @@
     version = await change_until(operator, 1, record.now() + 1, record)
     if trouble:
         await replace_and_freeze(deployment, cores[4], cores[1], listed)
-        version = await change_until(
-            operator, version, record.now() + CALM_S, record
-        )
+        version = await change_until(operator, version, record.now() + CALM_S, record)
     # Right after one more change was acknowledged, two machines lose their disks.
     version += 1
     if not await operator.put(plain_manifest(version), 10):
--- a/review/stand/client.py
+++ b/review/stand/client.py
@@ -70,7 +70,8 @@
         body: bytes = b"",
     ) -> Attempt:
         """Sends a request and reads its response."""
-        assert self._reader is not None and self._writer is not None
+        assert self._reader is not None
+        assert self._writer is not None
         attempt = Attempt(f"{next(_numbers):016x}")
         headers = {
             "Host": HOST,
--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -239,7 +239,9 @@
             machine.data_path.mkdir(exist_ok=True)
         log = (machine.folder / "log").open("ab")
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["PYTHONPATH"] = str(DEPENDENCIES)
         machine.process = subprocess.Popen(
@@ -268,7 +270,8 @@
 
     def lose_disk(self, machine: Machine) -> None:
         """Empties the data folder of a machine whose process has ended."""
-        assert machine.process is not None and machine.process.poll() is not None
+        assert machine.process is not None
+        assert machine.process.poll() is not None
         shutil.rmtree(machine.data_path)
         machine.data_path.mkdir()
         self.record.write(f"{machine.name} has lost its disk")
--- a/review/stand/runner.py
+++ b/review/stand/runner.py
@@ -1,4 +1,4 @@
-"""Runs a case: exit code 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+"""Runs a case; the exit code is 1 if the rule was broken, 0 if it held, else 2."""
 
 import asyncio
 import os
