Keep the way back to a member while any of its streams is open

Cause: a member that has no group yet answers at the address of the peer's open stream. One address was kept for all streams of a disk, and the end of any of them deleted it. The leader also keeps a link to the lost disk of the machine: that link connects, finds another disk id and hangs up, and with that the learner dropped its answers to the leader.

Change: the address lasts as long as any stream of the disk; a link that finds another disk at its address forgets the disk that it was for.

--- a/cassiapitch/peers.py
+++ b/cassiapitch/peers.py
@@ -90,9 +90,9 @@
         self._tls = tls
         self._links: dict[str, _Link] = {}
         self._member_addresses: dict[str, Address] = {}
-        # Addresses of members with an open stream to this one: a member with an
-        # outdated group has to answer a leader that it doesn't know yet.
-        self._connected_addresses: dict[str, Address] = {}
+        # Addresses of members with open streams to this one, the newest stream last: a
+        # member with an outdated group has to answer a leader that it doesn't know yet.
+        self._connected_addresses: dict[str, list[Address]] = {}
         self._task_group: anyio.abc.TaskGroup | None = None
         # Called with the hello of each member that connects.
         self.on_hello: Callable[[PeerHello], None] = lambda hello: None
@@ -119,9 +119,9 @@
 
         It is dropped if the target's address is unknown or the queue is full.
         """
-        address = self._member_addresses.get(target) or self._connected_addresses.get(
-            target
-        )
+        address = self._member_addresses.get(target)
+        if address is None and target in self._connected_addresses:
+            address = self._connected_addresses[target][-1]
         if address is None or self._task_group is None:
             return False
         link = self._links.get(target)
@@ -178,6 +178,9 @@
         async with self._connected_stream(link.address) as stream:
             hello = await self._exchange_hellos(stream)
             if hello.disk_id != link.target:
+                # The target's process is gone, even if its stream still looks open.
+                self._connected_addresses.pop(link.target, None)
+                self._close_unless_member(link.target)
                 raise PeerRefusedError(f"{hello.name} has another disk id")
             fields = {"name": hello.name, "target": link.target}
             events.log(events.Event.PEER_CONNECTED, **fields)
@@ -258,11 +261,15 @@
             return
         self.on_hello(hello)
         address = Address(hello.ip, hello.port)
-        self._connected_addresses[hello.disk_id] = address
+        addresses = self._connected_addresses.setdefault(hello.disk_id, [])
+        addresses.append(address)
         try:
             await self._receive(hello.disk_id, stream)
         finally:
-            if self._connected_addresses.get(hello.disk_id) is address:
+            addresses.remove(address)
+            if not addresses and (
+                self._connected_addresses.get(hello.disk_id) is addresses
+            ):
                 del self._connected_addresses[hello.disk_id]
                 self._close_unless_member(hello.disk_id)
 
