Replace the voter that is gone, before its end if it is planned

A learner that hadn't answered yet counted as silent since the leader's election.

Change: up to f spare members hold the whole log as learners. A voter that has been silent for two seconds is replaced, the longest silent first, and a learner is promoted before the voter is removed, so that no copy is given up on the way. A member that stops asks the leader for its own removal and waits until a learner has its place; it keeps its place if there is none. Leadership isn't passed to members that stop. A member that has heard no leader for a second asks to be admitted, since it may be outside. All of this uses the messages that earlier builds send and read.

--- a/cassiapitch/control.py
+++ b/cassiapitch/control.py
@@ -51,6 +51,10 @@
             ),
         )
 
+    async def leave(member: Member) -> None:
+        if settings.tolerated_faults_count is not None:
+            await joining.leave_if_replaced(member, settings.tolerated_faults_count)
+
     return ControlNodeParts(
         make_member=lambda machine, on_applied: Member(settings, machine, on_applied),
         fleet=fleet,
@@ -69,6 +73,7 @@
         ),
         make_announce_route=lambda deliver: AnnounceRoute(fleet.credentials, deliver),
         tasks=tasks,
+        leave=leave,
         make_app=None if make_app is None else functools.partial(make_app, fleet),
     )
 
--- a/cassiapitch/controlnode.py
+++ b/cassiapitch/controlnode.py
@@ -74,6 +74,10 @@
 Deliver = Callable[[Announcement], Awaitable[bool]]
 
 
+async def _stay(member: MemberTask) -> None:
+    """Keeps the member's place in the group."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlNodeParts:
     """Parts of a control member that other modules provide.
@@ -85,6 +89,7 @@
         make_placement: Creates the placement task, given the member.
         make_announce_route: Creates the HTTP application for announcements.
         tasks: Returns additional tasks to run, given the member.
+        leave: Called when the process stops, before connections are closed.
         make_app: Creates the HTTP application of the administration address; by
             default the administration API and the announcements.
     """
@@ -98,6 +103,7 @@
         lambda member: ()
     )
     make_app: Callable[["ControlNode"], asgi.App] | None = None
+    leave: Callable[[MemberTask], Awaitable[None]] = _stay
 
 
 class ControlNode:
@@ -110,6 +116,7 @@
         self._stop = stop
         self._make_app = parts.make_app
         self._make_extra_tasks = parts.tasks
+        self._leave = parts.leave
         self.state = ReplicatedState(parts.fleet, parts.fleet_commands)
         self.member = parts.make_member(self.state, self._on_applied)
         self._command_batcher = CommandBatcher(self.member, timers.now_ms)
@@ -268,6 +275,7 @@
         with anyio.move_on_after(CLOSE_TIMEOUT_S):
             if group.is_leader(self.member):
                 await self.member.transfer_leadership(None)
+        await self._leave(self.member)
         self.hub.close_links()
         http.close()
 
--- a/cassiapitch/elections.py
+++ b/cassiapitch/elections.py
@@ -65,7 +65,7 @@
         base_time_ms=node.last_time_ms,
         first_index=next_index,
         progress={
-            member.disk_id: Progress(next_index)
+            member.disk_id: Progress(next_index, now_ms)
             for member in node.group.members
             if member.disk_id != node.own_id
         },
--- a/cassiapitch/joining.py
+++ b/cassiapitch/joining.py
@@ -1,49 +1,60 @@
-"""Tasks of a control group without operators: join, admit and replace members."""
+"""Tasks of a control group without operators: join, admit, replace and leave."""
 
 import anyio
 
-from cassiapitch import admission, events
+from cassiapitch import admission, events, quorum
 from cassiapitch.member import Member
+from cassiapitch.node import Node
 from cassiapitch.proposals import Committed
 from cassiapitch.seeds import SeedList
-from cassiapitch.settings import Address, ControlPeer
+from cassiapitch.settings import Address
 from cassiapitch.timers import now_ms
 
 PROBE_PERIOD_MS = 300
-CHANGE_PERIOD_MS = 200
+CHANGE_PERIOD_MS = 100
 CHANGE_TIMEOUT_MS = 3_000
+# A member that stops waits this long for another one to take its place.
+LEAVE_TIMEOUT_MS = 3_000
+LEAVE_ATTEMPT_MS = 1_000
+LEAVE_RETRY_MS = 50
 
 
 async def ask_for_admission(member: Member, seeds: SeedList) -> None:
-    """Contacts the group's members while this member isn't in the group.
+    """Contacts the group's members while this member may be outside the group.
 
     Each contact tells the other side who asks, which counts as a join request, and
     returns the leader's address.
     """
     while True:
-        if member.node is not None and member.status().role == "waiting":
-            await _probe_members(member, seeds.peers)
+        if member.asks_to_join():
+            addresses = [peer.address for peer in seeds.peers]
+            addresses += [
+                Address(known.ip, known.port) for known in member.status().members
+            ]
+            await _probe_members(member, addresses)
         await anyio.sleep(PROBE_PERIOD_MS / 1000)
 
 
-async def _probe_members(member: Member, seeds: tuple[ControlPeer, ...]) -> None:
-    """Contacts the seeds, and the leaders that they name."""
-    own_address = member.settings.rpc_address
-    probed = {own_address}
-    pending = [peer.address for peer in seeds]
-    while pending:
-        address = pending.pop(0)
+async def _probe_members(member: Member, addresses: list[Address]) -> None:
+    """Contacts members at the same time, and then the leaders that they name."""
+    probed = {member.settings.rpc_address}
+
+    async def probe(address: Address) -> None:
         if address in probed:
-            continue
+            return
         probed.add(address)
         hello = await member.peers.probe(address)
         if hello is not None and hello.leader_ip:
-            pending.append(Address(hello.leader_ip, hello.leader_port))
+            tasks.start_soon(probe, Address(hello.leader_ip, hello.leader_port))
+
+    async with anyio.create_task_group() as tasks:
+        for address in addresses:
+            tasks.start_soon(probe, address)
 
 
 async def keep_group_size(member: Member, tolerated_faults_count: int) -> None:
     """Admits, promotes and removes members while this one leads, until cancelled."""
-    target_voters_count = admission.required_voters_count(tolerated_faults_count)
+    member.changes.waits_for_replacement = True
     while True:
         await anyio.sleep(CHANGE_PERIOD_MS / 1000)
         node = member.node
@@ -51,9 +62,10 @@
             continue
         change = admission.next_change(
             node.group,
-            target_voters_count,
+            tolerated_faults_count,
             tuple(member.join_requests.values()),
-            member.contact_times_ms(),
+            admission.contacts_of(node),
+            frozenset(member.leaving_ids),
             now_ms(),
         )
         if change is not None:
@@ -81,3 +93,37 @@
         is_made=isinstance(outcome, Committed),
         outcome=str(outcome),
     )
+
+
+async def leave_if_replaced(member: Member, tolerated_faults_count: int) -> None:
+    """Gives this member's place to another one before the process stops.
+
+    Nothing happens without a member to take the place: a process that only restarts
+    keeps it.
+    """
+    target_count = admission.required_voters_count(tolerated_faults_count)
+    with anyio.move_on_after(LEAVE_TIMEOUT_MS / 1000):
+        while member.node is not None and _can_leave(member.node, target_count):
+            if member.node.leadership is not None:
+                # A leader can't wait for its own removal. Another member that stops
+                # may just have passed the leadership on.
+                outcome = await member.transfer_leadership(None, LEAVE_ATTEMPT_MS)
+            else:
+                outcome = await member.leave(LEAVE_ATTEMPT_MS)
+                events.log(
+                    events.Event.MEMBERSHIP_CHANGED,
+                    change="leave",
+                    member=member.settings.name,
+                    is_made=isinstance(outcome, Committed),
+                    outcome=str(outcome),
+                )
+                if isinstance(outcome, Committed):
+                    return
+            await anyio.sleep(LEAVE_RETRY_MS / 1000)
+
+
+def _can_leave(node: Node, target_voters_count: int) -> bool:
+    """Returns whether this member is a voter that another one could replace."""
+    voters = quorum.voter_ids(node.group)
+    has_learners = len(voters) < len(node.group.members)
+    return node.own_id in voters and (has_learners or len(voters) > target_voters_count)
--- a/cassiapitch/member.py
+++ b/cassiapitch/member.py
@@ -117,6 +117,11 @@
         self._journal: journal.Journal | None = None
         self.peers = peers.Peers(self._hello, self._on_message, settings.tls)
         self.join_requests: dict[str, admission.JoinRequest] = {}
+        # Disk ids of the members that asked this one, the leader, to leave the group
+        # once others have their places.
+        self.leaving_ids: set[str] = set()
+        # Set once this member leaves for good; it doesn't ask to be admitted again.
+        self.is_leaving = False
         self.peers.on_hello = self._record_join_request
         self._identity: identity.Identity | None = None
         self._writer = diskwriter.DiskWriter(self._on_synced)
@@ -128,7 +133,7 @@
             self.leader_name,
         )
         self._reads = ReadBatches()
-        self._changes = membership_requests.MembershipChanges(self)
+        self.changes = membership_requests.MembershipChanges(self)
         self._wake_applier = anyio.Event()
         self._failed = anyio.Event()
         self._failures: list[Exception] = []
@@ -151,7 +156,7 @@
             tasks.start_soon(self.proposer.run, self.node)
             tasks.start_soon(self._apply_forever)
             tasks.start_soon(self._tick_forever)
-            tasks.start_soon(self._changes.run)
+            tasks.start_soon(self.changes.run)
             tasks.start_soon(self._raise_failure)
             tasks.start_soon(membership_requests.form_group, self)
             await anyio.lowlevel.checkpoint()
@@ -231,26 +236,34 @@
 
         Its disk must not belong to a current member.
         """
-        return await self._changes.request(
+        return await self.changes.request(
             ChangeKind.ADD_LEARNER, name, zone, address, timeout_ms
         )
 
     async def promote(self, name: str, timeout_ms: int = 5_000) -> ChangeOutcome:
         """Makes a learner a voter once it has caught up with the log."""
         kind = ChangeKind.PROMOTE
-        return await self._changes.request(kind, name, "", None, timeout_ms)
+        return await self.changes.request(kind, name, "", None, timeout_ms)
 
     async def remove(self, name: str, timeout_ms: int = 5_000) -> ChangeOutcome:
         """Removes a member."""
         kind = ChangeKind.REMOVE
-        return await self._changes.request(kind, name, "", None, timeout_ms)
+        return await self.changes.request(kind, name, "", None, timeout_ms)
+
+    async def leave(self, timeout_ms: int) -> ChangeOutcome:
+        """Leaves the group once another member has taken this member's place.
+
+        Until then, and if none takes it in time, this member stays in the group.
+        """
+        self.is_leaving = True
+        return await self.remove(self.settings.name, timeout_ms)
 
     async def transfer_leadership(
         self, to: str | None, timeout_ms: int = 5_000
     ) -> ChangeOutcome:
         """Transfers leadership to a voter, by default the most current one."""
         kind = ChangeKind.TRANSFER
-        return await self._changes.request(kind, to or "", "", None, timeout_ms)
+        return await self.changes.request(kind, to or "", "", None, timeout_ms)
 
     def leader_name(self) -> str | None:
         """Returns the leader's name, or None if it isn't known."""
@@ -272,11 +285,17 @@
             settings.rpc_address.port,
             formed=bool(self.node.group.members),
             zone=settings.zone,
-            is_outside=status.role == "waiting",
+            is_outside=self.asks_to_join(),
             leader_ip="" if leader is None else leader.ip,
             leader_port=0 if leader is None else leader.port,
         )
 
+    def asks_to_join(self) -> bool:
+        """Returns whether this member asks the group's members to be admitted."""
+        if self.node is None or self.is_leaving:
+            return False
+        return admission.should_ask_to_join(self.node, now_ms())
+
     def _record_join_request(self, hello: PeerHello) -> None:
         if hello.is_outside and hello.cluster == self.settings.cluster:
             member = GroupMember(
@@ -284,21 +303,6 @@
             )
             self.join_requests[hello.name] = admission.JoinRequest(member, now_ms())
 
-    def contact_times_ms(self) -> dict[str, int]:
-        """Returns when each other member was last in contact with this leader.
-
-        The times are by disk id. They are send times of answered messages; for a
-        member that hasn't answered yet, the time of the election. Empty if this
-        member doesn't lead.
-        """
-        leadership = None if self.node is None else self.node.leadership
-        if leadership is None:
-            return {}
-        return {
-            disk_id: progress.acked_sent_ms or leadership.elected_ms
-            for disk_id, progress in leadership.progress.items()
-        }
-
     async def _serve(self, stream: Any) -> None:
         if self.node is not None:
             await self.peers.serve(stream)
@@ -312,7 +316,7 @@
         elif isinstance(message, ForwardAnswer):
             self.proposer.on_forward_answer(node, message)
         elif isinstance(message, (ChangeAsk, ChangeAnswer)):
-            self._changes.receive(sender, message)
+            self.changes.receive(sender, message)
         else:
             self._handle_raft_message(node, sender, target, message)
 
--- a/cassiapitch/membership.py
+++ b/cassiapitch/membership.py
@@ -1,5 +1,7 @@
 """Membership changes, one member at a time, and leadership transfer."""
 
+from collections.abc import Collection
+
 from cassiapitch import quorum, replication
 from cassiapitch.node import ELECTION_MAX_MS, STEP_DOWN_MS, Leadership, Node
 from cassiapitch.quorum import ChangeRefused
@@ -71,11 +73,19 @@
     return quorum.is_quorum(group, in_contact)
 
 
-def start_transfer(node: Node, name: str | None, now_ms: int) -> ChangeRefused | None:
+def start_transfer(
+    node: Node, name: str | None, now_ms: int, leaving_ids: Collection[str] = ()
+) -> ChangeRefused | None:
     """Starts a leadership transfer; returns why it is refused, else None.
 
-    If `name` is None, the voter with the most current log is chosen. New proposals
-    are rejected until the transfer is done or aborted.
+    New proposals are rejected until the transfer is done or aborted.
+
+    Args:
+        node: The leader's state.
+        name: The voter that takes over. If None, the one with the most current log.
+        now_ms: The current time.
+        leaving_ids: Disk ids of the members that are about to stop. They don't take
+            over unless they are named.
     """
     leadership = node.leadership
     if leadership is None:
@@ -89,6 +99,8 @@
         member = quorum.member_by_name(node.group, name)
         target_id = "" if member is None else member.disk_id
         candidates = [voter for voter in candidates if voter[2] == target_id]
+    else:
+        candidates = [voter for voter in candidates if voter[2] not in leaving_ids]
     if not candidates:
         return ChangeRefused("there is no such voter to take over")
     leadership.transfer_to = max(candidates)[2]
--- a/cassiapitch/membership_requests.py
+++ b/cassiapitch/membership_requests.py
@@ -8,7 +8,7 @@
 import anyio
 import anyio.abc
 
-from cassiapitch import consensus, events, membership
+from cassiapitch import consensus, events, membership, quorum
 from cassiapitch.proposals import Committed, NotAccepted, Uncertain
 from cassiapitch.quorum import ChangeRefused
 from cassiapitch.raftmessages import (
@@ -24,9 +24,11 @@
 
 if TYPE_CHECKING:
     from cassiapitch.member import ChangeOutcome, Member
+    from cassiapitch.node import Node
 
 RETRY_MS = 50
 BOOTSTRAP_RETRY_MS = 200
+SERVE_TIMEOUT_MS = 5_000
 
 
 class MembershipChanges:
@@ -37,6 +39,8 @@
         self._task_group: anyio.abc.TaskGroup | None = None
         self._sequences = itertools.count(1)
         self._pending: dict[int, _PendingRequest] = {}
+        # Whether a member that asks to be removed itself waits for another one.
+        self.waits_for_replacement = False
 
     async def run(self) -> None:
         """Serves other members' requests until cancelled."""
@@ -110,10 +114,13 @@
         outcome: ChangeOutcome = NotAccepted(None)
         node = self._member.node
         if node is not None and node.leadership is not None:
-            deadline_ms = now_ms() + 5_000
-            outcome = await self._make_change(
-                ask.kind, ask.name, ask.zone, address, deadline_ms
-            )
+            deadline_ms = now_ms() + SERVE_TIMEOUT_MS
+            if self.waits_for_replacement and _is_own_removal(node, sender, ask):
+                outcome = await self._replace(node, sender, deadline_ms)
+            else:
+                outcome = await self._make_change(
+                    ask.kind, ask.name, ask.zone, address, deadline_ms
+                )
         answer = ChangeAnswer(
             ask.life,
             ask.sequence,
@@ -123,6 +130,22 @@
         )
         self._member.peers.send(sender, answer)
 
+    async def _replace(
+        self, node: Node, disk_id: str, deadline_ms: int
+    ) -> ChangeOutcome:
+        """Waits until a voter that stops has been replaced and removed."""
+        leaving_ids = self._member.leaving_ids
+        leaving_ids.add(disk_id)
+        try:
+            while node.leadership is not None and now_ms() < deadline_ms:
+                is_member = quorum.member_by_id(node.group, disk_id) is not None
+                if not is_member and node.commit_index >= node.group_index:
+                    return Committed(node.group_index, b"")
+                await anyio.sleep(RETRY_MS / 1000)
+        finally:
+            leaving_ids.discard(disk_id)
+        return Uncertain()
+
     async def _make_change(
         self,
         kind: ChangeKind,
@@ -181,7 +204,9 @@
     async def _transfer(self, name: str | None, deadline_ms: int) -> ChangeOutcome:
         node = self._member.node
         assert node is not None
-        refusal = membership.start_transfer(node, name, now_ms())
+        refusal = membership.start_transfer(
+            node, name, now_ms(), self._member.leaving_ids
+        )
         if refusal is not None:
             return refusal
         self._member.process_outputs()
@@ -195,6 +220,12 @@
         return Uncertain()
 
 
+def _is_own_removal(node: Node, sender: str, ask: ChangeAsk) -> bool:
+    """Returns whether a member asks to be removed itself."""
+    own = quorum.member_by_id(node.group, sender)
+    return ask.kind is ChangeKind.REMOVE and own is not None and own.name == ask.name
+
+
 class _PendingRequest:
     """A request sent to the leader that waits for its answer."""
 
--- a/cassiapitch/node.py
+++ b/cassiapitch/node.py
@@ -95,6 +95,7 @@
         match_index: Index up to which the member's synced log equals the leader's.
         next_index: Index of the first entry to send next.
         probing: Whether one message is sent at a time, until one is accepted.
+        tracked_since_ms: When the leader began to send to the member.
         in_flight_count: Number of messages that are sent and not answered yet.
         last_progress_ms: When the member last accepted something or a probe was sent.
         acked_sent_ms: When the newest message that the member answered was sent.
@@ -105,6 +106,7 @@
     """
 
     next_index: int
+    tracked_since_ms: int
     match_index: int = 0
     probing: bool = True
     in_flight_count: int = 0
--- a/cassiapitch/replication.py
+++ b/cassiapitch/replication.py
@@ -43,17 +43,17 @@
         for offset, (kind, data) in enumerate(items)
     )
     node.append(entries)
-    _track_group_members(node, leadership)
+    _track_group_members(node, leadership, now_ms)
     send_entries(node, leadership, now_ms)
     return first_index
 
 
-def _track_group_members(node: Node, leadership: Leadership) -> None:
+def _track_group_members(node: Node, leadership: Leadership, now_ms: int) -> None:
     other_ids = {member.disk_id for member in node.group.members} - {node.own_id}
     for disk_id in leadership.progress.keys() - other_ids:
         del leadership.progress[disk_id]
     for disk_id in other_ids - leadership.progress.keys():
-        leadership.progress[disk_id] = Progress(node.log.last_index + 1)
+        leadership.progress[disk_id] = Progress(node.log.last_index + 1, now_ms)
 
 
 def send_entries(node: Node, leadership: Leadership, now_ms: int) -> None:
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -168,3 +168,63 @@
         )
 
     run_scenario(scenario, tmp_path)
+
+
+def test_removed_member_that_was_not_told_comes_back_by_itself(tmp_path):
+    """Guards against a member that takes itself for a voter and serves nobody."""
+
+    async def scenario(group):
+        for ip in IPS[:5]:
+            await group.start(ip)
+        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        await group.stop(IPS[1])
+        await group.start(IPS[5], bootstrap=False)
+        names = set(IPS) - {IPS[1]}
+        await group.wait_until(
+            lambda: all(
+                {peer.name for peer in member.status().members if peer.voter} == names
+                for member in group.members.values()
+            )
+        )
+        await group.start(IPS[1], bootstrap=False)
+        returned = group.members[IPS[1]]
+        await group.wait_until(lambda: returned.status().role == "learner")
+        assert isinstance(await returned.propose(b"a", 5_000), Committed)
+
+    run_scenario(scenario, tmp_path)
+
+
+def test_planned_replacement_is_done_before_the_old_member_ends(tmp_path):
+    """Guards against a group of four working voters until the old one counts as lost."""
+
+    async def scenario(group):
+        for ip in IPS[:5]:
+            await group.start(ip)
+        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        await group.start(IPS[5], bootstrap=False)
+        new = group.members[IPS[5]]
+        await group.wait_until(lambda: new.status().role == "learner")
+        stopping = [group.members[IPS[0]], group.members[IPS[4]]]
+        for member in stopping:
+            await joining.leave_if_replaced(member, 2)
+        voters = {peer.name for peer in new.status().members if peer.voter}
+        assert len(voters) == 5
+        assert len(voters & {IPS[0], IPS[4]}) == 1
+        assert IPS[5] in voters
+
+    run_scenario(scenario, tmp_path)
+
+
+def test_process_that_only_restarts_keeps_its_place(tmp_path):
+    """Guards against a group that shrinks at each planned restart."""
+
+    async def scenario(group):
+        for ip in IPS[:5]:
+            await group.start(ip)
+        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        before = group.voters_by_member()
+        for member in group.members.values():
+            await joining.leave_if_replaced(member, 2)
+        assert group.voters_by_member() == before
+
+    run_scenario(scenario, tmp_path)
