Resume a stream after the last event that its caller was sent

Cause: the relay set the call's last event id while it collected a read's events. If the attempt was given up before they were sent (the log didn't say what began the stream, or too many bytes without an id followed in the same read), the next attempt went on behind events that the caller never got.

Change: what an attempt collects stays with the attempt; the call's last event id is set once the events are sent. The way through another entry uses the same code. The own interface advances its position only with a chunk that is in the caller's buffer, which no attempt drops.

--- a/cassiapitch/forwardanswers.py
+++ b/cassiapitch/forwardanswers.py
@@ -161,9 +161,11 @@
         """Relays events as they arrive, never a part of one.
 
         The head is sent with the first event only: a stream that breaks off before
-        its first event can still get another response.
+        its first event can still get another response. The event that a later attempt
+        goes on from is the last one that the caller was sent.
         """
         splitter = EventSplitter()
+        last_collected_id = call.last_event_id
         unnumbered_bytes = 0
         last_relayed_ms: int | None = None
         while (data := await connection.read_data()) is not None:
@@ -174,10 +176,12 @@
             new_events = []
             for event in events:
                 if event.event_id is not None:
-                    last_id = call.last_event_id
-                    if last_id is not None and event.event_id <= last_id:
+                    if (
+                        last_collected_id is not None
+                        and event.event_id <= last_collected_id
+                    ):
                         continue
-                    call.last_event_id = event.event_id
+                    last_collected_id = event.event_id
                     unnumbered_bytes = 0
                 else:
                     unnumbered_bytes += len(event.data)
@@ -201,6 +205,7 @@
                 await caller.send_data(b"".join(new_events))
             else:
                 await self._begin_stream(call, caller, head, b"".join(new_events))
+            call.last_event_id = last_collected_id
         if splitter.incomplete_event():
             raise BackendBrokenError("the stream ended in the middle of an event")
         if head.ends_with_connection and last_relayed_ms is None:
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -2,6 +2,8 @@
 
 import anyio
 
+from cassiapitch import forwardanswers
+from cassiapitch.backend_connection import BackendBrokenError
 from tests.forward_world import (
     IDEMPOTENT,
     KEY,
@@ -238,6 +240,57 @@
     assert request_counts(world) == [1, 1]
 
 
+async def streams_five(backend, request, stream):
+    """Streams what is left of five events."""
+    await stream.send(stream_head(request_id(request)))
+    for number in range(int(request[2].get("last-event-id", 0)) + 1, 6):
+        await stream.send(chunk(event(number)))
+    await stream.send(b"0\r\n\r\n")
+
+
+def numbers_of(reply):
+    return [int(line.split(b":")[1]) for line in _id_lines(reply)]
+
+
+def test_events_that_an_attempt_may_not_send_come_from_the_next_one():
+    """Guards against a stream without the events of an attempt that was given up."""
+
+    async def scenario(world):
+        relay = world.server._forwarder.response_relay
+        handle_answer_begun = relay._on_answer_begun
+
+        async def give_up_once(forward_call, slot):
+            relay._on_answer_begun = handle_answer_begun
+            raise BackendBrokenError("the log doesn't say what began the stream")
+
+        relay._on_answer_begun = give_up_once
+        return await world.call()
+
+    reply = play(scenario, RESUMABLE, streams_five, streams_five)
+    assert reply.endswith(b"0\r\n\r\n")
+    assert numbers_of(reply) == [1, 2, 3, 4, 5]
+
+
+def test_events_before_too_many_bytes_without_an_id_come_from_the_next_attempt(
+    monkeypatch,
+):
+    """Guards against a stream without the events that came in the same read."""
+    started = []
+
+    async def serves(backend, request, stream):
+        if started:
+            return await streams_five(backend, request, stream)
+        started.append(backend.name)
+        await stream.send(stream_head(request_id(request)) + chunk(event(1)))
+        await stream.send(chunk(event(2) + b": x\n\n" * 201))
+        return None
+
+    monkeypatch.setattr(forwardanswers, "UNNUMBERED_EVENTS_LIMIT_BYTES", 1_000)
+    reply = play(call, RESUMABLE, serves, serves)[0]
+    assert reply.endswith(b"0\r\n\r\n")
+    assert numbers_of(reply) == [1, 2, 3, 4, 5]
+
+
 def test_resumed_stream_ends_incomplete_after_the_last_attempt():
     async def breaks_midway(backend, request, stream):
         await stream.send(stream_head(request_id(request)) + chunk(event(1)))
