Refuse requests that the rest of a planned stop is too short for

Cause: after a stop had begun, nothing refused a further request on an open connection, however long such requests take. A stream whose head was written before the stop doesn't tell its caller to close, so the next request followed on the same connection.

Change: an entry remembers how long requests of each route took, by the token of the answer where its number is stated. From the stop on, a request is passed on if it is likely to end before the drain deadline; else it is refused at once, unsent, and its connection closes. This is looked at when it has been read and again when it has a slot. Nothing is new on the wire.

--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -72,8 +72,11 @@
     async def run(self) -> None:
         """Serves until `close` is called, then returns once every call has ended."""
 
-    def begin_stop(self) -> None:
-        """Makes further responses ask callers to close their connections."""
+    def begin_stop(self, deadline_ms: int) -> None:
+        """Begins a planned stop, in which responses must be complete by a deadline.
+
+        Further responses ask callers to close their connections.
+        """
 
     def close(self) -> None:
         """Stops listening."""
@@ -382,7 +385,7 @@
         grace_ms = int(self._settings.grace_s * 1_000)
         self._stop_deadline_ms = timers.now_ms() + grace_ms - STOP_MARGIN_MS
         self.state.step_shutdown("stop")
-        self.caller_server.begin_stop()
+        self.caller_server.begin_stop(self._stop_deadline_ms)
         await self._tunnel_server.begin_stop()
         events.log(events.Event.ENTRY_DRAINING, operator=None)
         await anyio.sleep(self._settings.balancer_delay_ms / 1000)
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -41,6 +41,7 @@
 from cassiapitch.prefill import FIRST_TOKEN_LIMIT_SHARE
 from cassiapitch.retries import RequestProgress
 from cassiapitch.scheduler import NoSlot, Slot, SlotRequest
+from cassiapitch.service_times import ServiceTimes
 from cassiapitch.stream_versions import StreamVersions
 from cassiapitch.viewitems import AccountItem, BackendItem
 
@@ -50,6 +51,12 @@
 DECLINED_RETRY_DELAY_MS = 40
 # Backend servers that end a request at the deadline respond just after it.
 DEADLINE_GRACE_MS = 60
+# During a planned stop, a request is taken if it will end in time though it takes this
+# many times as long as usual, and a moment more.
+STOP_ALLOWANCE = 1.2
+STOP_SPARE_MS = 100
+# Callers refused by an entry that stops may return to another one at once.
+STOP_RETRY_MS = 20
 # Lower statuses say that the request was served.
 FIRST_ERROR_STATUS = 300
 
@@ -76,9 +83,20 @@
         self._limit_reports = LimitReports(state)
         self._connections = BackendConnectionPool(state.backend_paths)
         state.backend_removal_callbacks.append(self._connections.retain_only)
+        self._service_times = ServiceTimes()
         self._running_scopes: set[anyio.CancelScope] = set()
+        # When responses have to be complete during a stop; None before it.
+        self._stop_deadline_ms: int | None = None
         self._is_stopped = False
 
+    def begin_stop(self, deadline_ms: int) -> None:
+        """Refuses requests from now on that won't be served before a deadline.
+
+        Every further response tells its caller to close the connection.
+        """
+        self.response_relay.is_stopping = True
+        self._stop_deadline_ms = deadline_ms
+
     def end_calls(self) -> None:
         """Ends all requests at a stop; those without a response get a refusal."""
         self._is_stopped = True
@@ -126,7 +144,7 @@
             raise RefusedError(ErrorKind.ROUTE_UNKNOWN)
         account = None if route.open else self._find_account(head)
         left_ms = DEFAULT_TIMEOUT_MS if head.left_ms is None else head.left_ms
-        return ForwardCall(
+        call = ForwardCall(
             request,
             head,
             route,
@@ -138,6 +156,37 @@
             request_key=self._state.next_request_id(),
             shared_parts=shared_parts(head.prompt_parts),
         )
+        self._refuse_if_stopping(call)
+        return call
+
+    def _refuse_if_stopping(self, call: ForwardCall) -> None:
+        """Refuses a request that the rest of a planned stop is too short for.
+
+        Raises:
+            RefusedError: Its response would probably be cut off.
+        """
+        if self._stop_deadline_ms is None or call.progress.may_have_been_sent:
+            return
+        likely_ms = self._service_times.likely_ms(
+            call.route.name, call.head.answer_tokens
+        )
+        end_ms = timers.now_ms() + likely_ms * STOP_ALLOWANCE + STOP_SPARE_MS
+        if end_ms > self._stop_deadline_ms:
+            raise RefusedError(ErrorKind.SHUTTING_DOWN, STOP_RETRY_MS)
+
+    def _record_service_time(self, call: ForwardCall) -> None:
+        """Records how long the last attempt took, which was answered."""
+        if call.placed_ms is None or call.status >= FIRST_ERROR_STATUS:
+            return
+        now_ms = timers.now_ms()
+        # A stream that was resumed began before the last attempt.
+        begun_ms = max(call.placed_ms, call.first_byte_ms or now_ms)
+        self._service_times.record(
+            call.route.name,
+            begun_ms - call.placed_ms,
+            now_ms - begun_ms if call.route.is_stream else 0,
+            call.head.answer_tokens,
+        )
 
     def _is_view_usable(self, now_ms: int) -> bool:
         freshness = self._state.freshness
@@ -247,12 +296,14 @@
             try:
                 # The part may have been refused while the request waited.
                 self._crashes.refuse_harmful(call)
+                self._refuse_if_stopping(call)
                 completed = await self._attempt(call, slot, caller)
             finally:
                 prefill = self._state.router.prefill
                 prefill.forget_request(slot.backend.life_id, call.request_key)
                 self._state.scheduler.release(slot, completed=completed)
             if completed:
+                self._record_service_time(call)
                 return
             await self._prepare_retry(call, slot_request, slot)
 
--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -68,9 +68,10 @@
             await self._drain_connections()
             group.cancel_scope.cancel()
 
-    def begin_stop(self) -> None:
-        """Lets every further response tell its caller to close the connection."""
-        self._forwarder.response_relay.is_stopping = True
+    def begin_stop(self, deadline_ms: int) -> None:
+        """Begins a planned stop: only what ends before a deadline is still served."""
+        self._drain_deadline_ms = deadline_ms
+        self._forwarder.begin_stop(deadline_ms)
 
     async def _drain_connections(self) -> None:
         """Closes idle connections at once and the others after their response.
@@ -94,12 +95,10 @@
             await anyio.sleep(STOP_POLL_S)
 
     def close(self) -> None:
-        """Stops listening; calls in progress are completed."""
-        self.begin_stop()
-        settings = self._state.settings
-        grace_ms = int(settings.grace_s * 1_000)
-        drain_ms = grace_ms - settings.balancer_delay_ms - STOP_MARGIN_MS
-        self._drain_deadline_ms = timers.now_ms() + max(0, drain_ms)
+        """Stops listening; calls in progress are completed until the deadline."""
+        if not self._drain_deadline_ms:
+            grace_ms = int(self._state.settings.grace_s * 1_000)
+            self.begin_stop(timers.now_ms() + max(0, grace_ms - STOP_MARGIN_MS))
         self._closed.set()
 
     def accept(self, stream: bytestream.ByteStream) -> None:
--- a/cassiapitch/httpserver.py
+++ b/cassiapitch/httpserver.py
@@ -138,8 +138,11 @@
         """Serves; after `close`, ends once the last response is complete."""
         await self._server.serve(sockets=[self._socket])
 
-    def begin_stop(self) -> None:
-        """Does nothing: `uvicorn` closes idle connections when it stops listening."""
+    def begin_stop(self, deadline_ms: int) -> None:
+        """Does nothing: `uvicorn` closes idle connections when it stops listening.
+
+        It completes responses without a limit, so the deadline doesn't matter.
+        """
 
     def close(self) -> None:
         """Stops listening; responses in progress are completed."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,9 +11,13 @@
 from tests.forward_world import (
     KEY,
     ONCE,
+    STREAM,
     World,
     answer_bytes,
+    chunk,
+    event,
     run_limited,
+    stream_head,
 )
 from tests.reserved import reserve_ports
 
@@ -32,7 +36,7 @@
             await anyio.sleep(0.01)
 
 
-async def start_entry(group, behave, *, grace_s):
+async def start_entry(group, behave, *, grace_s, repeat=ONCE):
     """Starts one backend server; returns its world, and an entry's state and port."""
     (port,) = reserve_ports(1)
     settings = EntrySettings(
@@ -45,7 +49,7 @@
         balancer_delay_ms=0,
         grace_s=grace_s,
     )
-    world = World(group, ONCE)
+    world = World(group, repeat)
     await world.start(behave)
     state = EntryState(settings)
     state.set_background_group(group)
@@ -153,3 +157,82 @@
             group.cancel_scope.cancel()
 
     run_limited(main)
+
+
+async def exchange(connection):
+    """Sends a request; returns its reply and whether the connection has ended."""
+    await connection.send(REQUEST)
+    reply = b""
+    while not _is_whole(reply):
+        try:
+            reply += await connection.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return reply, True
+    return reply, False
+
+
+def _is_whole(reply):
+    if b"chunked" in reply:
+        return reply.endswith(b"0\r\n\r\n")
+    return b"\r\n\r\n" in reply and (b"200 X" not in reply or reply.endswith(b"done"))
+
+
+def test_request_that_the_rest_of_a_stop_is_too_short_for_is_refused_unsent():
+    """Guards against requests on kept connections that are passed on and cut."""
+
+    async def streams(backend, request, stream):
+        await stream.send(stream_head("q1") + chunk(event(1)))
+        await anyio.sleep(0.9)
+        await stream.send(chunk(event(2)) + b"0\r\n\r\n")
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            world, state, port = await start_entry(
+                group, streams, grace_s=2.2, repeat=STREAM
+            )
+            server = ForwardServer(HEADER_CODEC, state, CrashContainment(state))
+            group.start_soon(server.run)
+            async with await connect(port) as connection:
+                await connection.send(REQUEST)
+                begun = await connection.receive()
+                assert b"connection: close" not in begun.lower()
+                server.close()
+                while not begun.endswith(b"0\r\n\r\n"):
+                    begun += await connection.receive()
+                reply, has_ended = await exchange(connection)
+                assert reply.startswith(b"HTTP/1.1 503")
+                assert b"connection: close" in reply.lower()
+                assert not has_ended
+                assert await _ends(connection)
+            assert len(world.backends[0].requests) == 1
+            group.cancel_scope.cancel()
+
+    run_limited(main)
+
+
+def test_short_requests_are_served_up_to_the_end_of_a_stop():
+    """Guards against refusals of requests that would have been answered in time."""
+
+    async def answers(backend, request, stream):
+        await stream.send(answer_bytes("q1"))
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            _, state, port = await start_entry(group, answers, grace_s=1.6)
+            server = ForwardServer(HEADER_CODEC, state, CrashContainment(state))
+            group.start_soon(server.run)
+            async with await connect(port) as early:
+                assert (await exchange(early))[0].startswith(b"HTTP/1.1 200")
+                await early.send(REQUEST[:40])
+                late = await connect(port)
+                await late.send(REQUEST[:40])
+                await anyio.sleep(0.05)
+                server.close()
+                await anyio.sleep(0.7)
+                await early.send(REQUEST[40:])
+                assert (await early.receive()).startswith(b"HTTP/1.1 200")
+                await late.send(REQUEST[40:])
+                assert (await late.receive()).startswith(b"HTTP/1.1 200")
+            group.cancel_scope.cancel()
+
+    run_limited(main)
