Bound what control members read from engines

What could happen (an operator's report; shown here by a test): an engine that answers an order or the question for its report with bytes without end. The control member that had called it kept them all, and the call never ended, since each read came in time.

Cause: orders were sent with a client that reads whole responses without a limit, and that waits without end behind interim heads.

Measured: test_bytes_without_end_from_an_engine_are_cut_off failed before for heads and bodies without end (the call hung) and passes; a head without end was bounded already. The reports about an error in the middle of a stream can't be shown here: test_error_of_the_next_backend_server_never_reaches_a_begun_stream passes before and after.

--- a/cassiapitch/order_sender.py
+++ b/cassiapitch/order_sender.py
@@ -6,6 +6,7 @@
 import httpcore
 import msgspec
 
+from cassiapitch import boundedhttp
 from cassiapitch.coordinator import OutgoingAttempt
 from cassiapitch.orders import Order
 from cassiapitch.standin_memory import OrderRequest
@@ -60,18 +61,17 @@
     if not may_send():
         return "not_sent"
     try:
-        response = await connection.request(
+        response = await boundedhttp.request(
+            connection,
             "POST",
             f"http://{host}:{attempt.port}/orders",
-            headers={"Content-Type": "application/json"},
-            content=order_body(attempt.order),
-            extensions={
-                "timeout": {
-                    "connect": CONNECT_TIMEOUT_MS / 1_000,
-                    "read": timeout_ms / 1_000,
-                    "write": timeout_ms / 1_000,
-                }
-            },
+            {"Content-Type": "application/json"},
+            order_body(attempt.order),
+            boundedhttp.TimeLimits(
+                CONNECT_TIMEOUT_MS / 1_000,
+                timeout_ms / 1_000,
+                (CONNECT_TIMEOUT_MS + 2 * timeout_ms) / 1_000,
+            ),
         )
     except (httpcore.ConnectError, httpcore.ConnectTimeout):
         return "not_sent"
--- a/cassiapitch/platform/orders.py
+++ b/cassiapitch/platform/orders.py
@@ -6,6 +6,7 @@
 import httpcore
 import msgspec
 
+from cassiapitch import boundedhttp
 from cassiapitch.coordinator import OutgoingAttempt
 from cassiapitch.platform import names
 from cassiapitch.types import OrderKind
@@ -14,6 +15,11 @@
 # An engine responds as soon as it has accepted an order. After this time the order is
 # sent again, since the response, or the order itself, may arrive seconds later.
 RESPONSE_TIMEOUT_S = 0.4
+# An engine that sends a byte now and then doesn't hold up its orders for longer.
+EXCHANGE_TIMEOUT_S = 1.5
+TIME_LIMITS = boundedhttp.TimeLimits(
+    CONNECT_TIMEOUT_S, RESPONSE_TIMEOUT_S, EXCHANGE_TIMEOUT_S
+)
 
 _OPERATIONS = {
     OrderKind.LOAD: "load",
@@ -110,22 +116,17 @@
     method: str,
     path: str,
     content: bytes,
-) -> httpcore.Response:
-    return await connection.request(
+) -> boundedhttp.Response:
+    return await boundedhttp.request(
+        connection,
         method,
         f"http://{attempt.ip}:{attempt.port}{path}",
-        headers={
+        {
             "Content-Type": "application/json",
             "Target-Instance": attempt.order.backend,
         },
-        content=content,
-        extensions={
-            "timeout": {
-                "connect": CONNECT_TIMEOUT_S,
-                "read": RESPONSE_TIMEOUT_S,
-                "write": RESPONSE_TIMEOUT_S,
-            }
-        },
+        content,
+        TIME_LIMITS,
     )
 
 
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import resource
 
 import anyio
 import h11
@@ -12,6 +13,8 @@
 from cassiapitch.platform import orders
 from cassiapitch.types import OrderKind
 
+MEMORY_LIMIT_KIB = 32 * 1024
+
 
 def order(kind=OrderKind.LOAD, adapter=""):
     return Order("o1", 1, 7, kind, "i-1", "i-1@1", "model/m", "m", 1, adapter, 10)
@@ -107,6 +110,46 @@
     assert play({"sequence": 1}, status)[0] == expected
 
 
+ENDLESS = {
+    "head": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 16_384),
+    "heads": (b"", b"HTTP/1.1 102 X\r\nA: %s\r\n\r\n" % (b"x" * 4_096)),
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 16_384),
+}
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_bytes_without_end_from_an_engine_are_cut_off(kind):
+    """Guards against a control member that keeps them all and runs out of memory."""
+    beginning, piece = ENDLESS[kind]
+    sent_bytes = 0
+
+    async def serve(stream):
+        nonlocal sent_bytes
+        async with stream:
+            with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                await _read(stream)
+                await stream.send(beginning)
+                while True:
+                    await stream.send(piece)
+                    sent_bytes += len(piece)
+
+    async def main():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(listener.serve, serve)
+            attempt = OutgoingAttempt(order(), 1, "127.0.0.1", port, 1_007)
+            with anyio.fail_after(5):
+                outcome = await orders.send_order(attempt, "member-1", lambda: True)
+            group.cancel_scope.cancel()
+        return outcome
+
+    before_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    assert anyio.run(main) == "not_sent"
+    grown_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kib
+    assert grown_kib < MEMORY_LIMIT_KIB
+
+
 def test_order_to_a_stopped_engine_is_not_sent():
     async def main():
         attempt = OutgoingAttempt(order(), 1, "127.0.0.1", 1, 1)
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -1,6 +1,7 @@
 """Tests of forwarded requests: attempts, retries, streams, refusals and admission."""
 
 import anyio
+import pytest
 
 from cassiapitch import forwardanswers
 from cassiapitch.backend_connection import BackendBrokenError
@@ -291,6 +292,29 @@
     assert numbers_of(reply) == [1, 2, 3, 4, 5]
 
 
+@pytest.mark.parametrize("status", [500, 404, 503])
+@pytest.mark.parametrize("repeat", [STREAM, RESUMABLE])
+def test_error_of_the_next_backend_server_never_reaches_a_begun_stream(status, repeat):
+    """Guards against an error's text in the middle of a stream, or a false end."""
+    started = []
+
+    async def breaks_then_fails(backend, request, stream):
+        if started:
+            answer = answer_bytes(request_id(request), b"out of order", status=status)
+            await stream.send(answer)
+            return None
+        started.append(backend.name)
+        await stream.send(stream_head(request_id(request)))
+        await stream.send(b"".join(chunk(event(number)) for number in range(1, 7)))
+        return "close"
+
+    reply = play(call, repeat, *[breaks_then_fails] * 3)[0]
+    assert numbers_of(reply) == [1, 2, 3, 4, 5, 6]
+    assert not reply.endswith(b"0\r\n\r\n")
+    assert b"out of order" not in reply
+    assert reply.count(b"HTTP/1.1") == 1
+
+
 def test_resumed_stream_ends_incomplete_after_the_last_attempt():
     async def breaks_midway(backend, request, stream):
         await stream.send(stream_head(request_id(request)) + chunk(event(1)))
