--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -146,6 +146,7 @@
             timeout_ms,
             attempts_limit_count=attempts,
         )
+        self.more_routes = ()
         self.server = ForwardServer(
             HEADER_CODEC, self.state, CrashContainment(self.state)
         )
@@ -170,8 +171,9 @@
             "role/shop": RoleItem("shop", RoleKind.SERVICE, False),
             "account/jersey": AccountItem("jersey", 1, 1, 1, is_limited=False),
             f"key/{digest}": KeyItem("jersey"),
-            f"forward/{self.route.host}{self.route.path_prefix}": self.route,
         }
+        for route in (self.route, *self.more_routes):
+            items[f"forward/{route.host}{route.path_prefix}"] = route
         for backend in self.backends:
             items[f"backend/{backend.name}"] = BackendItem(
                 backend.name,
@@ -186,10 +188,11 @@
                 8,
             )
         encoded = {name: codec.encode(item) for name, item in items.items()}
-        outcome = self.state.catalog.apply_snapshot(1, encoded)
+        index = self.state.catalog.index + 1
+        outcome = self.state.catalog.apply_snapshot(index, encoded)
         ask = self.state.freshness.make_ask(timers.now_ms())
         self.state.handle_view_change(outcome)
-        self.state.handle_confirmation(Confirmed(ask.sequence, 1))
+        self.state.handle_confirmation(Confirmed(ask.sequence, index))
 
     async def limit_account(self, rate, burst):
         """Limits the account; from now on each request for tokens is granted in full."""
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -36,8 +36,8 @@
             await anyio.sleep(0.01)
 
 
-async def start_entry(group, behave, *, grace_s, repeat=ONCE):
-    """Starts one backend server; returns its world, and an entry's state and port."""
+async def start_entry(group, *behaviours, grace_s, repeat=ONCE):
+    """Starts backend servers; returns their world, and an entry's state and port."""
     (port,) = reserve_ports(1)
     settings = EntrySettings(
         name="entry-1",
@@ -50,7 +50,7 @@
         grace_s=grace_s,
     )
     world = World(group, repeat)
-    await world.start(behave)
+    await world.start(*behaviours)
     state = EntryState(settings)
     state.set_background_group(group)
     state.catalog, state.freshness = world.state.catalog, world.state.freshness
@@ -197,12 +197,15 @@
                 begun = await connection.receive()
                 assert b"connection: close" not in begun.lower()
                 server.close()
-                while not begun.endswith(b"0\r\n\r\n"):
-                    begun += await connection.receive()
-                reply, has_ended = await exchange(connection)
-                assert reply.startswith(b"HTTP/1.1 503")
-                assert b"connection: close" in reply.lower()
-                assert not has_ended
+                # Sent before the response's end, so that it doesn't cross a close.
+                await connection.send(REQUEST)
+                replies = begun
+                while b'"shutting_down"}' not in replies:
+                    replies += await connection.receive()
+                first, _, second = replies.partition(b"0\r\n\r\n")
+                assert event(2) in first
+                assert second.startswith(b"HTTP/1.1 503")
+                assert b"connection: close" in second.lower()
                 assert await _ends(connection)
             assert len(world.backends[0].requests) == 1
             group.cancel_scope.cancel()
