State the number of accepted orders from memory, not only from reports

Cause: an order states how many orders its engine has accepted, and that number came from the engine's report, which is some hundred milliseconds old. So an order behind an accepted one stated an old number and was rejected, then repeated 0.25 s later.

Change: the member that sends orders remembers the numbers that it knows, by incarnation, and falls back on the report after a rejection or a missing answer.

--- a/cassiapitch/platform/orders.py
+++ b/cassiapitch/platform/orders.py
@@ -8,6 +8,7 @@
 
 from cassiapitch import boundedhttp
 from cassiapitch.coordinator import OutgoingAttempt
+from cassiapitch.order_sequences import OrderSequences
 from cassiapitch.platform import names
 from cassiapitch.types import OrderKind
 
@@ -66,13 +67,16 @@
 
 
 async def send_order(
-    attempt: OutgoingAttempt, holder: str, may_send: Callable[[], bool]
+    attempt: OutgoingAttempt,
+    holder: str,
+    may_send: Callable[[], bool],
+    sequences: OrderSequences,
 ) -> str | None:
     """Makes one attempt to send an order; see `order_sender.send_order`."""
     origin = httpcore.Origin(b"http", attempt.ip.encode(), attempt.port)
     connection = httpcore.AsyncHTTPConnection(origin)
     try:
-        return await _send(connection, attempt, holder, may_send)
+        return await _send(connection, attempt, holder, may_send, sequences)
     finally:
         with anyio.CancelScope(shield=True):
             await connection.aclose()
@@ -83,6 +87,7 @@
     attempt: OutgoingAttempt,
     holder: str,
     may_send: Callable[[], bool],
+    sequences: OrderSequences,
 ) -> str | None:
     try:
         report = await _call(connection, attempt, "GET", names.REPORT_PATH, b"")
@@ -99,14 +104,21 @@
     if not may_send():
         # The report may have taken longer than this member's lease.
         return "not_sent"
-    body = order_body(attempt, holder, engine_report.sequence)
+    life_id = attempt.order.life_id
+    expected = sequences.next_expected(life_id, engine_report.sequence)
+    body = order_body(attempt, holder, expected)
     try:
         response = await _call(connection, attempt, "POST", names.ORDER_PATH, body)
     except (httpcore.ConnectError, httpcore.ConnectTimeout):
         return "not_sent"
     except _CONNECTION_ERRORS:
         # The order may have been accepted, or may still arrive and be carried out.
+        sequences.forget(life_id)
         return None
+    if _advances_sequence(response.status, attempt.order.kind):
+        sequences.order_accepted(life_id, expected)
+    else:
+        sequences.forget(life_id)
     return _order_outcome(response.status, attempt.order.kind)
 
 
@@ -130,6 +142,14 @@
     )
 
 
+def _advances_sequence(status: int, kind: OrderKind) -> bool:
+    """Returns whether an engine counts an order that it gave this response to.
+
+    Adapters are unloaded at once; for other orders, 200 says that nothing was to do.
+    """
+    return status == 202 or (status == 200 and kind is OrderKind.UNLOAD_ADAPTER)
+
+
 def _order_outcome(status: int, kind: OrderKind) -> str:
     if status == 200:
         return "done"
--- a/cassiapitch/platform/programs.py
+++ b/cassiapitch/platform/programs.py
@@ -49,6 +49,7 @@
     from cassiapitch.controlnode import ControlNode
     from cassiapitch.coordinator import OutgoingAttempt
     from cassiapitch.fleet import Fleet
+    from cassiapitch.order_sequences import OrderSequences
     from cassiapitch.platform import configuration, controlapi, orders
     from cassiapitch.registrations import Registrations
     from cassiapitch.settings import ControlSettings
@@ -61,10 +62,12 @@
                 settings, admin_address=seeds.parse_address(settings.admin_listen)
             )
 
+        sequences = OrderSequences()
+
         async def send_order(
             attempt: OutgoingAttempt, *, fencing: bool, may_send: Callable[[], bool]
         ) -> str | None:
-            return await orders.send_order(attempt, settings.name, may_send)
+            return await orders.send_order(attempt, settings.name, may_send, sequences)
 
         def make_app(fleet: Fleet, node: ControlNode) -> asgi.App:
             decode = configuration.make_decoder(settings)
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -9,6 +9,7 @@
 import pytest
 
 from cassiapitch.coordinator import OutgoingAttempt
+from cassiapitch.order_sequences import OrderSequences
 from cassiapitch.orders import Order
 from cassiapitch.platform import orders
 from cassiapitch.types import OrderKind
@@ -35,7 +36,7 @@
             return method, body
 
 
-def play(report, status, order_to_send=None, may_send=lambda: True):
+def play(report, status, order_to_send=None, may_send=lambda: True, sequences=None):
     """Sends an order to an engine; returns the outcome and the requests it received."""
     received = []
 
@@ -62,7 +63,9 @@
                 order_to_send or order(), 1, "127.0.0.1", port, 1_007
             )
             with anyio.fail_after(10):
-                outcome = await orders.send_order(attempt, "member-1", may_send)
+                outcome = await orders.send_order(
+                    attempt, "member-1", may_send, sequences or OrderSequences()
+                )
             group.cancel_scope.cancel()
         return outcome
 
@@ -110,6 +113,16 @@
     assert play({"sequence": 1}, status)[0] == expected
 
 
+def test_order_behind_an_accepted_one_does_not_go_by_a_report_of_earlier():
+    """Guards against orders that engines reject since their reports lag behind."""
+    sequences = OrderSequences()
+    expected = []
+    for status in (202, 202, 409, 202):
+        _, received = play({"sequence": 5}, status, sequences=sequences)
+        expected.append(json.loads(received[1][1])["expected"])
+    assert expected == [5, 6, 7, 5]
+
+
 ENDLESS = {
     "head": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 16_384),
     "heads": (b"", b"HTTP/1.1 102 X\r\nA: %s\r\n\r\n" % (b"x" * 4_096)),
@@ -140,7 +153,9 @@
             group.start_soon(listener.serve, serve)
             attempt = OutgoingAttempt(order(), 1, "127.0.0.1", port, 1_007)
             with anyio.fail_after(5):
-                outcome = await orders.send_order(attempt, "member-1", lambda: True)
+                outcome = await orders.send_order(
+                    attempt, "member-1", lambda: True, OrderSequences()
+                )
             group.cancel_scope.cancel()
         return outcome
 
@@ -153,7 +168,9 @@
 def test_order_to_a_stopped_engine_is_not_sent():
     async def main():
         attempt = OutgoingAttempt(order(), 1, "127.0.0.1", 1, 1)
-        return await orders.send_order(attempt, "member-1", lambda: True)
+        return await orders.send_order(
+            attempt, "member-1", lambda: True, OrderSequences()
+        )
 
     assert anyio.run(main) == "not_sent"
 
