Free adapter slots at each engine by itself, and say why models wait

Change: each engine frees slots by itself, one at a time; a waiting adapter counts on an open unload only if that isn't late. A log line (placement_waits) and a gauge say what waits and why: no log line said so before, and the reason had to be inferred from orders.

Measured: test_engine_that_never_frees_its_slot_holds_up_no_adapter_elsewhere failed before and passes.

--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -23,6 +23,7 @@
     DemandReport,
     LoadReports,
 )
+from cassiapitch.placement_waits import Wait, WaitLog
 
 SendOrderFunction = Callable[..., Awaitable[str | None]]
 Propose = Callable[[Any, int], Awaitable[Any]]
@@ -72,6 +73,7 @@
         self._coordinator: Coordinator | None = None
         self._token = ""
         self._wake_event = anyio.Event()
+        self._wait_log = WaitLog()
 
     def on_announcement(self, announcement: Announcement) -> None:
         """Processes an announcement; ignored unless this member leads."""
@@ -167,6 +169,7 @@
                 coordinator.on_proposal_failed()
                 return
         orders = coordinator.run_placement_round(self._now_ms())
+        self._log_waits(coordinator.placement.waits)
         if orders is not None:
             await self._commit_orders(orders)
         # The proposals above take time; a member that lost the lead or its term in the
@@ -175,6 +178,11 @@
             for outgoing in coordinator.due_attempts(self._now_ms()):
                 group.start_soon(self._send, coordinator, outgoing)
 
+    def _log_waits(self, waits: list[Wait]) -> None:
+        metrics.WAITING_ITEMS.set(len(waits))
+        if due := self._wait_log.due(waits, self._now_ms()):
+            events.log(events.Event.PLACEMENT_WAITS, count=len(waits), longest=due)
+
     async def _commit_orders(self, orders: RecordOrders) -> None:
         events.log(events.Event.ORDERS_RECORDED, count=len(orders.orders))
         await self._commit(orders)
--- a/cassiapitch/events.py
+++ b/cassiapitch/events.py
@@ -93,6 +93,7 @@
     HEARTBEAT_REFUSED = 511
     BACKEND_SAID_LEAVING = 512
     BACKEND_STATED_LIMIT = 513
+    PLACEMENT_WAITS = 514
 
 
 _encoder = msgspec.json.Encoder(enc_hook=repr)
--- a/cassiapitch/metrics.py
+++ b/cassiapitch/metrics.py
@@ -185,6 +185,10 @@
     "Heartbeats of backend servers by whether they were taken",
     ("taken",),
 )
+WAITING_ITEMS = Gauge(
+    "cassiapitch_waiting_items",
+    "Models and adapters that requests wait for and that nothing is ordered for",
+)
 ORDERS = Counter(
     "cassiapitch_orders",
     "Attempts to send an order to an engine by kind and answer",
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -6,7 +6,13 @@
 for (oldest first), minimum copies, further copies by demand, and adapters.
 """
 
-from cassiapitch import copy_targets, eviction, model_load_times, placement_fixed
+from cassiapitch import (
+    copy_targets,
+    eviction,
+    model_load_times,
+    placement_fixed,
+    placement_waits,
+)
 from cassiapitch.backends import Incarnation
 from cassiapitch.fleet_commands import NewOrder
 from cassiapitch.orders import is_adapter_key, model_key, name_of
@@ -36,6 +42,10 @@
 # wait for an unload.
 SPARE_ADAPTER_SLOTS_COUNT = 1
 
+# An adapter that no request uses is unloaded within less time. Behind one that takes
+# longer, another engine frees a slot.
+ADAPTER_UNLOAD_MS = 1_000
+
 # Age on the waiting list from which other loads are kept off one engine.
 HOLD_AFTER_MS = 20_000
 
@@ -56,6 +66,7 @@
     placement_round.place_minimum_copies()
     placement_round.place_further_copies()
     placement_round.place_adapters()
+    state.waits = placement_round.waits
     return placement_round.orders
 
 
@@ -64,6 +75,7 @@
 
     def __init__(self, state: PlacementState, survey: Survey, now_ms: int) -> None:
         self.orders: list[NewOrder] = []
+        self.waits: list[placement_waits.Wait] = []
         self._state = state
         self._survey = survey
         self._catalog = state.fleet.catalog
@@ -73,6 +85,10 @@
         self._eviction_search_count = 0
         self._max_usable_mib: dict[str, int] = {}
         self._used_adapter_slots: dict[str, int] = {}
+        # Adapter slots that open unloads will free, by model, less those that waiting
+        # adapters of this round count on.
+        self._coming_slots: dict[str, int] = {}
+        self._slot_freed_lives: set[str] = set()
         self._limits_adapters_by_model: dict[str, bool] = {}
         self._target_copies = copy_targets.target_copies(state, survey, now_ms)
         self._eviction = eviction.EvictionSelector(
@@ -133,8 +149,26 @@
         for requested_ms, key in sorted(
             self._state.demand.waiting(), key=self._waiting_rank
         ):
-            if self._survey.copy_count(key) == 0:
-                self._place_waiting_item(key, self._now_ms - requested_ms)
+            if self._survey.copy_count(key) > 0:
+                continue
+            age_ms = self._now_ms - requested_ms
+            self._place_waiting_item(key, age_ms)
+            if all(order.item != key for order in self.orders):
+                wait = placement_waits.Wait(name_of(key), age_ms, self._why(key))
+                self.waits.append(wait)
+
+    def _why(self, key: str) -> str:
+        """Returns why an item that requests wait for isn't loaded in this round."""
+        if key in self._state.planned_loads:
+            return "planned"
+        engines = self._candidate_engines(key)
+        if not engines:
+            return "model_not_loaded" if is_adapter_key(key) else "no_engine"
+        if all(engine.is_blocked for engine in engines):
+            return "engines_busy"
+        if not self._may_load_on_any(key, engines):
+            return "store_limit"
+        return "no_slot" if is_adapter_key(key) else "no_memory"
 
     def _fills_memory(self, key: str) -> bool:
         """Tells whether copies of a key's role fill its memory by demand."""
@@ -306,13 +340,27 @@
                 self.order_load(engine, key)
 
     def _free_adapter_slot(self, key: str, engines: list[EngineState]) -> None:
-        """Unloads the adapter with the least demand unless an unload is under way."""
+        """Unloads the adapter with the least demand unless a slot becomes free.
+
+        An engine may take long over an unload, or be gone; that holds up neither the
+        other engines nor the other waiting adapters.
+        """
+        model = self._model_of(key)
+        if model not in self._coming_slots:
+            self._coming_slots[model] = sum(
+                self._frees_slot_soon(engine.incarnation) for engine in engines
+            )
+        if self._coming_slots[model] > 0:
+            self._coming_slots[model] -= 1
+            return
         waiting = {waiting_key for _, waiting_key in self._state.demand.waiting()}
         candidates: list[tuple[bool, float, str, EngineState]] = []
         for engine in engines:
-            if self._has_open_unload(engine.incarnation, adapters=True):
-                return
-            if engine.is_blocked:
+            if (
+                engine.is_blocked
+                or engine.incarnation.life_id in self._slot_freed_lives
+                or self._has_open_unload(engine.incarnation, adapters=True)
+            ):
                 continue
             candidates.extend(
                 (
@@ -328,8 +376,20 @@
             )
         if candidates:
             _, _, victim, engine = min(candidates, key=lambda item: item[:3])
+            self._slot_freed_lives.add(engine.incarnation.life_id)
             self._order_unload(engine.incarnation, victim)
 
+    def _frees_slot_soon(self, incarnation: Incarnation) -> bool:
+        """Tells whether an engine unloads an adapter and isn't late with it."""
+        first_seen_ms = self._state.order_first_seen_ms
+        return any(
+            not order.is_load()
+            and bool(order.adapter)
+            and self._now_ms - first_seen_ms.get(order.order_id, self._now_ms)
+            <= ADAPTER_UNLOAD_MS
+            for order in incarnation.ledger.orders.values()
+        )
+
     def _place_model_of_adapter(self, adapter: str, age_ms: int) -> None:
         """Loads an adapter's model on an engine where both fit.
 
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -7,6 +7,7 @@
 from cassiapitch.demand_tracker import DECAY_MS, DemandTracker
 from cassiapitch.fleet import Fleet
 from cassiapitch.orders import Order, is_adapter_key, model_key
+from cassiapitch.placement_waits import Wait
 from cassiapitch.survey import Survey
 
 # A copy stays resident for at least this long (hysteresis; design, section 8).
@@ -87,6 +88,7 @@
             waiting item, by ledger key.
         orders_blocked_until_ms: Time until which an engine gets no orders, by life id.
         served_keys: Ledger keys of which a copy served at the start of the round.
+        waits: Items that the last round ordered no load for, though requests wait.
     """
 
     def __init__(self, fleet: Fleet, policy: str, now_ms: int) -> None:
@@ -113,6 +115,7 @@
         # Engines to which an earlier leader may still send orders.
         self.orders_blocked_until_ms: dict[str, int] = {}
         self.served_keys: set[str] = set()
+        self.waits: list[Wait] = []
         self._bundle_version = fleet.catalog.version
         self._resident_since_ms: dict[tuple[str, str], int] | None = None
         self._store_refilled_ms = now_ms
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -15,6 +15,7 @@
     RecordBackendLimit,
 )
 from cassiapitch.messages import DemandReport, InFlight, ModelDemand
+from cassiapitch.placement_waits import WaitLog
 from cassiapitch.types import OrderKind, Priority, RoleKind
 
 ENGINES_COUNT = 5
@@ -75,6 +76,8 @@
         self.sequence = 0
         self.adapters = {name: set() for name in self.held}
         self.declined = []
+        # Engines that accept the unload of an adapter and never finish it.
+        self.stuck_names = set()
         self.loads = []
         self.store_loads = []
         self.busy = {}
@@ -155,6 +158,8 @@
         if name in self.busy:
             answer = "busy"
             self.declined.append(order)
+        elif order.adapter and not order.is_load() and name in self.stuck_names:
+            answer = "accepted"
         elif order.adapter:
             answer = "done"
             change = set.add if order.is_load() else set.discard
@@ -351,6 +356,21 @@
     assert sum(map(len, world.adapters.values())) >= 5
 
 
+def test_engine_that_never_frees_its_slot_holds_up_no_adapter_elsewhere():
+    """Guards against adapters that are never served since one engine is stuck."""
+    names = [f"m0/a{number}" for number in range(1, 41)]
+    world = World(adapters=tuple(Adapter(name, "m0", 1) for name in names))
+    place_copies(world, ONE_MODEL_EVERYWHERE)
+    world.stuck_names = {"e0", "e1"}
+    served = set()
+    for group in range(8):
+        wanted = names[group * 5 : group * 5 + 5]
+        for _ in range(12):
+            simulate(dict.fromkeys(wanted, 0.1), 0.25, world)
+            served.update(*world.adapters.values())
+    assert set(names) - served == set()
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_models_in_demand_move_away_from_engines_that_stated_a_limit(seed):
     """Guards against refusals for a model whose only copy is at a limited engine,
@@ -369,3 +389,19 @@
 
 
 MODELS_LOADED_AT_START = {f"m{number}" for number in range(10)}
+
+
+def test_wait_for_an_adapter_slot_is_told_with_its_reason():
+    """Guards against models that wait while no log line says why."""
+    names = [f"m0/a{number}" for number in range(1, 41)]
+    world = World(adapters=tuple(Adapter(name, "m0", 1) for name in names))
+    place_copies(world, ONE_MODEL_EVERYWHERE)
+    world.stuck_names = set(world.held)
+    simulate(dict.fromkeys(names, 0.05), 6, world)
+    waits = world.coordinator.placement.waits
+    assert {wait.reason for wait in waits} == {"no_slot"}
+    log = WaitLog()
+    due = log.due(waits, world.now_ms)
+    assert due
+    assert due == sorted(due, key=lambda wait: -wait.age_ms)
+    assert log.due(waits, world.now_ms + 1) == []
