--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -405,3 +405,20 @@
     assert due
     assert due == sorted(due, key=lambda wait: -wait.age_ms)
     assert log.due(waits, world.now_ms + 1) == []
+
+
+def test_adapter_is_loaded_soon_after_its_slot_is_free():
+    """Guards against slots that stay empty until the next regular round."""
+    names = [f"m0/a{number}" for number in range(1, 41)]
+    world = World(adapters=tuple(Adapter(name, "m0", 1) for name in names))
+    place_copies(world, ONE_MODEL_EVERYWHERE)
+    simulate(dict.fromkeys(names, 0.02), 20, world)
+    freed_ms, delays_ms = {}, []
+    for sent_ms, outgoing, _ in world.sent:
+        order = outgoing.order
+        if order.kind is OrderKind.UNLOAD_ADAPTER:
+            freed_ms[order.backend] = sent_ms
+        elif order.kind is OrderKind.LOAD_ADAPTER and order.backend in freed_ms:
+            delays_ms.append(sent_ms - freed_ms.pop(order.backend))
+    assert len(delays_ms) >= 10
+    assert max(delays_ms) <= 400
