--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -321,7 +321,7 @@
         return RecordOrders(self.term, tuple(orders)) if orders else None
 
     def _has_order_ended(self) -> bool:
-        """Returns whether requests wait, and an order of before the last round ended."""
+        """Returns whether requests wait and an order of the last round has ended."""
         open_ids = self._fleet.open_orders.keys()
         return bool(self.placement.waits) and not self._open_at_round <= open_ids
 
