--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -228,3 +228,27 @@
         assert group.voters_by_member() == before
 
     run_scenario(scenario, tmp_path)
+
+
+def test_member_that_stops_is_replaced_by_a_leader_of_an_earlier_build(tmp_path):
+    """Guards against a group that stays too small during an upgrade: an earlier leader
+    removes a member that asks for it at once, and then promotes the learner."""
+
+    async def scenario(group):
+        for ip in IPS[:5]:
+            await group.start(ip)
+        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        await group.start(IPS[5], bootstrap=False)
+        new = group.members[IPS[5]]
+        await group.wait_until(lambda: new.status().role == "learner")
+        for member in group.members.values():
+            member.changes.waits_for_replacement = False
+        leader = new.status().leader
+        stopping = next(ip for ip in IPS[:5] if ip != leader)
+        await joining.leave_if_replaced(group.members[stopping], 2)
+        await group.stop(stopping)
+        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        voters = {peer.name for peer in new.status().members if peer.voter}
+        assert voters == set(IPS) - {stopping}
+
+    run_scenario(scenario, tmp_path)
