Let adapters serve before their slot goes on, two slots at a time

The log says why: no_slot, for up to 15 s, after all processes of the core were killed. Adapters took each other's slots one at a time, once a second, and one that had just been loaded was the first to go, since its demand was the lowest.

Change: an adapter stays for 0.8 s, in which entries see it and send what waited; an engine frees two slots at a time.

Measured: test_adapter_that_was_just_loaded_stays_until_its_requests_are_served failed before (250 ms) and passes.

--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -46,6 +46,13 @@
 # longer, another engine frees a slot.
 ADAPTER_UNLOAD_MS = 1_000
 
+# Unloads of adapters that are open at one engine at the same time.
+ADAPTER_UNLOADS_COUNT = 2
+
+# An adapter stays for at least this long, so that the requests that waited for it are
+# served: entries have to see it and to send them.
+ADAPTER_RESIDENCE_MS = 800
+
 # Age on the waiting list from which other loads are kept off one engine.
 HOLD_AFTER_MS = 20_000
 
@@ -88,7 +95,7 @@
         # Adapter slots that open unloads will free, by model, less those that waiting
         # adapters of this round count on.
         self._coming_slots: dict[str, int] = {}
-        self._slot_freed_lives: set[str] = set()
+        self._unloaded_adapters: set[tuple[str, str]] = set()
         self._limits_adapters_by_model: dict[str, bool] = {}
         self._target_copies = copy_targets.target_copies(state, survey, now_ms)
         self._eviction = eviction.EvictionSelector(
@@ -348,7 +355,7 @@
         model = self._model_of(key)
         if model not in self._coming_slots:
             self._coming_slots[model] = sum(
-                self._frees_slot_soon(engine.incarnation) for engine in engines
+                self._soon_free_slots_count(engine.incarnation) for engine in engines
             )
         if self._coming_slots[model] > 0:
             self._coming_slots[model] -= 1
@@ -356,11 +363,8 @@
         waiting = {waiting_key for _, waiting_key in self._state.demand.waiting()}
         candidates: list[tuple[bool, float, str, EngineState]] = []
         for engine in engines:
-            if (
-                engine.is_blocked
-                or engine.incarnation.life_id in self._slot_freed_lives
-                or self._has_open_unload(engine.incarnation, adapters=True)
-            ):
+            unloads_count = self._adapter_unloads_count(engine.incarnation)
+            if engine.is_blocked or unloads_count >= ADAPTER_UNLOADS_COUNT:
                 continue
             candidates.extend(
                 (
@@ -372,17 +376,32 @@
                 for other in engine.incarnation.ledger.reported
                 if is_adapter_key(other)
                 and other not in waiting
+                and (engine.incarnation.life_id, other) not in self._unloaded_adapters
                 and engine.incarnation.ledger.open_order(other) is None
+                and self._state.resident_ms(
+                    engine.incarnation.life_id, other, self._now_ms
+                )
+                >= ADAPTER_RESIDENCE_MS
             )
         if candidates:
             _, _, victim, engine = min(candidates, key=lambda item: item[:3])
-            self._slot_freed_lives.add(engine.incarnation.life_id)
+            self._unloaded_adapters.add((engine.incarnation.life_id, victim))
             self._order_unload(engine.incarnation, victim)
 
-    def _frees_slot_soon(self, incarnation: Incarnation) -> bool:
-        """Tells whether an engine unloads an adapter and isn't late with it."""
+    def _adapter_unloads_count(self, incarnation: Incarnation) -> int:
+        """Returns the unloads of adapters that are open at an engine or ordered now."""
+        ordered_count = sum(
+            life_id == incarnation.life_id for life_id, _ in self._unloaded_adapters
+        )
+        return ordered_count + sum(
+            not order.is_load() and bool(order.adapter)
+            for order in incarnation.ledger.orders.values()
+        )
+
+    def _soon_free_slots_count(self, incarnation: Incarnation) -> int:
+        """Returns how many adapters an engine unloads, without late unloads."""
         first_seen_ms = self._state.order_first_seen_ms
-        return any(
+        return sum(
             not order.is_load()
             and bool(order.adapter)
             and self._now_ms - first_seen_ms.get(order.order_id, self._now_ms)
--- a/cassiapitch/placement_state.py
+++ b/cassiapitch/placement_state.py
@@ -163,8 +163,12 @@
 
     def is_past_min_residence(self, life_id: str, key: str, now_ms: int) -> bool:
         """Tells whether a copy has been resident for its minimum time."""
+        return self.resident_ms(life_id, key, now_ms) >= self._min_residence_ms(key)
+
+    def resident_ms(self, life_id: str, key: str, now_ms: int) -> int:
+        """Returns how long a copy has been resident."""
         since_ms = (self._resident_since_ms or {}).get((life_id, key), now_ms)
-        return now_ms - since_ms >= self._min_residence_ms(key)
+        return now_ms - since_ms
 
     def remaining_residence_ms(self, life_id: str, key: str, now_ms: int) -> int:
         """Returns the rest of a copy's minimum resident time."""
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -422,3 +422,20 @@
             delays_ms.append(sent_ms - freed_ms.pop(order.backend))
     assert len(delays_ms) >= 10
     assert max(delays_ms) <= 400
+
+
+def test_adapter_that_was_just_loaded_stays_until_its_requests_are_served():
+    """Guards against adapters that take each other's slots before they serve."""
+    names = [f"m0/a{number}" for number in range(1, 41)]
+    world = World(adapters=tuple(Adapter(name, "m0", 1) for name in names))
+    place_copies(world, ONE_MODEL_EVERYWHERE)
+    simulate(dict.fromkeys(names, 0.05), 15, world)
+    loaded_ms, stays_ms = {}, []
+    for sent_ms, outgoing, _ in world.sent:
+        order = outgoing.order
+        if order.kind is OrderKind.LOAD_ADAPTER:
+            loaded_ms[order.backend, order.adapter] = sent_ms
+        elif order.kind is OrderKind.UNLOAD_ADAPTER:
+            stays_ms.append(sent_ms - loaded_ms[order.backend, order.adapter])
+    assert len(stays_ms) >= 20
+    assert min(stays_ms) >= 800
