Free the slots of idle adapters first; send an occupied engine no other order

An engine that unloads an adapter in use waits for its requests, and carries out no other order meanwhile.

Change: one unload at a time again, of an adapter that wasn't asked for in the last 3 s if there is one; an engine with an accepted unload of an adapter counts as occupied.

--- a/cassiapitch/demand_tracker.py
+++ b/cassiapitch/demand_tracker.py
@@ -92,6 +92,11 @@
             / self.decay_ms
         )
 
+    def idle_ms(self, key: str, now_ms: int) -> float:
+        """Returns the time since a model or adapter was last asked for."""
+        known = self._levels.get(key)
+        return math.inf if known is None else now_ms - known[1]
+
     def is_cold(self, key: str, now_ms: int) -> bool:
         """Tells whether a model or adapter has hardly any demand."""
         return self.rate(key, now_ms) < COLD_TOKENS_PER_S
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -46,8 +46,9 @@
 # longer, another engine frees a slot.
 ADAPTER_UNLOAD_MS = 1_000
 
-# Unloads of adapters that are open at one engine at the same time.
-ADAPTER_UNLOADS_COUNT = 2
+# An adapter that was asked for within this time may have running requests. Its unload
+# would wait for them, and the engine carries out nothing else meanwhile.
+ADAPTER_IN_USE_MS = 3_000
 
 # An adapter stays for at least this long, so that the requests that waited for it are
 # served: entries have to see it and to send them.
@@ -95,7 +96,7 @@
         # Adapter slots that open unloads will free, by model, less those that waiting
         # adapters of this round count on.
         self._coming_slots: dict[str, int] = {}
-        self._unloaded_adapters: set[tuple[str, str]] = set()
+        self._slot_freed_lives: set[str] = set()
         self._limits_adapters_by_model: dict[str, bool] = {}
         self._target_copies = copy_targets.target_copies(state, survey, now_ms)
         self._eviction = eviction.EvictionSelector(
@@ -347,7 +348,7 @@
                 self.order_load(engine, key)
 
     def _free_adapter_slot(self, key: str, engines: list[EngineState]) -> None:
-        """Unloads the adapter with the least demand unless a slot becomes free.
+        """Unloads an idle adapter with little demand unless a slot becomes free.
 
         An engine may take long over an unload, or be gone; that holds up neither the
         other engines nor the other waiting adapters.
@@ -355,19 +356,23 @@
         model = self._model_of(key)
         if model not in self._coming_slots:
             self._coming_slots[model] = sum(
-                self._soon_free_slots_count(engine.incarnation) for engine in engines
+                self._frees_slot_soon(engine.incarnation) for engine in engines
             )
         if self._coming_slots[model] > 0:
             self._coming_slots[model] -= 1
             return
         waiting = {waiting_key for _, waiting_key in self._state.demand.waiting()}
-        candidates: list[tuple[bool, float, str, EngineState]] = []
+        candidates: list[tuple[bool, bool, float, str, EngineState]] = []
         for engine in engines:
-            unloads_count = self._adapter_unloads_count(engine.incarnation)
-            if engine.is_blocked or unloads_count >= ADAPTER_UNLOADS_COUNT:
+            if (
+                engine.is_blocked
+                or engine.incarnation.life_id in self._slot_freed_lives
+                or self._has_open_unload(engine.incarnation, adapters=True)
+            ):
                 continue
             candidates.extend(
                 (
+                    self._state.demand.idle_ms(other, self._now_ms) < ADAPTER_IN_USE_MS,
                     len(self._survey.copies.get(other, ())) <= 1,
                     self._state.demand.rate(other, self._now_ms),
                     other,
@@ -376,7 +381,6 @@
                 for other in engine.incarnation.ledger.reported
                 if is_adapter_key(other)
                 and other not in waiting
-                and (engine.incarnation.life_id, other) not in self._unloaded_adapters
                 and engine.incarnation.ledger.open_order(other) is None
                 and self._state.resident_ms(
                     engine.incarnation.life_id, other, self._now_ms
@@ -384,24 +388,14 @@
                 >= ADAPTER_RESIDENCE_MS
             )
         if candidates:
-            _, _, victim, engine = min(candidates, key=lambda item: item[:3])
-            self._unloaded_adapters.add((engine.incarnation.life_id, victim))
+            _, _, _, victim, engine = min(candidates, key=lambda item: item[:4])
+            self._slot_freed_lives.add(engine.incarnation.life_id)
             self._order_unload(engine.incarnation, victim)
 
-    def _adapter_unloads_count(self, incarnation: Incarnation) -> int:
-        """Returns the unloads of adapters that are open at an engine or ordered now."""
-        ordered_count = sum(
-            life_id == incarnation.life_id for life_id, _ in self._unloaded_adapters
-        )
-        return ordered_count + sum(
-            not order.is_load() and bool(order.adapter)
-            for order in incarnation.ledger.orders.values()
-        )
-
-    def _soon_free_slots_count(self, incarnation: Incarnation) -> int:
-        """Returns how many adapters an engine unloads, without late unloads."""
+    def _frees_slot_soon(self, incarnation: Incarnation) -> bool:
+        """Tells whether an engine unloads an adapter and isn't late with it."""
         first_seen_ms = self._state.order_first_seen_ms
-        return sum(
+        return any(
             not order.is_load()
             and bool(order.adapter)
             and self._now_ms - first_seen_ms.get(order.order_id, self._now_ms)
