Bring rounds forward for adapters only; let orders wait at an engine that unloads one

Cause, by reading: the end of an accepted adapter unload shows in the next heartbeat only, 1.2 s later at the latest, so engines counted as occupied for longer than they were; and rounds at each ended model order moved more weights.

Change: an open adapter unload doesn't occupy its engine; only the end of an adapter's order brings a round forward.

--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -44,7 +44,7 @@
 # be the wait for the round.
 URGENT_ROUND_MS = 250
 URGENT_ADAPTER_ROUND_MS = 40
-# The same if an order has ended that a waiting model or adapter may have waited for.
+# The same if an order has ended that a waiting adapter may have waited for.
 ENDED_ORDER_ROUND_MS = 100
 
 # Upper bound of the orders in one term, so that the term can be the high part of a
@@ -170,7 +170,7 @@
         self._in_flight: dict[str, tuple[dict[str, InFlight], int]] = {}
         self._last_reported_counts: dict[str, int] = {}
         self._next_round_ms = now_ms
-        self._open_at_round: frozenset[str] = frozenset()
+        self._adapter_orders_at_round: frozenset[str] = frozenset()
         self._last_round_ms = now_ms
 
     def on_announcement(self, announcement: Announcement, now_ms: int) -> None:
@@ -308,7 +308,7 @@
         Call it after the commands of `commands` were applied, so that placement sees
         their effect.
         """
-        if self._has_order_ended():
+        if self._has_adapter_order_ended():
             early_round_ms = self._last_round_ms + ENDED_ORDER_ROUND_MS
             self._next_round_ms = min(self._next_round_ms, early_round_ms)
         if now_ms < self._next_round_ms:
@@ -317,13 +317,19 @@
         self._next_round_ms = now_ms + PLACEMENT_ROUND_MS
         self._forget_ended()
         orders = placement.decide_orders(self.placement, now_ms)
-        self._open_at_round = frozenset(self._fleet.open_orders)
+        self._adapter_orders_at_round = frozenset(
+            order.order_id
+            for order in self._fleet.open_orders.values()
+            if order.adapter
+        )
         return RecordOrders(self.term, tuple(orders)) if orders else None
 
-    def _has_order_ended(self) -> bool:
-        """Returns whether requests wait and an order of the last round has ended."""
+    def _has_adapter_order_ended(self) -> bool:
+        """Returns whether requests wait and an adapter's order has ended since."""
         open_ids = self._fleet.open_orders.keys()
-        return bool(self.placement.waits) and not self._open_at_round <= open_ids
+        return (
+            bool(self.placement.waits) and not self._adapter_orders_at_round <= open_ids
+        )
 
     def next_round_delay_ms(self, now_ms: int) -> int:
         """Returns the time until the next placement round."""
--- a/cassiapitch/survey.py
+++ b/cassiapitch/survey.py
@@ -101,9 +101,11 @@
             capacity_mib - incarnation.charged_mib,
             busy_ratio,
         )
-        is_occupied = any(map(_occupies_engine, incarnation.ledger.orders.values()))
+        has_model_order = any(
+            not order.adapter for order in incarnation.ledger.orders.values()
+        )
         engine.is_blocked = incarnation.life_id in self._blocked_lives or (
-            is_occupied and self._runs_orders_one_by_one(incarnation.role)
+            has_model_order and self._runs_orders_one_by_one(incarnation.role)
         )
         self.engines[incarnation.life_id] = engine
         self.engines_by_role[incarnation.role].append(engine)
@@ -200,15 +202,6 @@
         return (request_count + waiting_count) / max(1, slot_count)
 
 
-def _occupies_engine(order: Order) -> bool:
-    """Tells whether an engine that takes one order at a time rejects others for long.
-
-    Adapters are loaded and unloaded at once, unless requests use an adapter that is to
-    be unloaded.
-    """
-    return not order.adapter or (order.accepted and not order.is_load())
-
-
 def copy_weight(incarnation: Incarnation) -> float:
     """Returns which part of a copy one at this engine counts for."""
     return 1.0 if incarnation.limit is None else LIMITED_COPY_WEIGHT
