--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -41,7 +41,7 @@
 from cassiapitch.prefill import FIRST_TOKEN_LIMIT_SHARE
 from cassiapitch.retries import RequestProgress
 from cassiapitch.scheduler import NoSlot, Slot, SlotRequest
-from cassiapitch.service_times import ServiceTimes
+from cassiapitch.stop_admission import StopAdmission
 from cassiapitch.stream_versions import StreamVersions
 from cassiapitch.viewitems import AccountItem, BackendItem
 
@@ -51,10 +51,6 @@
 DECLINED_RETRY_DELAY_MS = 40
 # Backend servers that end a request at the deadline respond just after it.
 DEADLINE_GRACE_MS = 60
-# During a planned stop, a request is taken if it will end in time though it takes this
-# many times as long as usual, and a moment more.
-STOP_ALLOWANCE = 1.2
-STOP_SPARE_MS = 100
 # Callers refused by an entry that stops may return to another one at once.
 STOP_RETRY_MS = 20
 # Lower statuses say that the request was served.
@@ -83,10 +79,8 @@
         self._limit_reports = LimitReports(state)
         self._connections = BackendConnectionPool(state.backend_paths)
         state.backend_removal_callbacks.append(self._connections.retain_only)
-        self._service_times = ServiceTimes()
+        self._stop_admission = StopAdmission()
         self._running_scopes: set[anyio.CancelScope] = set()
-        # When responses have to be complete during a stop; None before it.
-        self._stop_deadline_ms: int | None = None
         self._is_stopped = False
 
     def begin_stop(self, deadline_ms: int) -> None:
@@ -95,7 +89,7 @@
         Every further response tells its caller to close the connection.
         """
         self.response_relay.is_stopping = True
-        self._stop_deadline_ms = deadline_ms
+        self._stop_admission.begin_stop(deadline_ms)
 
     def end_calls(self) -> None:
         """Ends all requests at a stop; those without a response get a refusal."""
@@ -165,13 +159,10 @@
         Raises:
             RefusedError: Its response would probably be cut off.
         """
-        if self._stop_deadline_ms is None or call.progress.may_have_been_sent:
-            return
-        likely_ms = self._service_times.likely_ms(
-            call.route.name, call.head.answer_tokens
-        )
-        end_ms = timers.now_ms() + likely_ms * STOP_ALLOWANCE + STOP_SPARE_MS
-        if end_ms > self._stop_deadline_ms:
+        is_sent = call.progress.may_have_been_sent
+        if not is_sent and not self._stop_admission.admits(
+            call.route.name, call.head.answer_tokens, timers.now_ms()
+        ):
             raise RefusedError(ErrorKind.SHUTTING_DOWN, STOP_RETRY_MS)
 
     def _record_service_time(self, call: ForwardCall) -> None:
@@ -181,7 +172,7 @@
         now_ms = timers.now_ms()
         # A stream that was resumed began before the last attempt.
         begun_ms = max(call.placed_ms, call.first_byte_ms or now_ms)
-        self._service_times.record(
+        self._stop_admission.service_times.record(
             call.route.name,
             begun_ms - call.placed_ms,
             now_ms - begun_ms if call.route.is_stream else 0,
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -13,6 +13,7 @@
     placement_fixed,
     placement_waits,
 )
+from cassiapitch.adapter_slots import AdapterSlots
 from cassiapitch.backends import Incarnation
 from cassiapitch.fleet_commands import NewOrder
 from cassiapitch.orders import is_adapter_key, model_key, name_of
@@ -42,18 +43,6 @@
 # wait for an unload.
 SPARE_ADAPTER_SLOTS_COUNT = 1
 
-# An adapter that no request uses is unloaded within less time. Behind one that takes
-# longer, another engine frees a slot.
-ADAPTER_UNLOAD_MS = 1_000
-
-# An adapter that was asked for within this time may have running requests. Its unload
-# would wait for them, and the engine carries out nothing else meanwhile.
-ADAPTER_IN_USE_MS = 3_000
-
-# An adapter stays for at least this long, so that the requests that waited for it are
-# served: entries have to see it and to send them.
-ADAPTER_RESIDENCE_MS = 800
-
 # Age on the waiting list from which other loads are kept off one engine.
 HOLD_AFTER_MS = 20_000
 
@@ -92,11 +81,7 @@
         self._load_search_count = 0
         self._eviction_search_count = 0
         self._max_usable_mib: dict[str, int] = {}
-        self._used_adapter_slots: dict[str, int] = {}
-        # Adapter slots that open unloads will free, by model, less those that waiting
-        # adapters of this round count on.
-        self._coming_slots: dict[str, int] = {}
-        self._slot_freed_lives: set[str] = set()
+        self._adapter_slots = AdapterSlots(state, survey, now_ms)
         self._limits_adapters_by_model: dict[str, bool] = {}
         self._target_copies = copy_targets.target_copies(state, survey, now_ms)
         self._eviction = eviction.EvictionSelector(
@@ -296,23 +281,24 @@
     def _place_adapter(self, key: str, engines: list[EngineState]) -> None:
         """Loads an adapter next to its model.
 
-        If no engine has a free slot, unloads the adapter with the least demand.
+        If no engine has a free slot, unloads another adapter.
         """
         available = [engine for engine in engines if self._survey.may_load(engine, key)]
         fitting = [
             engine
             for engine in available
             if engine.free_mib >= self._survey.added_mib(engine, key)
-            and self._used_adapter_slots.get(engine.incarnation.life_id, 0)
-            < (self._state.fleet.free_adapter_slots(engine.incarnation) or 0)
+            and self._adapter_slots.free_count(engine) > 0
         ]
         if fitting and self._store_allows(key):
             engine = min(fitting, key=lambda engine: engine.busy_ratio)
-            used_count = self._used_adapter_slots.get(engine.incarnation.life_id, 0)
-            self._used_adapter_slots[engine.incarnation.life_id] = used_count + 1
+            self._adapter_slots.take(engine)
             self.order_load(engine, key)
         elif not fitting:
-            self._free_adapter_slot(key, engines)
+            unload = self._adapter_slots.choose_unload(self._model_of(key), engines)
+            if unload is not None:
+                engine, victim = unload
+                self._order_unload(engine.incarnation, victim)
 
     def _spread_adapters(self) -> None:
         """Loads the adapters with the most demand into free adapter slots.
@@ -333,76 +319,16 @@
             if not self._limits_adapters(self._model_of(key)):
                 continue
             for engine in self._candidate_engines(key):
-                free_count = (
-                    self._state.fleet.free_adapter_slots(engine.incarnation) or 0
-                )
-                used_count = self._used_adapter_slots.get(engine.incarnation.life_id, 0)
                 if (
-                    free_count - used_count <= SPARE_ADAPTER_SLOTS_COUNT
+                    self._adapter_slots.free_count(engine) <= SPARE_ADAPTER_SLOTS_COUNT
                     or not self._survey.may_load(engine, key)
                     or not self._store_allows(key)
                     or engine.free_mib < self._survey.added_mib(engine, key)
                 ):
                     continue
-                self._used_adapter_slots[engine.incarnation.life_id] = used_count + 1
+                self._adapter_slots.take(engine)
                 self.order_load(engine, key)
 
-    def _free_adapter_slot(self, key: str, engines: list[EngineState]) -> None:
-        """Unloads an idle adapter with little demand unless a slot becomes free.
-
-        An engine may take long over an unload, or be gone; that holds up neither the
-        other engines nor the other waiting adapters.
-        """
-        model = self._model_of(key)
-        if model not in self._coming_slots:
-            self._coming_slots[model] = sum(
-                self._frees_slot_soon(engine.incarnation) for engine in engines
-            )
-        if self._coming_slots[model] > 0:
-            self._coming_slots[model] -= 1
-            return
-        waiting = {waiting_key for _, waiting_key in self._state.demand.waiting()}
-        candidates: list[tuple[bool, bool, float, str, EngineState]] = []
-        for engine in engines:
-            if (
-                engine.is_blocked
-                or engine.incarnation.life_id in self._slot_freed_lives
-                or self._has_open_unload(engine.incarnation, adapters=True)
-            ):
-                continue
-            candidates.extend(
-                (
-                    self._state.demand.idle_ms(other, self._now_ms) < ADAPTER_IN_USE_MS,
-                    len(self._survey.copies.get(other, ())) <= 1,
-                    self._state.demand.rate(other, self._now_ms),
-                    other,
-                    engine,
-                )
-                for other in engine.incarnation.ledger.reported
-                if is_adapter_key(other)
-                and other not in waiting
-                and engine.incarnation.ledger.open_order(other) is None
-                and self._state.resident_ms(
-                    engine.incarnation.life_id, other, self._now_ms
-                )
-                >= ADAPTER_RESIDENCE_MS
-            )
-        if candidates:
-            _, _, _, victim, engine = min(candidates, key=lambda item: item[:4])
-            self._slot_freed_lives.add(engine.incarnation.life_id)
-            self._order_unload(engine.incarnation, victim)
-
-    def _frees_slot_soon(self, incarnation: Incarnation) -> bool:
-        """Tells whether an engine unloads an adapter and isn't late with it."""
-        first_seen_ms = self._state.order_first_seen_ms
-        return any(
-            not order.is_load()
-            and bool(order.adapter)
-            and self._now_ms - first_seen_ms.get(order.order_id, self._now_ms)
-            <= ADAPTER_UNLOAD_MS
-            for order in incarnation.ledger.orders.values()
-        )
-
     def _place_model_of_adapter(self, adapter: str, age_ms: int) -> None:
         """Loads an adapter's model on an engine where both fit.
 
@@ -480,14 +406,9 @@
             del self._state.planned_loads[key]
         return True
 
-    def _has_open_unload(
-        self, incarnation: Incarnation, *, adapters: bool = False
-    ) -> bool:
-        """Tells whether an engine has an open unload, optionally of an adapter only."""
-        return any(
-            not order.is_load() and (bool(order.adapter) or not adapters)
-            for order in incarnation.ledger.orders.values()
-        )
+    def _has_open_unload(self, incarnation: Incarnation) -> bool:
+        """Tells whether an engine has an open unload."""
+        return any(not order.is_load() for order in incarnation.ledger.orders.values())
 
     def _candidate_engines(self, key: str) -> list[EngineState]:
         """Returns the engines on which a model or adapter can be loaded.
