--- a/cassiapitch/joining.py
+++ b/cassiapitch/joining.py
@@ -107,7 +107,7 @@
             if member.node.leadership is not None:
                 # A leader can't wait for its own removal. Another member that stops
                 # may just have passed the leadership on.
-                outcome = await member.transfer_leadership(None, LEAVE_ATTEMPT_MS)
+                await member.transfer_leadership(None, LEAVE_ATTEMPT_MS)
             else:
                 outcome = await member.leave(LEAVE_ATTEMPT_MS)
                 events.log(
