Refuse nothing for good by a view that nobody has confirmed lately

Callers don't return after 401 and 404, so such a request is lost.

Cause, by reading: an entry goes on with its view while nobody confirms it (serve_unconfirmed), and took it as proof that a route or key doesn't exist.

Change: if the view hasn't been confirmed as of the last 1.8 s, which is below the 2 s in which a version has to be obeyed, an unknown route or key gets 503 not_ready, unsent.

Measured: test_view_that_is_not_confirmed_proves_no_route_and_no_key_unknown failed before (401 and 404) and passes.

--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -135,7 +135,7 @@
             raise RefusedError(ErrorKind.NOT_READY)
         route = catalog.forward(request.host, request.path)
         if route is None:
-            raise RefusedError(ErrorKind.ROUTE_UNKNOWN)
+            raise self._refusal_of_unknown(ErrorKind.ROUTE_UNKNOWN)
         account = None if route.open else self._find_account(head)
         left_ms = DEFAULT_TIMEOUT_MS if head.left_ms is None else head.left_ms
         call = ForwardCall(
@@ -193,9 +193,19 @@
         item = catalog.keys.get(digest)
         account = None if item is None else catalog.accounts.get(item.account)
         if account is None:
-            raise RefusedError(ErrorKind.KEY_UNKNOWN)
+            raise self._refusal_of_unknown(ErrorKind.KEY_UNKNOWN)
         return account
 
+    def _refusal_of_unknown(self, kind: ErrorKind) -> RefusedError:
+        """Returns the refusal of a request whose route or key the view lacks.
+
+        A view that nobody has confirmed lately may lack what was added since. Callers
+        don't return after a final refusal, so such a request is sent elsewhere.
+        """
+        if self._state.freshness.is_fresh(timers.now_ms()):
+            return RefusedError(kind)
+        return RefusedError(ErrorKind.NOT_READY)
+
     async def _serve_until_deadline(
         self, call: ForwardCall, caller: CallerConnection
     ) -> None:
--- a/tests/test_forwardcall.py
+++ b/tests/test_forwardcall.py
@@ -5,6 +5,7 @@
 
 from cassiapitch import forwardanswers
 from cassiapitch.backend_connection import BackendBrokenError
+from cassiapitch.freshness import FRESHNESS_LIMIT_MS
 from tests.forward_world import (
     IDEMPOTENT,
     KEY,
@@ -207,6 +208,28 @@
     assert unknown_route.startswith(b"HTTP/1.1 404")
 
 
+def test_view_that_is_not_confirmed_proves_no_route_and_no_key_unknown():
+    """Guards against final refusals of routes and keys that an entry hasn't heard of."""
+
+    async def scenario(world):
+        freshness = world.state.freshness
+        freshness._as_of_ms -= FRESHNESS_LIMIT_MS + 1_000
+        request = (
+            b"GET %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q1\r\n"
+            b"Authorization: Bearer %s\r\nConnection: close\r\n\r\n"
+        )
+        return (
+            await world.exchange(request % (b"/charge/1", b"other")),
+            await world.exchange(request % (b"/new/1", KEY.encode())),
+            await world.call(),
+        )
+
+    wrong_key, unknown_route, known = play(scenario, ONCE, answers)
+    assert wrong_key.startswith(b"HTTP/1.1 503")
+    assert unknown_route.startswith(b"HTTP/1.1 503")
+    assert known.startswith(b"HTTP/1.1 200")
+
+
 def test_broken_stream_never_looks_complete():
     async def breaks_midway(backend, request, stream):
         await stream.send(stream_head(request_id(request)) + chunk(event(1)))
