Split what grew: responses' statements, the entries' loads, tests of streams

Change: backend_statements (what responses say of their backend server), entry_loads (the entries' requests at each backend server), test_forward_streams; steps that the tests of joining share. Nothing behaves differently.

--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -15,6 +15,7 @@
 from cassiapitch.backends import Incarnation
 from cassiapitch.brittle_backends import BrittleReports
 from cassiapitch.demand_tracker import DemandTracker, add_known_demand
+from cassiapitch.entry_loads import EntryLoads
 from cassiapitch.fleet import Fleet
 from cassiapitch.fleet_commands import (
     BackendMark,
@@ -29,7 +30,6 @@
 from cassiapitch.load_report_queue import LoadReportQueue
 from cassiapitch.messages import (
     DemandReport,
-    InFlight,
     LoadReport,
     LoadReports,
 )
@@ -51,9 +51,6 @@
 # fencing token; the fleet can't record that many while one member leads.
 ORDERS_PER_TERM = 10**9
 
-# Entries report twice a second. Older reports are ignored, since the entry has stopped.
-IN_FLIGHT_VALID_MS = 1_500
-
 # Limits the announcements in one command, so that it stays under 1 MiB.
 ANNOUNCEMENTS_PER_COMMAND = 256
 
@@ -167,7 +164,7 @@
         self._progress: dict[str, _OrderProgress] = {}
         self._load_report_queue = LoadReportQueue()
         # By entry: its requests in flight by life id, and the time of the report.
-        self._in_flight: dict[str, tuple[dict[str, InFlight], int]] = {}
+        self._entry_loads = EntryLoads()
         self._last_reported_counts: dict[str, int] = {}
         self._next_round_ms = now_ms
         self._adapter_orders_at_round: frozenset[str] = frozenset()
@@ -228,8 +225,7 @@
             delay_ms = URGENT_ADAPTER_ROUND_MS if has_adapter else URGENT_ROUND_MS
             early_round_ms = self._last_round_ms + delay_ms
             self._next_round_ms = min(self._next_round_ms, early_round_ms)
-        in_flight_by_life_id = {item.life_id: item for item in report.in_flight}
-        self._in_flight[report.entry] = (in_flight_by_life_id, now_ms)
+        self._entry_loads.record(report.entry, report.in_flight, now_ms)
         for life_id in report.leaving_backends:
             self._leaving_since_ms.setdefault(life_id, now_ms)
         self._refused_reports.add(report.entry, report.refused_backends, now_ms)
@@ -243,19 +239,13 @@
 
     def _sum_entry_loads(self, now_ms: int) -> None:
         """Sums the entries' in-flight requests for roles that report no load."""
-        recent = [
-            counts
-            for counts, at_ms in self._in_flight.values()
-            if now_ms - at_ms <= IN_FLIGHT_VALID_MS
+        silent = [
+            incarnation
+            for incarnation in self._fleet.lives.values()
+            if not self._reports_load(incarnation.role)
         ]
-        for incarnation in self._fleet.lives.values():
-            if self._reports_load(incarnation.role):
-                continue
-            items = [
-                item for counts in recent if (item := counts.get(incarnation.life_id))
-            ]
-            count = sum(item.count for item in items)
-            tokens = sum(item.pending_tokens for item in items)
+        sums = self._entry_loads.sums([item.life_id for item in silent], now_ms)
+        for incarnation, (count, tokens) in zip(silent, sums, strict=True):
             self.placement.request_counts[incarnation.life_id] = (count, 0)
             self.placement.update_backlog(incarnation.life_id, tokens)
             report = LoadReport(
@@ -282,7 +272,7 @@
         reports, counts = self._load_report_queue.next_batch()
         expected_ms = placement_state.expected_ms(self.placement, now_ms)
         are_entries_known = now_ms - self._term_start_ms >= ENTRIES_REPORTED_MS
-        entries_count = len(self._in_flight) if are_entries_known else 0
+        entries_count = self._entry_loads.entries_count if are_entries_known else 0
         pauses_ms = self._pauses.remaining_ms(now_ms)
         brittle = self._brittle_reports.current(now_ms)
         return LoadReports(
@@ -462,7 +452,7 @@
     def active_entries_count(self, now_ms: int) -> int:
         """Returns the number of entries that have reported lately."""
         since_ms = now_ms - refused_reports.WINDOW_MS
-        return sum(at_ms >= since_ms for _, at_ms in self._in_flight.values())
+        return self._entry_loads.count_since(since_ms)
 
     def _due_marks(self, now_ms: int) -> list[BackendMark]:
         marks = []
--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from cassiapitch import events, metrics, rate_budget, timers
+from cassiapitch import metrics, rate_budget, timers
 from cassiapitch.backend_connection import (
     BackendBrokenError,
     BackendConnection,
@@ -13,6 +13,7 @@
     BackendUnreachableError,
     ResponseHead,
 )
+from cassiapitch.backend_statements import BackendStatements
 from cassiapitch.caller_connection import (
     CallerConnection,
     CallerDisconnectedError,
@@ -79,6 +80,7 @@
         self._limit_reports = LimitReports(state)
         self._connections = BackendConnectionPool(state.backend_paths)
         state.backend_removal_callbacks.append(self._connections.retain_only)
+        self._statements = BackendStatements(state, self._candidates, self._connections)
         self._stop_admission = StopAdmission()
         self._running_scopes: set[anyio.CancelScope] = set()
         self._is_stopped = False
@@ -372,7 +374,7 @@
             if backend_head.is_not_executed:
                 is_reusable = await connection.discard_body()
                 connection.record_refusal(call.head.request_id)
-                self._record_declined(call, slot, head, backend_head)
+                self._statements.record_declined(call, slot, head, backend_head)
                 return False
             if not await self.response_relay.relay(
                 call, slot, caller, connection, head
@@ -434,7 +436,7 @@
         await connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
         backend_head = self._header_codec.read_backend(head.status, head.headers)
-        self._apply_backend_state(backend, connection, backend_head)
+        self._statements.record_state(backend, connection, backend_head)
         expected_id = call.head.request_id
         connection.close_after_use = connection.close_after_use or expected_id is None
         response_id = backend_head.request_id
@@ -444,56 +446,6 @@
         self._limit_reports.record(backend, backend_head, known_limit_index)
         return head, backend_head
 
-    def _apply_backend_state(
-        self,
-        backend: BackendItem,
-        connection: BackendConnection,
-        backend_head: BackendHead,
-    ) -> None:
-        """Tells the router if a response's backend server leaves or asks for a pause.
-
-        The view shows a departure after the next heartbeat only, and a pause never.
-        Other entries learn of both through the leader.
-        """
-        now_ms = timers.now_ms()
-        if backend_head.is_signed or backend_head.rejections_per_s is not None:
-            self._state.router.brittle.record_statement(
-                backend.life_id, backend_head.rejections_per_s, now_ms
-            )
-        if backend_head.is_leaving:
-            connection.close_after_use = True
-            if not self._state.router.is_leaving(backend.life_id):
-                events.log(events.Event.BACKEND_SAID_LEAVING, name=backend.name)
-                self._state.router.mark_leaving(backend.life_id)
-                self._connections.close_idle(backend.life_id)
-                self._state.demand.add_leaving_backend(backend.life_id)
-                self._state.demand_needed.notify_all()
-        if backend_head.pause_ms:
-            pause_ms = backend_head.pause_ms
-            self._state.router.pause(backend.life_id, pause_ms, now_ms)
-            self._state.demand.add_paused_backend(backend.life_id, now_ms + pause_ms)
-            self._state.demand_needed.notify_all()
-
-    def _record_declined(
-        self,
-        call: ForwardCall,
-        slot: Slot,
-        head: ResponseHead,
-        backend_head: BackendHead,
-    ) -> None:
-        """Records that the backend server said it did not run the request."""
-        log_failed_attempt(call, slot.backend, f"declined: {head.status}")
-        call.progress.mark_declined()
-        if not backend_head.is_other_backend and self._state.router.record_rejection(
-            slot.backend, timers.now_ms()
-        ):
-            self._state.demand_needed.notify_all()
-        if backend_head.is_other_backend:
-            self._candidates.mark_model_missing(
-                slot.backend.life_id, slot.slot_request.name
-            )
-            self._state.demand_needed.notify_all()
-
     async def _handle_broken(self, call: ForwardCall, slot: Slot) -> None:
         """Handles an exchange that failed after the request was sent.
 
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -61,6 +61,18 @@
         self.scopes[ip], self.ended[ip] = anyio.CancelScope(), anyio.Event()
         self.tasks.start_soon(self._run, ip, member, seeds)
 
+    async def start_five(self):
+        for ip in IPS[:5]:
+            await self.start(ip)
+        await self.wait_until(lambda: self.all_agree_on_voters(5))
+
+    async def start_learner(self, ip):
+        """Starts a spare member, or a removed one again; returns it as a learner."""
+        await self.start(ip, bootstrap=False)
+        member = self.members[ip]
+        await self.wait_until(lambda: member.status().role == "learner")
+        return member
+
     async def _run(self, ip, member, seeds):
         server = await rpc.serve(
             member.serve_handlers(), member.settings.rpc_address, None
@@ -89,6 +101,12 @@
         while not condition():  # noqa: ASYNC110
             await anyio.sleep(0.05)
 
+    def all_agree_on_names(self, names):
+        return all(
+            {peer.name for peer in member.status().members if peer.voter} == names
+            for member in self.members.values()
+        )
+
     def all_agree_on_voters(self, count):
         voters_by_member = list(self.voters_by_member().values())
         return all(
@@ -124,9 +142,7 @@
     too small."""
 
     async def scenario(group):
-        for ip in IPS[:5]:
-            await group.start(ip)
-        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        await group.start_five()
         outcome = await group.members[IPS[1]].propose(b"kept", 5_000)
         assert isinstance(outcome, Committed)
         before = group.voters_by_member()[IPS[0]]
@@ -154,18 +170,11 @@
 
 def test_another_instance_replaces_a_lost_member(tmp_path):
     async def scenario(group):
-        for ip in IPS[:5]:
-            await group.start(ip)
-        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        await group.start_five()
         await group.stop(IPS[2])
         await group.start(IPS[5], bootstrap=False)
         names = set(IPS) - {IPS[2]}
-        await group.wait_until(
-            lambda: all(
-                {peer.name for peer in member.status().members if peer.voter} == names
-                for member in group.members.values()
-            )
-        )
+        await group.wait_until(lambda: group.all_agree_on_names(names))
 
     run_scenario(scenario, tmp_path)
 
@@ -174,21 +183,12 @@
     """Guards against a member that takes itself for a voter and serves nobody."""
 
     async def scenario(group):
-        for ip in IPS[:5]:
-            await group.start(ip)
-        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        await group.start_five()
         await group.stop(IPS[1])
         await group.start(IPS[5], bootstrap=False)
         names = set(IPS) - {IPS[1]}
-        await group.wait_until(
-            lambda: all(
-                {peer.name for peer in member.status().members if peer.voter} == names
-                for member in group.members.values()
-            )
-        )
-        await group.start(IPS[1], bootstrap=False)
-        returned = group.members[IPS[1]]
-        await group.wait_until(lambda: returned.status().role == "learner")
+        await group.wait_until(lambda: group.all_agree_on_names(names))
+        returned = await group.start_learner(IPS[1])
         assert isinstance(await returned.propose(b"a", 5_000), Committed)
 
     run_scenario(scenario, tmp_path)
@@ -198,12 +198,8 @@
     """Guards against a group of four working voters until the old one counts as lost."""
 
     async def scenario(group):
-        for ip in IPS[:5]:
-            await group.start(ip)
-        await group.wait_until(lambda: group.all_agree_on_voters(5))
-        await group.start(IPS[5], bootstrap=False)
-        new = group.members[IPS[5]]
-        await group.wait_until(lambda: new.status().role == "learner")
+        await group.start_five()
+        new = await group.start_learner(IPS[5])
         stopping = [group.members[IPS[0]], group.members[IPS[4]]]
         for member in stopping:
             await joining.leave_if_replaced(member, 2)
@@ -219,9 +215,7 @@
     """Guards against a group that shrinks at each planned restart."""
 
     async def scenario(group):
-        for ip in IPS[:5]:
-            await group.start(ip)
-        await group.wait_until(lambda: group.all_agree_on_voters(5))
+        await group.start_five()
         before = group.voters_by_member()
         for member in group.members.values():
             await joining.leave_if_replaced(member, 2)
@@ -235,12 +229,8 @@
     removes a member that asks for it at once, and then promotes the learner."""
 
     async def scenario(group):
-        for ip in IPS[:5]:
-            await group.start(ip)
-        await group.wait_until(lambda: group.all_agree_on_voters(5))
-        await group.start(IPS[5], bootstrap=False)
-        new = group.members[IPS[5]]
-        await group.wait_until(lambda: new.status().role == "learner")
+        await group.start_five()
+        new = await group.start_learner(IPS[5])
         for member in group.members.values():
             member.changes.waits_for_replacement = False
         leader = new.status().leader
