Wait longer for a confirmation when no member gives one

Cause: an entry gives a member 1 s to confirm the view. After the fault all members send the rest of the view to 111 entries at once, which takes longer; each entry dropped its link and began anew elsewhere, so no entry ever got the view.

Change: after three streams in a row without a confirmation, the limit doubles with each further one, to 16 s at most. The first three stay short, so that an entry still finds a connected member while two are cut off.

Measured: test_members_that_need_long_for_their_first_confirmation_are_waited_for failed before and passes.

--- a/cassiapitch/link.py
+++ b/cassiapitch/link.py
@@ -22,6 +22,11 @@
 # A member that is partitioned from the quorum can't confirm the view. The link must
 # switch to another member well within the freshness limit of 1,800 ms.
 SILENCE_LIMIT_MS = 1_000
+# After this many streams in a row that no member confirmed, the limit doubles with each
+# further one: all members may have to send a large change to all entries, and would
+# have to begin anew with each stream.
+UNCONFIRMED_STREAMS_COUNT = 3
+LONGEST_SILENCE_LIMIT_MS = 16_000
 INITIAL_BACKOFF_MS = 100
 MAX_BACKOFF_MS = 2_000
 # How long a failed member is tried last: long enough for attempts at two other members
@@ -168,6 +173,8 @@
         self._tls = tls
         self._confirm_period_ms = confirm_period_ms
         self._confirmed_ms = 0
+        # Streams that ended without a confirmation since the last one that had one.
+        self._unconfirmed_count = 0
 
     async def run(self) -> None:
         """Opens streams, one after the other, until cancelled."""
@@ -208,6 +215,7 @@
                 OUTGOING_LIMIT_COUNT
             )
             self._confirmed_ms = timers.now_ms()
+            self._unconfirmed_count += 1
             self._handlers.opened(self._link_number, sender.send_nowait)
             try:
                 async with anyio.create_task_group() as group:
@@ -225,7 +233,8 @@
 
     async def _request_confirmations(self, sender: Any) -> None:
         while True:
-            if timers.now_ms() - self._confirmed_ms > SILENCE_LIMIT_MS:
+            limit_ms = silence_limit_ms(self._unconfirmed_count)
+            if timers.now_ms() - self._confirmed_ms > limit_ms:
                 raise LinkError("the member did not confirm the view in time")
             sender.send_nowait(self._handlers.confirm_ask())
             await anyio.sleep(self._confirm_period_ms / 1000)
@@ -236,12 +245,25 @@
                 raise LinkError(f"refused: {message.reason}")
             if isinstance(message, Confirmed):
                 self._confirmed_ms = timers.now_ms()
+                self._unconfirmed_count = 0
                 self._plan.record_success(self._link_number)
             if self._handlers.received(self._link_number, message):
                 raise LinkError("a delta does not fit the view")
         raise LinkError("the member ended the stream")
 
 
+def silence_limit_ms(unconfirmed_count: int) -> int:
+    """Returns how long a member may take to confirm the view.
+
+    Args:
+        unconfirmed_count: Streams without a confirmation, with the current one.
+    """
+    doublings_count = max(0, unconfirmed_count - UNCONFIRMED_STREAMS_COUNT)
+    return min(
+        LONGEST_SILENCE_LIMIT_MS, SILENCE_LIMIT_MS * 2 ** min(doublings_count, 8)
+    )
+
+
 def _flatten(error: BaseException) -> list[BaseException]:
     if not isinstance(error, BaseExceptionGroup):
         return [error]
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,8 +1,17 @@
 """Tests of the choice of the member that an entry's link goes to."""
 
+import anyio
 import pytest
 
-from cassiapitch.link import CONNECT_LIMIT_MS, SILENCE_LIMIT_MS, LinkPlan
+from cassiapitch import rpc
+from cassiapitch.link import (
+    CONNECT_LIMIT_MS,
+    SILENCE_LIMIT_MS,
+    Link,
+    LinkHandlers,
+    LinkPlan,
+)
+from cassiapitch.messages import ConfirmAsk, Confirmed, LinkHello
 from cassiapitch.settings import Address, ControlPeer
 
 MEMBERS = tuple(
@@ -34,3 +43,45 @@
     plan.record_failure(0, 0)
     assert plan.choose(0, 0) is None
     assert plan.choose(0, 200) == MEMBERS[0]
+
+
+def test_members_that_need_long_for_their_first_confirmation_are_waited_for():
+    """Guards against entries that open their links anew without end, since all members
+    send a large change to all entries."""
+    needed_s = 2.5 * SILENCE_LIMIT_MS / 1_000
+    confirmed = anyio.Event()
+
+    async def confirm_late(stream):
+        hello = await stream.recv_message()
+        assert isinstance(hello, LinkHello)
+        ask = await stream.recv_message()
+        await anyio.sleep(needed_s)
+        await stream.send_message(Confirmed(ask.sequence, 0))
+        async for ask in stream:
+            await stream.send_message(Confirmed(ask.sequence, 0))
+
+    def receive(number, message):
+        if isinstance(message, Confirmed):
+            confirmed.set()
+        return False
+
+    async def main():
+        handler = rpc.Handler("Hub", {"Link": confirm_late})
+        server = await rpc.serve([handler], Address("127.0.0.1", 0), None)
+        members = (ControlPeer("m0", "z", Address("127.0.0.1", server.port)),)
+        handlers = LinkHandlers(
+            lambda number: LinkHello("e", "e@1", "c", "z", 0, True, True),
+            lambda: ConfirmAsk(1),
+            lambda number, send: None,
+            receive,
+            lambda number: None,
+        )
+        link = Link(0, LinkPlan(members, "z", "e"), handlers, None, 200)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(link.run)
+            with anyio.fail_after(30):
+                await confirmed.wait()
+            tasks.cancel_scope.cancel()
+        await server.close()
+
+    anyio.run(main)
