Log what admits a request during a planned stop, and what is cut at its end

The log couldn't tell the hypotheses about LOST at a planned stop apart: whether the estimate, its samples, or a tunnel was behind a request that was cut. `forwarded` and `forward_refused` now name the time that was left, the time that was expected and the number of samples it rests on, and whether the last attempt went through another entry; `entry_drained` counts what was admitted, refused and still running.

39 tests of the stop, of forwarding and of the events passed.

--- a/cassiapitch/forwardcall.py
+++ b/cassiapitch/forwardcall.py
@@ -1,11 +1,12 @@
 """Serves forwarded requests: routing, admission, attempts and retries."""
 
+import dataclasses
 import hashlib
 import random
 
 import anyio
 
-from cassiapitch import metrics, rate_budget, timers
+from cassiapitch import events, metrics, rate_budget, timers
 from cassiapitch.backend_connection import (
     BackendBrokenError,
     BackendConnection,
@@ -96,6 +97,9 @@
     def end_calls(self) -> None:
         """Ends all requests at a stop; those without a response get a refusal."""
         self._is_stopped = True
+        counts = self._stop_admission.counts
+        counts.cut_count = len(self._running_scopes)
+        events.log(events.Event.ENTRY_DRAINED, **dataclasses.asdict(counts))
         for scope in list(self._running_scopes):
             scope.cancel()
 
@@ -161,11 +165,14 @@
         Raises:
             RefusedError: Its response would probably be cut off.
         """
-        is_sent = call.progress.may_have_been_sent
-        if not is_sent and not self._stop_admission.admits(
+        if call.progress.may_have_been_sent:
+            return
+        decision = self._stop_admission.decide(
             call.route.name, call.head.answer_tokens, timers.now_ms()
-        ):
-            raise RefusedError(ErrorKind.SHUTTING_DOWN, STOP_RETRY_MS)
+        )
+        call.stop_decision = decision
+        if decision is not None and not decision.is_admitted:
+            raise RefusedError(ErrorKind.SHUTTING_DOWN, STOP_RETRY_MS, decision)
 
     def _record_service_time(self, call: ForwardCall) -> None:
         """Records how long the last attempt took, which was answered."""
@@ -432,6 +439,7 @@
         if self._state.send_limits.is_limited(backend.life_id):
             metrics.LIMITED_SENDS.inc()
         call.backends.append(backend.name)
+        call.is_tunneled = connection.is_tunneled
         known_limit_index = self._state.send_limits.known_index(backend.life_id)
         await connection.send(request.method, request.target, headers, request.body)
         head = await connection.read_head()
--- a/cassiapitch/forwardlog.py
+++ b/cassiapitch/forwardlog.py
@@ -4,6 +4,7 @@
 from cassiapitch.caller_connection import CallerRequest
 from cassiapitch.forwardtypes import ForwardCall, RefusedError
 from cassiapitch.header_codec import CallerHead
+from cassiapitch.stop_admission import StopDecision
 from cassiapitch.viewitems import BackendItem
 
 
@@ -33,9 +34,21 @@
         path=request.path,
         reason=error.kind.value,
         view_index=view_index,
+        **_stop_fields(error.stop_decision),
     )
 
 
+def _stop_fields(decision: StopDecision | None) -> dict[str, int]:
+    """Returns what the decision about a request during a planned stop rests on."""
+    if decision is None:
+        return {}
+    return {
+        "stop_left_ms": decision.left_ms,
+        "expected_ms": decision.expected_ms,
+        "samples_count": decision.samples_count,
+    }
+
+
 def _ms_since_arrival(time_ms: int | None, call: ForwardCall) -> int | None:
     return None if time_ms is None else time_ms - call.arrived_ms
 
@@ -82,4 +95,6 @@
         took_ms=now_ms - call.arrived_ms,
         left_ms=call.deadline_ms - now_ms,
         view_index=view_index,
+        tunneled=call.is_tunneled,
+        **_stop_fields(call.stop_decision),
     )
--- a/cassiapitch/forwardtypes.py
+++ b/cassiapitch/forwardtypes.py
@@ -11,6 +11,7 @@
 from cassiapitch.part_reports import PartRun
 from cassiapitch.rate_budget import Admitted
 from cassiapitch.retries import RequestProgress
+from cassiapitch.stop_admission import StopDecision
 from cassiapitch.types import PartDigest, RequestDigest
 from cassiapitch.viewitems import AccountItem, BackendItem
 
@@ -23,10 +24,16 @@
 class RefusedError(Exception):
     """The request is refused; the entry responds with the error kind."""
 
-    def __init__(self, kind: ErrorKind, retry_after_ms: int | None = None) -> None:
+    def __init__(
+        self,
+        kind: ErrorKind,
+        retry_after_ms: int | None = None,
+        stop_decision: StopDecision | None = None,
+    ) -> None:
         super().__init__(kind.value)
         self.kind = kind
         self.retry_after_ms = retry_after_ms
+        self.stop_decision = stop_decision
 
 
 class StreamCutError(Exception):
@@ -81,6 +88,8 @@
         has_attempt_begun: Whether this attempt has begun to be answered.
         source: What began its stream; None as long as that isn't known.
         reported_versions: Versions that the log may name as what began its stream.
+        stop_decision: Why it was served or refused during a planned stop.
+        is_tunneled: Whether its last attempt went through another entry.
     """
 
     request: CallerRequest
@@ -109,6 +118,8 @@
     has_attempt_begun: bool = False
     source: StreamSource | None = None
     reported_versions: set[str] = dataclasses.field(default_factory=set)
+    stop_decision: StopDecision | None = None
+    is_tunneled: bool = False
 
     def left_ms(self) -> int:
         """Returns the time until the deadline, negative after it."""
--- a/cassiapitch/service_times.py
+++ b/cassiapitch/service_times.py
@@ -51,6 +51,10 @@
         if len(self._samples) > KINDS_LIMIT_COUNT:
             self._samples.popitem(last=False)
 
+    def samples_count(self, kind: str) -> int:
+        """Returns the number of requests of a kind that are remembered."""
+        return len(self._samples.get(kind, ()))
+
     def likely_ms(self, kind: str, tokens: int) -> int:
         """Returns the time within which most requests of a kind and size are served."""
         samples = self._samples.get(kind)
--- a/cassiapitch/stop_admission.py
+++ b/cassiapitch/stop_admission.py
@@ -1,5 +1,7 @@
 """Decides which requests an entry still serves during a planned stop."""
 
+import dataclasses
+
 from cassiapitch.service_times import ServiceTimes
 
 # A request is taken if it will end in time though it takes this many times as long as
@@ -8,19 +10,52 @@
 SPARE_MS = 100
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopDecision:
+    """Whether a request is served during a planned stop, and why.
+
+    Attributes:
+        is_admitted: Whether it is served.
+        left_ms: Time that was left until responses must be complete.
+        expected_ms: How long it was expected to take.
+        samples_count: Number of requests that this rests on.
+    """
+
+    is_admitted: bool
+    left_ms: int
+    expected_ms: int
+    samples_count: int
+
+
+@dataclasses.dataclass(slots=True)
+class StopCounts:
+    """What became of the requests that were looked at during a stop.
+
+    Attributes:
+        admitted_count: Admissions, repeated ones of one request included.
+        refused_count: Requests that were refused since too little time was left.
+        cut_count: Requests that were still running when the time was over.
+    """
+
+    admitted_count: int = 0
+    refused_count: int = 0
+    cut_count: int = 0
+
+
 class StopAdmission:
     """Service times of one entry, and the deadline of its stop."""
 
     def __init__(self) -> None:
         self.service_times = ServiceTimes()
+        self.counts = StopCounts()
         self._deadline_ms: int | None = None
 
     def begin_stop(self, deadline_ms: int) -> None:
         """Begins a planned stop, in which responses must be complete by a deadline."""
         self._deadline_ms = deadline_ms
 
-    def admits(self, kind: str, tokens: int, now_ms: int) -> bool:
-        """Returns whether a request is likely to be served before the deadline.
+    def decide(self, kind: str, tokens: int, now_ms: int) -> StopDecision | None:
+        """Returns whether a request is served; None if no stop has begun.
 
         Args:
             kind: The kind of request.
@@ -28,6 +63,14 @@
             now_ms: The current time.
         """
         if self._deadline_ms is None:
-            return True
+            return None
+        left_ms = self._deadline_ms - now_ms
         likely_ms = self.service_times.likely_ms(kind, tokens)
-        return now_ms + likely_ms * TIME_ALLOWANCE + SPARE_MS <= self._deadline_ms
+        expected_ms = int(likely_ms * TIME_ALLOWANCE) + SPARE_MS
+        is_admitted = expected_ms <= left_ms
+        if is_admitted:
+            self.counts.admitted_count += 1
+        else:
+            self.counts.refused_count += 1
+        samples_count = self.service_times.samples_count(kind)
+        return StopDecision(is_admitted, left_ms, expected_ms, samples_count)
