--- a/tests/test_stop_fuzz.py
+++ b/tests/test_stop_fuzz.py
@@ -1,5 +1,6 @@
 """Planned stops under load: kept and new connections, silences, changed routes."""
 
+import collections
 import dataclasses
 import random
 
@@ -39,12 +40,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class Kind:
-    """One kind of request: its path, how it may be repeated, and how long it takes."""
+    """One kind of request: its path, how it may be repeated, and how long it takes.
+
+    Streams have an event for every `EVENT_S`; they state `stated_tokens` and end early.
+    A share of all requests takes `long_s`, between its shortest and longest time.
+    """
 
     path: str
     repeat: Repeat
     shortest_s: float
     longest_s: float
+    stated_tokens: int = 0
+    long_s: tuple[float, float] = (0, 0)
+
+    def length_s(self, request_id):
+        """Returns how long a request takes without a silence."""
+        rng = random.Random(request_id)
+        if self.long_s[1] and rng.random() < LONG_SHARE:
+            return rng.uniform(*self.long_s)
+        return rng.uniform(self.shortest_s, self.longest_s)
 
 
 KINDS = (
@@ -53,6 +67,17 @@
     Kind("/talk/", Repeat.RESUMABLE_STREAM, 0.5, 1.6),
     Kind("/note/", Repeat.STREAM, 0.1, 0.4),
 )
+LONG_SHARE = 1 / 8
+EVENT_S = 0.02
+# Their times vary widely, and nothing says beforehand which ones are long.
+VARYING_KINDS = (
+    Kind("/short/", Repeat.IDEMPOTENT, 0.01, 0.03),
+    Kind("/pay/", Repeat.ONCE, 0.03, 0.2, 0, (1.2, 2.0)),
+    Kind("/talk/", Repeat.RESUMABLE_STREAM, 0.1, 0.4, 100, (1.4, 1.9)),
+    Kind("/note/", Repeat.STREAM, 0.1, 0.4, 25),
+)
+# How long entries have run before they are stopped.
+RAN_S = (0.5, 6)
 
 
 @dataclasses.dataclass
@@ -80,8 +105,9 @@
 class StopWorld:
     """One entry with callers on kept connections, which is stopped under load."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, kinds=KINDS):
         self.rng = random.Random(seed)
+        self.kinds = kinds
         self.sent, self.run_ids = [], set()
         self.silent_until_ms = 0
         self.stop_ms = None
@@ -96,14 +122,13 @@
         _, target, headers, _ = request
         name = headers["request-id"]
         self.run_ids.add(name)
-        kind = next(kind for kind in KINDS if target.startswith(kind.path))
-        rng = random.Random(name)
-        length_s = rng.uniform(kind.shortest_s, kind.longest_s)
+        kind = next(kind for kind in self.kinds if target.startswith(kind.path))
+        length_s = kind.length_s(name)
         if kind.repeat in (Repeat.ONCE, Repeat.IDEMPOTENT):
             await self._pause(length_s)
             await stream.send(answer_bytes(name))
             return
-        count = 10
+        count = int(length_s / EVENT_S) if kind.stated_tokens else 10
         await stream.send(stream_head(name))
         for number in range(int(headers.get("last-event-id", 0)) + 1, count + 1):
             await self._pause(length_s / count)
@@ -116,7 +141,8 @@
         head = (
             f"POST {kind.path}x HTTP/1.1\r\nHost: shop.example\r\n"
             f"Request-Id: {request.request_id}\r\nDeadline-Ms: 10000\r\n"
-            f"Authorization: Bearer {KEY}\r\nContent-Length: 4\r\n\r\n"
+            f"Authorization: Bearer {KEY}\r\nToken-Count: 10,{kind.stated_tokens}\r\n"
+            "Content-Length: 4\r\n\r\n"
         ).encode()
         try:
             await connection.send(head)
@@ -133,7 +159,7 @@
 
     async def _use(self, port):
         """Sends one request after the other, on a new connection where one ends."""
-        kinds = self.rng.sample(KINDS, self.rng.choice((1, 2, len(KINDS))))
+        kinds = self.rng.sample(self.kinds, self.rng.choice((1, 2, len(KINDS))))
         while self.stop_ms is None or timers.now_ms() < self.stop_ms + GRACE_S * 1_000:
             try:
                 with anyio.fail_after(1):
@@ -150,7 +176,7 @@
         silence_s = self.rng.choice(SILENCES_S)
         self.silent_until_ms = timers.now_ms() + int(silence_s * 1_000)
 
-    async def play(self):
+    async def play(self, warm_up_s=WARM_UP_S):
         async with anyio.create_task_group() as group:
             world, state, port = await start_entry(
                 group, *[self._behave] * BACKENDS_COUNT, grace_s=GRACE_S
@@ -165,7 +191,7 @@
                     10_000,
                     attempts_limit_count=2,
                 )
-                for kind in KINDS
+                for kind in self.kinds
             )
             world._apply_view()
             server = ForwardServer(HEADER_CODEC, state, CrashContainment(state))
@@ -183,7 +209,7 @@
             for _ in range(CALLERS_COUNT):
                 group.start_soon(self._use, port)
             changes = [(self._be_silent, 1), (change_routes, 3)]
-            await soak.play_changes(self.rng, changes, WARM_UP_S, (0.1, 0.5))
+            await soak.play_changes(self.rng, changes, warm_up_s, (0.1, 0.5))
             self.stop_ms = timers.now_ms()
             deadline_ms = self.stop_ms + int(GRACE_S * 1_000) - STOP_MARGIN_MS
             state.step_shutdown("stop")
@@ -220,3 +246,41 @@
     assert not short_refused
     after = [sent for sent in world.sent if sent.sent_ms > world.stop_ms]
     assert sum(sent.status == 200 for sent in after) >= SERVED_COUNT
+
+
+def late_outcomes(world):
+    """Returns what became of the requests that were sent after the signal.
+
+    Returns:
+        Those that ran and got no whole success, and counts: served, refused, those of
+        the short kind and those that would have ended in time among the refused.
+    """
+    left_ms = GRACE_S * 1_000 - STOP_MARGIN_MS
+    failed, counts = [], collections.Counter()
+    for sent in world.sent:
+        since_ms = sent.sent_ms - world.stop_ms
+        if since_ms < 0:
+            continue
+        if sent.status == 200 and sent.is_whole:
+            counts["served"] += 1
+        elif sent.request_id in world.run_ids:
+            failed.append(sent)
+        elif sent.status == 503:
+            ends_ms = since_ms + sent.kind.length_s(sent.request_id) * 1_000
+            counts["refused"] += 1
+            counts["needless"] += ends_ms < left_ms
+            has_time = since_ms < left_ms - SHORT_LEFT_S * 1_000
+            counts["short"] += sent.kind.path == "/short/" and has_time
+    return failed, counts
+
+
+@pytest.mark.parametrize("seed", soak.seeds("CASSIAPITCH_STOP_SEEDS"))
+def test_planned_stop_ends_what_it_admits_while_the_times_of_requests_vary(seed):
+    """Guards against requests that are cut since others of their kind were short."""
+    world = StopWorld(seed, VARYING_KINDS)
+    warm_up_s = world.rng.uniform(*RAN_S)
+    run_limited(lambda: world.play(warm_up_s), 30)
+    failed, counts = late_outcomes(world)
+    print(f"seed {seed}, ran {warm_up_s:.1f} s: {dict(counts)}, {len(failed)} failed")
+    assert not failed
+    assert counts["served"] >= SERVED_COUNT
