Drop what a control member sends or starts after its links have ended

Cause: the links' task group ends at once at a stop, while a write to the disk still runs in its thread. When it ended, the member sent what had waited for it, and opened a link in the ended group. The membership's task group and the HTTP server's had the same fault: streams and connections end after them. All three are unset once their group has ended; what comes later is dropped, as messages may be.

test_message_after_the_end_of_the_links_is_dropped raised RuntimeError before.

--- a/cassiapitch/membership_requests.py
+++ b/cassiapitch/membership_requests.py
@@ -44,9 +44,13 @@
 
     async def run(self) -> None:
         """Serves other members' requests until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._task_group = tasks
-            await anyio.sleep_forever()
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._task_group = tasks
+                await anyio.sleep_forever()
+        finally:
+            # Streams of other members end only after this.
+            self._task_group = None
 
     async def request(
         self,
--- a/cassiapitch/peers.py
+++ b/cassiapitch/peers.py
@@ -99,9 +99,13 @@
 
     async def run(self) -> None:
         """Runs the tasks of the links until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            self._task_group = tasks
-            await anyio.sleep_forever()
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._task_group = tasks
+                await anyio.sleep_forever()
+        finally:
+            # Writes that end later still queue messages; these are dropped.
+            self._task_group = None
 
     def set_members(self, addresses: dict[str, Address]) -> None:
         """Sets the addresses of the group's members and closes links to others."""
--- a/cassiapitch/plainhttp.py
+++ b/cassiapitch/plainhttp.py
@@ -57,6 +57,7 @@
             for connection in list(self._connections):
                 if connection.is_idle:
                     connection.close()
+        self._group = None
 
     def close(self) -> None:
         """Stops listening; responses in progress are completed."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 
 from cassiapitch.peers import Peers
 from cassiapitch.raftmessages import PeerHello, TimeoutNow
+from cassiapitch.settings import Address
 
 LIMIT_S = 10
 
@@ -67,3 +68,19 @@
         assert not peers.send("disk", TimeoutNow(1))
 
     run_with_peers(scenario)
+
+
+def test_message_after_the_end_of_the_links_is_dropped():
+    """Guards against a member that opens a link while it stops, since a write ends
+    late."""
+
+    async def main():
+        peers = Peers(lambda: hello_of("own", "own-disk"), lambda *_: None, None)
+        peers.set_members({"disk": Address("127.0.0.1", 9)})
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(peers.run)
+            await anyio.wait_all_tasks_blocked()
+            tasks.cancel_scope.cancel()
+        assert not peers.send("disk", TimeoutNow(1))
+
+    anyio.run(main)
