Handle signals from the first statement of a program to its last

Entries and control members ended by a SIGHUP (exit code -1) within 0.35 and 0.55 s of their start, and at the end of planned stops; what they had not written yet was lost with them.

Cause: the handlers came after the imports, and went with the event loop, which restores the default. Class: a state that holds for the whole life of a process, kept by a part that doesn't live as long. Now the programs hold signals before they import anything else, one receiver hands them out, and at the end they are ignored, which the interpreter's own end leaves as it is. A stop that is asked for before the settings are read ends the process at once with 0.

--- a/cassiapitch/control.py
+++ b/cassiapitch/control.py
@@ -1,5 +1,11 @@
 """Program `cassiapitch-control`: runs one member of the control group."""
 
+from cassiapitch import signals
+
+if __name__ == "__main__":
+    # The imports below take most of the start.
+    signals.hold()
+
 import dataclasses
 import functools
 import math
--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -4,6 +4,12 @@
 backend servers), rate grants and load reports.
 """
 
+from cassiapitch import signals
+
+if __name__ == "__main__":
+    # The imports below take most of the start.
+    signals.hold()
+
 import logging
 import sys
 from collections.abc import Callable
--- a/cassiapitch/platform/programs.py
+++ b/cassiapitch/platform/programs.py
@@ -1,5 +1,11 @@
 """The programs on the platform: `python3 -m cassiapitch.platform.programs NAME`."""
 
+from cassiapitch import signals
+
+if __name__ == "__main__":
+    # The imports below take most of the start.
+    signals.hold()
+
 import dataclasses
 import functools
 import sys
--- a/cassiapitch/process.py
+++ b/cassiapitch/process.py
@@ -1,15 +1,15 @@
 """Start and shutdown of all long-running programs."""
 
 import argparse
+import contextlib
 import pathlib
-import signal
 import sys
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 
-from cassiapitch import __version__, config, events
+from cassiapitch import __version__, config, events, signals
 from cassiapitch.exceptions import CassiapitchError, SettingsError
 from cassiapitch.settingswatch import SettingsWatch
 
@@ -37,6 +37,22 @@
         reloads_settings: Whether changes of the settings file are applied while the
             process runs; `main_function` then gets a `SettingsWatch` as third argument.
     """
+    signals.hold()
+    try:
+        return _run_program(
+            program, settings_class, main_function, arguments, reloads_settings
+        )
+    finally:
+        signals.ignore()
+
+
+def _run_program(
+    program: str,
+    settings_class: type,
+    main_function: Callable[..., Awaitable[None]],
+    arguments: list[str] | None,
+    reloads_settings: bool,
+) -> int:
     options = _parse_arguments(program, arguments)
     try:
         settings = config.load(pathlib.Path(options.settings), settings_class)
@@ -49,6 +65,9 @@
         return EXIT_OK
     events.write_to(settings.log_path)
     events.log(events.Event.PROCESS_STARTED, program=program, name=settings.name)
+    if signals.is_stop_requested():
+        events.log(events.Event.PROCESS_STOPPED, program=program, name=settings.name)
+        return EXIT_OK
     failures: list[Exception] = []
     watch = None
     if reloads_settings:
@@ -98,7 +117,7 @@
 ) -> None:
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
-        group.start_soon(_watch_signals, stop)
+        group.start_soon(_watch_signals, stop, watch)
         if watch is None:
             await main_function(settings, stop)
         else:
@@ -107,8 +126,11 @@
         group.cancel_scope.cancel()
 
 
-async def _watch_signals(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for signal_number in signals:
-            events.log(events.Event.PROCESS_STOPPING, signal=int(signal_number))
-            stop.set()
+async def _watch_signals(stop: anyio.Event, watch: SettingsWatch | None) -> None:
+    async with contextlib.aclosing(signals.receive()) as received:
+        async for number in received:
+            if number in signals.STOP_SIGNALS:
+                events.log(events.Event.PROCESS_STOPPING, signal=int(number))
+                stop.set()
+            elif watch is not None:
+                watch.reload_if_changed()
--- a/cassiapitch/settingswatch.py
+++ b/cassiapitch/settingswatch.py
@@ -1,7 +1,6 @@
 """Reloads a settings file that changes while the process runs."""
 
 import pathlib
-import signal
 from collections.abc import Callable
 from typing import Any
 
@@ -53,17 +52,10 @@
         return True
 
     async def run(self) -> None:
-        """Reloads the file on SIGHUP and after changes, until cancelled."""
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._watch_signal)
-            while True:
-                await anyio.sleep(POLL_PERIOD_S)
-                self.reload_if_changed()
-
-    async def _watch_signal(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                self.reload_if_changed()
+        """Reloads the file after changes without a signal, until cancelled."""
+        while True:
+            await anyio.sleep(POLL_PERIOD_S)
+            self.reload_if_changed()
 
 
 def _read_text(path: pathlib.Path) -> str | None:
--- /dev/null
+++ b/cassiapitch/signals.py
@@ -0,0 +1,75 @@
+"""Receives signals from the first statement of a program to its last.
+
+A signal that nobody handles ends the process. So a program calls `hold` before it
+imports anything else, and `ignore` once nothing is left to do. This module imports
+little for that reason.
+"""
+
+import collections
+import signal
+import threading
+from collections.abc import AsyncIterator
+from types import FrameType
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
+SIGNALS = (*STOP_SIGNALS, RELOAD_SIGNAL)
+WAKEUP_READ_BYTES = 4_096
+# Worker threads have nothing left to do once the event loop has ended.
+THREAD_END_S = 1.0
+
+# Signals that came and that nobody has received yet; the oldest are dropped.
+_held: collections.deque[int] = collections.deque(maxlen=64)
+
+
+def hold() -> None:
+    """Keeps signals from ending the process; `receive` returns those that came."""
+    for number in SIGNALS:
+        signal.signal(number, _hold_one)
+
+
+def ignore() -> None:
+    """Ignores signals from now on; the interpreter's own end leaves that as it is.
+
+    The interpreter reports a signal as an error that comes while its handler changes.
+    So other threads, which may get it, end before, and this one gets none meanwhile.
+    """
+    for thread in threading.enumerate():
+        if thread is not threading.current_thread() and not thread.daemon:
+            thread.join(THREAD_END_S)
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    for number in SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+
+
+def is_stop_requested() -> bool:
+    """Returns whether a signal has come that asks the process to stop."""
+    return any(number in STOP_SIGNALS for number in _held)
+
+
+def _hold_one(number: int, frame: FrameType | None) -> None:
+    _held.append(number)
+
+
+async def receive() -> AsyncIterator[int]:
+    """Yields the signals that have come since `hold`, and those that come."""
+    import socket
+
+    import anyio
+
+    reader, writer = socket.socketpair()
+    with reader, writer:
+        reader.setblocking(False)
+        writer.setblocking(False)
+        # Without it, a signal that comes just before the event loop waits would be
+        # noticed only when the loop's next timer is due.
+        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        try:
+            while True:
+                while _held:
+                    yield _held.popleft()
+                await anyio.wait_readable(reader)
+                reader.recv(WAKEUP_READ_BYTES)
+        finally:
+            signal.set_wakeup_fd(-1)
--- a/tests/test_common.py
+++ b/tests/test_common.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import random
+import signal
 
 import anyio
 import pytest
@@ -13,6 +14,7 @@
     messages,
     process,
     settings,
+    signals,
     statechart,
     timers,
 )
@@ -121,6 +123,16 @@
     assert dataclasses.asdict(entry)["balancer_delay_ms"] == 2_000
 
 
+@pytest.fixture
+def own_signals():
+    """Restores the signal handlers that a program changes."""
+    handlers = {number: signal.getsignal(number) for number in signals.SIGNALS}
+    yield
+    for number, handler in handlers.items():
+        signal.signal(number, handler)
+
+
+@pytest.mark.usefixtures("own_signals")
 def test_errors_of_nested_task_groups_end_a_program_with_code_1(tmp_path, capfd):
     """Guards against printing a traceback instead of why the program ended."""
     path = tmp_path / "settings.json"
