--- a/cassiapitch/service_times.py
+++ b/cassiapitch/service_times.py
@@ -20,10 +20,12 @@
 WINDOW_COUNT = 250
 # What so many requests have shown is known.
 KNOWN_COUNT = 50
-# While fewer have been seen, one may take this many times as long as is usual; what
-# fewer than `FEW_COUNT` have shown is unknown.
-FEW_COUNT = 20
+# While fewer have been seen, one may take this many times as long as is usual.
 FEW_ALLOWANCE = 15
+# The median of so many is usual; of fewer the longest is.
+USUAL_COUNT = 20
+# What fewer have shown is unknown.
+FEW_COUNT = 8
 # A request that is still running may take this many times as long as so far.
 RUNNING_ALLOWANCE = 2
 # Newest streams of an incarnation whose pace counts, the slowest of them.
@@ -102,7 +104,9 @@
             return None
         longest = max(self._current, self._previous)
         if self._few:
-            longest = max(longest, FEW_ALLOWANCE * statistics.median(self._few))
+            is_usual_known = self.count >= USUAL_COUNT
+            usual = statistics.median(self._few) if is_usual_known else max(self._few)
+            longest = max(longest, FEW_ALLOWANCE * usual)
         longest_running = max(running, default=0)
         if longest_running > longest:
             longest = longest_running * RUNNING_ALLOWANCE
--- a/tests/test_service_times.py
+++ b/tests/test_service_times.py
@@ -12,6 +12,7 @@
     PACE_STREAMS_COUNT,
     PACES_LIMIT_COUNT,
     RUNNING_ALLOWANCE,
+    USUAL_COUNT,
     WINDOW_COUNT,
     ServiceRun,
     ServiceTimes,
@@ -66,7 +67,9 @@
 
 def test_silence_that_one_of_few_met_is_not_multiplied():
     """Guards against short requests that are refused after one that stood still."""
-    times = times_of(*[took(PLAIN, 20)] * FEW_COUNT, took(PLAIN, 500))
+    times = times_of(*[took(PLAIN, 20)] * (USUAL_COUNT - 2), took(PLAIN, 500))
+    assert times.longest_ms(PLAIN, []) == 500 * FEW_ALLOWANCE
+    times.record(took(PLAIN, 20), is_complete=True)
     assert times.longest_ms(PLAIN, []) == 500
 
 
