Go on after a disk refuses a rotation or a deletion halfway

A rotation that was refused also left the current segment among those that may be deleted.

Now a deletion that was half done goes on, and a segment counts as complete only once its successor is durable. A start on a full disk uses the number of the segment that it left behind again, instead of one more for each try.

--- a/cassiapitch/journal.py
+++ b/cassiapitch/journal.py
@@ -196,10 +196,6 @@
 
     def start_segment(self, number: int, reset: tuple[int, int] | None = None) -> None:
         """Begins a new segment; its file name is durable before it is used."""
-        if self._segment_number > 0:
-            self._highest_index_by_segment[self._segment_number] = (
-                self._current_highest_index
-            )
         data = encode_frame(_encoder.encode([_Record(vote=self._vote, reset=reset)]))
         name = _segment_name(number)
         if name in self._files.list_names():
@@ -208,6 +204,12 @@
         self._files.append(name, data)
         self._files.sync(name)
         self._files.sync_folder()
+        # Only now is the old segment complete: if the disk refuses the new one, the
+        # batch is written to the old one again.
+        if self._segment_number > 0:
+            self._highest_index_by_segment[self._segment_number] = (
+                self._current_highest_index
+            )
         self._segment_number = number
         self._segment_bytes = len(data)
         self._synced_bytes = len(data)
@@ -220,7 +222,10 @@
             # Deletions are synced one by one: if a crash undid the deletion of a
             # segment but not of its successor, entries that the successor had
             # replaced would be valid again.
-            self._files.remove(_segment_name(number))
+            name = _segment_name(number)
+            if name in self._files.list_names():
+                # A failed attempt may have removed it already.
+                self._files.remove(name)
             self._files.sync_folder()
             del self._highest_index_by_segment[number]
         if self._obsolete_up_to_index > 0:
@@ -240,7 +245,10 @@
         replay = _Replay()
         numbers = sorted(_segment_numbers(names))
         for number in numbers:
-            self._load_segment(number, number == numbers[-1], replay)
+            valid_bytes = self._load_segment(number, number == numbers[-1], replay)
+        if numbers and not valid_bytes:
+            # Left over from a start that the disk refused; its number is used again.
+            self._highest_index_by_segment.pop(numbers.pop())
         entries = replay.entries_after(snapshot)
         reset = None
         if snapshot is not None and replay.entries and not entries:
@@ -252,7 +260,8 @@
         self.start_segment(numbers[-1] + 1 if numbers else 1, reset)
         return Recovered(replay.vote[0], replay.vote[1], snapshot, entries)
 
-    def _load_segment(self, number: int, is_last: bool, replay: "_Replay") -> None:
+    def _load_segment(self, number: int, is_last: bool, replay: "_Replay") -> int:
+        """Replays a segment; returns the length of its valid part."""
         name = _segment_name(number)
         data = self._files.read(name)
         payloads, valid_bytes = read_frames(name, data, is_last)
@@ -270,6 +279,7 @@
                 if record.entries:
                     highest_index = max(highest_index, record.entries[-1].index)
         self._highest_index_by_segment[number] = highest_index
+        return valid_bytes
 
     def _load_snapshot(self, names: list[str]) -> SaveSnapshot | None:
         indexed_names = [(_snapshot_index(name), name) for name in names]
