--- a/tests/test_member.py
+++ b/tests/test_member.py
@@ -20,6 +20,8 @@
 from tests.memory_disk import MemoryDisk
 
 PROPOSALS_LIMIT_COUNT = 10
+# The platform gives up on an acknowledgement after this time.
+ACKNOWLEDGED_LIMIT_S = 4
 
 
 def run_group(body, folder, **options):
@@ -266,6 +268,59 @@
     run_group(body, tmp_path)
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_changes_are_acknowledged_after_disks_were_full_one_after_another(
+    seed, tmp_path
+):
+    """Guards against a group that refuses changes though all disks have room again."""
+    rng = random.Random(seed)
+
+    async def body(group):
+        disks = {name: MemoryDisk() for name in "abc"}
+        for name, disk in disks.items():
+            await group.start(name, folder=disk.files)
+        await group.leader()
+        names = rng.sample("abc", 3) + rng.sample("abc", 3)
+        for number, name in enumerate(names):
+            disks[name].is_full = True
+            asked = group.servers[rng.choice("abc")]
+            with anyio.move_on_after(rng.uniform(0.1, 1.5)):
+                await asked.do("propose", f"while-full-{number}", 1_500)
+            disks[name].is_full = False
+        with anyio.fail_after(ACKNOWLEDGED_LIMIT_S):
+            for name in "abc":
+                await commit_commands(group.servers[name], f"after-{name}")
+        assert not any(ended.is_set() for ended in group.ended.values())
+
+    run_group(body, tmp_path)
+
+
+def test_member_that_is_admitted_while_its_disk_is_full_holds_up_no_change(tmp_path):
+    """Guards against a group that waits for a learner that can't store anything."""
+
+    async def body(group):
+        await group.start_all()
+        await group.stop("a")
+        await group.leader("bc")
+        disk = MemoryDisk()
+        learner = await group.start("a", folder=disk.files)
+        disk.is_full = True
+        admin = group.servers["b"]
+        for change in (("remove", "a"), ("add", "a", group.ports["a"])):
+            assert (await admin.do(*change))["outcome"] == "Committed"
+        with anyio.fail_after(ACKNOWLEDGED_LIMIT_S):
+            await commit_commands(admin, "one", "two")
+        assert learner.state_machine.commands == []
+        assert not group.ended["a"].is_set()
+        disk.is_full = False
+        with anyio.fail_after(ACKNOWLEDGED_LIMIT_S):
+            assert (await admin.do("promote", "a"))["outcome"] == "Committed"
+            await commit_commands(learner, "three")
+        await wait_until(lambda: learner.state_machine.commands[-1:] == ["three"])
+
+    run_group(body, tmp_path)
+
+
 def test_leader_with_a_stuck_disk_steps_down(tmp_path):
     """Guards against a group that waits for a leader whose disk never responds."""
     blocked, released = threading.Event(), threading.Event()
