Close idle connections to backend servers that leave during a stop

test_idle_connections_to_servers_that_leave_during_a_stop_are_closed failed before (the connection was still open after a second) and passes now.

--- a/cassiapitch/entrystate.py
+++ b/cassiapitch/entrystate.py
@@ -173,8 +173,6 @@
 
     def step_shutdown(self, event: str) -> None:
         """Applies an event of the state chart `charts/shutdown.json`."""
-        # Called with the remaining life ids when backend servers of the view change.
-        self.backend_removal_callbacks: list[Callable[[set[LifeId]], None]] = []
         self.shutdown = load_chart("shutdown").next_state(self.shutdown, event)
 
     def handle_view_change(self, outcome: ApplyOutcome) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -241,3 +241,29 @@
             group.cancel_scope.cancel()
 
     run_limited(main)
+
+
+def test_idle_connections_to_servers_that_leave_during_a_stop_are_closed():
+    """Guards against connections to removed servers that stay open while it drains."""
+
+    async def answers(backend, request, stream):
+        await stream.send(answer_bytes("q1"))
+
+    async def main():
+        async with anyio.create_task_group() as group:
+            world, state, port = await start_entry(group, answers, grace_s=5)
+            server = ForwardServer(HEADER_CODEC, state, CrashContainment(state))
+            group.start_soon(server.run)
+            async with await connect(port) as connection:
+                assert (await exchange(connection))[0].startswith(b"HTTP/1.1 200")
+            backend = world.backends[0]
+            assert not backend.closed.is_set()
+            state.step_shutdown("stop")
+            world.backends.clear()
+            world.state = state
+            world._apply_view()
+            with anyio.fail_after(1):
+                await backend.closed.wait()
+            group.cancel_scope.cancel()
+
+    run_limited(main)
