Leave an entry more time for its end at a planned stop

With the whole drain time used, and at a load average of 13 to 19 on eight cores, 2 of some 130 stops of entries as processes took longer than the grace time: after the drain deadline come the final responses (0.2 s), the return of rate grants (0.2 s) and the interpreter's end. The platform would have killed them.

0.8 s are reserved now instead of 0.6 s, by one constant instead of two. Tests keep the time that they leave: their grace time grows by as much. StopWorld records stops that take too long instead of giving up.

--- a/cassiapitch/entry.py
+++ b/cassiapitch/entry.py
@@ -45,6 +45,7 @@
 from cassiapitch.seeds import peers_from_seeds
 from cassiapitch.send_limits import MIN_ASK_SPACING_MS
 from cassiapitch.settings import Address, EntrySettings
+from cassiapitch.stop_admission import STOP_MARGIN_MS
 from cassiapitch.tunnel_messages import TunnelPeers
 from cassiapitch.tunnel_server import TunnelServer
 from cassiapitch.types import BackendName
@@ -64,8 +65,6 @@
 # Delay before a request for grants that is made for a waiting call, so that calls
 # that arrive together share one request.
 GRANT_REQUEST_SPACING_MS = 5
-# Reserved at the end of the grace time for the exit of the process.
-STOP_MARGIN_MS = 600
 # Time in which the link's task writes the returned grants at the shutdown.
 GRANT_RETURN_WAIT_MS = 100
 
--- a/cassiapitch/forwarding.py
+++ b/cassiapitch/forwarding.py
@@ -18,9 +18,8 @@
 from cassiapitch.forwardroutes import CallerLimits
 from cassiapitch.header_codec import HeaderCodec
 from cassiapitch.readiness import Readiness
+from cassiapitch.stop_admission import STOP_MARGIN_MS
 
-# Reserved at the end of the grace time for the exit of the process.
-STOP_MARGIN_MS = 600
 # Part of that margin in which the final responses are written.
 FINAL_RESPONSES_MS = 200
 # During a stop, a new connection is kept open this long for its first request.
--- a/cassiapitch/stop_admission.py
+++ b/cassiapitch/stop_admission.py
@@ -4,6 +4,9 @@
 
 from cassiapitch.service_times import ServiceRun, ServiceTimes
 
+# Reserved at the end of the grace time for the final responses, the return of rate
+# grants, and the exit of the process, which takes longer on a slow processor.
+STOP_MARGIN_MS = 800
 # A request is taken if it will end in time though it takes this many times as long as
 # the longest, and a moment more.
 TIME_ALLOWANCE = 1.1
--- a/tests/stop_world.py
+++ b/tests/stop_world.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from cassiapitch.stop_admission import STOP_MARGIN_MS
 from review.stand import client, deployment, engine, http, manifests
 from review.stand.http import BrokenError
 from review.stand.operator import Operator
@@ -18,8 +19,6 @@
 deployment.DEPENDENCIES = pathlib.Path(h11.__file__).parents[1]
 
 GRACE_S = deployment.BOUNDS["graceS"]
-# Reserved by an entry for its end; see `forwarding.STOP_MARGIN_MS`.
-STOP_MARGIN_S = 0.6
 DEADLINE_MS = 15_000
 STATED_TOKENS = 524
 EVENT_GAP_S = 0.022
@@ -29,6 +28,7 @@
 FRONTS_COUNT = 6
 CLOSE_AFTER_S = 0.2
 START_LIMIT_S = 20
+END_LIMIT_S = 2 * GRACE_S
 
 SHORT, ORDER, STREAM = "/short/x", "/order/x", "/lohu930/talk"
 PATHS = (SHORT, ORDER, STREAM)
@@ -104,6 +104,7 @@
     ran_s: float
     begun_s: float
     exit_code: int | None = None
+    took_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -206,7 +207,8 @@
             self.deployment.signal(front, signal.SIGTERM)
             stop = Stop(front.name, ran_s, self.record.now())
             self.stops.append(stop)
-            stop.exit_code = await self.deployment.wait_for_end(front, GRACE_S)
+            stop.exit_code = await self.deployment.wait_for_end(front, END_LIMIT_S)
+            stop.took_s = self.record.now() - stop.begun_s
             front.process = None
             until.set()
             await asyncio.gather(*users)
@@ -256,6 +258,7 @@
         failed: Requests whose answer leaves open whether they have run.
         false_refusals: Requests that got a 503 although they have run.
         exit_codes: Exit codes other than 0.
+        late_ends_s: How long stops took that took longer than the platform allows.
     """
 
     stops_count: int = 0
@@ -267,6 +270,7 @@
     failed: list[str] = dataclasses.field(default_factory=list)
     false_refusals: list[str] = dataclasses.field(default_factory=list)
     exit_codes: list[int] = dataclasses.field(default_factory=list)
+    late_ends_s: list[float] = dataclasses.field(default_factory=list)
 
 
 def judge(world):
@@ -276,6 +280,8 @@
     for stop in world.stops:
         if stop.exit_code:
             verdict.exit_codes.append(stop.exit_code)
+        if stop.took_s > GRACE_S:
+            verdict.late_ends_s.append(stop.took_s)
         for sent in world.sent:
             since_s = sent.attempt.sent_s - stop.begun_s
             if sent.front == stop.front and 0 <= since_s <= GRACE_S:
@@ -295,7 +301,7 @@
         verdict.refused_count += 1
         verdict.short_refused_count += sent.path == SHORT
         ends_s = since_s + sent.work.takes_s
-        verdict.needless_count += ends_s <= GRACE_S - STOP_MARGIN_S
+        verdict.needless_count += ends_s <= GRACE_S - STOP_MARGIN_MS / 1_000
         if has_run:
             verdict.false_refusals.append(text)
     elif attempt.is_complete:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -141,7 +141,7 @@
 
     async def main():
         async with anyio.create_task_group() as group:
-            _, state, port = await start_entry(group, answers, grace_s=5)
+            _, state, port = await start_entry(group, answers, grace_s=5.2)
             server = ForwardServer(HEADER_CODEC, state, CrashContainment(state))
             group.start_soon(server.run)
             async with await connect(port) as early, await connect(port) as late:
@@ -189,7 +189,7 @@
     async def main():
         async with anyio.create_task_group() as group:
             world, state, port = await start_entry(
-                group, streams, grace_s=2.2, repeat=STREAM
+                group, streams, grace_s=2.4, repeat=STREAM
             )
             server = ForwardServer(HEADER_CODEC, state, CrashContainment(state))
             group.start_soon(server.run)
@@ -222,7 +222,7 @@
 
     async def main():
         async with anyio.create_task_group() as group:
-            _, state, port = await start_entry(group, answers, grace_s=1.6)
+            _, state, port = await start_entry(group, answers, grace_s=1.8)
             server = ForwardServer(HEADER_CODEC, state, CrashContainment(state))
             group.start_soon(server.run)
             async with await connect(port) as early:
--- a/tests/test_process_stops.py
+++ b/tests/test_process_stops.py
@@ -17,4 +17,5 @@
     assert not verdict.failed
     assert not verdict.false_refusals
     assert not verdict.exit_codes
+    assert not verdict.late_ends_s
     assert verdict.served_count > verdict.stops_count
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -4,8 +4,9 @@
 
 from cassiapitch import timers
 from cassiapitch.crash_containment import CrashContainment
-from cassiapitch.forwarding import STOP_MARGIN_MS, ForwardServer
+from cassiapitch.forwarding import ForwardServer
 from cassiapitch.platform.requests import HEADER_CODEC
+from cassiapitch.stop_admission import STOP_MARGIN_MS
 from tests.forward_world import (
     KEY,
     ONCE,
@@ -20,7 +21,7 @@
 
 # Later than the end of the stop.
 DEADLINE_MS = 4_000
-GRACE_S = 2.0
+GRACE_S = 2.2
 LEFT_S = GRACE_S - STOP_MARGIN_MS / 1_000
 EVENT_S = 0.01
 STATED_TOKENS = 200
--- a/tests/test_stop_fuzz.py
+++ b/tests/test_stop_fuzz.py
@@ -9,10 +9,11 @@
 
 from cassiapitch import timers
 from cassiapitch.crash_containment import CrashContainment
-from cassiapitch.forwarding import STOP_MARGIN_MS, ForwardServer
+from cassiapitch.forwarding import ForwardServer
 from cassiapitch.forwardroutes import ForwardRoute, Repeat, WeightedRole
 from cassiapitch.platform.requests import HEADER_CODEC
 from cassiapitch.service_times import KNOWN_COUNT
+from cassiapitch.stop_admission import STOP_MARGIN_MS
 from tests import soak
 from tests.forward_world import (
     KEY,
@@ -24,7 +25,7 @@
 )
 from tests.test_forwarding import connect, start_entry
 
-GRACE_S = 3.0
+GRACE_S = 3.2
 BALANCER_S = 0.8
 # Requests sent later than this after the signal are never cut.
 EXCUSED_S = GRACE_S * 3 / 8
