Keep a held stop however many other signals come

64 signals were held, the oldest were dropped: a SIGTERM that came while a program started was lost if as many SIGHUPs followed. Each signal is held once now; found by reading the change. test_stop_is_not_forgotten_for_many_other_signals fails with the bound (it was not needed before, when nothing was held).

--- a/cassiapitch/signals.py
+++ b/cassiapitch/signals.py
@@ -18,8 +18,8 @@
 # Worker threads have nothing left to do once the event loop has ended.
 THREAD_END_S = 1.0
 
-# Signals that came and that nobody has received yet; the oldest are dropped.
-_held: collections.deque[int] = collections.deque(maxlen=64)
+# Signals that came and that nobody has received yet, each of them once.
+_held: collections.deque[int] = collections.deque()
 
 
 def hold() -> None:
@@ -49,7 +49,8 @@
 
 
 def _hold_one(number: int, frame: FrameType | None) -> None:
-    _held.append(number)
+    if number not in _held:
+        _held.append(number)
 
 
 async def receive() -> AsyncIterator[int]:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,5 +1,6 @@
 """Programs as processes that get signals at any moment of their life."""
 
+import collections
 import json
 import pathlib
 import random
@@ -10,6 +11,7 @@
 
 import pytest
 
+from cassiapitch import signals
 from tests import process_signals, soak
 from tests.reserved import reserve_ports
 
@@ -101,6 +103,16 @@
             self._process.wait()
 
 
+def test_stop_is_not_forgotten_for_many_other_signals(monkeypatch):
+    """Guards against a SIGTERM that is lost among those that come while it waits."""
+    held = collections.deque()
+    monkeypatch.setattr(signals, "_held", held)
+    for number in (signal.SIGTERM, *[signal.SIGHUP] * 1_000):
+        signals._hold_one(number, None)
+    assert signals.is_stop_requested()
+    assert len(held) == 2
+
+
 @pytest.mark.parametrize("program", PROGRAMS)
 def test_signals_are_handled_before_a_program_imports_what_it_needs(program, tmp_path):
     """Guards against processes that a SIGHUP ends while they start."""
