Put the tests' use of the reviewers' stand-ins in one module

Two soaks set the libraries of review.stand by side effect, one by importing the other; a stream's length went through a field of the engine. Both are plain now.

--- a/tests/stop_world.py
+++ b/tests/stop_world.py
@@ -3,20 +3,14 @@
 import asyncio
 import contextlib
 import dataclasses
-import pathlib
 import random
 import signal
 
-import h11
-
 from cassiapitch.stop_admission import STOP_MARGIN_MS
-from review.stand import client, deployment, engine, http, manifests
+from review.stand import client, engine, http, manifests
 from review.stand.http import BrokenError
 from review.stand.operator import Operator
-
-# The settings templates and stand-ins are the reviewers'; the libraries come from the
-# environment of the tests.
-deployment.DEPENDENCIES = pathlib.Path(h11.__file__).parents[1]
+from tests.platform_stand import deployment
 
 GRACE_S = deployment.BOUNDS["graceS"]
 DEADLINE_MS = 15_000
@@ -70,29 +64,21 @@
         self.runs.append(run)
         seal = f"{self.name}.{request_id}"
         if work.events_count:
-            self.traits = engine.Traits(
-                FIRST_EVENT_S * 1_000, EVENT_GAP_S * 1_000, work.events_count
-            )
-            return await self._stream(run, 0, seal, reader, writer)
+            one_stream = _OneStream(self, work.events_count)
+            return await engine.Engine._stream(one_stream, run, 0, seal, reader, writer)
         await asyncio.sleep(work.takes_s)
         await self._send(writer, 200, head, [("Server-Seal", seal)], b"done")
         self._end(run, "complete")
         return True
 
-    async def _stream(self, run, last, seal, reader, writer):
-        # The number of events is read once, as the stream begins.
-        traits, self.traits = self.traits, engine.Traits()
-        stream_engine = _OneStream(self, traits)
-        return await engine.Engine._stream(
-            stream_engine, run, last, seal, reader, writer
-        )
-
 
 class _OneStream:
-    """The engine as one of its streams sees it."""
+    """The engine as one of its streams sees it, which has a length of its own."""
 
-    def __init__(self, owner, traits):
-        self.traits = traits
+    def __init__(self, owner, events_count):
+        self.traits = engine.Traits(
+            FIRST_EVENT_S * 1_000, EVENT_GAP_S * 1_000, events_count
+        )
         self._end = owner._end
 
 
--- a/tests/test_member_stops.py
+++ b/tests/test_member_stops.py
@@ -8,9 +8,10 @@
 
 import pytest
 
-from review.stand import deployment, manifests
+from review.stand import manifests
 from review.stand.operator import Operator
-from tests import process_signals, soak, stop_world
+from tests import process_signals, soak
+from tests.platform_stand import deployment
 
 MEMBERS_COUNT = 5
 # Rounds by hand: 50 rounds are a hundred stops and more.
@@ -100,7 +101,6 @@
 @pytest.mark.parametrize("seed", soak.seeds("CASSIAPITCH_MEMBER_STOP_SEEDS", "1"))
 def test_members_that_stop_under_write_load_end_as_planned(seed, tmp_path):
     """Guards against links that are opened and tasks that are started in a stop."""
-    assert stop_world.deployment is deployment
     world = MemberWorld(seed, tmp_path / "record.txt")
     content, logs = asyncio.run(world.play())
     print(f"seed {seed}: {len(world.exit_codes)} stops")
