Suspect a crashed server that few of many entries send to

Cause: a server that refuses connections was suspected once a third of the entries had reported it.

Change: two entries are enough once the server has also been silent for half of the time that makes it suspected by itself. Only reports since the last heartbeat count, so that a late one takes no running server from all.

Ruled out: a smaller share without the silence, which took running servers from all while some entries were cut off.

Measured: tests/test_coordinator.py, suspected after 1.1 s in place of 2 s; fails without the change.

--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -472,23 +472,30 @@
             heard_ms = self._announcements.heard_ms(incarnation.life_id)
             role = self._fleet.catalog.roles.get(incarnation.role)
             limit_ms = 0 if role is None else role.silence_limit_ms
+            limit_ms = limit_ms or backends.SUSPECT_AFTER_MS
             event = backends.silence_event(
-                incarnation.state,
-                now_ms - heard_ms,
-                limit_ms or backends.SUSPECT_AFTER_MS,
+                incarnation.state, now_ms - heard_ms, limit_ms
             )
-            if event is None and self._is_refusing_connections(incarnation, now_ms):
+            if event is None and self._is_refusing_connections(
+                incarnation, limit_ms, now_ms
+            ):
                 event = "refused"
                 self._announcements.ignore_for_now(incarnation.life_id, now_ms)
             if event is not None:
                 marks.append(BackendMark(incarnation.name, incarnation.life_id, event))
         return marks
 
-    def _is_refusing_connections(self, incarnation: Incarnation, now_ms: int) -> bool:
+    def _is_refusing_connections(
+        self, incarnation: Incarnation, silence_limit_ms: int, now_ms: int
+    ) -> bool:
         life_id = incarnation.life_id
         reports = self._refused_reports
         if not incarnation.allows("refused") or not reports.is_refusing(
-            life_id, self.active_entries_count(now_ms), now_ms
+            life_id,
+            self.active_entries_count(now_ms),
+            self._announcements.heard_ms(life_id),
+            silence_limit_ms,
+            now_ms,
         ):
             return False
         self.refused_by[life_id] = reports.reporters(life_id, now_ms)
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -9,7 +9,7 @@
 from cassiapitch.load_report_queue import FULL_BATCH_LIMIT_BYTES, life_tag
 from cassiapitch.messages import DemandReport, InFlight
 from tests import fleet_world
-from tests.fleet_world import World
+from tests.fleet_world import ANNOUNCE_MS, TICK_MS, World
 
 MODELS_OF_EQUAL_SIZE = {"a": 30, "b": 30, "c": 30}
 
@@ -77,6 +77,45 @@
     assert server_state(world) == "suspected"
 
 
+def make_world_of_many_entries():
+    world = make_world()
+    for number in range(99):
+        world.coordinator.on_demand(DemandReport(f"n{number}", (), ()), world.now_ms)
+    # Just after a heartbeat.
+    world.run(-world.now_ms % ANNOUNCE_MS + TICK_MS)
+    return world
+
+
+@pytest.mark.parametrize(
+    ("reporters_count", "state"), [(2, "suspected"), (1, "serving")]
+)
+def test_crashed_server_that_few_of_many_entries_send_to_is_suspected_soon(
+    reporters_count, state
+):
+    """Guards against requests that go to a crashed server until its silence is long
+    enough by itself, since too few entries send to it for a third to be refused."""
+    world = make_world_of_many_entries()
+    world.engines[0].is_silent = True
+    for number in range(reporters_count):
+        report_refused(world, f"n{number}")
+    world.run(800)
+    assert server_state(world) == "serving"
+    world.run(300)
+    assert server_state(world) == state
+
+
+def test_few_entries_that_are_refused_take_no_server_that_was_heard_since_from_all():
+    """Guards against a server that is suspected for one late heartbeat, since some
+    entries were cut off from it before."""
+    world = make_world_of_many_entries()
+    for number in range(5):
+        report_refused(world, f"n{number}")
+    world.run(ANNOUNCE_MS)
+    world.engines[0].is_silent = True
+    world.run(1_500)
+    assert server_state(world) == "serving"
+
+
 def test_server_that_says_in_an_answer_that_it_leaves_leaves_for_all_entries():
     """Guards against requests of other entries to a server that told only one of them
     that it leaves, while its heartbeats still say that it stays."""
