Count prompts that wait for permits towards the backlog of an engine

Cause: while an engine is paced, prompts wait at their entries and are refused for their expected wait, so that few are pending at the engine.

Change: the waits that prompts are told, multiplied by the pace, count as waiting tokens of the engine for 500 ms.

Ruled out: the tokens in the queue. Prompts that would wait for too long are never queued, so that it stays short whatever is asked.

Measured: tests/test_backlog_relief.py, fails without the change.

--- a/cassiapitch/coordinator.py
+++ b/cassiapitch/coordinator.py
@@ -323,7 +323,12 @@
         sums = self._entry_loads.sums([item.life_id for item in silent], now_ms)
         for incarnation, (count, tokens) in zip(silent, sums, strict=True):
             self.placement.request_counts[incarnation.life_id] = (count, 0)
-            self.placement.update_backlog(incarnation.life_id, tokens)
+            queued_tokens = 0
+            if self.prompt_pacing is not None:
+                queued_tokens = self.prompt_pacing.queued_tokens(
+                    incarnation.life_id, now_ms
+                )
+            self.placement.update_backlog(incarnation.life_id, tokens + queued_tokens)
             report = LoadReport(
                 incarnation.name, incarnation.life_id, count, 0, (), tokens
             )
--- a/cassiapitch/prompt_pacing.py
+++ b/cassiapitch/prompt_pacing.py
@@ -75,6 +75,10 @@
 # the median of its role: it serves no more than its pace, so that nothing else would
 # show that it isn't slow any more.
 PROBE_RATIO = 1.02
+# Weight of the newest wait for a permit in their average, and how long it counts after
+# the last one.
+WAIT_SAMPLE_WEIGHT = 0.2
+WAIT_VALID_MS = 500
 # More than an engine processes between two reports of an entry.
 REPORTED_LIMIT_TOKENS = 1_000_000
 # Engines that are paced at once, so that a message to the entries stays below 0.5 kB.
@@ -117,6 +121,8 @@
         given_since_ms: Begin of the time after which pacing may end.
         unloaded_times_ms: For each period of the last seconds with enough tokens, the
             time and how long tokens were pending on average.
+        expected_wait_ms: Average wait for a permit that prompts were told.
+        waited_ms: When a prompt was last told its wait.
     """
 
     role: str = ""
@@ -135,6 +141,8 @@
     unloaded_times_ms: collections.deque[tuple[int, float]] = dataclasses.field(
         default_factory=collections.deque
     )
+    expected_wait_ms: float = 0.0
+    waited_ms: int = 0
 
     @property
     def tokens_per_ms(self) -> float:
@@ -252,6 +260,24 @@
         engine.given_tokens += tokens
         if wait_ms > CHANCE_WAIT_MS:
             engine.begin_period(now_ms)
+        if not tokens:
+            engine.waited_ms = now_ms
+            change_ms = wait_ms - engine.expected_wait_ms
+            engine.expected_wait_ms += WAIT_SAMPLE_WEIGHT * change_ms
+
+    def queued_tokens(self, life_id: LifeId, now_ms: int) -> int:
+        """Returns about how many prompt tokens wait for permits of an engine.
+
+        What entries have pending there says nothing of them. They are derived from the
+        waits that prompts are told, since those that would wait for too long are
+        refused and never queued.
+        """
+        engine = self._engines.get(life_id)
+        if engine is None or engine.rate is None:
+            return 0
+        if now_ms - engine.waited_ms > WAIT_VALID_MS:
+            return 0
+        return int(engine.expected_wait_ms * engine.rate)
 
     def pace(self, life_id: LifeId) -> Pace | None:
         """Returns the pace of an engine, or None if it takes prompts as they come."""
--- a/tests/test_backlog_relief.py
+++ b/tests/test_backlog_relief.py
@@ -6,6 +6,7 @@
 
 from cassiapitch import backlog_relief
 from cassiapitch.bundle import Store
+from cassiapitch.prompt_pacing import EngineLoad, PromptPacing
 from tests import scarcity_world
 from tests.scarcity_world import Deployment, Request, ScarcityWorld
 
@@ -88,6 +89,32 @@
     assert late_counts[True] <= LATE_RATIO * late_counts[False]
 
 
+def test_prompts_that_wait_for_permits_are_part_of_the_backlog():
+    """Guards against a model that keeps one engine, since its prompts are held back
+    before it and refused for their wait while others are idle."""
+    world = ScarcityWorld(DEPLOYMENT, 0, changes=False).run(1)
+    pacing = world.coordinator.prompt_pacing = PromptPacing()
+    backlogs = world.coordinator.placement.backlogs
+    now_ms, load = world.now_ms, EngineLoad("e0@1", "r", 20_000, 400)
+    pacing.tick([load], now_ms, {"r": 20.0})
+    assert pacing.pace(load.life_id) is not None
+
+    def report(waits_ms):
+        nonlocal now_ms
+        for _ in range(10):
+            now_ms += 1_000
+            for wait_ms in waits_ms:
+                pacing.record_permits(load.life_id, 0, wait_ms, now_ms)
+            world.coordinator.load_reports(now_ms)
+
+    report([])
+    before = backlogs[load.life_id]
+    report([300, 600] * 5)
+    assert backlogs[load.life_id] >= before + backlog_relief.SATURATED_BACKLOG_TOKENS
+    report([])
+    assert backlogs[load.life_id] == pytest.approx(before, abs=500)
+
+
 def make_survey(backlogs, engines_count=10):
     """Returns placement state and survey of a model "m" with a copy on each engine."""
     catalog = types.SimpleNamespace(role_of=lambda key: "r")
