Keep copies in use while demand is not known

Cause: near the beginning of demand each model counts as the mean of its role, and a further copy as a part of that, whatever its model is asked for.

Change: while demand is unknown, a further copy counts as much as an only one if the others would have more demand for each engine than the mean of the role has. In the first second all do. Only spare copies go first.

Ruled out: no change of copies at first (an asked model needs a copy as soon as one is spare), and what was observed alone (only copies of models that are about to be asked for would go).

--- a/cassiapitch/eviction.py
+++ b/cassiapitch/eviction.py
@@ -53,6 +53,10 @@
 # Time constant with which demand becomes known: half of the one that averages it.
 OBSERVATION_MS = 10_000
 
+# Until demand was observed for this long, every copy counts as in use: the requests of
+# less time say little of how many copies a model needs.
+UNKNOWN_DEMAND_MS = 1_000
+
 
 def max_victim_class(age_ms: int) -> int:
     """Returns the highest class that a first copy may displace.
@@ -83,7 +87,8 @@
         self._target_copies = target_copies
         self._now_ms = now_ms
         self._ranked_copies_by_role: dict[str, list[tuple[int, float, str, str]]] = {}
-        self._mean_rates: dict[str, float] = {}
+        # Mean demand for the models of a role, and their number.
+        self._role_demands: dict[str, tuple[float, int]] = {}
         # By life id; several models ask for it in a round.
         self._remaining_residences_ms: dict[str, int] = {}
         # Requests that wait for an adapter need its model as well.
@@ -281,13 +286,49 @@
         return item is not None and item.fills_memory
 
     def _value(self, incarnation: Incarnation, key: str) -> float:
-        """Returns the demand that a copy serves; those with the least go first."""
+        """Returns the demand that a copy serves; those with the least go first.
+
+        While demand is not known yet, each copy that is in use counts as much as the
+        only copy of a model, so that only spare copies count for less.
+        """
         weight = self._survey.copy_weight(incarnation)
-        return self._rate(key) * weight / max(weight, self._serving_weight(key))
+        served_share = weight / max(weight, self._survey.serving_weight(key))
+        if served_share < 1 and self._is_in_use(key, weight):
+            uncertainty = self._uncertainty()
+            known_value = (1 - uncertainty) * self._known_value(incarnation, key)
+            return uncertainty * self._mean_rate(key) + known_value
+        return self._rate(key) * served_share
+
+    def _known_value(self, incarnation: Incarnation, key: str) -> float:
+        """Returns the same by what was observed alone."""
+        weight = self._survey.copy_weight(incarnation)
+        rate = self._state.demand.weighted_rate(key, self._now_ms)
+        return rate * weight / max(weight, self._survey.serving_weight(key))
 
-    def _serving_weight(self, key: str) -> float:
-        """Returns the copies that serve a key, by what they can serve."""
-        return sum(map(self._survey.copy_weight, self._survey.copies.get(key, ())))
+    def _is_in_use(self, key: str, weight: float) -> bool:
+        """Tells whether a model's other copies would serve more than others do.
+
+        That is more demand for each engine than the mean of the role.
+
+        Args:
+            key: Ledger key of the model or adapter.
+            weight: What the copy counts for.
+        """
+        if is_adapter_key(key):
+            return False
+        if self._state.demand.observed_ms(self._now_ms) < UNKNOWN_DEMAND_MS:
+            return True
+        role = self._state.fleet.catalog.role_of(key) or ""
+        engines_count = len(self._survey.engines_by_role.get(role, ()))
+        mean_rate, models_count = self._role_demand(role)
+        total_rate = mean_rate * models_count
+        if not total_rate:
+            return False
+        rate = self._state.demand.weighted_rate(key, self._now_ms)
+        return (
+            self._survey.serving_weight(key) - weight
+            < rate / total_rate * engines_count
+        )
 
     def _rate(self, key: str) -> float:
         """Returns the demand for a model, blended with the mean while data is scarce.
@@ -306,8 +347,11 @@
         return math.exp(-observed_ms / OBSERVATION_MS)
 
     def _mean_rate(self, key: str) -> float:
-        role = self._state.fleet.catalog.role_of(key) or ""
-        if role not in self._mean_rates:
+        return self._role_demand(self._state.fleet.catalog.role_of(key) or "")[0]
+
+    def _role_demand(self, role: str) -> tuple[float, int]:
+        """Returns the mean demand for the models of a role, and their number."""
+        if role not in self._role_demands:
             names = [
                 name
                 for name, model in self._state.fleet.catalog.models.items()
@@ -317,8 +361,8 @@
                 self._state.demand.weighted_rate(model_key(name), self._now_ms)
                 for name in names
             )
-            self._mean_rates[role] = total_rate / max(1, len(names))
-        return self._mean_rates[role]
+            self._role_demands[role] = total_rate / max(1, len(names)), len(names)
+        return self._role_demands[role]
 
     def _may_displace(
         self,
@@ -355,7 +399,7 @@
             loads_count = len(self._first_loads.engines_in_use(key))
         elif not self.is_saturated(key) and not self.lacks_copies(key):
             return False
-        copies_count = self._serving_weight(key) + loads_count
+        copies_count = self._survey.serving_weight(key) + loads_count
         ratio = GAIN_RATIO
         if is_only and not self._has_limited_copies_only(key):
             ratio = ONLY_COPY_RATIO
--- a/cassiapitch/survey.py
+++ b/cassiapitch/survey.py
@@ -212,6 +212,10 @@
         ]
         return sum(map(self.copy_weight, engines))
 
+    def serving_weight(self, key: str) -> float:
+        """Returns the copies that serve, by what they can serve."""
+        return sum(map(self.copy_weight, self.copies.get(key, ())))
+
     def copy_weight(self, incarnation: Incarnation) -> float:
         """Returns which part of a copy one at this engine counts for.
 
