Keep an engine free of loads for the adapters of each model

Cause: an engine that carries out one order at a time loads no adapter while it loads a model.

Change, with `further_loads` `by_demand`: no model is loaded at the only engine that is free of orders and serves a model whose adapters are asked for, unless it is busy or was unserved for 10 s and there is no other.

--- a/cassiapitch/first_loads.py
+++ b/cassiapitch/first_loads.py
@@ -18,6 +18,10 @@
 # models, and may displace copies by its demand of the last seconds.
 BUSY_COPIES = 0.5
 
+# A model with little demand takes what is left for busy ones once it has been due a
+# turn and unserved for this long.
+LONG_UNSERVED_MS = 10_000
+
 # Part of a role's engines that further loads leave free of orders, for first copies of
 # models that come into demand next.
 FREE_ENGINES_SHARE = 0.25
@@ -121,11 +125,20 @@
         A model with little demand leaves engines free of orders, since an engine that
         takes one order at a time would keep a busy model waiting for a whole load.
         """
-        is_busy = self._needed.get(key, 0.0) >= BUSY_COPIES
-        if not self._state.further_loads_by_demand or is_busy:
+        if not self._state.further_loads_by_demand or self.is_urgent(key):
             return True
         return self.may_use_engines(key)
 
+    def is_urgent(self, key: str) -> bool:
+        """Tells whether a first copy may take what others leave for busy models.
+
+        It may if the unserved demand for it is large, or was unserved for long.
+        """
+        if self._needed.get(key, 0.0) >= BUSY_COPIES:
+            return True
+        unserved_ms = self._state.demand.unserved.due_ms(key, self._now_ms)
+        return unserved_ms is not None and unserved_ms >= LONG_UNSERVED_MS
+
     def may_use_engines(self, key: str) -> bool:
         """Tells whether enough engines of a model's role stay free of orders."""
         role = self._state.fleet.catalog.role_of(key) or ""
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -160,25 +160,13 @@
             if self._survey.copy_count(key) > 0:
                 continue
             age_ms = self._now_ms - requested_ms
-            if key not in self._placed_drained and self._may_load_first(key):
+            may_place = is_adapter_key(key) or self._first_loads.may_load_first(key)
+            if key not in self._placed_drained and may_place:
                 self._place_waiting_item(key, age_ms)
             if all(order.item != key for order in self.loads.orders):
                 wait = placement_waits.Wait(name_of(key), age_ms, self._why(key))
                 self.waits.append(wait)
 
-    def _may_load_first(self, key: str) -> bool:
-        """Tells whether a first copy may be placed although few engines are free.
-
-        Models with little demand leave some of them free of orders, but not for longer
-        than their turn takes.
-        """
-        unserved_ms = self._state.demand.unserved.due_ms(key, self._now_ms) or 0
-        return (
-            is_adapter_key(key)
-            or unserved_ms >= eviction.TURN_SCALE_MS
-            or self._first_loads.may_load_first(key)
-        )
-
     def place_in_free_memory(self) -> None:
         """Loads models in demand without a copy where nothing has to be unloaded.
 
--- a/cassiapitch/placement_loads.py
+++ b/cassiapitch/placement_loads.py
@@ -8,6 +8,7 @@
 from cassiapitch.fleet_commands import NewOrder
 from cassiapitch.orders import is_adapter_key
 from cassiapitch.placement_state import EngineAssignment, PlacementState
+from cassiapitch.spared_engines import SparedEngines
 from cassiapitch.survey import EngineState, Survey
 from cassiapitch.types import OrderKind
 
@@ -60,6 +61,7 @@
         self._adapter_slots = adapter_slots
         self._eviction = copies
         self._first_loads = first_loads
+        self._spared = SparedEngines(state, survey, now_ms)
         self._load_search_count = 0
         self._eviction_search_count = 0
 
@@ -111,15 +113,23 @@
         if self.has_no_searches_left():
             return True
         self._load_search_count += 1
-        engine = self._engines.best(
-            key, self._engines.candidates(key) if engines is None else engines
-        )
+        if engines is None:
+            engines = self._engines.candidates(key)
+        engine = self._engines.best(key, self._unspared(key, engines))
+        if engine is None and self._first_loads.is_urgent(key):
+            engine = self._engines.best(key, engines)
         if engine is None:
             return False
         if self.store.may_load(key, engine):
             self.order_load(engine, key)
         return True
 
+    def _unspared(self, key: str, engines: list[EngineState]) -> list[EngineState]:
+        """Leaves out engines that are kept free for the adapters of their models."""
+        if is_adapter_key(key) or not self._state.further_loads_by_demand:
+            return engines
+        return self._spared.without(engines)
+
     def load_as_planned(self, key: str) -> bool:
         """Loads a planned item once its engine has the memory; always returns True."""
         assignment = self._state.planned_loads[key]
@@ -175,19 +185,20 @@
         open_engines = [
             engine for engine in engines if engine.incarnation.life_id != held_life_id
         ]
-        engines_with_weights = [
-            engine
-            for engine in open_engines
-            if store_limits.has_local_weights(engine, key)
+        unspared = self._unspared(key, open_engines)
+        with_weights = [
+            engine for engine in unspared if store_limits.has_local_weights(engine, key)
         ]
-        found = self._eviction.find(
-            key, max_class, engines_with_weights, gain_ratio, is_first=is_first
-        )
-        if found is None:
+        choices = [with_weights, unspared]
+        if len(unspared) < len(open_engines) and self._first_loads.is_urgent(key):
+            choices.append(open_engines)
+        for candidates in choices:
             found = self._eviction.find(
-                key, max_class, open_engines, gain_ratio, is_first=is_first
+                key, max_class, candidates, gain_ratio, is_first=is_first
             )
-        if found is None:
+            if found is not None:
+                break
+        else:
             return False
         engine, victims = found
         for victim in victims:
