Log streams of engines that time out or send invalid events

Cause: the OpenAI-compatible interface dropped time-outs and invalid events of an engine's stream without a log line, so that the reason for a resumed stream could not be found.

--- a/cassiapitch/answer_streams.py
+++ b/cassiapitch/answer_streams.py
@@ -3,7 +3,7 @@
 import anyio
 import httpcore
 
-from cassiapitch import timers
+from cassiapitch import events, timers
 from cassiapitch.backend_client import Response
 from cassiapitch.engine_calls import AttemptEnd, GenerationContext, stall_limit_s
 from cassiapitch.streams import (
@@ -48,14 +48,27 @@
                     limit_s = stall_limit_s(context.call.priority)
                     stall_deadline_s = anyio.current_time() + limit_s
                 scope.deadline = stall_deadline_s
-    except (httpcore.NetworkError, httpcore.ProtocolError):
+    except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+        _log_broken(context, backend, error)
         context.state.hold_if_maybe_cold(backend)
-    except (httpcore.TimeoutException, ValueError):
-        pass
+    except (httpcore.TimeoutException, ValueError) as error:
+        _log_broken(context, backend, error)
     context.check_first_chunk_deadline()
     return AttemptEnd.COMPLETE if context.answer.is_complete else AttemptEnd.BROKEN
 
 
+def _log_broken(
+    context: GenerationContext, backend: BackendItem, error: Exception
+) -> None:
+    events.log(
+        events.Event.STREAM_BROKEN,
+        request_id=context.call.request_id,
+        backend=backend.name,
+        position=context.answer.next_position,
+        reason=f"{type(error).__name__}: {error}",
+    )
+
+
 async def _handle_event(context: GenerationContext, raw: bytes) -> bool:
     """Handles one event; returns False if the stream must be resumed."""
     event = parse_event(raw)
