Name the models in most demand among those that wait

Cause: `placement_waits` names the eight longest waits.

Change: the three in most demand, with their tokens a second, besides.

--- a/cassiapitch/controller.py
+++ b/cassiapitch/controller.py
@@ -13,7 +13,7 @@
 import anyio
 import anyio.abc
 
-from cassiapitch import events, metrics, order_sender
+from cassiapitch import events, metrics, order_sender, placement_waits
 from cassiapitch.admission_levels import Changes
 from cassiapitch.announcements import (
     Announcement,
@@ -291,7 +291,12 @@
     def _log_waits(self, waits: list[Wait]) -> None:
         metrics.WAITING_ITEMS.set(len(waits))
         if due := self._wait_log.due(waits, self._now_ms()):
-            events.log(events.Event.PLACEMENT_WAITS, count=len(waits), longest=due)
+            events.log(
+                events.Event.PLACEMENT_WAITS,
+                count=len(waits),
+                longest=due,
+                busiest=placement_waits.busiest(waits),
+            )
 
     async def _commit_orders(self, orders: RecordOrders) -> None:
         events.log(events.Event.ORDERS_RECORDED, count=len(orders.orders))
--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -164,7 +164,12 @@
             if key not in self._placed_drained and may_place:
                 self._place_waiting_item(key, age_ms)
             if all(order.item != key for order in self.loads.orders):
-                wait = placement_waits.Wait(name_of(key), age_ms, self._why(key))
+                wait = placement_waits.Wait(
+                    name_of(key),
+                    age_ms,
+                    self._why(key),
+                    int(self._state.demand.recent_rate(key, self._now_ms)),
+                )
                 self.waits.append(wait)
 
     def place_in_free_memory(self) -> None:
--- a/cassiapitch/placement_waits.py
+++ b/cassiapitch/placement_waits.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 
-# Items of one log line, those that have waited for longest.
+# Items of one log line, those that have waited for longest and those in most demand.
 ITEMS_LIMIT_COUNT = 8
+BUSIEST_LIMIT_COUNT = 3
 # Time between two log lines, and the wait from which an item is named.
 PERIOD_MS = 2_000
 LONG_WAIT_MS = 1_500
@@ -19,11 +20,18 @@
         reason: `planned` (an engine frees memory), `no_engine`, `model_not_loaded` (of
             an adapter), `engines_busy` (with other orders), `store_limit`, `no_slot`
             (for an adapter) or `no_memory`.
+        tokens_per_s: Recent demand for it.
     """
 
     name: str
     age_ms: int
     reason: str
+    tokens_per_s: int = 0
+
+
+def busiest(waits: list[Wait]) -> list[Wait]:
+    """Returns the waits in most demand, however long they last."""
+    return sorted(waits, key=lambda wait: -wait.tokens_per_s)[:BUSIEST_LIMIT_COUNT]
 
 
 class WaitLog:
--- a/tests/test_placement_demand.py
+++ b/tests/test_placement_demand.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cassiapitch import placement_waits
 from cassiapitch.announcements import Announcement, LoadedModel
 from cassiapitch.bundle import Adapter, Bundle, Model, Role, Store
 from cassiapitch.coordinator import Coordinator
@@ -434,6 +435,8 @@
     assert due
     assert due == sorted(due, key=lambda wait: -wait.age_ms)
     assert log.due(waits, world.now_ms + 1) == []
+    most = max(wait.tokens_per_s for wait in waits)
+    assert most == placement_waits.busiest(waits)[0].tokens_per_s > 0
 
 
 def test_adapter_is_loaded_soon_after_its_slot_is_free():
