Tell booked loads of the weight store as its limit

Cause: a load that the weight store's limits keep from being planned was logged as `no_memory`, though an engine would have had the memory.

Change: the reason is `store_limit`, as for loads that wait with memory.

--- a/cassiapitch/placement.py
+++ b/cassiapitch/placement.py
@@ -202,7 +202,7 @@
             return "model_not_loaded" if is_adapter_key(key) else "no_engine"
         if all(engine.is_blocked for engine in engines):
             return "engines_busy"
-        if not self.store.may_load_on_any(key, engines):
+        if not self.store.may_load_on_any(key, engines) or self.store.is_booked(key):
             return "store_limit"
         return "no_slot" if is_adapter_key(key) else "no_memory"
 
